--- /dev/null
+++ b/cactusdyke/api/__init__.py
@@ -0,0 +1,63 @@
+"""What a daemon answers to callers and operators."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cactusdyke.api.calls import CallHandlers
+from cactusdyke.api.flights import Flights
+from cactusdyke.api.operations import OperationHandlers
+from cactusdyke.api.submissions import SubmissionHandlers
+from cactusdyke.application import ExtensionMetadata
+from cactusdyke.booking.bookings import Bookings
+from cactusdyke.configuration.in_force import InForce
+from cactusdyke.limits.customer_limits import CustomerLimits
+from cactusdyke.membership.members import Members
+from cactusdyke.observe.cost import CostBook
+from cactusdyke.observe.metrics import Metrics
+from cactusdyke.observe.tracing import Tracing
+from cactusdyke.pipeline.runner import PipelineRunner
+
+if TYPE_CHECKING:
+    from cactusdyke.application import Application
+
+
+def setup(app: Application) -> ExtensionMetadata:
+    """Registers the routes of callers and operators."""
+    flights = Flights(clock=app.clock, linger_ms=app.settings.linger_ms)
+    calls = CallHandlers(
+        clock=app.clock,
+        rng=app.rng,
+        in_force=app.service("configuration", InForce),
+        limits=app.service("limits", CustomerLimits),
+        pipelines=app.service("pipeline", PipelineRunner),
+        bookings=app.service("bookings", Bookings),
+        flights=flights,
+        tracing=app.service("tracing", Tracing),
+        metrics=app.service("metrics", Metrics),
+    )
+    operations = OperationHandlers(
+        app=app,
+        in_force=app.service("configuration", InForce),
+        members=app.service("membership", Members),
+        tracing=app.service("tracing", Tracing),
+        cost=app.service("cost", CostBook),
+    )
+    submissions = SubmissionHandlers(
+        in_force=app.service("configuration", InForce),
+        object_store=app.object_store,
+        settings_token_hashes=app.settings.operator_token_hashes,
+    )
+    app.add_route("POST", "/v1/submissions", submissions.submit)
+    app.add_route("POST", "/v1/pipelines/{name}", calls.pipeline)
+    app.add_route("POST", "/v1/services/{name}", calls.service)
+    app.add_route("GET", "/v1/requests/{key}", calls.find)
+    app.add_route("GET", "/v1/addresses", operations.addresses)
+    app.add_route("GET", "/v1/status", operations.status)
+    app.add_route("GET", "/v1/cost", operations.cost)
+    app.add_route("GET", "/v1/traces/{trace_id}", operations.trace)
+    app.add_route("GET", "/health", operations.health)
+    app.add_route("GET", "/ready", operations.ready)
+    app.add_route("GET", "/metrics", operations.metrics)
+    app.add_service("flights", flights)
+    return ExtensionMetadata(version="1")
--- /dev/null
+++ b/cactusdyke/api/calls.py
@@ -0,0 +1,263 @@
+"""Answers callers: pipelines and plain services."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import orjson
+from result import Err, Ok, Result
+
+from cactusdyke import events
+from cactusdyke.api import authentication, body
+from cactusdyke.configuration.model import Pipeline, PlainService
+from cactusdyke.errors import CactusdykeError, Failure, FailureKind
+from cactusdyke.observe import tracing
+from cactusdyke.pipeline.request import RequestContext
+from cactusdyke.routing.messages import StreamEnd, TokenBatch
+from cactusdyke.transport.messages import (
+    EVENT_STREAM_TYPE,
+    Request,
+    Response,
+    failure_response,
+    json_response,
+)
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import AsyncIterator
+
+    from cactusdyke.api.flights import Flights
+    from cactusdyke.booking.bookings import Bookings
+    from cactusdyke.clock import Clock
+    from cactusdyke.configuration.in_force import InForce
+    from cactusdyke.limits.customer_limits import CustomerLimits
+    from cactusdyke.observe.metrics import Metrics
+    from cactusdyke.observe.tracing import Tracing
+    from cactusdyke.pipeline.runner import PipelineRunner
+
+TargetType = TypeVar("TargetType", Pipeline, PlainService)
+
+KEY_HEADER = "idempotency-key"
+MAX_KEY_LENGTH = 256
+
+
+class CallHandlers:
+    """The handlers behind /v1/pipelines, /v1/services and /v1/requests."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        in_force: InForce,
+        limits: CustomerLimits,
+        pipelines: PipelineRunner,
+        bookings: Bookings,
+        flights: Flights,
+        tracing: Tracing,
+        metrics: Metrics,
+    ) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._in_force = in_force
+        self._limits = limits
+        self._pipelines = pipelines
+        self._bookings = bookings
+        self._flights = flights
+        self._tracing = tracing
+        self._metrics = metrics
+
+    async def pipeline(self, request: Request) -> Response:
+        """Runs a pipeline and answers whole or as server-sent events."""
+        name = request.parameters["name"]
+        configuration = self._in_force.current
+        opened = self._open(request, configuration.pipelines.get(name), name)
+        if isinstance(opened, Err):
+            return failure_response(opened.err_value)
+        context, pipeline, stream = opened.ok_value
+        if stream:
+            return Response(
+                headers={
+                    "content-type": EVENT_STREAM_TYPE,
+                    "x-request-id": context.request_id,
+                },
+                body=self._events(context, pipeline),
+            )
+        with self._flights.track():
+            answer = await self._pipelines.run_whole(context, pipeline)
+        return self._close(context, name, answer)
+
+    async def service(self, request: Request) -> Response:
+        """Makes one call to a plain service."""
+        name = request.parameters["name"]
+        configuration = self._in_force.current
+        opened = self._open(request, configuration.services.get(name), name)
+        if isinstance(opened, Err):
+            return failure_response(opened.err_value)
+        context, service, _ = opened.ok_value
+        with self._flights.track():
+            answer = await self._call_service(context, service)
+        return self._close(context, name, answer)
+
+    async def find(self, request: Request) -> Response:
+        """Says how the customer's request with a key ended."""
+        customer = authentication.customer_of(request, self._in_force.current)
+        if isinstance(customer, Err):
+            return failure_response(customer.err_value)
+        key = request.parameters["key"]
+        found = await self._bookings.find(customer.ok_value.name, key)
+        match found:
+            case Ok(None):
+                return failure_response(
+                    Failure(
+                        kind=FailureKind.NOT_FOUND,
+                        detail="No request with this key is known",
+                    )
+                )
+            case Ok(record):
+                assert record is not None
+                return json_response(
+                    {"state": record.state, "output": record.output}
+                )
+            case Err(failure):
+                return failure_response(failure)
+
+    async def _call_service(
+        self, context: RequestContext, service: PlainService
+    ) -> Result[Any, Failure]:
+        if not service.idempotent:
+            return await self._bookings.book(context, service)
+        return await self._pipelines.run_service(context, service)
+
+    def _open(
+        self, request: Request, target: TargetType | None, name: str
+    ) -> Result[tuple[RequestContext, TargetType, bool], Failure]:
+        """Checks who calls, what for and with what, and starts a request."""
+        configuration = self._in_force.current
+        customer = authentication.customer_of(request, configuration)
+        if isinstance(customer, Err):
+            return customer
+        if target is None:
+            return Err(_unknown_target(name))
+        call = body.parse(request)
+        if isinstance(call, Err):
+            return call
+        key = _idempotency_key(request, target)
+        if isinstance(key, Err):
+            return key
+        admitted = self._limits.admit(customer.ok_value)
+        if isinstance(admitted, Err):
+            events.log(
+                events.Event.REQUEST_REFUSED,
+                customer=customer.ok_value.name,
+                detail=admitted.err_value.detail,
+            )
+            return admitted
+        allowed_ms = call.ok_value.deadline_ms or target.deadline_ms
+        context = RequestContext(
+            request_id=f"{self._rng.getrandbits(128):032x}",
+            customer=customer.ok_value,
+            configuration=configuration,
+            deadline=self._clock.now() + allowed_ms,
+            span=self._tracing.start(
+                f"request {name}",
+                tracing.parse_traceparent(request.headers.get("traceparent")),
+                customer=customer.ok_value.name,
+            ),
+            idempotency_key=key.ok_value,
+            input=call.ok_value.input,
+        )
+        return Ok((context, target, call.ok_value.stream))
+
+    async def _events(
+        self, context: RequestContext, pipeline: Pipeline
+    ) -> AsyncIterator[bytes]:
+        outcome = "ok"
+        with self._flights.track():
+            try:
+                async for part in self._pipelines.run_stream(context, pipeline):
+                    if isinstance(part, TokenBatch):
+                        count = len(part.tokens)
+                        self._metrics.tokens.labels(pipeline.name).inc(count)
+                    yield _event_bytes(context, part)
+            except CactusdykeError as error:
+                outcome = error.failure.kind.code
+                yield _error_event(context, error.failure)
+            finally:
+                context.span.end()
+                self._metrics.requests.labels(pipeline.name, outcome).inc()
+
+    def _close(
+        self,
+        context: RequestContext,
+        target: str,
+        answer: Result[Any, Failure],
+    ) -> Response:
+        context.span.end()
+        match answer:
+            case Ok(output):
+                self._metrics.requests.labels(target, "ok").inc()
+                return json_response(
+                    {
+                        "request_id": context.request_id,
+                        "trace_id": tracing.trace_id(context.span),
+                        "output": output,
+                    }
+                )
+            case Err(failure):
+                self._metrics.requests.labels(target, failure.kind.code).inc()
+                return failure_response(failure, request_id=context.request_id)
+
+
+def _event_bytes(
+    context: RequestContext, part: TokenBatch | StreamEnd
+) -> bytes:
+    if isinstance(part, StreamEnd):
+        end = {
+            "request_id": context.request_id,
+            "trace_id": tracing.trace_id(context.span),
+            "tokens": part.tokens,
+        }
+        return b"event: end\ndata: " + orjson.dumps(end) + b"\n\n"
+    return b"".join(
+        b"event: token\ndata: "
+        + orjson.dumps({"position": token.position, "text": token.text})
+        + b"\n\n"
+        for token in part.tokens
+    )
+
+
+def _error_event(context: RequestContext, failure: Failure) -> bytes:
+    value = failure.to_body(request_id=context.request_id)
+    return b"event: error\ndata: " + orjson.dumps(value) + b"\n\n"
+
+
+def _unknown_target(name: str) -> Failure:
+    return Failure(
+        kind=FailureKind.NOT_FOUND,
+        detail=f"Nothing named {name[:100]!r} is configured",
+    )
+
+
+def _idempotency_key(
+    request: Request, target: Pipeline | PlainService
+) -> Result[str | None, Failure]:
+    key = request.headers.get(KEY_HEADER)
+    needed = isinstance(target, PlainService) and not target.idempotent
+    if key is None and needed:
+        return Err(
+            Failure(
+                kind=FailureKind.BAD_REQUEST,
+                detail=f"{target.name} may not be repeated and needs the"
+                f" header {KEY_HEADER}",
+            )
+        )
+    if key is not None and not 0 < len(key) <= MAX_KEY_LENGTH:
+        return Err(
+            Failure(
+                kind=FailureKind.BAD_REQUEST,
+                detail=f"The header {KEY_HEADER} is empty or over"
+                f" {MAX_KEY_LENGTH} characters",
+            )
+        )
+    return Ok(key)
--- /dev/null
+++ b/cactusdyke/client.py
@@ -0,0 +1,284 @@
+"""A small client for callers: asks for addresses, and calls one of them."""
+
+from __future__ import annotations
+
+import contextlib
+import math
+import random
+from collections.abc import Mapping
+from typing import TYPE_CHECKING, Any, Self
+
+import attrs
+import orjson
+from result import Err, Ok, Result
+
+from cactusdyke.clock import Clock, SystemClock
+from cactusdyke.errors import CactusdykeError, Failure, FailureKind, Ran
+from cactusdyke.transport.http_network import HttpNetwork
+from cactusdyke.transport.messages import (
+    JSON_TYPE,
+    Request,
+    Response,
+    parse_object,
+)
+from cactusdyke.transport.network import CallOptions, Network
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Sequence
+    from types import TracebackType
+
+CONNECT_TIMEOUT_MS = 1_000.0
+ANSWER_MARGIN_MS = 1_000.0
+DEFAULT_DEADLINE_MS = 6_000.0
+
+
+@attrs.frozen(kw_only=True)
+class ServerSentEvent:
+    """One event of a streamed answer."""
+
+    name: str
+    data: Mapping[str, Any]
+
+
+class Client:
+    """Calls a deployment; use as an async context manager."""
+
+    def __init__(
+        self,
+        *,
+        seeds: Sequence[str],
+        token: str,
+        network: Network | None = None,
+        clock: Clock | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._seeds = tuple(seeds)
+        self._token = token
+        self._network = network
+        self._clock = clock or SystemClock()
+        self._rng = rng or random.Random()
+        self._addresses: tuple[str, ...] = ()
+        self._valid_until = 0.0
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        if self._network is None:
+            self._network = await self._stack.enter_async_context(HttpNetwork())
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self._stack.aclose()
+
+    def pin(self, address: str) -> None:
+        """Keeps to one address, to ask a daemon about itself."""
+        self._addresses = (address,)
+        self._valid_until = math.inf
+
+    async def addresses(self) -> tuple[str, ...]:
+        """Returns addresses to use, asking again once they have expired."""
+        if self._clock.now() < self._valid_until:
+            return self._addresses
+        for address in (*self._addresses, *self._seeds):
+            answer = await self._fetch(
+                address, Request(method="GET", path="/v1/addresses")
+            )
+            if isinstance(answer, Ok):
+                self._keep(answer.ok_value)
+                break
+        return self._addresses or self._seeds
+
+    async def call(
+        self,
+        path: str,
+        value: Any,
+        *,
+        deadline_ms: float = DEFAULT_DEADLINE_MS,
+        idempotency_key: str | None = None,
+        traceparent: str | None = None,
+    ) -> Result[dict[str, Any], Failure]:
+        """Calls `/v1/pipelines/NAME` or `/v1/services/NAME` for an answer."""
+        request = self._request(
+            path,
+            {"input": value, "deadline_ms": deadline_ms},
+            idempotency_key,
+            traceparent,
+        )
+        failure = _no_address()
+        for address in await self._shuffled():
+            answer = await self._fetch(address, request, deadline_ms)
+            if isinstance(answer, Ok):
+                return answer
+            failure = answer.err_value
+            if failure.kind is not FailureKind.NOT_SENT:
+                return answer
+        return Err(failure)
+
+    async def stream(
+        self,
+        pipeline: str,
+        value: Any,
+        *,
+        deadline_ms: float = DEFAULT_DEADLINE_MS,
+        traceparent: str | None = None,
+    ) -> AsyncIterator[ServerSentEvent]:
+        """Calls a pipeline and yields its answer's events.
+
+        Raises:
+            CactusdykeError: No answer began, or it broke off.
+        """
+        request = self._request(
+            f"/v1/pipelines/{pipeline}",
+            {"input": value, "deadline_ms": deadline_ms, "stream": True},
+            None,
+            traceparent,
+        )
+        failure = _no_address()
+        for address in await self._shuffled():
+            async with self._open_network().open(
+                address, request, _options(deadline_ms)
+            ) as opened:
+                if isinstance(opened, Err):
+                    failure = opened.err_value
+                    if failure.kind is FailureKind.NOT_SENT:
+                        continue
+                    raise CactusdykeError(failure)
+                incoming = opened.ok_value
+                if incoming.status != 200:
+                    body = b"".join([c async for c in incoming.chunks()])
+                    raise CactusdykeError(_failure_from(body))
+                async for event in _events(incoming.chunks()):
+                    yield event
+                return
+        raise CactusdykeError(failure)
+
+    async def get(self, path: str) -> Result[dict[str, Any], Failure]:
+        """Reads from the first address that answers."""
+        failure = _no_address()
+        for address in await self._shuffled():
+            answer = await self._fetch(
+                address, self._request(path, None, None, None)
+            )
+            if isinstance(answer, Ok):
+                return answer
+            failure = answer.err_value
+        return Err(failure)
+
+    async def post(
+        self, path: str, value: Any
+    ) -> Result[dict[str, Any], Failure]:
+        """Sends a JSON object to the first address that can be reached."""
+        failure = _no_address()
+        for address in await self._shuffled():
+            answer = await self._fetch(
+                address, self._request(path, value, None, None)
+            )
+            if isinstance(answer, Ok):
+                return answer
+            failure = answer.err_value
+            if failure.kind is not FailureKind.NOT_SENT:
+                return answer
+        return Err(failure)
+
+    async def _shuffled(self) -> list[str]:
+        addresses = list(await self.addresses())
+        self._rng.shuffle(addresses)
+        return addresses
+
+    def _keep(self, value: Mapping[str, Any]) -> None:
+        listed = tuple(item["address"] for item in value["addresses"])
+        if listed:
+            self._addresses = listed
+            self._valid_until = self._clock.now() + value["lifetime_ms"]
+
+    def _request(
+        self,
+        path: str,
+        value: Any,
+        idempotency_key: str | None,
+        traceparent: str | None,
+    ) -> Request:
+        headers = {"authorization": f"Bearer {self._token}"}
+        if idempotency_key is not None:
+            headers["idempotency-key"] = idempotency_key
+        if traceparent is not None:
+            headers["traceparent"] = traceparent
+        if value is None:
+            return Request(method="GET", path=path, headers=headers)
+        headers["content-type"] = JSON_TYPE
+        return Request(
+            method="POST",
+            path=path,
+            headers=headers,
+            body=orjson.dumps(value),
+        )
+
+    async def _fetch(
+        self,
+        address: str,
+        request: Request,
+        deadline_ms: float = DEFAULT_DEADLINE_MS,
+    ) -> Result[dict[str, Any], Failure]:
+        answer = await self._open_network().fetch(
+            address, request, _options(deadline_ms)
+        )
+        if isinstance(answer, Err):
+            return answer
+        return _parse(answer.ok_value)
+
+    def _open_network(self) -> Network:
+        if self._network is None:
+            raise RuntimeError("use the client as an async context manager")
+        return self._network
+
+
+def _options(deadline_ms: float) -> CallOptions:
+    return CallOptions(
+        connect_timeout_ms=CONNECT_TIMEOUT_MS,
+        progress_timeout_ms=deadline_ms + ANSWER_MARGIN_MS,
+    )
+
+
+def _parse(response: Response) -> Result[dict[str, Any], Failure]:
+    assert isinstance(response.body, bytes)
+    if response.status == 200:
+        return parse_object(response.body)
+    return Err(_failure_from(response.body))
+
+
+def _failure_from(body: bytes) -> Failure:
+    value = parse_object(body).unwrap_or({}).get("error", {})
+    try:
+        kind = FailureKind[value.get("kind", "internal").upper()]
+    except KeyError:
+        kind = FailureKind.INTERNAL
+    return Failure(
+        kind=kind,
+        detail=value.get("message", "The answer can't be read"),
+        ran=Ran(value.get("ran", Ran.UNKNOWN)),
+        retry_after_ms=value.get("retry_after_ms"),
+    )
+
+
+async def _events(
+    chunks: AsyncIterator[bytes],
+) -> AsyncIterator[ServerSentEvent]:
+    rest = b""
+    async for chunk in chunks:
+        *blocks, rest = (rest + chunk).split(b"\n\n")
+        for block in blocks:
+            first, _, second = block.partition(b"\n")
+            yield ServerSentEvent(
+                name=first.removeprefix(b"event: ").decode(),
+                data=orjson.loads(second.removeprefix(b"data: ")),
+            )
+
+
+def _no_address() -> Failure:
+    return Failure(
+        kind=FailureKind.NOT_SENT, detail="No address of the deployment works"
+    )
--- /dev/null
+++ b/cactusdyke/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, one module a command."""
--- /dev/null
+++ b/cactusdyke/daemon.py
@@ -0,0 +1,81 @@
+"""The entry daemon: an application on real adapters, until SIGTERM."""
+
+from __future__ import annotations
+
+import random
+import signal
+import sys
+from typing import TYPE_CHECKING
+
+import anyio
+import eliot
+
+from cactusdyke import events
+from cactusdyke.application import Application
+from cactusdyke.clock import SystemClock
+from cactusdyke.platform.host_list import HttpHostList
+from cactusdyke.platform.http_object_store import HttpObjectStore
+from cactusdyke.transport.asgi import AsgiAdapter
+from cactusdyke.transport.http_network import HttpNetwork
+from cactusdyke.transport.server import HttpServer
+
+if TYPE_CHECKING:
+    from cactusdyke.settings import Settings
+
+
+async def run(settings: Settings) -> None:
+    """Serves until a planned stop has been asked for and has ended.
+
+    Raises:
+        OSError: The address can't be bound.
+    """
+    clock = SystemClock()
+    async with HttpNetwork() as network:
+        app = Application(
+            settings=settings,
+            clock=clock,
+            rng=random.SystemRandom(),
+            network=network,
+            object_store=HttpObjectStore(
+                address=settings.object_service, network=network
+            ),
+            host_list=HttpHostList(address=settings.host_list, network=network),
+        )
+        app.setup_all()
+        server = HttpServer(
+            host=settings.host,
+            port=settings.port,
+            adapter=AsgiAdapter(
+                handler=app.routes.handle,
+                clock=clock,
+                is_draining=lambda: app.draining,
+            ),
+        )
+        async with app, anyio.create_task_group() as tasks:
+            tasks.start_soon(server.serve)
+            events.log(
+                events.Event.DAEMON_STARTED,
+                daemon=settings.name,
+                address=settings.address,
+            )
+            await _until_signal()
+            events.log(events.Event.DAEMON_DRAINING, daemon=settings.name)
+            await app.drain()
+            server.stop()
+        events.log(events.Event.DAEMON_STOPPED, daemon=settings.name)
+
+
+async def _until_signal() -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            return
+
+
+def main(settings: Settings) -> None:
+    """Runs the daemon in this process."""
+    if settings.log_file:
+        # The log is open for as long as the process lives.
+        eliot.to_file(open(settings.log_file, "ab"))  # noqa: SIM115
+    else:
+        eliot.to_file(sys.stderr)
+    anyio.run(run, settings, backend="asyncio")
--- /dev/null
+++ b/cactusdyke/observe/metrics.py
@@ -0,0 +1,46 @@
+"""The daemon's metrics, with bounded label sets."""
+
+from __future__ import annotations
+
+import prometheus_client
+
+from cactusdyke.kernel import Service
+
+SECONDS_BUCKETS = (0.01, 0.03, 0.1, 0.3, 0.6, 0.92, 2.0, 4.0, 6.0, 10.0)
+
+
+class Metrics(Service):
+    """Counters and histograms; labels are names from the configuration."""
+
+    def __init__(self, registry: prometheus_client.CollectorRegistry) -> None:
+        self.requests = prometheus_client.Counter(
+            "cactusdyke_requests",
+            "Requests by target and outcome.",
+            ("target", "outcome"),
+            registry=registry,
+        )
+        self.request_seconds = prometheus_client.Histogram(
+            "cactusdyke_request_seconds",
+            "Time from arrival to the whole answer.",
+            ("target",),
+            buckets=SECONDS_BUCKETS,
+            registry=registry,
+        )
+        self.attempts = prometheus_client.Counter(
+            "cactusdyke_attempts",
+            "Attempts at backend servers by pool and outcome.",
+            ("pool", "outcome"),
+            registry=registry,
+        )
+        self.dropped_answers = prometheus_client.Counter(
+            "cactusdyke_dropped_answers",
+            "Late, crossed or broken answers that were dropped.",
+            ("pool",),
+            registry=registry,
+        )
+        self.tokens = prometheus_client.Counter(
+            "cactusdyke_tokens",
+            "Tokens forwarded to callers.",
+            ("target",),
+            registry=registry,
+        )
--- /dev/null
+++ b/cactusdyke/observe/tracing.py
@@ -0,0 +1,118 @@
+"""Spans for each hop, kept in memory for a while and shown by trace id."""
+
+from __future__ import annotations
+
+import collections
+import re
+from typing import TYPE_CHECKING, Any
+
+from opentelemetry import trace
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
+from opentelemetry.sdk.trace.export import (
+    SimpleSpanProcessor,
+    SpanExporter,
+    SpanExportResult,
+)
+from opentelemetry.trace import NonRecordingSpan, SpanContext, TraceFlags
+
+from cactusdyke.kernel import Service
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from opentelemetry.trace import Span, Tracer
+
+KEPT_SPANS = 20_000
+_TRACEPARENT = re.compile(r"00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})")
+
+
+class _RecentSpans(SpanExporter):
+    """Keeps the last spans by trace id, in bounded memory."""
+
+    def __init__(self, limit: int) -> None:
+        self._spans: collections.deque[ReadableSpan] = collections.deque(
+            maxlen=limit
+        )
+
+    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
+        """Keeps the spans."""
+        self._spans.extend(spans)
+        return SpanExportResult.SUCCESS
+
+    def find(self, trace_id: str) -> list[ReadableSpan]:
+        """Returns the kept spans of a trace."""
+        return [
+            span
+            for span in self._spans
+            if span.context
+            and format(span.context.trace_id, "032x") == trace_id
+        ]
+
+
+class Tracing(Service):
+    """Makes spans and answers for those of late."""
+
+    def __init__(self, *, daemon: str) -> None:
+        self._recent = _RecentSpans(KEPT_SPANS)
+        provider = TracerProvider(
+            resource=Resource.create({"service.name": daemon})
+        )
+        provider.add_span_processor(SimpleSpanProcessor(self._recent))
+        self._daemon = daemon
+        self._tracer = provider.get_tracer("cactusdyke")
+
+    @property
+    def tracer(self) -> Tracer:
+        """The tracer that spans are started with."""
+        return self._tracer
+
+    def start(self, name: str, parent: Span | None, **attributes: Any) -> Span:
+        """Starts a span; who starts it ends it."""
+        context = trace.set_span_in_context(parent) if parent else None
+        return self._tracer.start_span(
+            name, context=context, attributes=attributes
+        )
+
+    def find(self, trace_id: str) -> list[dict[str, Any]]:
+        """Returns the kept spans of a trace, earliest first."""
+        spans = [_plain(span) for span in self._recent.find(trace_id)]
+        return sorted(spans, key=lambda span: int(span["start_ns"]))
+
+
+def parse_traceparent(header: str | None) -> Span | None:
+    """Returns the caller's span named in a W3C traceparent header."""
+    match = _TRACEPARENT.fullmatch(header or "")
+    if match is None:
+        return None
+    context = SpanContext(
+        trace_id=int(match[1], 16),
+        span_id=int(match[2], 16),
+        is_remote=True,
+        trace_flags=TraceFlags(int(match[3], 16)),
+    )
+    return NonRecordingSpan(context) if context.is_valid else None
+
+
+def traceparent(span: Span) -> str:
+    """Returns the W3C traceparent header that names a span."""
+    context = span.get_span_context()
+    return f"00-{context.trace_id:032x}-{context.span_id:016x}-01"
+
+
+def trace_id(span: Span) -> str:
+    """Returns a span's trace id in hexadecimal."""
+    return format(span.get_span_context().trace_id, "032x")
+
+
+def _plain(span: ReadableSpan) -> dict[str, Any]:
+    assert span.context is not None
+    start = span.start_time or 0
+    return {
+        "name": span.name,
+        "span_id": format(span.context.span_id, "016x"),
+        "parent_id": format(span.parent.span_id, "016x") if span.parent else "",
+        "start_ns": start,
+        "duration_ms": ((span.end_time or start) - start) / 1e6,
+        "attributes": dict(span.attributes or {}),
+    }
--- /dev/null
+++ b/cactusdyke/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the platform: its object service and its host list."""
--- /dev/null
+++ b/cactusdyke/questionnaire/__init__.py
@@ -0,0 +1,1 @@
+"""The questionnaire: answers in, a configuration out."""
--- /dev/null
+++ b/cactusdyke/routing/__init__.py
@@ -0,0 +1,17 @@
+"""Routing: which backend server takes a request, and calling it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cactusdyke.application import ExtensionMetadata
+from cactusdyke.routing.router import Router
+
+if TYPE_CHECKING:
+    from cactusdyke.application import Application
+
+
+def setup(app: Application) -> ExtensionMetadata:
+    """Registers the router."""
+    app.add_service("router", Router(rng=app.rng))
+    return ExtensionMetadata(version="1")
--- /dev/null
+++ b/cactusdyke/routing/backend_client.py
@@ -0,0 +1,221 @@
+"""Calls one backend server once, and checks that the answer is its own.
+
+A backend server echoes request id, stage and attempt. An answer that carries
+others was meant for another request, and one without its end mark is not
+whole: both are failed attempts.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import orjson
+from result import Err, Ok, Result
+
+from cactusdyke.errors import CactusdykeError, Failure, FailureKind, Ran
+from cactusdyke.routing.messages import (
+    LoadReport,
+    StageAnswer,
+    StageCall,
+    StreamEnd,
+    Token,
+    TokenBatch,
+)
+from cactusdyke.transport.messages import JSON_TYPE, Request, parse_object
+from cactusdyke.transport.network import CallOptions
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from cactusdyke.configuration.model import BackendServer
+    from cactusdyke.transport.network import Incoming, Network
+
+RUN_PATH = "/v1/run"
+CONNECT_TIMEOUT_MS = 500.0
+
+
+class BackendClient:
+    """Sends stage calls to backend servers."""
+
+    def __init__(self, *, network: Network) -> None:
+        self._network = network
+
+    async def call(
+        self,
+        server: BackendServer,
+        call: StageCall,
+        *,
+        progress_timeout_ms: float,
+        fresh: bool = False,
+    ) -> Result[StageAnswer, Failure]:
+        """Makes one attempt and returns its whole answer."""
+        options = CallOptions(
+            connect_timeout_ms=CONNECT_TIMEOUT_MS,
+            progress_timeout_ms=progress_timeout_ms,
+            fresh=fresh,
+        )
+        answer = await self._network.fetch(
+            server.address, _request(call), options
+        )
+        if isinstance(answer, Err):
+            return answer
+        body = answer.ok_value.body
+        assert isinstance(body, bytes)
+        if answer.ok_value.status != 200:
+            return Err(_refused(server, answer.ok_value.status, body))
+        value = parse_object(body)
+        if isinstance(value, Err):
+            return Err(_broken(server, "the answer is not JSON"))
+        return _whole_answer(server, call, value.ok_value)
+
+    async def stream(
+        self,
+        server: BackendServer,
+        call: StageCall,
+        *,
+        progress_timeout_ms: float,
+    ) -> AsyncIterator[TokenBatch | StreamEnd]:
+        """Makes one attempt and yields its tokens, then its end mark.
+
+        Raises:
+            CactusdykeError: The stream broke, or was not the one asked for.
+        """
+        options = CallOptions(
+            connect_timeout_ms=CONNECT_TIMEOUT_MS,
+            progress_timeout_ms=progress_timeout_ms,
+        )
+        async with self._network.open(
+            server.address, _request(call), options
+        ) as opened:
+            if isinstance(opened, Err):
+                raise CactusdykeError(opened.err_value)
+            incoming = opened.ok_value
+            if incoming.status != 200:
+                body = b"".join([c async for c in incoming.chunks()])
+                raise CactusdykeError(_refused(server, incoming.status, body))
+            reader = _StreamReader(server, call)
+            async for part in reader.read(incoming):
+                yield part
+
+
+class _StreamReader:
+    """Checks the events of one stream as they arrive."""
+
+    def __init__(self, server: BackendServer, call: StageCall) -> None:
+        self._server = server
+        self._call = call
+        self._next = call.resume_from
+
+    async def read(
+        self, incoming: Incoming
+    ) -> AsyncIterator[TokenBatch | StreamEnd]:
+        """Yields what each chunk holds."""
+        rest = b""
+        async for chunk in incoming.chunks():
+            *lines, rest = (rest + chunk).split(b"\n")
+            tokens: list[Token] = []
+            end: StreamEnd | None = None
+            for line in lines:
+                if not line.startswith(b"data:"):
+                    continue
+                if end is not None:
+                    raise self._failure("events follow the end mark")
+                part = self._part(line[5:])
+                if isinstance(part, StreamEnd):
+                    end = part
+                else:
+                    tokens.append(part)
+            if tokens:
+                yield TokenBatch(tokens=tuple(tokens))
+            if end is not None:
+                yield end
+                return
+        raise self._failure("the stream ended without its end mark")
+
+    def _part(self, data: bytes) -> Token | StreamEnd:
+        try:
+            value = orjson.loads(data)
+        except orjson.JSONDecodeError as error:
+            raise self._failure("an event is not JSON") from error
+        if not _is_own(self._call, value):
+            raise self._failure("an event belongs to another request")
+        if value.get("end"):
+            if value["tokens"] != self._next:
+                raise self._failure("the end mark counts other tokens")
+            return StreamEnd(
+                tokens=value["tokens"],
+                busy_ms=value.get("busy_ms", 0.0),
+                load=_load(value),
+            )
+        if value["position"] != self._next:
+            raise self._failure("a token is out of sequence")
+        self._next += 1
+        return Token(position=value["position"], text=value["text"])
+
+    def _failure(self, detail: str) -> CactusdykeError:
+        return CactusdykeError(_broken(self._server, detail))
+
+
+def _request(call: StageCall) -> Request:
+    return Request(
+        method="POST",
+        path=RUN_PATH,
+        headers={"content-type": JSON_TYPE},
+        body=orjson.dumps(attrs.asdict(call, recurse=False)),
+    )
+
+
+def _is_own(call: StageCall, value: dict[str, Any]) -> bool:
+    return (
+        value.get("request_id") == call.request_id
+        and value.get("stage") == call.stage
+        and value.get("attempt") == call.attempt
+    )
+
+
+def _whole_answer(
+    server: BackendServer, call: StageCall, value: dict[str, Any]
+) -> Result[StageAnswer, Failure]:
+    if not _is_own(call, value):
+        return Err(_broken(server, "the answer belongs to another request"))
+    if "output" not in value:
+        return Err(_broken(server, "the answer holds no output"))
+    return Ok(
+        StageAnswer(
+            output=value["output"],
+            busy_ms=value.get("busy_ms", 0.0),
+            load=_load(value),
+        )
+    )
+
+
+def _load(value: dict[str, Any]) -> LoadReport | None:
+    load = value.get("load")
+    if load is None:
+        return None
+    return LoadReport(
+        running=load["running"],
+        waiting=load["waiting"],
+        age_ms=load.get("age_ms", 0.0),
+    )
+
+
+def _refused(server: BackendServer, status: int, body: bytes) -> Failure:
+    value = parse_object(body).unwrap_or({})
+    not_run = value.get("ran") == Ran.NOT_RUN
+    return Failure(
+        kind=FailureKind.BACKEND_FAILED,
+        detail=f"{server.name} answered {status} {value.get('error', '')}",
+        # Only the backend server itself can say that it did not run.
+        ran=Ran.NOT_RUN if not_run else Ran.UNKNOWN,
+        retry_after_ms=value.get("retry_after_ms"),
+    )
+
+
+def _broken(server: BackendServer, detail: str) -> Failure:
+    return Failure(
+        kind=FailureKind.BACKEND_FAILED,
+        detail=f"{server.name}: {detail}",
+        ran=Ran.UNKNOWN,
+    )
--- /dev/null
+++ b/cactusdyke/transport/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP through libraries: serving, calling and typed messages."""
--- /dev/null
+++ b/cactusdyke/transport/asgi.py
@@ -0,0 +1,163 @@
+"""Serves a handler over ASGI, with bounds on what a caller may send."""
+
+from __future__ import annotations
+
+import urllib.parse
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import TYPE_CHECKING, Any, TypeAlias
+
+from result import Err, Ok, Result
+
+from cactusdyke import events
+from cactusdyke.errors import CactusdykeError, Failure, FailureKind, Ran
+from cactusdyke.transport.messages import (
+    Handler,
+    Request,
+    Response,
+    failure_response,
+)
+
+if TYPE_CHECKING:
+    from cactusdyke.clock import Clock
+
+Message: TypeAlias = MutableMapping[str, Any]
+Receive: TypeAlias = Callable[[], Awaitable[Message]]
+Send: TypeAlias = Callable[[Message], Awaitable[None]]
+
+MAX_BODY_BYTES = 1 << 20
+BODY_TIMEOUT_MS = 5_000.0
+SINGLE_HEADERS = frozenset(
+    {"authorization", "idempotency-key", "traceparent", "content-length"}
+)
+
+
+class AsgiAdapter:
+    """An ASGI application around one of our handlers."""
+
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        clock: Clock,
+        max_body_bytes: int = MAX_BODY_BYTES,
+        body_timeout_ms: float = BODY_TIMEOUT_MS,
+        is_draining: Callable[[], bool] = lambda: False,
+    ) -> None:
+        self._handler = handler
+        self._clock = clock
+        self._max_body_bytes = max_body_bytes
+        self._body_timeout_ms = body_timeout_ms
+        self._is_draining = is_draining
+
+    async def __call__(
+        self, scope: Message, receive: Receive, send: Send
+    ) -> None:
+        """Answers one HTTP exchange; the signature is ASGI's."""
+        if scope["type"] != "http":
+            return
+        closing = False
+        match await self._read(scope, receive):
+            case Ok(request):
+                response = await self._answer(request)
+            case Err(failure):
+                # The rest of a refused body is still on its way; a kept
+                # connection would take it for the next request.
+                closing = True
+                response = failure_response(failure)
+        closing = closing or self._is_draining()
+        await _send(response, send, closing=closing)
+
+    async def _answer(self, request: Request) -> Response:
+        try:
+            return await self._handler(request)
+        except CactusdykeError as error:
+            return failure_response(error.failure)
+        except Exception as error:
+            events.log(
+                events.Event.INTERNAL_ERROR,
+                path=request.path,
+                error=repr(error),
+            )
+            return failure_response(
+                Failure(
+                    kind=FailureKind.INTERNAL,
+                    detail="The daemon met an unexpected error",
+                    ran=Ran.UNKNOWN,
+                )
+            )
+
+    async def _read(
+        self, scope: Message, receive: Receive
+    ) -> Result[Request, Failure]:
+        headers: dict[str, str] = {}
+        for raw_name, raw_value in scope["headers"]:
+            name = raw_name.decode("latin-1").lower()
+            if name in headers and name in SINGLE_HEADERS:
+                return Err(_bad_request(f"The header {name!r} was sent twice"))
+            headers[name] = raw_value.decode("latin-1")
+        body: Result[bytes, Failure] = Err(
+            _bad_request("The body was not sent in time")
+        )
+        with self._clock.timeout(self._body_timeout_ms):
+            body = await self._read_body(receive)
+        if isinstance(body, Err):
+            return body
+        query = urllib.parse.parse_qsl(scope["query_string"].decode("latin-1"))
+        return Ok(
+            Request(
+                method=scope["method"],
+                path=scope["path"],
+                query=dict(query),
+                headers=headers,
+                body=body.ok_value,
+            )
+        )
+
+    async def _read_body(self, receive: Receive) -> Result[bytes, Failure]:
+        body = bytearray()
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                return Err(_bad_request("The caller left while sending"))
+            body += message.get("body", b"")
+            if len(body) > self._max_body_bytes:
+                return Err(
+                    Failure(
+                        kind=FailureKind.TOO_LARGE,
+                        detail=f"The body is over {self._max_body_bytes} bytes",
+                    )
+                )
+            if not message.get("more_body", False):
+                return Ok(bytes(body))
+
+
+def _bad_request(detail: str) -> Failure:
+    return Failure(kind=FailureKind.BAD_REQUEST, detail=detail)
+
+
+async def _send(response: Response, send: Send, *, closing: bool) -> None:
+    headers = [
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in response.headers.items()
+    ]
+    whole = isinstance(response.body, bytes)
+    if whole:
+        length = str(len(response.body)).encode()  # type: ignore[arg-type]
+        headers.append((b"content-length", length))
+    if closing:
+        headers.append((b"connection", b"close"))
+    await send(
+        {
+            "type": "http.response.start",
+            "status": response.status,
+            "headers": headers,
+        }
+    )
+    if isinstance(response.body, bytes):
+        await send({"type": "http.response.body", "body": response.body})
+        return
+    async for chunk in response.body:
+        await send(
+            {"type": "http.response.body", "body": chunk, "more_body": True}
+        )
+    await send({"type": "http.response.body", "body": b""})
--- /dev/null
+++ b/cactusdyke/transport/http_network.py
@@ -0,0 +1,175 @@
+"""Calls others over HTTP/1.1 with httpcore."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING, Any, Self
+from urllib.parse import quote, urlencode
+
+import httpcore
+from result import Err, Ok, Result
+
+from cactusdyke.clock import MS_PER_SECOND
+from cactusdyke.errors import CactusdykeError, Failure, FailureKind, Ran
+from cactusdyke.transport.network import CallOptions, Incoming, Network
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Mapping
+    from types import TracebackType
+
+    from cactusdyke.transport.messages import Request
+
+MAX_CONNECTIONS = 4096
+MAX_IDLE_CONNECTIONS = 256
+IDLE_EXPIRY_S = 15.0
+HANDED_OVER_EVENT = "http11.send_request_headers.started"
+
+
+class _HttpIncoming(Incoming):
+    """An httpcore response under way."""
+
+    def __init__(self, response: httpcore.Response, address: str) -> None:
+        self._response = response
+        self._address = address
+        self._headers = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in response.headers
+        }
+
+    @property
+    def status(self) -> int:
+        """The HTTP status."""
+        return self._response.status
+
+    @property
+    def headers(self) -> Mapping[str, str]:
+        """Header values by lower-case name."""
+        return self._headers
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the body as it comes."""
+        try:
+            async for chunk in self._response.aiter_stream():
+                yield chunk
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            raise CactusdykeError(_lost(self._address, error)) from error
+        except httpcore.TimeoutException as error:
+            raise CactusdykeError(_lost(self._address, error)) from error
+
+
+class _HandOver:
+    """Notes whether a byte of the request was handed to a connection."""
+
+    def __init__(self) -> None:
+        self.happened = False
+
+    async def __call__(self, name: str, info: Mapping[str, Any]) -> None:
+        if name == HANDED_OVER_EVENT:
+            self.happened = True
+
+
+class HttpNetwork(Network):
+    """Keeps idle connections, and opens fresh ones where asked."""
+
+    def __init__(self) -> None:
+        self._kept = httpcore.AsyncConnectionPool(
+            max_connections=MAX_CONNECTIONS,
+            max_keepalive_connections=MAX_IDLE_CONNECTIONS,
+            keepalive_expiry=IDLE_EXPIRY_S,
+        )
+        self._fresh = httpcore.AsyncConnectionPool(
+            max_connections=MAX_CONNECTIONS, max_keepalive_connections=0
+        )
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self._kept.aclose()
+        await self._fresh.aclose()
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self, address: str, request: Request, options: CallOptions
+    ) -> AsyncIterator[Result[Incoming, Failure]]:
+        """Sends a request and gives its response while the block runs."""
+        hand_over = _HandOver()
+        pool = self._fresh if options.fresh else self._kept
+        outgoing = _to_httpcore(address, request, options, hand_over)
+        opened: Result[Incoming, Failure]
+        response: httpcore.Response | None = None
+        try:
+            response = await pool.handle_async_request(outgoing)
+            opened = Ok(_HttpIncoming(response, address))
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+            httpcore.UnsupportedProtocol,
+        ) as error:
+            if hand_over.happened:
+                opened = Err(_lost(address, error))
+            else:
+                opened = Err(_not_sent(address, error))
+        try:
+            yield opened
+        finally:
+            if response is not None:
+                await response.aclose()
+
+
+def _to_httpcore(
+    address: str,
+    request: Request,
+    options: CallOptions,
+    hand_over: _HandOver,
+) -> httpcore.Request:
+    target = quote(request.path)
+    if request.query:
+        target += "?" + urlencode(request.query)
+    connect_s = options.connect_timeout_ms / MS_PER_SECOND
+    progress_s = options.progress_timeout_ms / MS_PER_SECOND
+    return httpcore.Request(
+        request.method,
+        f"http://{address}{target}",
+        headers=[
+            ("host", address),
+            ("content-length", str(len(request.body))),
+            *request.headers.items(),
+        ],
+        content=request.body,
+        extensions={
+            "trace": hand_over,
+            "timeout": {
+                "connect": connect_s,
+                "pool": connect_s,
+                "read": progress_s,
+                "write": progress_s,
+            },
+        },
+    )
+
+
+def _lost(address: str, error: Exception) -> Failure:
+    return Failure(
+        kind=FailureKind.CONNECTION_LOST,
+        detail=f"The connection to {address} failed: {_name(error)}",
+        ran=Ran.UNKNOWN,
+    )
+
+
+def _not_sent(address: str, error: Exception) -> Failure:
+    return Failure(
+        kind=FailureKind.NOT_SENT,
+        detail=f"No connection to {address}: {_name(error)}",
+        ran=Ran.NOT_RUN,
+    )
+
+
+def _name(error: Exception) -> str:
+    return f"{type(error).__name__} {error}".strip()
--- /dev/null
+++ b/cactusdyke/transport/network.py
@@ -0,0 +1,89 @@
+"""What a daemon needs of the network to call others."""
+
+from __future__ import annotations
+
+import abc
+from typing import TYPE_CHECKING
+
+import attrs
+from result import Err, Ok, Result
+
+from cactusdyke.errors import CactusdykeError, Failure
+from cactusdyke.transport.messages import Request, Response
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Mapping
+    from contextlib import AbstractAsyncContextManager
+
+
+class Incoming(abc.ABC):
+    """A response whose head has arrived and whose body is on its way."""
+
+    @property
+    @abc.abstractmethod
+    def status(self) -> int:
+        """The HTTP status."""
+
+    @property
+    @abc.abstractmethod
+    def headers(self) -> Mapping[str, str]:
+        """Header values by lower-case name."""
+
+    @abc.abstractmethod
+    def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the body as it comes.
+
+        Raises:
+            CactusdykeError: The connection broke or made no progress.
+        """
+
+
+@attrs.frozen(kw_only=True)
+class CallOptions:
+    """How one call is made.
+
+    Attributes:
+        connect_timeout_ms: Longest time to open a connection.
+        progress_timeout_ms: Longest time without a byte once connected.
+        fresh: Whether to open a connection used by nothing else, so that a
+            stale idle one can't make the outcome doubtful.
+    """
+
+    connect_timeout_ms: float = 1_000.0
+    progress_timeout_ms: float = 5_000.0
+    fresh: bool = False
+
+
+class Network(abc.ABC):
+    """Sends HTTP requests to addresses `host:port`.
+
+    A failure's `ran` is NOT_RUN only where no byte was handed to a
+    connection. A body that is not read to its end closes its connection:
+    a late answer must never reach the connection's next request.
+    """
+
+    @abc.abstractmethod
+    def open(
+        self, address: str, request: Request, options: CallOptions
+    ) -> AbstractAsyncContextManager[Result[Incoming, Failure]]:
+        """Sends a request and gives its response while the block runs."""
+
+    async def fetch(
+        self, address: str, request: Request, options: CallOptions
+    ) -> Result[Response, Failure]:
+        """Sends a request and returns its whole response."""
+        async with self.open(address, request, options) as opened:
+            if isinstance(opened, Err):
+                return opened
+            incoming = opened.ok_value
+            try:
+                body = b"".join([chunk async for chunk in incoming.chunks()])
+            except CactusdykeError as error:
+                return Err(error.failure)
+            return Ok(
+                Response(
+                    status=incoming.status,
+                    headers=incoming.headers,
+                    body=body,
+                )
+            )
--- /dev/null
+++ b/cactusdyke/transport/server.py
@@ -0,0 +1,76 @@
+"""Listens for HTTP with uvicorn, with signals left to the daemon."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from typing import TYPE_CHECKING
+
+import uvicorn
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from cactusdyke.transport.asgi import AsgiAdapter
+
+KEEP_ALIVE_S = 75
+BACKLOG = 1024
+
+
+class _Server(uvicorn.Server):
+    """A uvicorn server that leaves the process's signals alone.
+
+    uvicorn closes its listener at SIGTERM at once. Callers still hold the
+    address then, so the daemon drains first and stops the server at the end.
+    """
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+class HttpServer:
+    """Serves one ASGI application on one address until told to stop."""
+
+    def __init__(self, *, host: str, port: int, adapter: AsgiAdapter) -> None:
+        self._socket = listen(host, port)
+        self._server = _Server(
+            uvicorn.Config(
+                adapter,
+                http="httptools",
+                loop="asyncio",
+                lifespan="off",
+                access_log=False,
+                log_level="warning",
+                timeout_keep_alive=KEEP_ALIVE_S,
+                server_header=False,
+                date_header=False,
+            )
+        )
+
+    @property
+    def port(self) -> int:
+        """The port that the server listens on."""
+        return int(self._socket.getsockname()[1])
+
+    async def serve(self) -> None:
+        """Serves until `stop` is called and the open answers are sent."""
+        await self._server.serve(sockets=[self._socket])
+
+    def stop(self) -> None:
+        """Ends `serve` once the answers under way are sent."""
+        self._server.should_exit = True
+
+
+def listen(host: str, port: int) -> socket.socket:
+    """Returns a listening TCP socket.
+
+    Raises:
+        OSError: The address can't be bound.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, port))
+    listener.listen(BACKLOG)
+    return listener
--- /dev/null
+++ b/cactusdyke/util/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without a room of their own."""
--- /dev/null
+++ b/cactusdyke/util/jsonc.py
@@ -0,0 +1,35 @@
+"""Reads JSON with comments, and writes canonical JSON."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any
+
+import orjson
+import pyjson5
+from result import Err, Ok, Result
+
+from cactusdyke.errors import Failure, FailureKind
+
+
+def parse_text(text: str, *, name: str) -> Result[Any, Failure]:
+    """Parses JSON with comments; `name` tells where the text came from."""
+    try:
+        return Ok(pyjson5.decode(text))
+    except pyjson5.Json5Exception as error:
+        return Err(
+            Failure(
+                kind=FailureKind.INVALID,
+                detail=f"{name} is not JSON with comments: {error}",
+            )
+        )
+
+
+def canonical(value: Any) -> bytes:
+    """Returns JSON with sorted keys, the same bytes for the same value."""
+    return orjson.dumps(value, option=orjson.OPT_SORT_KEYS)
+
+
+def digest(value: bytes) -> str:
+    """Returns the first 128 bits of SHA-256 in hexadecimal."""
+    return hashlib.sha256(value).hexdigest()[:32]
--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Virtual time, in-memory connections and small deployments for tests."""
--- /dev/null
+++ b/features/support/hub.py
@@ -0,0 +1,285 @@
+"""In-memory connections between handlers, with faults on the way."""
+
+from __future__ import annotations
+
+import contextlib
+import math
+from collections.abc import AsyncIterator, Mapping
+from typing import Any
+
+import anyio
+import anyio.abc
+import attrs
+from result import Err, Ok, Result
+
+from cactusdyke.clock import Clock, EventLoopClock
+from cactusdyke.errors import CactusdykeError, Failure, FailureKind, Ran
+from cactusdyke.transport.messages import Handler, Request, Response
+from cactusdyke.transport.network import CallOptions, Incoming, Network
+
+
+@attrs.define(kw_only=True)
+class Link:
+    """Faults of one direction between two owners.
+
+    Attributes:
+        cut: Nothing gets through, also not on new connections.
+        silent: What is handed over never arrives, new connections included.
+        delay_ms: One-way latency.
+        lose_answers: How many of the next answers never arrive.
+    """
+
+    cut: bool = False
+    silent: bool = False
+    delay_ms: float = 0.0
+    lose_answers: int = 0
+
+
+@attrs.define(kw_only=True)
+class _Listener:
+    owner: str
+    handler: Handler
+
+
+class Hub:
+    """Everything that listens, and the links between owners.
+
+    An owner is a process: a daemon, a stand-in or a caller. Handlers run in
+    tasks of the hub, as a server goes on when its caller has left.
+    """
+
+    def __init__(self) -> None:
+        self.clock: Clock = EventLoopClock()
+        self._listeners: dict[str, _Listener] = {}
+        self._links: dict[tuple[str, str], Link] = {}
+        self._awake: dict[str, anyio.Event] = {}
+        self._dead: dict[str, anyio.Event] = {}
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    async def __aenter__(self) -> Hub:
+        self._tasks = await anyio.create_task_group().__aenter__()
+        return self
+
+    async def __aexit__(self, *error: Any) -> None:
+        assert self._tasks is not None
+        self._tasks.cancel_scope.cancel()
+        await self._tasks.__aexit__(*error)
+
+    def listen(self, address: str, handler: Handler, *, owner: str) -> None:
+        """Lets `handler` answer at an address."""
+        self._listeners[address] = _Listener(owner=owner, handler=handler)
+        self._dead.pop(owner, None)
+
+    def network(self, owner: str) -> Network:
+        """Returns the network as one owner sees it."""
+        return _MemoryNetwork(hub=self, owner=owner)
+
+    def link(self, source: str, target: str) -> Link:
+        """Returns the link whose faults may be changed."""
+        return self._links.setdefault((source, target), Link())
+
+    def kill(self, owner: str) -> None:
+        """Ends an owner: its listeners go and its connections break."""
+        self._listeners = {
+            address: listener
+            for address, listener in self._listeners.items()
+            if listener.owner != owner
+        }
+        self._dead.setdefault(owner, anyio.Event()).set()
+
+    def freeze(self, owner: str) -> None:
+        """Stops an owner from sending and receiving until it is woken."""
+        self._awake.setdefault(owner, anyio.Event())
+
+    def wake(self, owner: str) -> None:
+        """Lets a frozen owner go on."""
+        if event := self._awake.pop(owner, None):
+            event.set()
+
+    async def awake(self, owner: str) -> None:
+        """Waits while an owner is frozen."""
+        while event := self._awake.get(owner):
+            await event.wait()
+
+    def start(self, function: Any, *args: Any) -> None:
+        """Runs a task for as long as the hub is open."""
+        assert self._tasks is not None
+        self._tasks.start_soon(function, *args)
+
+    def listener(self, address: str) -> _Listener | None:
+        """Returns who listens at an address."""
+        return self._listeners.get(address)
+
+    def death(self, owner: str) -> anyio.Event:
+        """Returns the event of an owner's end."""
+        return self._dead.setdefault(owner, anyio.Event())
+
+
+class _MemoryNetwork(Network):
+    def __init__(self, *, hub: Hub, owner: str) -> None:
+        self._hub = hub
+        self._owner = owner
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self, address: str, request: Request, options: CallOptions
+    ) -> AsyncIterator[Result[Incoming, Failure]]:
+        await self._hub.awake(self._owner)
+        listener = self._hub.listener(address)
+        if listener is None:
+            yield Err(_not_sent(address, "refused"))
+            return
+        there = self._hub.link(self._owner, listener.owner)
+        back = self._hub.link(listener.owner, self._owner)
+        if there.cut or back.cut:
+            await self._hub.clock.sleep(options.connect_timeout_ms)
+            yield Err(_not_sent(address, "no answer to the connection"))
+            return
+        exchange = _Exchange(
+            hub=self._hub,
+            caller=self._owner,
+            listener=listener,
+            address=address,
+            options=options,
+        )
+        self._hub.start(exchange.serve, request)
+        try:
+            opened = await exchange.head()
+            await self._hub.awake(self._owner)
+            yield opened
+        finally:
+            exchange.close()
+
+
+class _Exchange(Incoming):
+    """One request and its answer on the way through the hub."""
+
+    def __init__(
+        self,
+        *,
+        hub: Hub,
+        caller: str,
+        listener: _Listener,
+        address: str,
+        options: CallOptions,
+    ) -> None:
+        self._hub = hub
+        self._caller = caller
+        self._listener = listener
+        self._address = address
+        self._options = options
+        self._sender, self._receiver = anyio.create_memory_object_stream[
+            Response | bytes | None
+        ](math.inf)
+        self._response: Response | None = None
+        self._lost = False
+
+    @property
+    def status(self) -> int:
+        assert self._response is not None
+        return self._response.status
+
+    @property
+    def headers(self) -> Mapping[str, str]:
+        assert self._response is not None
+        return self._response.headers
+
+    async def serve(self, request: Request) -> None:
+        """Runs the handler, on the listener's side."""
+        owner = self._listener.owner
+        there = self._hub.link(self._caller, owner)
+        await self._hub.clock.sleep(there.delay_ms)
+        if there.cut or there.silent:
+            return
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch_death, tasks.cancel_scope)
+            await self._hub.awake(owner)
+            response = await self._listener.handler(request)
+            await self._answer(response)
+            tasks.cancel_scope.cancel()
+
+    async def head(self) -> Result[Incoming, Failure]:
+        """Waits for the answer's head."""
+        first = await self._next()
+        if isinstance(first, Response):
+            self._response = first
+            return Ok(self)
+        return Err(self._failure("no answer"))
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        assert self._response is not None
+        if isinstance(self._response.body, bytes):
+            yield self._response.body
+            return
+        while True:
+            chunk = await self._next()
+            if chunk == b"":
+                return
+            if not isinstance(chunk, bytes):
+                raise CactusdykeError(self._failure("the stream broke"))
+            await self._hub.awake(self._caller)
+            yield chunk
+
+    def close(self) -> None:
+        """Leaves the answer; its server notices at its next send."""
+        self._receiver.close()
+
+    async def _answer(self, response: Response) -> None:
+        back = self._hub.link(self._listener.owner, self._caller)
+        if back.lose_answers > 0:
+            back.lose_answers -= 1
+            self._lost = True
+        if isinstance(response.body, bytes):
+            await self._put(response)
+            return
+        await self._put(attrs.evolve(response, body=_no_chunks()))
+        async with contextlib.aclosing(response.body) as body:
+            async for chunk in body:
+                if not await self._put(chunk):
+                    return
+        await self._put(b"")
+
+    async def _put(self, part: Response | bytes) -> bool:
+        owner = self._listener.owner
+        back = self._hub.link(owner, self._caller)
+        await self._hub.awake(owner)
+        await self._hub.clock.sleep(back.delay_ms)
+        if back.cut or back.silent or self._lost:
+            return True
+        try:
+            self._sender.send_nowait(part)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return False
+        return True
+
+    async def _watch_death(self, scope: anyio.CancelScope) -> None:
+        await self._hub.death(self._listener.owner).wait()
+        with contextlib.suppress(
+            anyio.BrokenResourceError, anyio.ClosedResourceError
+        ):
+            self._sender.send_nowait(None)
+        scope.cancel()
+
+    async def _next(self) -> Response | bytes | None:
+        with self._hub.clock.timeout(self._options.progress_timeout_ms):
+            return await self._receiver.receive()
+        return None
+
+    def _failure(self, detail: str) -> Failure:
+        return Failure(
+            kind=FailureKind.CONNECTION_LOST,
+            detail=f"The connection to {self._address} failed: {detail}",
+            ran=Ran.UNKNOWN,
+        )
+
+
+async def _no_chunks() -> AsyncIterator[bytes]:
+    return
+    yield b""
+
+
+def _not_sent(address: str, detail: str) -> Failure:
+    return Failure(
+        kind=FailureKind.NOT_SENT,
+        detail=f"No connection to {address}: {detail}",
+    )
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems that cactusdyke meets."""
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,168 @@
+"""Stands in for a model engine, an encoder, a retriever or a reranker.
+
+POST /v1/run runs one stage call, whole or streamed.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import orjson
+
+from cactusdyke.transport.messages import (
+    EVENT_STREAM_TYPE,
+    Request,
+    Response,
+    json_response,
+)
+from standins.base import StandIn
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from cactusdyke.clock import Clock
+
+TOKEN_COUNT = 16
+
+
+class Engine(StandIn):
+    """Answers stage calls; what it says follows from its input alone.
+
+    Further faults: `crossed` (how many of the next answers carry another
+    request's id), `die_after_tokens` (streams end early), `slow_factor`.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        name: str = "engine",
+        stage_ms: float = 5.0,
+        token_ms: float = 1.0,
+        slots: int = 8,
+        tokens: int = TOKEN_COUNT,
+    ) -> None:
+        super().__init__(clock=clock)
+        self.name = name
+        self.stage_ms = stage_ms
+        self.token_ms = token_ms
+        self.token_count = tokens
+        self.leaving = False
+        self.running = 0
+        self.waiting = 0
+        self.executions: dict[str, int] = {}
+        self._slots = anyio.Semaphore(slots)
+        self.serve("POST", "/v1/run", self._run)
+        self.routes.add("GET", "/v1/load", self._load_report)
+
+    def stats(self) -> dict[str, Any]:
+        """Returns executions by request id and stage."""
+        return {"counts": dict(self.counts), "executions": self.executions}
+
+    async def _run(self, request: Request) -> Response:
+        call = request.json().unwrap()
+        self.counts["calls"] += 1
+        if self.leaving or self.faults.get("leaving"):
+            return json_response(
+                {"error": "leaving", "ran": "not_run"}, status=503
+            )
+        if call.get("stream"):
+            return Response(
+                headers={"content-type": EVENT_STREAM_TYPE},
+                body=self._stream(call),
+            )
+        return await self._whole(call)
+
+    async def _whole(self, call: dict[str, Any]) -> Response:
+        began = self.clock.now()
+        await self._work(call, self.stage_ms)
+        output = self.output(call["input"])
+        busy = self.clock.now() - began
+        return json_response(
+            {
+                **self._echo(call),
+                "output": output,
+                "busy_ms": busy,
+                "load": self.load(),
+            }
+        )
+
+    async def _stream(self, call: dict[str, Any]) -> AsyncIterator[bytes]:
+        began = self.clock.now()
+        await self._work(call, self.stage_ms)
+        words = generate(call["input"], self.token_count)
+        die_after = self.faults.get("die_after_tokens")
+        for position in range(call.get("resume_from", 0), len(words)):
+            if die_after is not None and position >= die_after:
+                return
+            await self.clock.sleep(self.token_ms * self._slow())
+            yield _event(
+                {
+                    **self._echo(call),
+                    "position": position,
+                    "text": words[position],
+                }
+            )
+        yield _event(
+            {
+                **self._echo(call),
+                "end": True,
+                "tokens": len(words),
+                "busy_ms": self.clock.now() - began,
+                "load": self.load(),
+            }
+        )
+
+    async def _work(self, call: dict[str, Any], duration_ms: float) -> None:
+        self.waiting += 1
+        async with self._slots:
+            self.waiting -= 1
+            self.running += 1
+            try:
+                await self.clock.sleep(duration_ms * self._slow())
+            finally:
+                self.running -= 1
+        key = f"{call['request_id']}/{call['stage']}"
+        self.executions[key] = self.executions.get(key, 0) + 1
+
+    def output(self, value: Any) -> Any:
+        """Returns what the stage makes of its input."""
+        digest = hashlib.sha256(
+            orjson.dumps(value, option=orjson.OPT_SORT_KEYS)
+        )
+        return {"by": self.name.split("-")[0], "of": digest.hexdigest()[:16]}
+
+    def load(self) -> dict[str, Any]:
+        """Returns the load report."""
+        return {"running": self.running, "waiting": self.waiting}
+
+    def _slow(self) -> float:
+        return float(self.faults.get("slow_factor", 1.0))
+
+    def _echo(self, call: dict[str, Any]) -> dict[str, Any]:
+        request_id = call["request_id"]
+        if self.faults.get("crossed", 0) > 0:
+            self.faults["crossed"] -= 1
+            request_id = "another-request"
+        return {
+            "request_id": request_id,
+            "stage": call["stage"],
+            "attempt": call["attempt"],
+        }
+
+    async def _load_report(self, request: Request) -> Response:
+        return json_response({"name": self.name, **self.load()})
+
+
+def generate(value: Any, count: int) -> list[str]:
+    """Returns the tokens that any engine generates for an input."""
+    seed = hashlib.sha256(
+        orjson.dumps(value, option=orjson.OPT_SORT_KEYS)
+    ).hexdigest()
+    return [f"{seed[i % 60 : i % 60 + 4]} " for i in range(count)]
+
+
+def _event(value: dict[str, Any]) -> bytes:
+    return b"data: " + orjson.dumps(value) + b"\n\n"
