Let extensions be replaced, freeze owners in memory, and frame the bench

Cause: every promise is to be measured against a naive version, and freezes have to reach a daemon's sleeps as well as its connections.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that print a table and write JSON below build/bench."""
--- /dev/null
+++ b/bench/naive/__init__.py
@@ -0,0 +1,1 @@
+"""Naive versions that the oracles must catch and the figures beat."""
--- a/cactusdyke/application.py
+++ b/cactusdyke/application.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Mapping
     from types import TracebackType
 
     from cactusdyke.clock import Clock
@@ -63,6 +64,7 @@
         network: Network,
         object_store: ObjectStore,
         host_list: HostList,
+        replacements: Mapping[str, str] | None = None,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -70,6 +72,7 @@
         self._network = network
         self._object_store = object_store
         self._host_list = host_list
+        self._replacements = replacements or {}
         self._kernel = Kernel()
         self._routes = Routes()
         self._extensions: dict[str, ExtensionMetadata] = {}
@@ -125,13 +128,16 @@
     def setup_extension(self, name: str) -> None:
         """Loads an extension by module name, once.
 
+        An extension that the application was built to replace is loaded from
+        the module that stands in for it, under its own name.
+
         Raises:
             ImportError: There is no such module.
             TypeError: The module has no `setup`, or it returns no metadata.
         """
         if name in self._extensions:
             return
-        module = importlib.import_module(name)
+        module = importlib.import_module(self._replacements.get(name, name))
         setup = getattr(module, "setup", None)
         if setup is None:
             raise TypeError(f"the extension {name} has no setup(app)")
--- a/features/support/deployment.py
+++ b/features/support/deployment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Mapping
 from typing import Any
 
 import anyio
@@ -30,10 +31,18 @@
     """Stand-ins and daemons over one hub; use as a context manager.
 
     Every daemon is an owner of the hub under its name, as is every stand-in
-    (`store`, `hosts` and the backend servers' names).
+    (`store`, `hosts` and the backend servers' names). `replacements` puts
+    other extensions in the place of built-in ones, such as naive versions.
     """
 
-    def __init__(self, *, seed: int = 0, linger_ms: float = 1_000.0) -> None:
+    def __init__(
+        self,
+        *,
+        seed: int = 0,
+        linger_ms: float = 1_000.0,
+        replacements: Mapping[str, str] | None = None,
+    ) -> None:
+        self._replacements = replacements
         self.hub = Hub()
         self.rng = random.Random(seed)
         self.linger_ms = linger_ms
@@ -149,11 +158,12 @@
         network = self.hub.network(name)
         app = Application(
             settings=settings,
-            clock=self.hub.clock,
+            clock=self.hub.clock_of(name),
             rng=random.Random(self.rng.random()),
             network=network,
             object_store=HttpObjectStore(address=STORE, network=network),
             host_list=HttpHostList(address=HOSTS, network=network),
+            replacements=self._replacements,
         )
         app.setup_all()
         with anyio.CancelScope() as scope:
--- a/features/support/hub.py
+++ b/features/support/hub.py
@@ -78,6 +78,10 @@
         """Returns the link whose faults may be changed."""
         return self._links.setdefault((source, target), Link())
 
+    def clock_of(self, owner: str) -> Clock:
+        """Returns a clock whose sleeps end only while the owner is awake."""
+        return _OwnerClock(hub=self, owner=owner)
+
     def kill(self, owner: str) -> None:
         """Ends an owner: its listeners go and its connections break."""
         self._listeners = {
@@ -115,6 +119,18 @@
         return self._dead.setdefault(owner, anyio.Event())
 
 
+class _OwnerClock(EventLoopClock):
+    """Time goes on while its owner is frozen; its owner does not."""
+
+    def __init__(self, *, hub: Hub, owner: str) -> None:
+        self._hub = hub
+        self._owner = owner
+
+    async def sleep(self, duration_ms: float) -> None:
+        await super().sleep(duration_ms)
+        await self._hub.awake(self._owner)
+
+
 class _MemoryNetwork(Network):
     def __init__(self, *, hub: Hub, owner: str) -> None:
         self._hub = hub
