Add the command line, the references and the catalogue of events

Cause: operators had no way in but HTTP by hand; and the status of a daemon that had nothing in force yet refused the operator that had just submitted at another daemon, since operators were known by the configuration alone.

Ruled out: running a command as the parser meets it. The parser calls a command before it sees a wrong flag behind it, so a mistyped submit would have been sent; commands now return an action that runs once all was read.

Change: entry, settings, questionnaire, submit, status, addresses, call, cost, trace and events, one line and a documented exit code for each failure; operators known by the settings too, in one gate; a client without a token sends no header; docs, with the quickstart followed by hand.

--- a/Makefile
+++ b/Makefile
@@ -7,9 +7,10 @@
 
 env: $(VENV)/.locked
 
-$(VENV)/.locked: requirements.lock
+$(VENV)/.locked: requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
 	touch $@
 
 demo: env
@@ -29,3 +30,6 @@
 
 clean:
 	rm -rf build .mypy_cache .ruff_cache .hypothesis
+
+docs: env
+	$(BIN)/python -m cactusdyke.observe.catalogue > docs/events.md
--- a/cactusdyke/api/__init__.py
+++ b/cactusdyke/api/__init__.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from cactusdyke.api.authentication import OperatorGate
 from cactusdyke.api.calls import CallHandlers
 from cactusdyke.api.flights import Flights
 from cactusdyke.api.operations import OperationHandlers
@@ -36,18 +37,19 @@
         tracing=app.service("tracing", Tracing),
         metrics=app.service("metrics", Metrics),
     )
+    gate = OperatorGate(
+        in_force=app.service("configuration", InForce),
+        settings_token_hashes=app.settings.operator_token_hashes,
+    )
     operations = OperationHandlers(
         app=app,
+        gate=gate,
         in_force=app.service("configuration", InForce),
         members=app.service("membership", Members),
         tracing=app.service("tracing", Tracing),
         cost=app.service("cost", CostBook),
     )
-    submissions = SubmissionHandlers(
-        in_force=app.service("configuration", InForce),
-        object_store=app.object_store,
-        settings_token_hashes=app.settings.operator_token_hashes,
-    )
+    submissions = SubmissionHandlers(gate=gate, object_store=app.object_store)
     app.add_route("POST", "/v1/submissions", submissions.submit)
     app.add_route("POST", "/v1/pipelines/{name}", calls.pipeline)
     app.add_route("POST", "/v1/services/{name}", calls.service)
--- a/cactusdyke/api/authentication.py
+++ b/cactusdyke/api/authentication.py
@@ -11,8 +11,9 @@
 from cactusdyke.errors import Failure, FailureKind
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Mapping, Sequence
 
+    from cactusdyke.configuration.in_force import InForce
     from cactusdyke.configuration.model import Configuration
     from cactusdyke.transport.messages import Request
 
@@ -30,20 +31,37 @@
     request: Request, configuration: Configuration
 ) -> Result[Customer, Failure]:
     """Returns the customer whose token the request carries."""
-    return owner_of(request, configuration.customers)
+    return _owner_of(request, configuration.customers)
 
 
-def operator_of(
-    request: Request, configuration: Configuration
-) -> Result[Operator, Failure]:
-    """Returns the operator whose token the request carries."""
-    return owner_of(request, configuration.operators)
+class OperatorGate:
+    """Knows operators by the configuration in force and by the settings.
+
+    Before the first submission nobody is configured, and a daemon that has
+    just started has nothing in force yet: the settings name who may still
+    submit and look.
+    """
+
+    def __init__(
+        self, *, in_force: InForce, settings_token_hashes: Sequence[str]
+    ) -> None:
+        self._in_force = in_force
+        self._settings_operator = Operator(
+            name="settings", token_hashes=tuple(settings_token_hashes)
+        )
+
+    def operator_of(self, request: Request) -> Result[Operator, Failure]:
+        """Returns the operator whose token the request carries."""
+        owners = {
+            **self._in_force.current.operators,
+            "": self._settings_operator,
+        }
+        return _owner_of(request, owners)
 
 
-def owner_of(
+def _owner_of(
     request: Request, owners: Mapping[str, OwnerType]
 ) -> Result[OwnerType, Failure]:
-    """Returns which of the owners' tokens the request carries."""
     header = request.headers.get("authorization", "")
     if header[: len(_SCHEME)].lower() != _SCHEME:
         return Err(_unauthenticated())
--- a/cactusdyke/api/operations.py
+++ b/cactusdyke/api/operations.py
@@ -8,7 +8,6 @@
 import prometheus_client
 from result import Err
 
-from cactusdyke.api import authentication
 from cactusdyke.transport.messages import (
     Request,
     Response,
@@ -17,6 +16,7 @@
 )
 
 if TYPE_CHECKING:
+    from cactusdyke.api.authentication import OperatorGate
     from cactusdyke.application import Application
     from cactusdyke.configuration.in_force import InForce
     from cactusdyke.membership.members import Members
@@ -33,12 +33,14 @@
         self,
         *,
         app: Application,
+        gate: OperatorGate,
         in_force: InForce,
         members: Members,
         tracing: Tracing,
         cost: CostBook,
     ) -> None:
         self._app = app
+        self._gate = gate
         self._in_force = in_force
         self._members = members
         self._tracing = tracing
@@ -60,7 +62,7 @@
 
     async def status(self, request: Request) -> Response:
         """Says what each daemon is and has in force."""
-        operator = authentication.operator_of(request, self._in_force.current)
+        operator = self._gate.operator_of(request)
         if isinstance(operator, Err):
             return failure_response(operator.err_value)
         return json_response(
@@ -72,14 +74,14 @@
 
     async def cost(self, request: Request) -> Response:
         """Says what the stages cost at this daemon."""
-        operator = authentication.operator_of(request, self._in_force.current)
+        operator = self._gate.operator_of(request)
         if isinstance(operator, Err):
             return failure_response(operator.err_value)
         return json_response({"stages": self._cost.table()})
 
     async def trace(self, request: Request) -> Response:
         """Shows the spans that this daemon keeps of a trace."""
-        operator = authentication.operator_of(request, self._in_force.current)
+        operator = self._gate.operator_of(request)
         if isinstance(operator, Err):
             return failure_response(operator.err_value)
         spans = self._tracing.find(request.parameters["trace_id"])
--- a/cactusdyke/api/submissions.py
+++ b/cactusdyke/api/submissions.py
@@ -7,8 +7,6 @@
 import attrs
 from result import Err, Ok, Result
 
-from cactusdyke.api import authentication
-from cactusdyke.configuration.model import Operator
 from cactusdyke.configuration.submit import Submission, submit
 from cactusdyke.errors import Failure, FailureKind
 from cactusdyke.questionnaire.answers import Answers
@@ -22,9 +20,8 @@
 from cactusdyke.util import structure
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
-
-    from cactusdyke.configuration.in_force import InForce
+    from cactusdyke.api.authentication import OperatorGate
+    from cactusdyke.configuration.model import Operator
     from cactusdyke.platform.object_store import ObjectStore
 
 
@@ -49,19 +46,15 @@
     def __init__(
         self,
         *,
-        in_force: InForce,
+        gate: OperatorGate,
         object_store: ObjectStore,
-        settings_token_hashes: Sequence[str],
     ) -> None:
-        self._in_force = in_force
+        self._gate = gate
         self._object_store = object_store
-        self._settings_operator = Operator(
-            name="settings", token_hashes=tuple(settings_token_hashes)
-        )
 
     async def submit(self, request: Request) -> Response:
         """Accepts or refuses a submission."""
-        operator = self._operator(request)
+        operator = self._gate.operator_of(request)
         if isinstance(operator, Err):
             return failure_response(operator.err_value)
         accepted = await self._submit(request, operator.ok_value)
@@ -71,16 +64,6 @@
             case Err(failure):
                 return failure_response(failure)
 
-    def _operator(self, request: Request) -> Result[Operator, Failure]:
-        configured = authentication.operator_of(request, self._in_force.current)
-        if configured.is_ok():
-            return configured
-        # Before the first submission nobody is configured; the settings name
-        # who may make it.
-        return authentication.owner_of(
-            request, {"settings": self._settings_operator}
-        )
-
     async def _submit(
         self, request: Request, operator: Operator
     ) -> Result[int, Failure]:
--- a/cactusdyke/client.py
+++ b/cactusdyke/client.py
@@ -202,7 +202,9 @@
         idempotency_key: str | None,
         traceparent: str | None,
     ) -> Request:
-        headers = {"authorization": f"Bearer {self._token}"}
+        headers = {}
+        if self._token:
+            headers["authorization"] = f"Bearer {self._token}"
         if idempotency_key is not None:
             headers["idempotency-key"] = idempotency_key
         if traceparent is not None:
--- a/features/run.py
+++ b/features/run.py
@@ -45,7 +45,7 @@
     report.unlink(missing_ok=True)
     command = [
         *(sys.executable, "-m", "behave", "--no-capture", "--no-color"),
-        *("-f", "json", "-o", str(report), "-f", "progress", "-o", "-"),
+        *("-f", "json", "-o", str(report), "-f", "plain", "-o", "-"),
         str(FEATURES / room),
     ]
     done = subprocess.run(command, capture_output=True, text=True, check=False)
--- /dev/null
+++ b/features/steps/cmd_steps.py
@@ -0,0 +1,208 @@
+"""Steps of the command line, run as real processes."""
+
+from __future__ import annotations
+
+import json
+import os
+import pathlib
+import subprocess
+import sys
+
+from behave import given, then, when
+
+from cactusdyke.errors import FailureKind
+from cactusdyke.events import Event
+from cactusdyke.observe import catalogue
+from features.support.deployment import Deployment
+from features.support.virtual import run_virtual
+from standins.engine import generate
+from standins.fleet import (
+    CUSTOMER_TOKEN,
+    OPERATOR_TOKEN,
+    request_json,
+    small_fleet,
+)
+
+BUILD = pathlib.Path("build/features/cmd")
+PLAN = {"plan": "B68"}
+
+
+def run_command(context, arguments, token=""):
+    environment = {**os.environ, "CACTUSDYKE_TOKEN": token}
+    environment.pop("CACTUSDYKE_ENTRY", None)
+    if "seeds" in context:
+        environment["CACTUSDYKE_ENTRY"] = context.seeds
+    context.done = subprocess.run(
+        [sys.executable, "-m", "cactusdyke.cmd.main", *arguments],
+        capture_output=True,
+        text=True,
+        env=environment,
+        check=False,
+    )
+    return context.done
+
+
+@when('the command line is "{line}"')
+def when_command_line(context, line):
+    run_command(context, line.split())
+
+
+@then("it ends with exit code {code:d}")
+@then("the command ends with exit code {code:d}")
+def then_exit_code(context, code):
+    assert context.done.returncode == code, context.done
+
+
+@then('it prints one line on standard error that holds "{text}"')
+def then_one_line(context, text):
+    lines = context.done.stderr.splitlines()
+    assert len(lines) == 1, lines
+    assert lines[0].startswith("cactusdyke: "), lines
+    assert text in lines[0], lines
+
+
+@then('it prints JSON in which "{name}" of the first row is "{value}"')
+def then_json(context, name, value):
+    assert json.loads(context.done.stdout)[0][name] == value
+
+
+@then('it prints "{text}"')
+def then_prints(context, text):
+    assert text in context.done.stdout, context.done.stdout
+
+
+@then("docs/events.md is what the code generates")
+def then_catalogue(context):
+    page = pathlib.Path("docs/events.md").read_text(encoding="utf-8")
+    assert page == catalogue.markdown(), "run make docs"
+
+
+@then("no two events share a number")
+def then_numbers(context):
+    numbers = [event.number for event in Event]
+    assert len(numbers) > 1
+    assert len(numbers) == len(set(numbers))
+
+
+@given("a fleet of {count:d} daemons as processes")
+def given_fleet(context, count):
+    manager = small_fleet(BUILD, daemons=count)
+    context.fleet, context.answers = manager.__enter__()
+    context.add_cleanup(manager.__exit__, None, None, None)
+    context.names = [f"entry-{i + 1}" for i in range(count)]
+    context.seeds = ",".join(context.fleet[n].address for n in context.names)
+
+
+@when("the operator submits the answers and waits")
+def when_submit(context):
+    path = BUILD / "answers.jsonc"
+    path.write_text("// by hand\n" + json.dumps(context.answers))
+    run_command(context, ["submit", str(path), "--wait"], OPERATOR_TOKEN)
+
+
+@then("the status shows every daemon with revision 1")
+def then_status(context):
+    done = run_command(context, ["status", "--json"], OPERATOR_TOKEN)
+    daemons = json.loads(done.stdout)["daemons"]
+    assert sorted(d["name"] for d in daemons) == context.names
+    assert {d["revision"] for d in daemons} == {1}
+
+
+@then("the addresses name every daemon")
+def then_addresses(context):
+    done = run_command(context, ["addresses", "--json"])
+    listed = json.loads(done.stdout)["addresses"]
+    assert sorted(a["address"] for a in listed) == sorted(
+        context.seeds.split(",")
+    )
+
+
+@when("a caller streams the pipeline by the command line")
+def when_stream_command(context):
+    arguments = ["call", "summary", json.dumps(PLAN), "--stream"]
+    run_command(context, arguments, CUSTOMER_TOKEN)
+    context.trace_id = context.done.stderr.split()[-1]
+
+
+@then("the answer is the tokens that the engine generated")
+def then_streamed(context):
+    # The three stages before it each answer with a digest of their input.
+    arguments = ["call", "summary", json.dumps(PLAN)]
+    streamed = context.done.stdout.strip()
+    assert len(streamed.split()) == 16
+    run_command(context, arguments, CUSTOMER_TOKEN)
+    assert context.done.returncode == 0
+    assert json.loads(context.done.stdout)["by"] == "engine"
+    assert all(
+        len(word) == len(generate("", 1)[0]) - 1 for word in streamed.split()
+    )
+
+
+@then("its trace shows a span for each hop")
+def then_trace(context):
+    done = run_command(context, ["trace", context.trace_id], OPERATOR_TOKEN)
+    for name in ("request summary", "stage encode", "stage generate"):
+        assert name in done.stdout, done.stdout
+    assert done.stdout.count("attempt 1") == 4
+
+
+@then("the cost shows every stage")
+def then_cost(context):
+    done = run_command(context, ["cost", "--json"], OPERATOR_TOKEN)
+    rows = json.loads(done.stdout)["stages"]
+    stages = [row["stage"] for row in rows]
+    assert stages == ["encode", "generate", "rerank", "retrieve"]
+    assert all(row["cost"] > 0 for row in rows)
+
+
+@when("a caller books by the command line twice with one key")
+def when_books(context):
+    arguments = ["call", "hire-booking", '{"trailer": 7}', "--service"]
+    arguments.append("--key=k1")
+    context.bookings = [
+        json.loads(run_command(context, arguments, CUSTOMER_TOKEN).stdout)
+        for _ in range(2)
+    ]
+
+
+@then("both answers are the same and the booking ran once")
+def then_booked(context):
+    assert context.bookings == [{"booked": {"trailer": 7}}] * 2
+    address = context.fleet["plain-1"].address
+    executions = request_json("GET", address, "/stats")["executions"]
+    assert list(executions.values()) == [1]
+
+
+@when("a caller with a wrong token calls the pipeline")
+def when_wrong_token(context):
+    run_command(context, ["call", "summary", json.dumps(PLAN)], "wrong")
+
+
+@given("a deployment of 1 daemon with nothing in force")
+def given_unconfigured(context):
+    async def ask():
+        async with Deployment() as deployment:
+            await deployment.start_daemons(1)
+            answers = []
+            for token in (OPERATOR_TOKEN, "wrong"):
+                async with deployment.client(token=token) as client:
+                    answers.append(await client.get("/v1/status"))
+            return answers
+
+    context.ask = ask
+
+
+@when("the settings' operator asks for the status")
+def when_status(context):
+    context.status, context.refused = run_virtual(context.ask)
+
+
+@then("the status names the daemon with revision 0")
+def then_status_zero(context):
+    daemons = context.status.unwrap()["daemons"]
+    assert [(d["name"], d["revision"]) for d in daemons] == [("entry-1", 0)]
+
+
+@then("a wrong token is refused")
+def then_refused(context):
+    assert context.refused.err_value.kind is FailureKind.UNAUTHENTICATED
