Ask each daemon about itself for status and for the end of a wait

Its news of the others is late, so a wait could end at one daemon and status at the next one show an older revision (seen once as a failing scenario under load).

Ruled out: waiting longer in the scenario, which would have hidden it.

Change: both ask every daemon for its own entry and say which did not answer.

Conclusion: what is printed is what each daemon has in force.

--- a/cactusdyke/api/operations.py
+++ b/cactusdyke/api/operations.py
@@ -67,6 +67,7 @@
             return failure_response(operator.err_value)
         return json_response(
             {
+                "daemon": self._app.settings.name,
                 "revision": self._in_force.current.revision,
                 "daemons": [attrs.asdict(m) for m in self._members.all()],
             }
--- a/cactusdyke/client.py
+++ b/cactusdyke/client.py
@@ -79,6 +79,11 @@
         self._addresses = (address,)
         self._valid_until = math.inf
 
+    def unpin(self) -> None:
+        """Asks for addresses again before the next call."""
+        self._addresses = ()
+        self._valid_until = 0.0
+
     async def addresses(self) -> tuple[str, ...]:
         """Returns addresses to use, asking again once they have expired."""
         if self._clock.now() < self._valid_until:
--- a/cactusdyke/cmd/reading.py
+++ b/cactusdyke/cmd/reading.py
@@ -6,7 +6,7 @@
 
 from result import Err
 
-from cactusdyke.cmd import connection, output
+from cactusdyke.cmd import connection, fleet_status, output
 from cactusdyke.cmd.action import Action, asynchronous
 
 if TYPE_CHECKING:
@@ -14,6 +14,14 @@
 
     from cactusdyke.client import Client
 
+STATUS_COLUMNS = (
+    "name",
+    "state",
+    "revision",
+    "answered",
+    "data_centre",
+    "address",
+)
 _NS_PER_MS = 1e6
 
 
@@ -54,14 +62,13 @@
 
     async def work() -> None:
         async with connection.connect(entry, token_file) as client:
-            value = output.unwrap(await client.get("/v1/status"))
-            if json:
-                output.show_json(value)
-                return
-            columns = ("name", "state", "revision", "data_centre", "address")
-            output.show_table(
-                [{c: d.get(c) for c in columns} for d in value["daemons"]]
-            )
+            daemons = await fleet_status.read(client)
+        if json:
+            output.show_json({"daemons": daemons})
+            return
+        output.show_table(
+            [{name: d.get(name) for name in STATUS_COLUMNS} for d in daemons]
+        )
 
     return asynchronous(work)
 
--- a/cactusdyke/cmd/submit.py
+++ b/cactusdyke/cmd/submit.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from cactusdyke.clock import SystemClock
-from cactusdyke.cmd import connection, output
+from cactusdyke.cmd import connection, fleet_status, output
 from cactusdyke.cmd.action import Action, asynchronous
 from cactusdyke.util import jsonc
 
@@ -75,10 +75,9 @@
     clock = SystemClock()
     give_up = clock.now() + wait_ms
     while True:
-        status = output.unwrap(await client.get("/v1/status"))
         behind = [
             daemon["name"]
-            for daemon in status["daemons"]
+            for daemon in await fleet_status.read(client)
             if daemon["revision"] < revision
         ]
         if not behind or clock.now() >= give_up:
--- a/features/steps/cmd_steps.py
+++ b/features/steps/cmd_steps.py
@@ -106,6 +106,7 @@
     daemons = json.loads(done.stdout)["daemons"]
     assert sorted(d["name"] for d in daemons) == context.names
     assert {d["revision"] for d in daemons} == {1}
+    assert all(d["answered"] for d in daemons)
 
 
 @then("the addresses name every daemon")
