Keep membership by probes, suspicion and bounded news

Cause: the gossip of the whole table grew with the fleet, took any silence of five seconds for death, and never joined two halves again after a cut. Change: one probe a second in shuffled rounds, indirect probes through other data centres, suspicion that only the accused contradicts, news passed on a bounded number of times, table hashes with a pull of what differs, retries of the dead at a bounded rate.

--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -35,6 +35,16 @@
         "Check the platform's object service; serving goes on without it.",
     )
     MEMBER_CHANGED = (3001, "A daemon's state as seen from here changed.", "")
+    DAEMON_PAUSED = (
+        3002,
+        "This daemon stood still; it accuses no other for some seconds.",
+        "Look for a suspended or overcommitted host if this is repeated.",
+    )
+    GOSSIP_REJECTED = (
+        3003,
+        "A value on another daemon's message could not be read.",
+        "Check that all daemons run releases that may run together.",
+    )
     ATTEMPT_FAILED = (
         4001,
         "An attempt at a backend server failed.",
--- a/cactusdyke/membership/__init__.py
+++ b/cactusdyke/membership/__init__.py
@@ -6,7 +6,9 @@
 
 from cactusdyke.application import ExtensionMetadata
 from cactusdyke.configuration.in_force import InForce
-from cactusdyke.membership.members import GOSSIP_PATH, Members
+from cactusdyke.membership.control_client import ControlClient, ControlTraffic
+from cactusdyke.membership.exchange import GOSSIP_PATH
+from cactusdyke.membership.members import Members
 
 if TYPE_CHECKING:
     from cactusdyke.application import Application
@@ -16,11 +18,17 @@
     """Registers the membership service and its route."""
     app.setup_extension("cactusdyke.configuration")
     in_force = app.service("configuration", InForce)
+    traffic = ControlTraffic(app.metrics)
+    app.add_service("control_traffic", traffic)
+    client = ControlClient(network=app.network, traffic=traffic)
+    app.add_service("control_client", client)
     members = Members(
         settings=app.settings,
         clock=app.clock,
         rng=app.rng,
-        network=app.network,
+        client=client,
+        traffic=traffic,
+        host_list=app.host_list,
         revision=lambda: in_force.current.revision,
     )
     app.add_service("membership", members)
--- /dev/null
+++ b/cactusdyke/membership/control_client.py
@@ -0,0 +1,109 @@
+"""Calls between daemons, counted as what control costs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import orjson
+import prometheus_client
+from result import Err, Ok, Result
+
+from cactusdyke.errors import Failure, FailureKind
+from cactusdyke.kernel import Service
+from cactusdyke.transport.messages import JSON_TYPE, Request, parse_object
+from cactusdyke.transport.network import CallOptions
+
+if TYPE_CHECKING:
+    from cactusdyke.transport.network import Network
+
+HEADER_BYTES = 120
+"""About what the head of a small request or answer takes."""
+
+
+class ControlTraffic(Service):
+    """Counts control messages and bytes, by kind and direction."""
+
+    def __init__(self, registry: prometheus_client.CollectorRegistry) -> None:
+        self._messages = prometheus_client.Counter(
+            "cactusdyke_control_messages",
+            "Control messages sent, answers not counted.",
+            ("kind",),
+            registry=registry,
+        )
+        self._bytes = prometheus_client.Counter(
+            "cactusdyke_control_bytes",
+            "Bytes of control sent, heads counted with an estimate.",
+            ("kind",),
+            registry=registry,
+        )
+        self.messages_sent = 0
+        self.bytes_sent = 0
+
+    def sent(self, kind: str, body: bytes) -> None:
+        """Counts a message."""
+        self.messages_sent += 1
+        self._messages.labels(kind).inc()
+        self._count_bytes(kind, body)
+
+    def answered(self, body: bytes) -> None:
+        """Counts an answer."""
+        self._count_bytes("answer", body)
+
+    def _count_bytes(self, kind: str, body: bytes) -> None:
+        size = HEADER_BYTES + len(body)
+        self.bytes_sent += size
+        self._bytes.labels(kind).inc(size)
+
+
+class ControlClient(Service):
+    """Sends JSON objects to other daemons and to backend servers."""
+
+    def __init__(self, *, network: Network, traffic: ControlTraffic) -> None:
+        self._network = network
+        self._traffic = traffic
+
+    async def post(
+        self,
+        kind: str,
+        address: str,
+        path: str,
+        value: Any,
+        *,
+        timeout_ms: float,
+    ) -> Result[dict[str, Any], Failure]:
+        """Posts an object and returns the object that answers it."""
+        request = Request(
+            method="POST",
+            path=path,
+            headers={"content-type": JSON_TYPE},
+            body=orjson.dumps(value),
+        )
+        return await self._call(kind, address, request, timeout_ms)
+
+    async def get(
+        self, kind: str, address: str, path: str, *, timeout_ms: float
+    ) -> Result[dict[str, Any], Failure]:
+        """Reads an object."""
+        request = Request(method="GET", path=path)
+        return await self._call(kind, address, request, timeout_ms)
+
+    async def _call(
+        self, kind: str, address: str, request: Request, timeout_ms: float
+    ) -> Result[dict[str, Any], Failure]:
+        self._traffic.sent(kind, request.body)
+        options = CallOptions(
+            connect_timeout_ms=timeout_ms, progress_timeout_ms=timeout_ms
+        )
+        answer = await self._network.fetch(address, request, options)
+        if isinstance(answer, Err):
+            return answer
+        response = answer.ok_value
+        if response.status != 200 or not isinstance(response.body, bytes):
+            return Err(
+                Failure(
+                    kind=FailureKind.BACKEND_FAILED,
+                    detail=f"{address} answered {response.status}",
+                )
+            )
+        parsed = parse_object(response.body)
+        return parsed if isinstance(parsed, Err) else Ok(parsed.ok_value)
--- /dev/null
+++ b/cactusdyke/membership/exchange.py
@@ -0,0 +1,196 @@
+"""Sends, takes and answers the messages of membership."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, TypeAlias
+
+import orjson
+from result import Err, Ok, Result
+
+from cactusdyke import events
+from cactusdyke.membership import messages
+from cactusdyke.membership.messages import Gossip, GossipKind
+from cactusdyke.membership.table import BUCKETS
+from cactusdyke.transport.messages import (
+    JSON_TYPE,
+    Request,
+    Response,
+    failure_response,
+)
+
+if TYPE_CHECKING:
+    from cactusdyke.errors import Failure
+    from cactusdyke.membership.control_client import (
+        ControlClient,
+        ControlTraffic,
+    )
+    from cactusdyke.membership.member import Member
+    from cactusdyke.membership.riders import Rider
+    from cactusdyke.membership.table import MemberTable
+
+GOSSIP_PATH = "/internal/v1/gossip"
+MAX_UPDATES = 10
+MAX_PULLED = 64
+MAX_HELPING = 4
+HELP_TIMEOUT_MS = 500.0
+WITH_RIDERS = frozenset({GossipKind.PROBE, GossipKind.ANSWER})
+
+RevisionHook: TypeAlias = Callable[[int, str], None]
+
+
+class Exchange:
+    """Turns the table into messages and messages into the table."""
+
+    def __init__(
+        self,
+        *,
+        table: MemberTable,
+        client: ControlClient,
+        traffic: ControlTraffic,
+    ) -> None:
+        self._table = table
+        self._client = client
+        self._traffic = traffic
+        self._riders: dict[str, Rider] = {}
+        self._revision_hooks: list[RevisionHook] = []
+        self._helping = 0
+        self._first_bucket = 0
+
+    def ride(self, key: str, rider: Rider) -> None:
+        """Lets a rider's values travel under a key."""
+        if key in self._riders:
+            raise ValueError(f"{key!r} rides already")
+        self._riders[key] = rider
+
+    def on_revision(self, hook: RevisionHook) -> None:
+        """Calls `hook(revision, address)` when a sender's is higher."""
+        self._revision_hooks.append(hook)
+
+    async def send(
+        self,
+        kind: GossipKind,
+        address: str,
+        *,
+        receiver: Member | None = None,
+        timeout_ms: float,
+        **parts: Any,
+    ) -> Result[Gossip, Failure]:
+        """Sends a message, and takes and returns what answers it."""
+        gossip = self._compose(kind, receiver, parts)
+        answer = await self._client.post(
+            kind,
+            address,
+            GOSSIP_PATH,
+            gossip.to_wire(),
+            timeout_ms=timeout_ms,
+        )
+        if isinstance(answer, Err):
+            return answer
+        parsed = messages.parse(answer.ok_value)
+        if isinstance(parsed, Ok):
+            self.take(parsed.ok_value)
+        return parsed
+
+    async def handle(self, request: Request) -> Response:
+        """Takes another daemon's message and answers with news."""
+        value = request.json()
+        if isinstance(value, Err):
+            return failure_response(value.err_value)
+        parsed = messages.parse(value.ok_value)
+        if isinstance(parsed, Err):
+            return failure_response(parsed.err_value)
+        gossip = parsed.ok_value
+        self.take(gossip)
+        answer = await self._answer(gossip)
+        body = orjson.dumps(answer.to_wire())
+        self._traffic.answered(body)
+        return Response(headers={"content-type": JSON_TYPE}, body=body)
+
+    def take(self, gossip: Gossip) -> None:
+        """Takes what a message says."""
+        for member in (gossip.sender, *gossip.updates):
+            self._table.take(member)
+        for key, value in gossip.riders.items():
+            rider = self._riders.get(key)
+            if rider is None:
+                continue
+            try:
+                rider.read(gossip.sender, value)
+            except (ValueError, TypeError, KeyError) as error:
+                events.log(
+                    events.Event.GOSSIP_REJECTED,
+                    member=gossip.sender.name,
+                    key=key,
+                    detail=repr(error),
+                )
+        if gossip.sender.revision > self._table.own.revision:
+            for hook in self._revision_hooks:
+                hook(gossip.sender.revision, gossip.sender.address)
+
+    async def _answer(self, gossip: Gossip) -> Gossip:
+        parts: dict[str, Any] = {}
+        match gossip.kind:
+            case GossipKind.ASK:
+                parts["reached"] = await self._help(gossip.target)
+            case GossipKind.PULL:
+                parts["updates"] = self._differing(gossip.digests)
+            case _:
+                pass
+        return self._compose(GossipKind.ANSWER, gossip.sender, parts)
+
+    async def _help(self, address: str) -> bool:
+        if self._helping >= MAX_HELPING:
+            return False
+        self._helping += 1
+        try:
+            answer = await self.send(
+                GossipKind.PROBE, address, timeout_ms=HELP_TIMEOUT_MS
+            )
+        finally:
+            self._helping -= 1
+        return answer.is_ok()
+
+    def _differing(self, digests: tuple[str, ...]) -> tuple[Member, ...]:
+        if len(digests) != BUCKETS:
+            return ()
+        # Begins elsewhere each time, so that a table that needs more than one
+        # answer is not sent its first buckets again and again.
+        self._first_bucket = (self._first_bucket + 5) % BUCKETS
+        order = [(self._first_bucket + i) % BUCKETS for i in range(BUCKETS)]
+        chosen: list[Member] = []
+        for bucket in order:
+            if digests[bucket] == self._table.digests[bucket]:
+                continue
+            entries = self._table.in_buckets([bucket])
+            if chosen and len(chosen) + len(entries) > MAX_PULLED:
+                break
+            chosen.extend(entries)
+        return tuple(chosen)
+
+    def _compose(
+        self, kind: GossipKind, receiver: Member | None, parts: dict[str, Any]
+    ) -> Gossip:
+        name = receiver.name if receiver else ""
+        riders: dict[str, Any] = {}
+        if kind in WITH_RIDERS:
+            for key, rider in self._riders.items():
+                value = rider.write(receiver)
+                if value is not None:
+                    riders[key] = value
+        if "updates" not in parts:
+            parts["updates"] = tuple(
+                self._table.updates(limit=MAX_UPDATES, receiver=name)
+            )
+        # A sender that restarted with its clock set back speaks under an
+        # incarnation lower than the one known; it has to hear of that one.
+        known = self._table.find(name) if name else None
+        if known and receiver and receiver.order < known.order:
+            parts["updates"] = (known, *parts["updates"])
+        return Gossip(
+            kind=kind,
+            sender=self._table.own,
+            digest=self._table.digest,
+            riders=riders,
+            **parts,
+        )
--- a/cactusdyke/membership/members.py
+++ b/cactusdyke/membership/members.py
@@ -2,71 +2,49 @@
 
 from __future__ import annotations
 
-import enum
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
-import attrs
-import orjson
-from result import Err, Ok
+import anyio
+from result import Err
 
-from cactusdyke import events
 from cactusdyke.kernel import Service
-from cactusdyke.transport.messages import (
-    Request,
-    Response,
-    failure_response,
-    json_response,
-)
-from cactusdyke.transport.network import CallOptions
+from cactusdyke.membership.exchange import Exchange
+from cactusdyke.membership.member import Member, MemberState
+from cactusdyke.membership.messages import GossipKind
+from cactusdyke.membership.prober import PAUSE_MS, Prober
+from cactusdyke.membership.revisions import RevisionMap
+from cactusdyke.membership.riders import Attachment, Provider, Reader, Rider
+from cactusdyke.membership.rounds import Rounds
+from cactusdyke.membership.table import MemberTable
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
 
     from cactusdyke.clock import Clock, Instant
+    from cactusdyke.membership.control_client import (
+        ControlClient,
+        ControlTraffic,
+    )
+    from cactusdyke.membership.exchange import RevisionHook
+    from cactusdyke.membership.messages import Gossip
+    from cactusdyke.platform.host_list import HostList
     from cactusdyke.settings import Settings
-    from cactusdyke.transport.network import Network
+    from cactusdyke.transport.messages import Request, Response
 
-GOSSIP_PATH = "/internal/v1/gossip"
-GOSSIP_INTERVAL_MS = 1_000.0
-SUSPECT_AFTER_MS = 5_000.0
-GOSSIP_TIMEOUT_MS = 1_000.0
-
-
-class MemberState(enum.StrEnum):
-    """What a daemon says of itself, or others of it."""
-
-    LIVE = "live"
-    LEAVING = "leaving"
-
-
-@attrs.frozen(kw_only=True)
-class Member:
-    """One daemon as it describes itself.
-
-    Attributes:
-        name: The daemon's name.
-        address: Where it serves.
-        data_centre: Where it stands.
-        region: The region of its data centre.
-        incarnation: Grows with each start and each change of state.
-        heartbeat: Grows with each message that it sends.
-        state: Whether it is live or leaving.
-        revision: The configuration revision in force there.
-    """
-
-    name: str
-    address: str
-    data_centre: str
-    region: str
-    incarnation: int
-    heartbeat: int
-    state: MemberState
-    revision: int
+PROBE_INTERVAL_MS = 1_000.0
+RETRY_DEAD_MS = 5_000.0
+PULL_INTERVAL_MS = 5_000.0
+JOINING_MS = 30_000.0
+JOINING_PULL_INTERVAL_MS = 1_000.0
+CALL_TIMEOUT_MS = 1_000.0
+URGENT_FANOUT = 3
+URGENT_INTERVAL_MS = 500.0
+LEAVE_FANOUT = 6
 
 
 class Members(Service):
-    """The table of daemons, exchanged with one other each second."""
+    """Probes one daemon each second and passes on what it hears."""
 
     def __init__(
         self,
@@ -74,118 +52,214 @@
         settings: Settings,
         clock: Clock,
         rng: random.Random,
-        network: Network,
+        client: ControlClient,
+        traffic: ControlTraffic,
+        host_list: HostList,
         revision: Callable[[], int],
     ) -> None:
         self._settings = settings
         self._clock = clock
         self._rng = rng
-        self._network = network
+        self._host_list = host_list
         self._revision = revision
-        self._state = MemberState.LIVE
-        self._incarnation = clock.wall()
-        self._heartbeat = 0
-        self._members: dict[str, Member] = {}
-        self._heard_at: dict[str, Instant] = {}
+        self._table = MemberTable(own=_own_member(settings, clock), clock=clock)
+        self._table.on_leaving(self._hurry)
+        self._rounds = Rounds(table=self._table, rng=rng)
+        self._exchange = Exchange(
+            table=self._table, client=client, traffic=traffic
+        )
+        self._prober = Prober(
+            table=self._table,
+            rounds=self._rounds,
+            exchange=self._exchange,
+            clock=clock,
+        )
+        self._exchange.ride("revisions", RevisionMap(table=self._table))
+        self._seeds = {peer.address for peer in settings.peers}
+        self._started_at: Instant = clock.now()
+        self._pulled_at: Instant = -PULL_INTERVAL_MS
+        self._retried_at: Instant = -RETRY_DEAD_MS
+        self._urgent = anyio.Event()
 
     @property
     def own(self) -> Member:
         """This daemon's own entry."""
-        return Member(
-            name=self._settings.name,
-            address=self._settings.address,
-            data_centre=self._settings.data_centre,
-            region=self._settings.region,
-            incarnation=self._incarnation,
-            heartbeat=self._heartbeat,
-            state=self._state,
-            revision=self._revision(),
-        )
+        self._table.note_revision(self._settings.name, self._revision())
+        return self._table.own
 
     def all(self) -> tuple[Member, ...]:
-        """Returns every daemon heard of lately, this one first."""
-        now = self._clock.now()
-        others = [
-            member
-            for name, member in self._members.items()
-            if now - self._heard_at[name] <= SUSPECT_AFTER_MS
-        ]
-        return (self.own, *sorted(others, key=lambda member: member.name))
+        """Returns every daemon that is not dead, this one first."""
+        others = self._table.others(exclude={MemberState.DEAD})
+        return (self.own, *sorted(others, key=_by_name))
 
     def serving(self) -> tuple[Member, ...]:
-        """Returns the daemons that callers may be sent to."""
-        return tuple(m for m in self.all() if m.state is MemberState.LIVE)
+        """Returns the daemons that callers may be sent to.
+
+        A suspected daemon is left out, but not if most are suspected: then
+        the fault is nearer than they are. Where none is left, those believed
+        dead are better than no address at all; a leaving one never is.
+        """
+        known = [m for m in self.all() if m.state is not MemberState.LEAVING]
+        live = [m for m in known if m.state is MemberState.LIVE]
+        if 2 * len(live) >= len(known) and live:
+            return tuple(live)
+        if known:
+            return tuple(known)
+        dead = [m for m in self._table.others() if m.state is MemberState.DEAD]
+        return tuple(sorted(dead, key=_by_name))
+
+    def ride(self, key: str, rider: Rider) -> None:
+        """Lets a rider's values travel on each probe and its answer."""
+        self._exchange.ride(key, rider)
+
+    def attach(self, key: str, provider: Provider, reader: Reader) -> None:
+        """Spreads a small dictionary of each daemon to all the others.
+
+        Args:
+            key: Names the dictionary in messages.
+            provider: Gives this daemon's dictionary, at most 256 bytes.
+            reader: Called with a daemon's name and dictionary on each change.
+        """
+        attachment = Attachment(
+            table=self._table, provider=provider, reader=reader
+        )
+        self._exchange.ride(key, attachment)
+
+    def on_revision(self, hook: RevisionHook) -> None:
+        """Calls `hook(revision, address)` when a sender's is higher."""
+        self._exchange.on_revision(hook)
+
+    async def handle(self, request: Request) -> Response:
+        """Takes another daemon's message and answers with news."""
+        self._refresh()
+        return await self._exchange.handle(request)
 
     def leave(self) -> None:
         """Says from now on that this daemon is leaving."""
-        self._state = MemberState.LEAVING
-        self._incarnation += 1
-
-    async def run(self) -> None:
-        """Exchanges the table with one other daemon each interval."""
-        while True:
-            await self._exchange()
-            await self._clock.sleep(GOSSIP_INTERVAL_MS)
+        if self._table.own.state is not MemberState.LEAVING:
+            self._table.contradict(state=MemberState.LEAVING)
+            self._hurry()
 
     async def drain(self) -> None:
-        """Says that this daemon is leaving, to as many as there are."""
+        """Says that this daemon is leaving, to several others at once."""
         self.leave()
-        for _ in self._targets():
-            await self._exchange()
+        await self._tell(self._rounds.some(LEAVE_FANOUT))
 
-    async def handle(self, request: Request) -> Response:
-        """Takes another daemon's table and answers with this one's."""
-        match request.json():
-            case Ok(value):
-                self._merge(value)
-                return json_response(self._table())
-            case Err(failure):
-                return failure_response(failure)
-
-    def _targets(self) -> list[str]:
-        seeds = [peer.address for peer in self._settings.peers]
-        known = [member.address for member in self._members.values()]
-        own = self._settings.address
-        return sorted({a for a in (*seeds, *known) if a != own})
-
-    async def _exchange(self) -> None:
-        targets = self._targets()
-        if not targets:
+    async def run(self) -> None:
+        """Probes, retries, pulls and hurries until it is cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._run_urgent)
+            await self._join()
+            await self._sleep(self._rng.uniform(0, PROBE_INTERVAL_MS))
+            while True:
+                began = self._clock.now()
+                await self._tick()
+                took = self._clock.now() - began
+                await self._sleep(max(0.0, PROBE_INTERVAL_MS - took))
+
+    async def _tick(self) -> None:
+        self._refresh()
+        self._table.expire()
+        await self._retry()
+        member = self._rounds.next()
+        if member is None:
             return
-        self._heartbeat += 1
-        request = Request(
-            method="POST",
-            path=GOSSIP_PATH,
-            body=orjson.dumps(self._table()),
-        )
-        options = CallOptions(
-            connect_timeout_ms=GOSSIP_TIMEOUT_MS,
-            progress_timeout_ms=GOSSIP_TIMEOUT_MS,
+        answer = await self._prober.probe(member)
+        if answer is not None:
+            await self._pull(answer)
+
+    async def _join(self) -> None:
+        listed = await self._host_list.read()
+        if not isinstance(listed, Err):
+            self._seeds |= {host.address for host in listed.ok_value}
+        self._seeds.discard(self._settings.address)
+
+    async def _retry(self) -> None:
+        """Tries an address that nobody present has, at a bounded rate.
+
+        A region that was cut off comes back with every daemon believed dead
+        on the other side. One answer is enough for both sides to join.
+        """
+        now = self._clock.now()
+        alone = len(self._table.present()) == 1
+        if now - self._retried_at < RETRY_DEAD_MS and not alone:
+            return
+        present = {member.address for member in self._table.present()}
+        known = {member.address for member in self._table.others()}
+        absent = sorted((self._seeds | known) - present)
+        if not absent:
+            return
+        self._retried_at = now
+        address = self._rng.choice(absent)
+        answer = await self._exchange.send(
+            GossipKind.PROBE, address, timeout_ms=CALL_TIMEOUT_MS
         )
-        address = self._rng.choice(targets)
-        answer = await self._network.fetch(address, request, options)
-        if isinstance(answer, Ok) and isinstance(answer.ok_value.body, bytes):
-            self._merge(orjson.loads(answer.ok_value.body))
-
-    def _table(self) -> dict[str, Any]:
-        return {"members": [attrs.asdict(member) for member in self.all()]}
-
-    def _merge(self, table: dict[str, Any]) -> None:
-        for item in table["members"]:
-            member = Member(**{**item, "state": MemberState(item["state"])})
-            if member.name != self._settings.name:
-                self._take(member)
-
-    def _take(self, member: Member) -> None:
-        known = self._members.get(member.name)
-        order = (member.incarnation, member.heartbeat)
-        if known and order <= (known.incarnation, known.heartbeat):
+        if not isinstance(answer, Err):
+            await self._pull(answer.ok_value)
+
+    async def _pull(self, answer: Gossip) -> None:
+        if answer.digest == self._table.digest:
             return
-        self._members[member.name] = member
-        self._heard_at[member.name] = self._clock.now()
-        if known is None or known.state is not member.state:
-            events.log(
-                events.Event.MEMBER_CHANGED,
-                member=member.name,
-                state=str(member.state),
-            )
+        now = self._clock.now()
+        joining = now - self._started_at < JOINING_MS
+        interval = JOINING_PULL_INTERVAL_MS if joining else PULL_INTERVAL_MS
+        if now - self._pulled_at < interval:
+            return
+        self._pulled_at = now
+        await self._exchange.send(
+            GossipKind.PULL,
+            answer.sender.address,
+            receiver=answer.sender,
+            timeout_ms=CALL_TIMEOUT_MS,
+            digests=self._table.digests,
+        )
+
+    def _hurry(self) -> None:
+        self._urgent.set()
+
+    async def _run_urgent(self) -> None:
+        # News that a daemon leaves would take a probe for each doubling of
+        # those who know, longer than callers keep an address. Everyone who
+        # hears it first tells a few at once; the pause bounds the messages
+        # when many leave together.
+        while True:
+            await self._urgent.wait()
+            self._urgent = anyio.Event()
+            await self._tell(self._rounds.some(URGENT_FANOUT))
+            await self._clock.sleep(URGENT_INTERVAL_MS)
+
+    async def _tell(self, members: list[Member]) -> None:
+        async with anyio.create_task_group() as tasks:
+            for member in members:
+                tasks.start_soon(self._tell_one, member)
+
+    async def _tell_one(self, member: Member) -> None:
+        await self._exchange.send(
+            GossipKind.URGENT,
+            member.address,
+            receiver=member,
+            timeout_ms=CALL_TIMEOUT_MS,
+        )
+
+    async def _sleep(self, duration_ms: float) -> None:
+        began = self._clock.now()
+        await self._clock.sleep(duration_ms)
+        if self._clock.now() - began > duration_ms + PAUSE_MS:
+            self._prober.paused()
+
+    def _refresh(self) -> None:
+        self._table.note_revision(self._settings.name, self._revision())
+
+
+def _own_member(settings: Settings, clock: Clock) -> Member:
+    return Member(
+        name=settings.name,
+        address=settings.address,
+        data_centre=settings.data_centre,
+        region=settings.region,
+        incarnation=clock.wall(),
+    )
+
+
+def _by_name(member: Member) -> str:
+    return member.name
--- /dev/null
+++ b/cactusdyke/membership/messages.py
@@ -0,0 +1,97 @@
+"""The message that daemons exchange, and what is wrong with a bad one."""
+
+from __future__ import annotations
+
+import enum
+from typing import Any
+
+import attrs
+from result import Err, Ok, Result
+
+from cactusdyke.errors import Failure, FailureKind
+from cactusdyke.membership.member import Member, from_wire
+
+
+class GossipKind(enum.StrEnum):
+    """Why a message is sent."""
+
+    PROBE = "probe"
+    ASK = "ask"
+    PULL = "pull"
+    URGENT = "urgent"
+    ANSWER = "answer"
+
+
+@attrs.frozen(kw_only=True)
+class Gossip:
+    """One message or its answer.
+
+    Attributes:
+        kind: Why it is sent.
+        sender: The sender's own entry.
+        updates: News of other daemons.
+        digest: A hash of the sender's whole table.
+        riders: Values added by others, by key.
+        target: Whom to probe, where the kind is ASK.
+        digests: The sender's bucket hashes, where the kind is PULL.
+        reached: Whether the target answered, in the answer to ASK.
+    """
+
+    kind: GossipKind
+    sender: Member
+    updates: tuple[Member, ...] = ()
+    digest: str = ""
+    riders: dict[str, Any] = attrs.field(factory=dict)
+    target: str = ""
+    digests: tuple[str, ...] = ()
+    reached: bool = False
+
+    def to_wire(self) -> dict[str, Any]:
+        """Returns the message as it travels, without empty parts."""
+        parts: dict[str, Any] = {
+            "kind": self.kind,
+            "from": self.sender.to_wire(),
+            "updates": [member.to_wire() for member in self.updates],
+            "digest": self.digest,
+            "riders": self.riders,
+            "target": self.target,
+            "digests": list(self.digests),
+            "reached": self.reached,
+        }
+        return {key: value for key, value in parts.items() if value}
+
+
+def parse(value: dict[str, Any]) -> Result[Gossip, Failure]:
+    """Reads a message."""
+    try:
+        kind = GossipKind(value["kind"])
+        updates = [from_wire(item) for item in value.get("updates", [])]
+        sender = from_wire(value["from"])
+        riders = dict(value.get("riders", {}))
+        digests = tuple(map(str, value.get("digests", ())))
+    except (KeyError, TypeError, ValueError) as error:
+        return Err(_bad(repr(error)))
+    if isinstance(sender, Err):
+        return sender
+    for update in updates:
+        if isinstance(update, Err):
+            return update
+    return Ok(
+        Gossip(
+            kind=kind,
+            sender=sender.ok_value,
+            updates=tuple(update.unwrap() for update in updates),
+            digest=str(value.get("digest", "")),
+            riders=riders,
+            target=str(value.get("target", "")),
+            digests=digests,
+            reached=value.get("reached") is True,
+        )
+    )
+
+
+def _bad(detail: str) -> Failure:
+    return Failure(
+        kind=FailureKind.BAD_REQUEST,
+        detail=f"This is not a message of membership: {detail}",
+    )
--- /dev/null
+++ b/cactusdyke/membership/riders.py
@@ -0,0 +1,113 @@
+"""Small values that ride on the messages of membership."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING, Any, TypeAlias
+
+import attrs
+import orjson
+
+from cactusdyke.membership.member import Member, MemberState
+
+if TYPE_CHECKING:
+    from cactusdyke.membership.table import MemberTable
+
+MAX_VALUE_BYTES = 256
+MAX_ATTACHED_BYTES = 600
+SENDS = 12
+
+Provider: TypeAlias = Callable[[], Mapping[str, Any]]
+Reader: TypeAlias = Callable[[str, Mapping[str, Any]], None]
+
+
+class Rider(abc.ABC):
+    """Adds a value to messages and reads what others added."""
+
+    @abc.abstractmethod
+    def write(self, receiver: Member | None) -> Any:
+        """Returns the value for a receiver, or None for no value.
+
+        Args:
+            receiver: Whom the message goes to; None if it is not yet known.
+        """
+
+    @abc.abstractmethod
+    def read(self, sender: Member, value: Any) -> None:
+        """Takes the value that a sender added.
+
+        Raises:
+            ValueError, TypeError, KeyError: The value is of no known form.
+        """
+
+
+@attrs.define(kw_only=True)
+class _Attached:
+    version: tuple[int, int]
+    value: Mapping[str, Any]
+    sends_left: int = SENDS
+
+
+class Attachment(Rider):
+    """One small dictionary of each daemon, passed on to all others.
+
+    A dictionary's version is its daemon's incarnation and a count, so that
+    the newer one wins whatever way it came. Each message carries at most
+    `MAX_ATTACHED_BYTES` of them, those passed on least first.
+    """
+
+    def __init__(
+        self, *, table: MemberTable, provider: Provider, reader: Reader
+    ) -> None:
+        self._table = table
+        self._provider = provider
+        self._reader = reader
+        self._values: dict[str, _Attached] = {}
+
+    def write(self, receiver: Member | None) -> Any:
+        """Returns the dictionaries that were passed on least."""
+        self._refresh_own()
+        self._drop_dead()
+        chosen = []
+        size = 0
+        for name, attached in sorted(
+            self._values.items(), key=lambda item: -item[1].sends_left
+        ):
+            size += len(orjson.dumps(attached.value)) + len(name)
+            if attached.sends_left <= 0 or size > MAX_ATTACHED_BYTES:
+                break
+            attached.sends_left -= 1
+            chosen.append([name, *attached.version, attached.value])
+        return chosen or None
+
+    def read(self, sender: Member, value: Any) -> None:
+        """Takes dictionaries newer than those known."""
+        for name, incarnation, count, attached in value:
+            known = self._values.get(name)
+            version = (int(incarnation), int(count))
+            if name == self._table.own.name:
+                continue
+            if known is not None and version <= known.version:
+                continue
+            self._values[name] = _Attached(version=version, value=attached)
+            self._reader(name, attached)
+
+    def _refresh_own(self) -> None:
+        own = self._table.own
+        value = dict(self._provider())
+        if len(orjson.dumps(value)) > MAX_VALUE_BYTES:
+            raise ValueError(
+                f"an attached value may hold {MAX_VALUE_BYTES} bytes"
+            )
+        known = self._values.get(own.name)
+        if known is None or known.value != value:
+            count = known.version[1] + 1 if known else 1
+            version = (own.incarnation, count)
+            self._values[own.name] = _Attached(version=version, value=value)
+
+    def _drop_dead(self) -> None:
+        for name in list(self._values):
+            member = self._table.find(name)
+            if member is not None and member.state is MemberState.DEAD:
+                del self._values[name]
--- /dev/null
+++ b/cactusdyke/membership/table.py
@@ -0,0 +1,265 @@
+"""The table of daemons: which news is taken, and which is passed on."""
+
+from __future__ import annotations
+
+import heapq
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+import xxhash
+
+from cactusdyke import events
+from cactusdyke.membership.member import Member, MemberState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Sequence
+
+    from cactusdyke.clock import Clock, Instant
+
+SUSPICION_MS = 3_000.0
+SENDS_PER_DOUBLING = 2
+TOMBSTONE_MS = 3_600_000.0
+BUCKETS = 16
+
+
+class MemberTable:
+    """What this daemon knows of all daemons, itself included.
+
+    News is ordered by incarnation, then by state. Only a daemon itself raises
+    its incarnation, so that its own word overrides what others say of it.
+    """
+
+    def __init__(self, *, own: Member, clock: Clock) -> None:
+        self._own = own
+        self._clock = clock
+        self._others: dict[str, Member] = {}
+        self._deadlines: dict[str, Instant] = {}
+        self._died_at: dict[str, Instant] = {}
+        self._sends_left: dict[str, int] = {}
+        self._digests: tuple[str, ...] | None = None
+        self._names: tuple[str, ...] | None = None
+        self._on_leaving: Callable[[], None] = lambda: None
+        self._queue(own)
+
+    @property
+    def own(self) -> Member:
+        """This daemon's own entry."""
+        return self._own
+
+    @property
+    def digests(self) -> tuple[str, ...]:
+        """A hash of each bucket of daemons that are not dead."""
+        if self._digests is None:
+            self._digests = self._hash_buckets()
+        return self._digests
+
+    @property
+    def digest(self) -> str:
+        """A hash of the whole table."""
+        return xxhash.xxh32_hexdigest("".join(self.digests).encode())
+
+    @property
+    def present_names(self) -> tuple[str, ...]:
+        """The names of all daemons that are not dead, in order."""
+        if self._names is None:
+            self._names = tuple(sorted(m.name for m in self.present()))
+        return self._names
+
+    def present(self) -> list[Member]:
+        """Returns every daemon that is not dead, this one first."""
+        return [self._own, *(self.others(exclude={MemberState.DEAD}))]
+
+    def others(self, *, exclude: Iterable[MemberState] = ()) -> list[Member]:
+        """Returns the other daemons, but for some states."""
+        left_out = frozenset(exclude)
+        return [m for m in self._others.values() if m.state not in left_out]
+
+    def find(self, name: str) -> Member | None:
+        """Returns a daemon by name, this one and dead ones included."""
+        return self._own if name == self._own.name else self._others.get(name)
+
+    def contradict(self, *, state: MemberState | None = None) -> None:
+        """Speaks for this daemon under a new incarnation."""
+        self._own = attrs.evolve(
+            self._own,
+            incarnation=self._own.incarnation + 1,
+            state=state or self._own.state,
+        )
+        self._changed()
+        self._queue(self._own)
+
+    def on_leaving(self, hook: Callable[[], None]) -> None:
+        """Calls `hook` when another daemon is first heard to leave."""
+        self._on_leaving = hook
+
+    def note_revision(self, name: str, revision: int) -> None:
+        """Keeps the highest revision heard of a daemon's incarnation."""
+        if name == self._own.name:
+            self._own = attrs.evolve(self._own, revision=revision)
+            return
+        known = self._others.get(name)
+        if known is not None and revision > known.revision:
+            self._others[name] = attrs.evolve(known, revision=revision)
+
+    def take(self, news: Member) -> None:
+        """Takes news of a daemon if it is newer than what is known."""
+        if news.name == self._own.name:
+            self._hear_of_own(news)
+            return
+        known = self._others.get(news.name)
+        if known is None:
+            self._store(news)
+            return
+        if news.order <= known.order:
+            if news.incarnation == known.incarnation:
+                self.note_revision(news.name, news.revision)
+            return
+        if news.state is MemberState.DEAD and _serves(known):
+            # After a cut heals, each side tells the other that its daemons are
+            # dead, and a daemon that believed it would for a while have no
+            # address left to give. Hearsay therefore only begins suspicion:
+            # who lives contradicts it before this daemon's own time is up.
+            news = attrs.evolve(news, state=MemberState.SUSPECTED)
+            if news.order <= known.order:
+                return
+        self._store(news)
+
+    def suspect(self, name: str) -> None:
+        """Suspects a daemon that could not be reached."""
+        known = self._others.get(name)
+        if known is None or known.state is MemberState.DEAD:
+            return
+        if known.state is MemberState.LIVE:
+            self._store(attrs.evolve(known, state=MemberState.SUSPECTED))
+        else:
+            self._start_timer(name)
+
+    def bury(self, name: str) -> None:
+        """Declares a daemon dead at once, on proof."""
+        known = self._others.get(name)
+        if known is not None and known.state is not MemberState.DEAD:
+            self._store(attrs.evolve(known, state=MemberState.DEAD))
+
+    def expire(self) -> None:
+        """Declares those dead whose time to contradict is over."""
+        now = self._clock.now()
+        for name, deadline in list(self._deadlines.items()):
+            if deadline <= now:
+                self.bury(name)
+        for name, died_at in list(self._died_at.items()):
+            if now - died_at > TOMBSTONE_MS:
+                self._forget(name)
+
+    def forgive(self) -> None:
+        """Gives every suspected daemon its whole time anew."""
+        for name in list(self._deadlines):
+            self._deadlines[name] = self._clock.now() + self.suspicion_ms()
+
+    def forget_verdicts(self) -> None:
+        """Forgets every daemon that is suspected or believed dead."""
+        for name, member in list(self._others.items()):
+            if member.state in {MemberState.SUSPECTED, MemberState.DEAD}:
+                self._forget(name)
+        self._changed()
+
+    def suspicion_ms(self) -> float:
+        """Returns how long a suspected daemon may contradict."""
+        count = len(self._others) + 1
+        return SUSPICION_MS * max(1.0, math.log10(count))
+
+    def updates(self, *, limit: int, receiver: str = "") -> list[Member]:
+        """Returns the news to send next, which counts as sent."""
+        chosen = heapq.nlargest(
+            limit, self._sends_left, key=self._sends_left.__getitem__
+        )
+        for name in chosen:
+            self._sends_left[name] -= 1
+            if self._sends_left[name] <= 0:
+                del self._sends_left[name]
+        members = [self.find(name) for name in chosen if name != receiver]
+        about_receiver = self._others.get(receiver)
+        if about_receiver and about_receiver.state is not MemberState.LIVE:
+            members.append(about_receiver)
+        return [member for member in members if member is not None]
+
+    def in_buckets(self, buckets: Sequence[int]) -> list[Member]:
+        """Returns all entries of some buckets, dead ones included."""
+        wanted = frozenset(buckets)
+        return [
+            member
+            for member in (self._own, *self._others.values())
+            if bucket_of(member.name) in wanted
+        ]
+
+    def _hear_of_own(self, news: Member) -> None:
+        # What a former run of this daemon said, or others of it, may carry a
+        # higher incarnation than the clock gave, if the clock stepped back.
+        wrong = news.state is not self._own.state or (
+            news.address != self._own.address
+        )
+        if news.incarnation > self._own.incarnation or (
+            news.incarnation == self._own.incarnation and wrong
+        ):
+            self._own = attrs.evolve(self._own, incarnation=news.incarnation)
+            self.contradict()
+
+    def _store(self, member: Member) -> None:
+        known = self._others.get(member.name)
+        self._others[member.name] = member
+        self._deadlines.pop(member.name, None)
+        self._died_at.pop(member.name, None)
+        if member.state is MemberState.SUSPECTED:
+            self._start_timer(member.name)
+        if member.state is MemberState.DEAD:
+            self._died_at[member.name] = self._clock.now()
+        self._changed()
+        self._queue(member)
+        if known is None or known.state is not member.state:
+            events.log(
+                events.Event.MEMBER_CHANGED,
+                member=member.name,
+                state=str(member.state),
+                incarnation=member.incarnation,
+            )
+            if member.state is MemberState.LEAVING:
+                self._on_leaving()
+
+    def _start_timer(self, name: str) -> None:
+        deadline = self._clock.now() + self.suspicion_ms()
+        self._deadlines.setdefault(name, deadline)
+
+    def _forget(self, name: str) -> None:
+        self._others.pop(name, None)
+        self._deadlines.pop(name, None)
+        self._died_at.pop(name, None)
+        self._sends_left.pop(name, None)
+
+    def _queue(self, member: Member) -> None:
+        doublings = math.ceil(math.log2(len(self._others) + 2))
+        self._sends_left[member.name] = SENDS_PER_DOUBLING * doublings
+
+    def _changed(self) -> None:
+        self._digests = None
+        self._names = None
+
+    def _hash_buckets(self) -> tuple[str, ...]:
+        parts: list[list[str]] = [[] for _ in range(BUCKETS)]
+        for member in self.present():
+            leaving = member.state is MemberState.LEAVING
+            parts[bucket_of(member.name)].append(
+                f"{member.name}:{member.incarnation}:{leaving}"
+            )
+        return tuple(
+            xxhash.xxh32_hexdigest(" ".join(sorted(part)).encode())
+            for part in parts
+        )
+
+
+def bucket_of(name: str) -> int:
+    """Returns the bucket that a daemon's entry is compared in."""
+    return xxhash.xxh32_intdigest(name.encode()) % BUCKETS
+
+
+def _serves(member: Member) -> bool:
+    return member.state in {MemberState.LIVE, MemberState.SUSPECTED}
