Split the pipeline runner into attempts, stages and routing books

Cause: the runner retried three times whatever had failed, chose by own requests in flight alone, told only the last attempt's outcome as that of the request, and had no deadline for streams.

Change: one attempt, a whole stage and a streamed stage are modules of their own; retries and hedges draw on budgets per pool; the final failure says not_run only if no attempt ran or may have run; the deadline is shared out over measured times; the router combines reports with their age, speed, price, ejection, leaving marks and prefix hints.

--- a/cactusdyke/api/calls.py
+++ b/cactusdyke/api/calls.py
@@ -154,11 +154,13 @@
             )
             return admitted
         allowed_ms = call.ok_value.deadline_ms or target.deadline_ms
+        now = self._clock.now()
         context = RequestContext(
             request_id=f"{self._rng.getrandbits(128):032x}",
             customer=customer.ok_value,
             configuration=configuration,
-            deadline=self._clock.now() + allowed_ms,
+            arrived=now,
+            deadline=now + allowed_ms,
             span=self._tracing.start(
                 f"request {name}",
                 tracing.parse_traceparent(request.headers.get("traceparent")),
--- a/cactusdyke/errors.py
+++ b/cactusdyke/errors.py
@@ -40,6 +40,8 @@
     STORE_UNKNOWN = (503, "Read the object back before writing it again")
     STORE_CONFLICT = (409, "Read the object again and repeat the change")
     BACKEND_FAILED = (502, "Send the request again; it may be repeated")
+    BACKEND_LEAVING = (503, "Send the request again; others take it")
+    BROKEN_ANSWER = (502, "Send the request again; it may be repeated")
     OUTCOME_UNKNOWN = (502, "Ask for the outcome with the same key")
     DEADLINE = (504, "Allow a longer deadline or send it again later")
     NOT_SENT = (502, "Try another backend server; nothing was handed over")
--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -46,6 +46,31 @@
         "Look at the backend server if this is repeated.",
     )
     REQUEST_REFUSED = (4003, "A request was refused before it ran.", "")
+    BACKEND_SERVER_LEAVING = (
+        4010,
+        "A backend server said that it is leaving; it gets no new work.",
+        "",
+    )
+    BACKEND_SERVER_EJECTED = (
+        4011,
+        "A backend server failed in a row and is left out for a while.",
+        "Look at the backend server; it is probed and let back in by itself.",
+    )
+    ATTEMPT_HEDGED = (
+        4012,
+        "An attempt was late for its stage, and another one was started.",
+        "Look at the backend server if it is named again and again.",
+    )
+    STREAM_RESUMED = (
+        4013,
+        "A stream broke or stalled and goes on at another backend server.",
+        "Look at the backend server if it is named again and again.",
+    )
+    RETRY_REFUSED = (
+        4014,
+        "A retry was not made because the pool's retry budget is spent.",
+        "Look at the pool: a large share of its attempts fails.",
+    )
     BOOKING_OUTCOME_UNKNOWN = (
         5001,
         "A non-idempotent call may or may not have run.",
--- a/cactusdyke/observe/metrics.py
+++ b/cactusdyke/observe/metrics.py
@@ -8,6 +8,8 @@
 
 SECONDS_BUCKETS = (0.01, 0.03, 0.1, 0.3, 0.6, 0.92, 2.0, 4.0, 6.0, 10.0)
 
+GAP_BUCKETS = (0.001, 0.003, 0.01, 0.02, 0.027, 0.05, 0.1, 0.3, 1.0, 2.0)
+
 
 class Metrics(Service):
     """Counters and histograms; labels are names from the configuration."""
@@ -38,6 +40,32 @@
             ("pool",),
             registry=registry,
         )
+        self.retries = prometheus_client.Counter(
+            "cactusdyke_retries",
+            "Retries by pool, made or refused by the retry budget.",
+            ("pool", "outcome"),
+            registry=registry,
+        )
+        self.hedges = prometheus_client.Counter(
+            "cactusdyke_hedges",
+            "Hedges by pool: won, lost or refused by the hedge budget.",
+            ("pool", "outcome"),
+            registry=registry,
+        )
+        self.first_token_seconds = prometheus_client.Histogram(
+            "cactusdyke_first_token_seconds",
+            "Time from arrival to the first token.",
+            ("target",),
+            buckets=SECONDS_BUCKETS,
+            registry=registry,
+        )
+        self.token_gap_seconds = prometheus_client.Histogram(
+            "cactusdyke_token_gap_seconds",
+            "Time between batches of tokens, divided by the tokens that came.",
+            ("target",),
+            buckets=GAP_BUCKETS,
+            registry=registry,
+        )
         self.tokens = prometheus_client.Counter(
             "cactusdyke_tokens",
             "Tokens forwarded to callers.",
--- /dev/null
+++ b/cactusdyke/pipeline/race.py
@@ -0,0 +1,79 @@
+"""Runs an attempt and, if it is late, another one beside it."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Generic, TypeAlias, TypeVar
+
+import anyio
+from result import Err, Ok, Result
+
+from cactusdyke.errors import Failure
+
+if TYPE_CHECKING:
+    from cactusdyke.clock import Clock
+
+T = TypeVar("T")
+Runner: TypeAlias = Callable[[], Awaitable[Result[T, Failure]]]
+
+
+class Race(Generic[T]):
+    """Takes the first whole answer, and cancels whoever is still running.
+
+    Args:
+        clock: For the delay.
+        primary: Runs the first attempt.
+        backup: Returns a runner of the hedge when it is due, or None where
+            none may be made.
+        drop: Takes an answer that came whole, but second.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        primary: Runner[T],
+        backup: Callable[[], Runner[T] | None],
+        drop: Callable[[T], Awaitable[None]],
+    ) -> None:
+        self._clock = clock
+        self._primary = primary
+        self._backup = backup
+        self._drop = drop
+        self._running = 0
+        self._winner: Ok[T] | None = None
+        self._failure: Err[Failure] | None = None
+
+    async def run(self, delay_ms: float) -> Result[T, Failure]:
+        """Returns the first whole answer, or the last failure."""
+        async with anyio.create_task_group() as tasks:
+            self._start(tasks, self._primary)
+            await self._clock.sleep(delay_ms)
+            runner = self._backup()
+            if runner is not None:
+                self._start(tasks, runner)
+        # The group ends when an answer cancels it or all have failed.
+        if self._winner is not None:
+            return self._winner
+        assert self._failure is not None
+        return self._failure
+
+    def _start(self, tasks: anyio.abc.TaskGroup, runner: Runner[T]) -> None:
+        self._running += 1
+        tasks.start_soon(self._run, tasks.cancel_scope, runner)
+
+    async def _run(self, scope: anyio.CancelScope, runner: Runner[T]) -> None:
+        answer = await runner()
+        self._running -= 1
+        if isinstance(answer, Err):
+            self._failure = answer
+        elif self._winner is None:
+            self._winner = answer
+        else:
+            # Both answered in the same turn of the event loop. The stage
+            # takes one result only; the second is counted and dropped.
+            with anyio.CancelScope(shield=True):
+                await self._drop(answer.ok_value)
+            return
+        if isinstance(answer, Ok) or not self._running:
+            scope.cancel()
--- a/cactusdyke/pipeline/request.py
+++ b/cactusdyke/pipeline/request.py
@@ -22,6 +22,7 @@
         request_id: Unique id, sent to backend servers and echoed by them.
         customer: Whose request it is.
         configuration: The revision that the request began with and keeps.
+        arrived: Instant at which the request was taken in.
         deadline: Instant on this daemon's clock.
         span: The daemon's span of the request.
         idempotency_key: The caller's key, if it sent one.
@@ -31,6 +32,7 @@
     request_id: str
     customer: Customer
     configuration: Configuration
+    arrived: Instant
     deadline: Instant
     span: Span
     idempotency_key: str | None
--- /dev/null
+++ b/cactusdyke/pipeline/stream_attempt.py
@@ -0,0 +1,121 @@
+"""One attempt at a streamed answer, from its opening to its end mark."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from cactusdyke.errors import CactusdykeError, Failure
+from cactusdyke.pipeline.attempts import silent
+from cactusdyke.routing.messages import StreamEnd, TokenBatch
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
+    from cactusdyke.clock import Clock
+    from cactusdyke.configuration.model import BackendServer
+    from cactusdyke.pipeline.attempts import AttemptRecord, Attempts
+    from cactusdyke.pipeline.work import StageWork
+    from cactusdyke.routing.messages import StageCall
+
+
+class StreamAttempt:
+    """Opens a stream, gives its first part, then the others.
+
+    It may be opened in one task and read in another, so it holds no cancel
+    scope between its calls. Whoever opened it closes it.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        attempts: Attempts,
+        work: StageWork,
+        server: BackendServer,
+        call: StageCall,
+        fresh: bool,
+    ) -> None:
+        self._clock = clock
+        self._attempts = attempts
+        self._work = work
+        self._server = server
+        self._call = call
+        self._fresh = fresh
+        self._stack = contextlib.AsyncExitStack()
+        self._parts: AsyncGenerator[TokenBatch | StreamEnd, None] | None = None
+        self._record: AttemptRecord | None = None
+        self._first: TokenBatch | StreamEnd | None = None
+
+    @property
+    def server(self) -> BackendServer:
+        """Where the attempt was sent."""
+        return self._server
+
+    async def open(self, timeout_ms: float) -> Result[StreamAttempt, Failure]:
+        """Waits for the first part; closes the attempt if it fails."""
+        opened = False
+        try:
+            failure = await self._open(timeout_ms)
+            opened = failure is None
+        finally:
+            if not opened:
+                await self.close()
+        return Ok(self) if failure is None else Err(failure)
+
+    async def next(
+        self, timeout_ms: float
+    ) -> Result[TokenBatch | StreamEnd, Failure]:
+        """Returns the next part, the first one included."""
+        if self._first is not None:
+            part, self._first = self._first, None
+            return Ok(part)
+        return await self._read(timeout_ms)
+
+    async def close(self) -> None:
+        """Ends the attempt; an unfinished one closes its connection."""
+        await self._stack.aclose()
+
+    async def _open(self, timeout_ms: float) -> Failure | None:
+        began = self._clock.now()
+        self._record = self._stack.enter_context(
+            self._attempts.account(self._work, self._server, self._call)
+        )
+        stream = self._attempts.client.stream(
+            self._server,
+            self._call,
+            progress_timeout_ms=timeout_ms,
+            fresh=self._fresh,
+        )
+        self._parts = await self._stack.enter_async_context(
+            contextlib.aclosing(stream)
+        )
+        first = await self._read(timeout_ms)
+        if isinstance(first, Err):
+            return first.err_value
+        self._first = first.ok_value
+        self._record.typical_ms = self._clock.now() - began
+        return None
+
+    async def _read(
+        self, timeout_ms: float
+    ) -> Result[TokenBatch | StreamEnd, Failure]:
+        assert self._parts is not None
+        assert self._record is not None
+        answer: Result[TokenBatch | StreamEnd, Failure] = Err(
+            silent(self._server)
+        )
+        with self._clock.timeout(timeout_ms):
+            try:
+                answer = Ok(await anext(self._parts))
+            except CactusdykeError as error:
+                answer = Err(error.failure)
+        match answer:
+            case Ok(StreamEnd() as end):
+                self._record.succeed(end.busy_ms)
+                self._attempts.take_report(self._server, end.load)
+            case Err(failure):
+                self._record.fail(failure)
+        return answer
--- /dev/null
+++ b/cactusdyke/pipeline/whole_stage.py
@@ -0,0 +1,101 @@
+"""Runs one stage for a whole answer, with retries and hedges."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err, Result
+
+from cactusdyke.pipeline.race import Race
+from cactusdyke.pipeline.retries import final
+
+if TYPE_CHECKING:
+    from cactusdyke.clock import Clock
+    from cactusdyke.configuration.model import BackendServer
+    from cactusdyke.errors import Failure
+    from cactusdyke.observe.metrics import Metrics
+    from cactusdyke.pipeline.attempts import Attempts
+    from cactusdyke.pipeline.deadline import DeadlineShares
+    from cactusdyke.pipeline.race import Runner
+    from cactusdyke.pipeline.retries import Retries
+    from cactusdyke.pipeline.work import StageWork
+    from cactusdyke.routing.messages import StageAnswer
+
+
+class WholeStage:
+    """Takes the first whole answer to a stage, within its deadline share."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        attempts: Attempts,
+        retries: Retries,
+        shares: DeadlineShares,
+        metrics: Metrics,
+    ) -> None:
+        self._clock = clock
+        self._attempts = attempts
+        self._retries = retries
+        self._shares = shares
+        self._metrics = metrics
+
+    async def run(self, work: StageWork) -> Result[StageAnswer, Failure]:
+        """Returns the stage's answer, or why it was given up."""
+        last: Err[Failure] | None = None
+        while True:
+            share = self._shares.check(work)
+            if isinstance(share, Err):
+                return Err(final(work, share.err_value))
+            server = self._retries.choose(work)
+            if isinstance(server, Err):
+                return Err(final(work, (last or server).err_value))
+            answer = await self._attempt(work, server.ok_value, share.ok_value)
+            if not isinstance(answer, Err):
+                return answer
+            last = answer
+            if not await self._retries.again(work, answer.err_value):
+                return Err(final(work, answer.err_value))
+
+    async def _attempt(
+        self, work: StageWork, server: BackendServer, share_ms: float
+    ) -> Result[StageAnswer, Failure]:
+        timeout_ms = self._shares.attempt_ms(work, share_ms)
+        primary = self._runner(work, server, timeout_ms)
+        delay_ms = self._retries.hedge_delay_ms(work, work.timing)
+        if delay_ms is None or delay_ms >= timeout_ms:
+            return await primary()
+        began = self._clock.now()
+
+        def backup() -> Runner[StageAnswer] | None:
+            waited = self._clock.now() - began
+            other = self._retries.hedge(work, server, waited)
+            if other is None:
+                return None
+            return self._runner(work, other, timeout_ms - waited)
+
+        return await Race(
+            clock=self._clock,
+            primary=primary,
+            backup=backup,
+            drop=lambda _: self._drop(work),
+        ).run(delay_ms)
+
+    def _runner(
+        self, work: StageWork, server: BackendServer, timeout_ms: float
+    ) -> Runner[StageAnswer]:
+        # After a failure nothing that was open before is trusted: what broke
+        # one connection, such as a middlebox that forgot it, has often broken
+        # its neighbours. Calls that may not be repeated never risk it.
+        fresh = bool(work.attempts) or not work.pool.calls_repeatable
+        call = work.next_call(server, work.context.remaining_ms(self._clock))
+
+        async def run() -> Result[StageAnswer, Failure]:
+            return await self._attempts.whole(
+                work, server, call, timeout_ms=timeout_ms, fresh=fresh
+            )
+
+        return run
+
+    async def _drop(self, work: StageWork) -> None:
+        self._metrics.dropped_answers.labels(work.pool.name).inc()
--- a/cactusdyke/routing/__init__.py
+++ b/cactusdyke/routing/__init__.py
@@ -13,5 +13,8 @@
 
 def setup(app: Application) -> ExtensionMetadata:
     """Registers the router."""
-    app.add_service("router", Router(rng=app.rng))
+    router = Router(
+        clock=app.clock, rng=app.rng, data_centre=app.settings.data_centre
+    )
+    app.add_service("router", router)
     return ExtensionMetadata(version="1")
--- a/cactusdyke/routing/backend_client.py
+++ b/cactusdyke/routing/backend_client.py
@@ -26,13 +26,14 @@
 from cactusdyke.transport.network import CallOptions
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncGenerator
 
     from cactusdyke.configuration.model import BackendServer
     from cactusdyke.transport.network import Incoming, Network
 
 RUN_PATH = "/v1/run"
 CONNECT_TIMEOUT_MS = 500.0
+LEAVING = "leaving"
 
 
 class BackendClient:
@@ -75,7 +76,8 @@
         call: StageCall,
         *,
         progress_timeout_ms: float,
-    ) -> AsyncIterator[TokenBatch | StreamEnd]:
+        fresh: bool = False,
+    ) -> AsyncGenerator[TokenBatch | StreamEnd, None]:
         """Makes one attempt and yields its tokens, then its end mark.
 
         Raises:
@@ -84,6 +86,7 @@
         options = CallOptions(
             connect_timeout_ms=CONNECT_TIMEOUT_MS,
             progress_timeout_ms=progress_timeout_ms,
+            fresh=fresh,
         )
         async with self._network.open(
             server.address, _request(call), options
@@ -109,7 +112,7 @@
 
     async def read(
         self, incoming: Incoming
-    ) -> AsyncIterator[TokenBatch | StreamEnd]:
+    ) -> AsyncGenerator[TokenBatch | StreamEnd, None]:
         """Yields what each chunk holds."""
         rest = b""
         async for chunk in incoming.chunks():
@@ -204,8 +207,11 @@
 def _refused(server: BackendServer, status: int, body: bytes) -> Failure:
     value = parse_object(body).unwrap_or({})
     not_run = value.get("ran") == Ran.NOT_RUN
+    leaving = not_run and value.get("error") == LEAVING
     return Failure(
-        kind=FailureKind.BACKEND_FAILED,
+        kind=FailureKind.BACKEND_LEAVING
+        if leaving
+        else FailureKind.BACKEND_FAILED,
         detail=f"{server.name} answered {status} {value.get('error', '')}",
         # Only the backend server itself can say that it did not run.
         ran=Ran.NOT_RUN if not_run else Ran.UNKNOWN,
@@ -215,7 +221,7 @@
 
 def _broken(server: BackendServer, detail: str) -> Failure:
     return Failure(
-        kind=FailureKind.BACKEND_FAILED,
+        kind=FailureKind.BROKEN_ANSWER,
         detail=f"{server.name}: {detail}",
         ran=Ran.UNKNOWN,
     )
--- a/cactusdyke/routing/router.py
+++ b/cactusdyke/routing/router.py
@@ -5,45 +5,249 @@
 import contextlib
 from typing import TYPE_CHECKING
 
+from cactusdyke import events
+from cactusdyke.errors import Failure, FailureKind, Ran
 from cactusdyke.kernel import Service
+from cactusdyke.routing.ejection import Ejections
+from cactusdyke.routing.load_book import LoadBook
+from cactusdyke.routing.pool_index import PoolIndex
+from cactusdyke.routing.prefix_hints import PrefixHints
+from cactusdyke.routing.speed import SpeedBook
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Collection, Iterator
+    from collections.abc import Collection, Iterator, Sequence
 
+    from cactusdyke.clock import Clock, Instant
     from cactusdyke.configuration.model import BackendServer, Pool
 
+CHOICES = 2
+DRAWS = 8
+LEAVING_MS = 30_000.0
+FORGET_EVERY_MS = 60_000.0
+# Near servers are preferred until they are this full.
+NEAR_OCCUPANCY = 0.8
+# A warm cache is worth a load up to this many times the better of two.
+CACHE_LOAD_FACTOR = 1.5
+RING_STEPS = 8
+# Attainment always counts a little: the cheapest server is no use when late.
+LEAST_ATTAINMENT_WEIGHT = 0.1
+
 
 class Router(Service):
-    """Chooses the less busy of two candidates, by own requests in flight."""
+    """Chooses the better of two candidates by load, speed and price."""
 
-    def __init__(self, *, rng: random.Random) -> None:
+    def __init__(
+        self, *, clock: Clock, rng: random.Random, data_centre: str = ""
+    ) -> None:
+        self._clock = clock
         self._rng = rng
-        self._in_flight: dict[str, int] = {}
+        self._data_centre = data_centre
+        self._load = LoadBook(clock=clock)
+        self._speed = SpeedBook(clock=clock)
+        self._hints = PrefixHints(clock=clock)
+        self._ejections = Ejections(clock=clock)
+        self._leaving: dict[str, Instant] = {}
+        self._indexes: dict[str, PoolIndex] = {}
+
+    @property
+    def load(self) -> LoadBook:
+        """What is known of backend servers' load."""
+        return self._load
+
+    @property
+    def hints(self) -> PrefixHints:
+        """Where prefixes are likely to be cached."""
+        return self._hints
+
+    @property
+    def speed(self) -> SpeedBook:
+        """How fast backend servers proved to be."""
+        return self._speed
+
+    async def run(self) -> None:
+        """Keeps the memory bounded while backend servers come and go."""
+        while True:
+            await self._clock.sleep(FORGET_EVERY_MS)
+            self._load.forget_idle()
+            self._speed.forget_old()
+            self._ejections.forget_old()
+            now = self._clock.now()
+            self._leaving = {
+                name: until
+                for name, until in self._leaving.items()
+                if until > now
+            }
 
     def choose(
-        self, pool: Pool, *, exclude: Collection[str] = ()
+        self,
+        pool: Pool,
+        *,
+        exclude: Collection[str] = (),
+        prefix: str = "",
+        attainment_weight: float = 1.0,
     ) -> BackendServer | None:
-        """Returns a backend server that is not excluded, or None."""
-        candidates = [
-            server
-            for server in pool.backend_servers
-            if server.name not in exclude
-        ]
-        if not candidates:
-            return None
-        pair = self._rng.sample(candidates, min(2, len(candidates)))
-        return min(pair, key=self._weight)
+        """Returns a backend server that may be used, or None.
+
+        Args:
+            pool: The pool to choose from.
+            exclude: Names that were tried already.
+            prefix: Names the prompt prefix, where a warm cache helps.
+            attainment_weight: 1 if only time counts, 0 if only cost.
+        """
+        index = self._index(pool)
+        weight = max(attainment_weight, LEAST_ATTAINMENT_WEIGHT)
+        best = self._better(index, index.near, exclude, weight)
+        if best is None or self._occupancy(best) >= NEAR_OCCUPANCY:
+            far = self._better(index, index.far, exclude, weight)
+            found = [server for server in (best, far) if server is not None]
+            if not found:
+                return None
+            best = min(found, key=lambda s: self._score(index, s, weight))
+        if prefix:
+            best = self._warm(index, prefix, exclude, best)
+            self._hints.went(prefix, best.name)
+        self._ejections.chosen(best.name)
+        return best
+
+    def mark_leaving(self, server_name: str) -> None:
+        """Keeps new work from a backend server that is leaving."""
+        if not self.is_leaving(server_name):
+            events.log(
+                events.Event.BACKEND_SERVER_LEAVING, backend_server=server_name
+            )
+        self._leaving[server_name] = self._clock.now() + LEAVING_MS
+
+    def mark_staying(self, server_name: str) -> None:
+        """Takes back `mark_leaving`, as when the host list says so."""
+        self._leaving.pop(server_name, None)
+
+    def is_leaving(self, server_name: str) -> bool:
+        """Returns whether a backend server is known to be leaving."""
+        until = self._leaving.get(server_name)
+        return until is not None and self._clock.now() < until
+
+    def succeeded(self, server: BackendServer) -> None:
+        """Notes that an attempt was answered whole."""
+        self._ejections.succeeded(server.name)
+
+    def failed(
+        self, pool: Pool, server: BackendServer, failure: Failure
+    ) -> None:
+        """Notes that an attempt failed, and draws the consequences."""
+        if failure.kind is FailureKind.BACKEND_LEAVING:
+            self.mark_leaving(server.name)
+            return
+        refused = failure.kind is FailureKind.BACKEND_FAILED
+        if refused and failure.ran is Ran.NOT_RUN:
+            # It answers and says that it is full: that is load, not ill health.
+            return
+        size = len(pool.backend_servers)
+        if self._ejections.failed(server.name, pool=pool.name, pool_size=size):
+            events.log(
+                events.Event.BACKEND_SERVER_EJECTED,
+                backend_server=server.name,
+                pool=pool.name,
+                detail=failure.detail,
+            )
+
+    def may_use(self, server: BackendServer) -> bool:
+        """Returns whether a backend server is neither ejected nor leaving."""
+        return not self._ejections.is_out(server.name) and not self.is_leaving(
+            server.name
+        )
 
     @contextlib.contextmanager
     def in_flight(self, server: BackendServer) -> Iterator[None]:
         """Counts an attempt as in flight while the block runs."""
-        count = self._in_flight.get(server.name, 0)
-        self._in_flight[server.name] = count + 1
+        self._load.started(server.name)
         try:
             yield
         finally:
-            self._in_flight[server.name] -= 1
+            self._load.ended(server.name)
+
+    def _index(self, pool: Pool) -> PoolIndex:
+        index = self._indexes.get(pool.name)
+        if index is None or index.pool is not pool:
+            index = PoolIndex(pool, self._data_centre)
+            self._indexes[pool.name] = index
+        return index
+
+    def _better(
+        self,
+        index: PoolIndex,
+        servers: Sequence[BackendServer],
+        exclude: Collection[str],
+        weight: float,
+    ) -> BackendServer | None:
+        drawn = self._draw(servers, exclude)
+        if not drawn:
+            return None
+        return min(drawn, key=lambda s: self._score(index, s, weight))
+
+    def _draw(
+        self, servers: Sequence[BackendServer], exclude: Collection[str]
+    ) -> list[BackendServer]:
+        """Draws candidates; scans the pool only where most are unusable."""
+        drawn: dict[str, BackendServer] = {}
+        if len(servers) > DRAWS:
+            for _ in range(DRAWS):
+                server = servers[self._rng.randrange(len(servers))]
+                if server.name not in exclude and self.may_use(server):
+                    drawn[server.name] = server
+                if len(drawn) == CHOICES:
+                    return list(drawn.values())
+        usable = [
+            server
+            for server in servers
+            if server.name not in exclude and self.may_use(server)
+        ]
+        return self._rng.sample(usable, min(CHOICES, len(usable)))
+
+    def _warm(
+        self,
+        index: PoolIndex,
+        prefix: str,
+        exclude: Collection[str],
+        best: BackendServer,
+    ) -> BackendServer:
+        """Returns where the prefix is warm, as far as load allows."""
+        limit = CACHE_LOAD_FACTOR * self._time(best)
+        hinted = [
+            index.by_name[name]
+            for name in self._hints.places(prefix)
+            if name in index.by_name
+        ]
+        ring = []
+        for step, server in enumerate(index.ring.walk(prefix)):
+            if step == RING_STEPS:
+                break
+            ring.append(server)
+        for server in (*hinted, *ring):
+            if server.name in exclude or not self.may_use(server):
+                continue
+            if self._occupancy(server) < 1 and self._time(server) <= limit:
+                return server
+        return best
+
+    def _occupancy(self, server: BackendServer) -> float:
+        return self._load.outstanding(server.name) / server.slots
+
+    def _time(self, server: BackendServer) -> float:
+        slowness = self._speed.slowness(server.name) / server.speed
+        return slowness * (1 + self._occupancy(server))
+
+    def _score(
+        self, index: PoolIndex, server: BackendServer, weight: float
+    ) -> tuple[bool, float]:
+        """Returns what is smaller for the better choice.
 
-    def _weight(self, server: BackendServer) -> float:
-        return (self._in_flight.get(server.name, 0) + 1) / server.speed
+        A full server comes after one that has a free slot, however cheap it
+        is: waiting there costs the deadline.
+        """
+        time = self._time(server)
+        full = self._occupancy(server) >= 1
+        slowness = self._speed.slowness(server.name) / server.speed
+        cost = index.relative_price(server) * slowness
+        score: float = time**weight * cost ** (1 - weight)
+        return full, score
