Bound a stream's waits without a time-out scope around each token

Change: waits are bounded inside the connection by a limit that the stream moves; gaps are counted in plain lists; tokens are counted in bulk.

--- a/cactusdyke/api/calls.py
+++ b/cactusdyke/api/calls.py
@@ -178,9 +178,6 @@
         with self._flights.track():
             try:
                 async for part in self._pipelines.run_stream(context, pipeline):
-                    if isinstance(part, TokenBatch):
-                        count = len(part.tokens)
-                        self._metrics.tokens.labels(pipeline.name).inc(count)
                     yield _event_bytes(context, part)
             except CactusdykeError as error:
                 outcome = error.failure.kind.code
--- a/cactusdyke/observe/metrics.py
+++ b/cactusdyke/observe/metrics.py
@@ -5,6 +5,7 @@
 import prometheus_client
 
 from cactusdyke.kernel import Service
+from cactusdyke.observe.quick_histogram import QuickHistogram
 
 SECONDS_BUCKETS = (0.01, 0.03, 0.1, 0.3, 0.6, 0.92, 2.0, 4.0, 6.0, 10.0)
 
@@ -59,13 +60,13 @@
             buckets=SECONDS_BUCKETS,
             registry=registry,
         )
-        self.token_gap_seconds = prometheus_client.Histogram(
+        self.token_gap_seconds = QuickHistogram(
             "cactusdyke_token_gap_seconds",
             "Time between batches of tokens, divided by the tokens that came.",
-            ("target",),
+            "target",
             buckets=GAP_BUCKETS,
-            registry=registry,
         )
+        registry.register(self.token_gap_seconds)
         self.tokens = prometheus_client.Counter(
             "cactusdyke_tokens",
             "Tokens forwarded to callers.",
--- a/cactusdyke/pipeline/attempts.py
+++ b/cactusdyke/pipeline/attempts.py
@@ -196,6 +196,11 @@
     return (*work.timing, "first")
 
 
+def gap(work: StageWork) -> tuple[str, str, str]:
+    """Returns the name under which times between tokens are kept."""
+    return (*work.timing, "gap")
+
+
 def _pace(record: AttemptRecord) -> tuple[str, ...]:
     if record.typical_ms is None:
         return record.work.timing
--- a/cactusdyke/pipeline/runner.py
+++ b/cactusdyke/pipeline/runner.py
@@ -72,16 +72,19 @@
         value = await self._run_stages(context, pipeline, history, last)
         if isinstance(value, Err):
             raise CactusdykeError(value.err_value)
-        meter = self._meters.start(context, pipeline)
         with self._work(
             context, pipeline, history, last, value.ok_value
         ) as work:
+            meter = self._meters.start(work)
             stream = self._streamed_stage.run(work)
-            async with contextlib.aclosing(stream) as parts:
-                async for part in parts:
-                    if isinstance(part, TokenBatch):
-                        meter.count(len(part.tokens))
-                    yield part
+            try:
+                async with contextlib.aclosing(stream) as parts:
+                    async for part in parts:
+                        if isinstance(part, TokenBatch):
+                            meter.count(len(part.tokens))
+                        yield part
+            finally:
+                meter.close()
 
     async def _run_stages(
         self,
--- a/cactusdyke/pipeline/stream_attempt.py
+++ b/cactusdyke/pipeline/stream_attempt.py
@@ -10,6 +10,7 @@
 from cactusdyke.errors import CactusdykeError, Failure
 from cactusdyke.pipeline.attempts import silent
 from cactusdyke.routing.messages import StreamEnd, TokenBatch
+from cactusdyke.transport.network import ProgressLimit
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
@@ -44,6 +45,7 @@
         self._server = server
         self._call = call
         self._fresh = fresh
+        self._limit = ProgressLimit(until=0.0)
         self._stack = contextlib.AsyncExitStack()
         self._parts: AsyncGenerator[TokenBatch | StreamEnd, None] | None = None
         self._record: AttemptRecord | None = None
@@ -56,10 +58,14 @@
 
     async def open(self, timeout_ms: float) -> Result[StreamAttempt, Failure]:
         """Waits for the first part; closes the attempt if it fails."""
+        failure: Failure | None = silent(self._server)
         opened = False
         try:
-            failure = await self._open(timeout_ms)
+            with self._clock.timeout(timeout_ms):
+                failure = await self._open(timeout_ms)
             opened = failure is None
+            if failure is not None and self._record is not None:
+                self._record.fail(failure)
         finally:
             if not opened:
                 await self.close()
@@ -84,10 +90,7 @@
             self._attempts.account(self._work, self._server, self._call)
         )
         stream = self._attempts.client.stream(
-            self._server,
-            self._call,
-            progress_timeout_ms=timeout_ms,
-            fresh=self._fresh,
+            self._server, self._call, limit=self._limit, fresh=self._fresh
         )
         self._parts = await self._stack.enter_async_context(
             contextlib.aclosing(stream)
@@ -104,18 +107,13 @@
     ) -> Result[TokenBatch | StreamEnd, Failure]:
         assert self._parts is not None
         assert self._record is not None
-        answer: Result[TokenBatch | StreamEnd, Failure] = Err(
-            silent(self._server)
-        )
-        with self._clock.timeout(timeout_ms):
-            try:
-                answer = Ok(await anext(self._parts))
-            except CactusdykeError as error:
-                answer = Err(error.failure)
-        match answer:
-            case Ok(StreamEnd() as end):
-                self._record.succeed(end.busy_ms)
-                self._attempts.take_report(self._server, end.load)
-            case Err(failure):
-                self._record.fail(failure)
-        return answer
+        self._limit.until = self._clock.now() + timeout_ms
+        try:
+            part = await anext(self._parts)
+        except CactusdykeError as error:
+            self._record.fail(error.failure)
+            return Err(error.failure)
+        if isinstance(part, StreamEnd):
+            self._record.succeed(part.busy_ms)
+            self._attempts.take_report(self._server, part.load)
+        return Ok(part)
--- a/cactusdyke/pipeline/streamed_stage.py
+++ b/cactusdyke/pipeline/streamed_stage.py
@@ -9,7 +9,7 @@
 from cactusdyke import events
 from cactusdyke.errors import CactusdykeError, Failure, FailureKind
 from cactusdyke.pipeline import timings
-from cactusdyke.pipeline.attempts import first_part
+from cactusdyke.pipeline.attempts import first_part, gap
 from cactusdyke.pipeline.race import Race
 from cactusdyke.pipeline.retries import RETRY_AFTER_MS, final
 from cactusdyke.pipeline.stream_attempt import StreamAttempt
@@ -70,9 +70,10 @@
                 last = opened.err_value
             else:
                 attempt = opened.ok_value
+                worst = self._timings.quantile(gap(work), timings.WORST)
                 try:
                     while True:
-                        part = await attempt.next(self._gap_ms(work))
+                        part = await attempt.next(self._gap_ms(work, worst))
                         if isinstance(part, Err):
                             last = part.err_value
                             break
@@ -146,21 +147,17 @@
 
         return run
 
-    def _gap_ms(self, work: StageWork) -> float:
+    def _gap_ms(self, work: StageWork, worst: float | None) -> float:
         """Returns how long the next token may take."""
         remaining = work.context.remaining_ms(self._clock)
         if remaining <= 0:
             raise CactusdykeError(final(work, _cut_by_deadline(work)))
-        worst = self._timings.quantile((*work.timing, "gap"), timings.WORST)
         longest = LONGEST_GAP_MS
         if worst is not None:
             longest = min(longest, max(GAP_FACTOR * worst, SHORTEST_GAP_MS))
         # A stall is noticed while there is time to go on elsewhere.
-        return min(
-            longest,
-            max(remaining * GAP_SHARE_OF_REMAINING, SHORTEST_GAP_MS),
-            remaining,
-        )
+        share = max(remaining * GAP_SHARE_OF_REMAINING, SHORTEST_GAP_MS)
+        return min(longest, share, remaining)
 
     async def _drop(self, work: StageWork, attempt: StreamAttempt) -> None:
         self._metrics.dropped_answers.labels(work.pool.name).inc()
--- a/cactusdyke/pipeline/token_meter.py
+++ b/cactusdyke/pipeline/token_meter.py
@@ -4,20 +4,23 @@
 
 from typing import TYPE_CHECKING
 
+from cactusdyke.clock import MS_PER_SECOND
+
 if TYPE_CHECKING:
     import prometheus_client
 
-    from cactusdyke.clock import Clock, Instant
-    from cactusdyke.configuration.model import Pipeline
+    from cactusdyke.clock import Clock
     from cactusdyke.observe.metrics import Metrics
-    from cactusdyke.pipeline.request import RequestContext
+    from cactusdyke.observe.quick_histogram import QuickCounts
     from cactusdyke.pipeline.timings import Timings
+    from cactusdyke.pipeline.work import StageWork
 
-MS_PER_SECOND = 1_000.0
+# Every so many gaps one is kept for the time-outs, and tokens are counted.
+SAMPLE_EVERY = 16
 
 
 class TokenMeter:
-    """Measures one stream."""
+    """Measures one stream; `close` hands over what is not yet counted."""
 
     def __init__(
         self,
@@ -25,29 +28,40 @@
         clock: Clock,
         timings: Timings,
         gap_name: tuple[str, str, str],
-        first: prometheus_client.Histogram,
-        gap: prometheus_client.Histogram,
-        began: Instant,
+        first_token: prometheus_client.Histogram,
+        gaps: QuickCounts,
+        tokens: prometheus_client.Counter,
+        began: float,
     ) -> None:
         self._clock = clock
         self._timings = timings
         self._gap_name = gap_name
-        self._first = first
-        self._gap = gap
+        self._first_token = first_token
+        self._gaps = gaps
+        self._tokens = tokens
         self._last = began
-        self._began = True
+        self._batches = 0
+        self._uncounted = 0
 
     def count(self, tokens: int) -> None:
         """Takes in that a batch of tokens has come."""
         now = self._clock.now()
         passed = now - self._last
         self._last = now
-        if self._began:
-            self._began = False
-            self._first.observe(passed / MS_PER_SECOND)
+        self._uncounted += tokens
+        self._batches += 1
+        if self._batches == 1:
+            self._first_token.observe(passed / MS_PER_SECOND)
             return
-        self._gap.observe(passed / tokens / MS_PER_SECOND)
-        self._timings.record(self._gap_name, passed)
+        self._gaps.observe(passed / tokens / MS_PER_SECOND)
+        if self._batches % SAMPLE_EVERY == 0:
+            self._timings.record(self._gap_name, passed)
+            self.close()
+
+    def close(self) -> None:
+        """Adds the tokens since the last time to the counter."""
+        self._tokens.inc(self._uncounted)
+        self._uncounted = 0
 
 
 class TokenMeters:
@@ -60,13 +74,15 @@
         self._timings = timings
         self._metrics = metrics
 
-    def start(self, context: RequestContext, pipeline: Pipeline) -> TokenMeter:
+    def start(self, work: StageWork) -> TokenMeter:
         """Returns a meter that counts from the request's arrival."""
+        target = work.pipeline.name
         return TokenMeter(
             clock=self._clock,
             timings=self._timings,
-            gap_name=(pipeline.name, pipeline.stages[-1].name, "gap"),
-            first=self._metrics.first_token_seconds.labels(pipeline.name),
-            gap=self._metrics.token_gap_seconds.labels(pipeline.name),
-            began=context.arrived,
+            gap_name=(*work.timing, "gap"),
+            first_token=self._metrics.first_token_seconds.labels(target),
+            gaps=self._metrics.token_gap_seconds.labels(target),
+            tokens=self._metrics.tokens.labels(target),
+            began=work.context.arrived,
         )
--- a/cactusdyke/routing/backend_client.py
+++ b/cactusdyke/routing/backend_client.py
@@ -9,7 +9,6 @@
 
 from typing import TYPE_CHECKING, Any
 
-import attrs
 import orjson
 from result import Err, Ok, Result
 
@@ -23,7 +22,7 @@
     TokenBatch,
 )
 from cactusdyke.transport.messages import JSON_TYPE, Request, parse_object
-from cactusdyke.transport.network import CallOptions
+from cactusdyke.transport.network import CallOptions, ProgressLimit
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
@@ -75,7 +74,7 @@
         server: BackendServer,
         call: StageCall,
         *,
-        progress_timeout_ms: float,
+        limit: ProgressLimit,
         fresh: bool = False,
     ) -> AsyncGenerator[TokenBatch | StreamEnd, None]:
         """Makes one attempt and yields its tokens, then its end mark.
@@ -85,8 +84,9 @@
         """
         options = CallOptions(
             connect_timeout_ms=CONNECT_TIMEOUT_MS,
-            progress_timeout_ms=progress_timeout_ms,
+            progress_timeout_ms=call.remaining_ms,
             fresh=fresh,
+            limit=limit,
         )
         async with self._network.open(
             server.address, _request(call), options
@@ -165,7 +165,20 @@
         method="POST",
         path=RUN_PATH,
         headers={"content-type": JSON_TYPE},
-        body=orjson.dumps(attrs.asdict(call, recurse=False)),
+        body=orjson.dumps(
+            {
+                "request_id": call.request_id,
+                "stage": call.stage,
+                "attempt": call.attempt,
+                "model": call.model,
+                "input": call.input,
+                "remaining_ms": call.remaining_ms,
+                "priority": call.priority,
+                "stream": call.stream,
+                "resume_from": call.resume_from,
+                "prefix": call.prefix,
+            }
+        ),
     )
 
 
--- a/cactusdyke/transport/http_network.py
+++ b/cactusdyke/transport/http_network.py
@@ -111,6 +111,7 @@
         kept = None if options.fresh else await self._kept.take(address)
         if kept is None:
             kept = self._kept.open(address)
+        kept.backend.use(options)
         response: httpcore.Response | None = None
         try:
             opened: Result[Incoming, Failure]
--- a/cactusdyke/transport/kept_connections.py
+++ b/cactusdyke/transport/kept_connections.py
@@ -8,6 +8,7 @@
 import httpcore
 
 from cactusdyke.clock import Clock, Instant
+from cactusdyke.transport.bounded_stream import BoundedBackend
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -24,6 +25,7 @@
 
     Attributes:
         connection: The httpcore connection.
+        backend: Bounds the waits of the connection's current answer.
         address: Where it leads.
         opened_at: Instant at which it was made.
         epoch: How often its address had been doubted by then.
@@ -31,6 +33,7 @@
     """
 
     connection: httpcore.AsyncHTTPConnection
+    backend: BoundedBackend
     address: str
     opened_at: Instant
     epoch: int
@@ -53,8 +56,12 @@
         """Returns a new connection, which connects with its first request."""
         host, _, port = address.rpartition(":")
         origin = httpcore.Origin(b"http", host.strip("[]").encode(), int(port))
+        backend = BoundedBackend(clock=self._clock)
         return KeptConnection(
-            connection=httpcore.AsyncHTTPConnection(origin=origin),
+            connection=httpcore.AsyncHTTPConnection(
+                origin=origin, network_backend=backend
+            ),
+            backend=backend,
             address=address,
             opened_at=self._clock.now(),
             epoch=self._epochs.get(address, 0),
--- a/cactusdyke/transport/network.py
+++ b/cactusdyke/transport/network.py
@@ -8,6 +8,7 @@
 import attrs
 from result import Err, Ok, Result
 
+from cactusdyke.clock import Clock, Instant
 from cactusdyke.errors import CactusdykeError, Failure
 from cactusdyke.transport.messages import Request, Response
 
@@ -38,6 +39,17 @@
         """
 
 
+@attrs.define(kw_only=True)
+class ProgressLimit:
+    """How long an answer may take to go on; moved while it arrives.
+
+    Attributes:
+        until: Instant by which more of the answer must have come.
+    """
+
+    until: Instant
+
+
 @attrs.frozen(kw_only=True)
 class CallOptions:
     """How one call is made.
@@ -47,11 +59,20 @@
         progress_timeout_ms: Longest time without a byte once connected.
         fresh: Whether to open a connection used by nothing else, so that a
             stale idle one can't make the outcome doubtful.
+        limit: Bounds each wait for the answer as well, if given.
     """
 
     connect_timeout_ms: float = 1_000.0
     progress_timeout_ms: float = 5_000.0
     fresh: bool = False
+    limit: ProgressLimit | None = None
+
+    def wait_ms(self, clock: Clock) -> float:
+        """Returns how long the next wait for the answer may be."""
+        if self.limit is None:
+            return self.progress_timeout_ms
+        left = max(0.0, self.limit.until - clock.now())
+        return min(left, self.progress_timeout_ms)
 
 
 class Network(abc.ABC):
--- a/features/support/hub.py
+++ b/features/support/hub.py
@@ -277,7 +277,7 @@
         scope.cancel()
 
     async def _next(self) -> Response | bytes | None:
-        with self._hub.clock.timeout(self._options.progress_timeout_ms):
+        with self._hub.clock.timeout(self._options.wait_ms(self._hub.clock)):
             return await self._receiver.receive()
         return None
 
