--- a/cactusdyke/api/calls.py
+++ b/cactusdyke/api/calls.py
@@ -154,11 +154,13 @@
             )
             return admitted
         allowed_ms = call.ok_value.deadline_ms or target.deadline_ms
+        now = self._clock.now()
         context = RequestContext(
             request_id=f"{self._rng.getrandbits(128):032x}",
             customer=customer.ok_value,
             configuration=configuration,
-            deadline=self._clock.now() + allowed_ms,
+            arrived=now,
+            deadline=now + allowed_ms,
             span=self._tracing.start(
                 f"request {name}",
                 tracing.parse_traceparent(request.headers.get("traceparent")),
@@ -176,9 +178,6 @@
         with self._flights.track():
             try:
                 async for part in self._pipelines.run_stream(context, pipeline):
-                    if isinstance(part, TokenBatch):
-                        count = len(part.tokens)
-                        self._metrics.tokens.labels(pipeline.name).inc(count)
                     yield _event_bytes(context, part)
             except CactusdykeError as error:
                 outcome = error.failure.kind.code
--- a/cactusdyke/routing/backend_client.py
+++ b/cactusdyke/routing/backend_client.py
@@ -9,7 +9,6 @@
 
 from typing import TYPE_CHECKING, Any
 
-import attrs
 import orjson
 from result import Err, Ok, Result
 
@@ -23,16 +22,17 @@
     TokenBatch,
 )
 from cactusdyke.transport.messages import JSON_TYPE, Request, parse_object
-from cactusdyke.transport.network import CallOptions
+from cactusdyke.transport.network import CallOptions, ProgressLimit
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncGenerator
 
     from cactusdyke.configuration.model import BackendServer
     from cactusdyke.transport.network import Incoming, Network
 
 RUN_PATH = "/v1/run"
 CONNECT_TIMEOUT_MS = 500.0
+LEAVING = "leaving"
 
 
 class BackendClient:
@@ -74,8 +74,9 @@
         server: BackendServer,
         call: StageCall,
         *,
-        progress_timeout_ms: float,
-    ) -> AsyncIterator[TokenBatch | StreamEnd]:
+        limit: ProgressLimit,
+        fresh: bool = False,
+    ) -> AsyncGenerator[TokenBatch | StreamEnd, None]:
         """Makes one attempt and yields its tokens, then its end mark.
 
         Raises:
@@ -83,7 +84,9 @@
         """
         options = CallOptions(
             connect_timeout_ms=CONNECT_TIMEOUT_MS,
-            progress_timeout_ms=progress_timeout_ms,
+            progress_timeout_ms=call.remaining_ms,
+            fresh=fresh,
+            limit=limit,
         )
         async with self._network.open(
             server.address, _request(call), options
@@ -109,7 +112,7 @@
 
     async def read(
         self, incoming: Incoming
-    ) -> AsyncIterator[TokenBatch | StreamEnd]:
+    ) -> AsyncGenerator[TokenBatch | StreamEnd, None]:
         """Yields what each chunk holds."""
         rest = b""
         async for chunk in incoming.chunks():
@@ -162,7 +165,20 @@
         method="POST",
         path=RUN_PATH,
         headers={"content-type": JSON_TYPE},
-        body=orjson.dumps(attrs.asdict(call, recurse=False)),
+        body=orjson.dumps(
+            {
+                "request_id": call.request_id,
+                "stage": call.stage,
+                "attempt": call.attempt,
+                "model": call.model,
+                "input": call.input,
+                "remaining_ms": call.remaining_ms,
+                "priority": call.priority,
+                "stream": call.stream,
+                "resume_from": call.resume_from,
+                "prefix": call.prefix,
+            }
+        ),
     )
 
 
@@ -204,8 +220,11 @@
 def _refused(server: BackendServer, status: int, body: bytes) -> Failure:
     value = parse_object(body).unwrap_or({})
     not_run = value.get("ran") == Ran.NOT_RUN
+    leaving = not_run and value.get("error") == LEAVING
     return Failure(
-        kind=FailureKind.BACKEND_FAILED,
+        kind=FailureKind.BACKEND_LEAVING
+        if leaving
+        else FailureKind.BACKEND_FAILED,
         detail=f"{server.name} answered {status} {value.get('error', '')}",
         # Only the backend server itself can say that it did not run.
         ran=Ran.NOT_RUN if not_run else Ran.UNKNOWN,
@@ -215,7 +234,7 @@
 
 def _broken(server: BackendServer, detail: str) -> Failure:
     return Failure(
-        kind=FailureKind.BACKEND_FAILED,
+        kind=FailureKind.BROKEN_ANSWER,
         detail=f"{server.name}: {detail}",
         ran=Ran.UNKNOWN,
     )
