Mark bookings before they are sent, and let clients fail over safely

A booking was sent on the strength of its create alone. A create whose answer was lost blocked its key for ever, and a caller that asked again was told not_run while the first call could still run.

Records now go from open to dispatching by a conditional write; every claim has a nonce, so that lost answers are read back. The answer is given before it is stored, and stored in the background. The client keeps to its deadline, repeats only what did not run or has a key, follows retry_after, and reports a stream without its end mark as broken.

--- a/cactusdyke/api/calls.py
+++ b/cactusdyke/api/calls.py
@@ -4,13 +4,14 @@
 
 from typing import TYPE_CHECKING, Any, TypeVar
 
+import attrs
 import orjson
 from result import Err, Ok, Result
 
 from cactusdyke import events
 from cactusdyke.api import authentication, body
 from cactusdyke.configuration.model import Pipeline, PlainService
-from cactusdyke.errors import CactusdykeError, Failure, FailureKind
+from cactusdyke.errors import CactusdykeError, Failure, FailureKind, Ran
 from cactusdyke.observe import tracing
 from cactusdyke.pipeline.request import RequestContext
 from cactusdyke.routing.messages import StreamEnd, TokenBatch
@@ -112,15 +113,16 @@
                     Failure(
                         kind=FailureKind.NOT_FOUND,
                         detail="No request with this key is known",
+                        # One may be on its way, or be long forgotten.
+                        ran=Ran.UNKNOWN,
                     )
                 )
-            case Ok(record):
-                assert record is not None
-                return json_response(
-                    {"state": record.state, "output": record.output}
-                )
+            case Ok(outcome):
+                assert outcome is not None
+                return json_response(attrs.asdict(outcome))
             case Err(failure):
-                return failure_response(failure)
+                # Reading the record did not run, but the request may have.
+                return failure_response(attrs.evolve(failure, ran=Ran.UNKNOWN))
 
     async def _call_service(
         self, context: RequestContext, service: PlainService
--- a/cactusdyke/booking/__init__.py
+++ b/cactusdyke/booking/__init__.py
@@ -6,6 +6,10 @@
 
 from cactusdyke.application import ExtensionMetadata
 from cactusdyke.booking.bookings import Bookings
+from cactusdyke.booking.maker import CallMaker
+from cactusdyke.booking.records import Records
+from cactusdyke.booking.sweeper import Sweeper
+from cactusdyke.membership.members import Members
 from cactusdyke.routing.backend_client import BackendClient
 from cactusdyke.routing.router import Router
 
@@ -14,17 +18,29 @@
 
 
 def setup(app: Application) -> ExtensionMetadata:
-    """Registers the bookings service."""
+    """Registers the bookings service and the sweeper of its records."""
     app.setup_extension("cactusdyke.routing")
+    app.setup_extension("cactusdyke.membership")
+    records = Records(object_store=app.object_store)
+    maker = CallMaker(
+        daemon=app.settings.name,
+        clock=app.clock,
+        records=records,
+        router=app.service("router", Router),
+        client=BackendClient(network=app.network),
+    )
     app.add_service(
         "bookings",
-        Bookings(
+        Bookings(clock=app.clock, rng=app.rng, records=records, maker=maker),
+    )
+    members = app.service("membership", Members)
+    app.add_service(
+        "booking_sweeper",
+        Sweeper(
             daemon=app.settings.name,
             clock=app.clock,
-            rng=app.rng,
             object_store=app.object_store,
-            router=app.service("router", Router),
-            client=BackendClient(network=app.network),
+            members=lambda: [member.name for member in members.serving()],
         ),
     )
     return ExtensionMetadata(version="1")
--- a/cactusdyke/booking/bookings.py
+++ b/cactusdyke/booking/bookings.py
@@ -2,51 +2,90 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+import contextlib
+from typing import TYPE_CHECKING, Any, Self
 
-import attrs
+import anyio
 from result import Err, Ok, Result
 
 from cactusdyke import events
-from cactusdyke.booking.record import Record, RecordState, decode, record_key
-from cactusdyke.errors import Failure, FailureKind, Ran
+from cactusdyke.booking import answers
+from cactusdyke.booking.call import Call, content_of
+from cactusdyke.booking.record import record_key
 from cactusdyke.kernel import Service
-from cactusdyke.platform.object_store import MUST_NOT_EXIST
-from cactusdyke.routing.messages import StageCall
-from cactusdyke.util import jsonc
 
 if TYPE_CHECKING:
     import random
+    from types import TracebackType
 
+    from cactusdyke.booking.answers import Outcome
+    from cactusdyke.booking.maker import CallMaker
+    from cactusdyke.booking.records import Records
     from cactusdyke.clock import Clock
     from cactusdyke.configuration.model import PlainService
+    from cactusdyke.errors import Failure
     from cactusdyke.pipeline.request import RequestContext
-    from cactusdyke.platform.object_store import ObjectStore
-    from cactusdyke.routing.backend_client import BackendClient
-    from cactusdyke.routing.router import Router
 
-RETRY_AFTER_MS = 1_000
+MAX_CALLS = 512
+"""Calls under way or waiting to be recorded; bounds the memory they take."""
+ANSWER_GRACE_MS = 50.0
+DRAIN_MS = 30_000.0
 
 
 class Bookings(Service):
-    """Makes a call only after its record was created by this daemon."""
+    """The calls under way at this daemon, each in a task of its own.
+
+    A caller that leaves, or whose deadline passes, does not end its call:
+    the answer is still stored for whoever asks with the key.
+    """
 
     def __init__(
         self,
         *,
-        daemon: str,
         clock: Clock,
         rng: random.Random,
-        object_store: ObjectStore,
-        router: Router,
-        client: BackendClient,
+        records: Records,
+        maker: CallMaker,
     ) -> None:
-        self._daemon = daemon
         self._clock = clock
         self._rng = rng
-        self._object_store = object_store
-        self._router = router
-        self._client = client
+        self._records = records
+        self._maker = maker
+        self._calls: dict[str, Call] = {}
+        self._changed = anyio.Event()
+        self._stack = contextlib.AsyncExitStack()
+
+    @property
+    def count(self) -> int:
+        """How many calls are under way or wait to be recorded."""
+        return len(self._calls)
+
+    async def __aenter__(self) -> Self:
+        self._tasks = await self._stack.enter_async_context(
+            anyio.create_task_group()
+        )
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._tasks.cancel_scope.cancel()
+        await self._stack.__aexit__(kind, error, trace)
+
+    async def drain(self) -> None:
+        """Waits until every call has ended and its outcome is stored."""
+        with self._clock.timeout(DRAIN_MS):
+            while self._calls:
+                await self._changed.wait()
+        for call in self._calls.values():
+            events.log(
+                events.Event.BOOKING_NOT_STORED,
+                request_id=call.context.request_id,
+                idempotency_key=call.service_key,
+            )
 
     async def book(
         self, context: RequestContext, service: PlainService
@@ -54,158 +93,55 @@
         """Makes the call, or answers with what the record says of it."""
         assert context.idempotency_key is not None
         key = record_key(context.customer.name, context.idempotency_key)
-        record = Record(
-            state=RecordState.OPEN,
-            owner=self._daemon,
-            nonce=f"{self._rng.getrandbits(128):032x}",
-            content=jsonc.digest(
-                jsonc.canonical([service.name, context.input])
-            ),
-            created_at=self._clock.wall(),
-        )
-        created = await self._object_store.write(
-            key, record.encode(), if_version=MUST_NOT_EXIST
+        call = self._calls.get(key)
+        if call is None:
+            if len(self._calls) >= MAX_CALLS:
+                return Err(answers.overloaded())
+            call = Call(
+                context=context,
+                service=service,
+                nonce=f"{self._rng.getrandbits(128):032x}",
+            )
+            self._calls[key] = call
+            self._tasks.start_soon(self._run, call)
+        elif call.content != content_of(context, service):
+            return Err(answers.key_reused())
+        remaining = context.remaining_ms(self._clock)
+        with self._clock.timeout(remaining + ANSWER_GRACE_MS):
+            await call.wait()
+        if call.answer is not None:
+            return call.answer
+        return Err(
+            answers.in_progress("The deadline passed while the call ran")
         )
-        match created:
-            case Ok(version):
-                return await self._dispatch(
-                    context, service, key, record, version
-                )
-            case Err(failure) if failure.kind is FailureKind.STORE_CONFLICT:
-                return await self._existing(key, record)
-            case Err(failure):
-                return Err(_store_down(failure))
 
     async def find(
         self, customer: str, idempotency_key: str
-    ) -> Result[Record | None, Failure]:
-        """Returns the record of a key, or None where there is none."""
-        stored = await self._object_store.read(
-            record_key(customer, idempotency_key)
-        )
+    ) -> Result[Outcome | None, Failure]:
+        """Returns how the call of a key stands, or None if there is none."""
+        key = record_key(customer, idempotency_key)
+        call = self._calls.get(key)
+        if call is not None and isinstance(call.answer, Ok):
+            return Ok(answers.done(call.answer.ok_value))
+        stored = await self._records.read(key)
         if isinstance(stored, Err):
             return stored
         if stored.ok_value is None:
             return Ok(None)
-        return decode(stored.ok_value.value)
-
-    async def _existing(self, key: str, wanted: Record) -> Result[Any, Failure]:
-        stored = await self._object_store.read(key)
-        if isinstance(stored, Err):
-            return stored
-        if stored.ok_value is None:
-            return Err(_in_progress())
-        decoded = decode(stored.ok_value.value)
-        if isinstance(decoded, Err):
-            return decoded
-        return answer_from(decoded.ok_value, wanted.content)
-
-    async def _dispatch(
-        self,
-        context: RequestContext,
-        service: PlainService,
-        key: str,
-        record: Record,
-        version: int,
-    ) -> Result[Any, Failure]:
-        pool = context.configuration.pools[service.pool]
-        server = self._router.choose(pool)
-        if server is None:
-            await self._finish(key, record, version, RecordState.NOT_RUN)
-            return Err(_no_server(service))
-        remaining = context.remaining_ms(self._clock)
-        call = StageCall(
-            request_id=context.request_id,
-            stage=service.name,
-            attempt=1,
-            model="",
-            input=context.input,
-            remaining_ms=remaining,
-        )
-        with self._router.in_flight(server):
-            answer = await self._client.call(
-                server, call, progress_timeout_ms=remaining, fresh=True
+        record = stored.ok_value.record
+        return Ok(answers.outcome_of(record, wall=self._clock.wall()))
+
+    async def _run(self, call: Call) -> None:
+        try:
+            await self._maker.make(call)
+        except Exception as error:
+            events.log(
+                events.Event.INTERNAL_ERROR,
+                request_id=call.context.request_id,
+                error=repr(error),
             )
-        if isinstance(answer, Ok):
-            output = answer.ok_value.output
-            await self._finish(key, record, version, RecordState.DONE, output)
-            return Ok(output)
-        if answer.err_value.ran is Ran.NOT_RUN:
-            await self._finish(key, record, version, RecordState.NOT_RUN)
-            return answer
-        events.log(
-            events.Event.BOOKING_OUTCOME_UNKNOWN,
-            request_id=context.request_id,
-            detail=answer.err_value.detail,
-        )
-        await self._finish(key, record, version, RecordState.UNKNOWN)
-        return Err(_unknown(answer.err_value.detail))
-
-    async def _finish(
-        self,
-        key: str,
-        record: Record,
-        version: int,
-        state: RecordState,
-        output: Any = None,
-    ) -> None:
-        finished = attrs.evolve(record, state=state, output=output)
-        await self._object_store.write(
-            key, finished.encode(), if_version=version
-        )
-
-
-def answer_from(record: Record, content: str) -> Result[Any, Failure]:
-    """Returns what a record says to a caller who sends `content`."""
-    if record.content != content:
-        return Err(
-            Failure(
-                kind=FailureKind.KEY_REUSED,
-                detail="The idempotency key was used for another request",
-            )
-        )
-    match record.state:
-        case RecordState.DONE:
-            return Ok(record.output)
-        case RecordState.NOT_RUN:
-            return Err(
-                Failure(
-                    kind=FailureKind.BACKEND_FAILED,
-                    detail="The call did not run; use a new key",
-                )
-            )
-        case RecordState.UNKNOWN:
-            return Err(_unknown("The call's answer was lost"))
-        case RecordState.OPEN:
-            return Err(_in_progress())
-
-
-def _unknown(detail: str) -> Failure:
-    return Failure(
-        kind=FailureKind.OUTCOME_UNKNOWN, detail=detail, ran=Ran.UNKNOWN
-    )
-
-
-def _in_progress() -> Failure:
-    return Failure(
-        kind=FailureKind.IN_PROGRESS,
-        detail="A call with this key is under way",
-        ran=Ran.UNKNOWN,
-        retry_after_ms=RETRY_AFTER_MS,
-    )
-
-
-def _no_server(service: PlainService) -> Failure:
-    return Failure(
-        kind=FailureKind.NO_BACKEND_SERVER,
-        detail=f"No backend server of {service.name} can be chosen",
-        retry_after_ms=RETRY_AFTER_MS,
-    )
-
-
-def _store_down(failure: Failure) -> Failure:
-    return Failure(
-        kind=FailureKind.STORE_UNAVAILABLE,
-        detail=f"The call was not recorded and not made: {failure.detail}",
-        retry_after_ms=RETRY_AFTER_MS,
-    )
+            call.give(Err(answers.unknown("The daemon met an error")))
+        finally:
+            del self._calls[call.key]
+            self._changed.set()
+            self._changed = anyio.Event()
--- a/cactusdyke/client.py
+++ b/cactusdyke/client.py
@@ -5,39 +5,31 @@
 import contextlib
 import math
 import random
-from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any, Self
 
-import attrs
 import orjson
 from result import Err, Ok, Result
 
+from cactusdyke import client_answers
+from cactusdyke.client_tries import Tries, no_address
 from cactusdyke.clock import Clock, SystemClock
-from cactusdyke.errors import CactusdykeError, Failure, FailureKind, Ran
+from cactusdyke.errors import CactusdykeError, Failure, FailureKind
 from cactusdyke.transport.http_network import HttpNetwork
 from cactusdyke.transport.messages import (
     JSON_TYPE,
     Request,
-    Response,
-    parse_object,
 )
 from cactusdyke.transport.network import CallOptions, Network
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Sequence
+    from collections.abc import AsyncIterator, Mapping, Sequence
     from types import TracebackType
 
 CONNECT_TIMEOUT_MS = 1_000.0
 ANSWER_MARGIN_MS = 1_000.0
 DEFAULT_DEADLINE_MS = 6_000.0
-
-
-@attrs.frozen(kw_only=True)
-class ServerSentEvent:
-    """One event of a streamed answer."""
-
-    name: str
-    data: Mapping[str, Any]
+FORGET_AFTER_MS = 500.0
+"""How soon new addresses are asked for once one has failed."""
 
 
 class Client:
@@ -102,21 +94,31 @@
         traceparent: str | None = None,
     ) -> Result[dict[str, Any], Failure]:
         """Calls `/v1/pipelines/NAME` or `/v1/services/NAME` for an answer."""
-        request = self._request(
-            path,
-            {"input": value, "deadline_ms": deadline_ms},
-            idempotency_key,
-            traceparent,
+        tries = Tries(
+            clock=self._clock,
+            rng=self._rng,
+            deadline_ms=deadline_ms,
+            has_key=idempotency_key is not None,
         )
-        failure = _no_address()
-        for address in await self._shuffled():
-            answer = await self._fetch(address, request, deadline_ms)
-            if isinstance(answer, Ok):
-                return answer
-            failure = answer.err_value
-            if failure.kind is not FailureKind.NOT_SENT:
-                return answer
-        return Err(failure)
+        while True:
+            for address in await self._shuffled():
+                if tries.remaining_ms <= 0:
+                    break
+                request = self._request(
+                    path,
+                    {"input": value, "deadline_ms": tries.remaining_ms},
+                    idempotency_key,
+                    traceparent,
+                )
+                answer = await self._fetch(address, request, tries.remaining_ms)
+                if isinstance(answer, Ok):
+                    return answer
+                tries.failed(answer.err_value)
+                if not tries.may_move_on:
+                    break
+                self._forget(address)
+            if not await tries.wait_until_next():
+                return Err(tries.failure)
 
     async def stream(
         self,
@@ -125,40 +127,49 @@
         *,
         deadline_ms: float = DEFAULT_DEADLINE_MS,
         traceparent: str | None = None,
-    ) -> AsyncIterator[ServerSentEvent]:
+    ) -> AsyncIterator[client_answers.ServerSentEvent]:
         """Calls a pipeline and yields its answer's events.
 
         Raises:
             CactusdykeError: No answer began, or it broke off.
         """
-        request = self._request(
-            f"/v1/pipelines/{pipeline}",
-            {"input": value, "deadline_ms": deadline_ms, "stream": True},
-            None,
-            traceparent,
+        tries = Tries(
+            clock=self._clock,
+            rng=self._rng,
+            deadline_ms=deadline_ms,
+            has_key=False,
         )
-        failure = _no_address()
-        for address in await self._shuffled():
-            async with self._open_network().open(
-                address, request, _options(deadline_ms)
-            ) as opened:
-                if isinstance(opened, Err):
-                    failure = opened.err_value
-                    if failure.kind is FailureKind.NOT_SENT:
-                        continue
-                    raise CactusdykeError(failure)
-                incoming = opened.ok_value
-                if incoming.status != 200:
-                    body = b"".join([c async for c in incoming.chunks()])
-                    raise CactusdykeError(_failure_from(body))
-                async for event in _events(incoming.chunks()):
-                    yield event
-                return
-        raise CactusdykeError(failure)
+        while True:
+            for address in await self._shuffled():
+                if tries.remaining_ms <= 0:
+                    break
+                remaining = tries.remaining_ms
+                request = self._request(
+                    f"/v1/pipelines/{pipeline}",
+                    {"input": value, "deadline_ms": remaining, "stream": True},
+                    None,
+                    traceparent,
+                )
+                async with self._open_network().open(
+                    address, request, _options(remaining)
+                ) as opened:
+                    began = await client_answers.begun(opened)
+                    if isinstance(began, Ok):
+                        async for event in client_answers.events(
+                            began.ok_value.chunks()
+                        ):
+                            yield event
+                        return
+                    tries.failed(began.err_value)
+                if not tries.may_move_on:
+                    break
+                self._forget(address)
+            if not await tries.wait_until_next():
+                raise CactusdykeError(tries.failure)
 
     async def get(self, path: str) -> Result[dict[str, Any], Failure]:
         """Reads from the first address that answers."""
-        failure = _no_address()
+        failure = no_address()
         for address in await self._shuffled():
             answer = await self._fetch(
                 address, self._request(path, None, None, None)
@@ -172,7 +183,7 @@
         self, path: str, value: Any
     ) -> Result[dict[str, Any], Failure]:
         """Sends a JSON object to the first address that can be reached."""
-        failure = _no_address()
+        failure = no_address()
         for address in await self._shuffled():
             answer = await self._fetch(
                 address, self._request(path, value, None, None)
@@ -189,6 +200,14 @@
         self._rng.shuffle(addresses)
         return addresses
 
+    def _forget(self, address: str) -> None:
+        """Leaves out an address that fails, and asks for new ones soon."""
+        others = tuple(kept for kept in self._addresses if kept != address)
+        if others and self._valid_until != math.inf:
+            self._addresses = others
+            soon = self._clock.now() + FORGET_AFTER_MS
+            self._valid_until = min(self._valid_until, soon)
+
     def _keep(self, value: Mapping[str, Any]) -> None:
         listed = tuple(item["address"] for item in value["addresses"])
         if listed:
@@ -228,7 +247,7 @@
         )
         if isinstance(answer, Err):
             return answer
-        return _parse(answer.ok_value)
+        return client_answers.parse(answer.ok_value)
 
     def _open_network(self) -> Network:
         if self._network is None:
@@ -241,44 +260,3 @@
         connect_timeout_ms=CONNECT_TIMEOUT_MS,
         progress_timeout_ms=deadline_ms + ANSWER_MARGIN_MS,
     )
-
-
-def _parse(response: Response) -> Result[dict[str, Any], Failure]:
-    assert isinstance(response.body, bytes)
-    if response.status == 200:
-        return parse_object(response.body)
-    return Err(_failure_from(response.body))
-
-
-def _failure_from(body: bytes) -> Failure:
-    value = parse_object(body).unwrap_or({}).get("error", {})
-    try:
-        kind = FailureKind[value.get("kind", "internal").upper()]
-    except KeyError:
-        kind = FailureKind.INTERNAL
-    return Failure(
-        kind=kind,
-        detail=value.get("message", "The answer can't be read"),
-        ran=Ran(value.get("ran", Ran.UNKNOWN)),
-        retry_after_ms=value.get("retry_after_ms"),
-    )
-
-
-async def _events(
-    chunks: AsyncIterator[bytes],
-) -> AsyncIterator[ServerSentEvent]:
-    rest = b""
-    async for chunk in chunks:
-        *blocks, rest = (rest + chunk).split(b"\n\n")
-        for block in blocks:
-            first, _, second = block.partition(b"\n")
-            yield ServerSentEvent(
-                name=first.removeprefix(b"event: ").decode(),
-                data=orjson.loads(second.removeprefix(b"data: ")),
-            )
-
-
-def _no_address() -> Failure:
-    return Failure(
-        kind=FailureKind.NOT_SENT, detail="No address of the deployment works"
-    )
--- a/cactusdyke/errors.py
+++ b/cactusdyke/errors.py
@@ -27,6 +27,7 @@
     CONFLICT = (409, "Read what changed, adapt the change and submit again")
     KEY_REUSED = (409, "Use a new idempotency key for a new request")
     IN_PROGRESS = (409, "Ask again with the same key after retry_after_ms")
+    ANSWER_NOT_KEPT = (410, "Ask the plain service; do not send it again")
     TOO_LARGE = (413, "Send a smaller body")
     LIMITED = (
         429,
--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -51,6 +51,22 @@
         "A non-idempotent call may or may not have run.",
         "Ask the plain service by the idempotency key.",
     )
+    BOOKING_NOT_STORED = (
+        5002,
+        "A call's outcome could not be stored; its record says less.",
+        "Check the object service; ask the plain service by the key.",
+    )
+    BOOKING_CLAIMED = (
+        5003,
+        "A call was taken over from a daemon that had not made it.",
+        "",
+    )
+    BOOKINGS_DELETED = (5004, "Records past their retention were deleted.", "")
+    BOOKING_WITHDRAWN = (
+        5005,
+        "A call was not made: marking its record had no clear outcome.",
+        "Check the object service; the caller may ask again with the key.",
+    )
 
     def __init__(self, number: int, meaning: str, remedy: str) -> None:
         self.number = number
--- a/cactusdyke/routing/messages.py
+++ b/cactusdyke/routing/messages.py
@@ -22,6 +22,8 @@
         stream: Whether the answer comes token by token.
         resume_from: The first token position wanted.
         prefix: Names the prompt prefix, as a hint for caches.
+        idempotency_key: Names a call that must not run twice, for services
+            that can recognise it.
     """
 
     request_id: str
@@ -34,6 +36,7 @@
     stream: bool = False
     resume_from: int = 0
     prefix: str = ""
+    idempotency_key: str = ""
 
 
 @attrs.frozen(kw_only=True)
--- a/standins/plain.py
+++ b/standins/plain.py
@@ -16,7 +16,11 @@
 
 
 class PlainServer(StandIn):
-    """Books what it is asked to, and counts bookings by request id."""
+    """Books what it is asked to, and counts bookings by request id and key.
+
+    Further faults: `refuse` (how many of the next calls it says it did not
+    run), `output_bytes` (how much longer its answers are).
+    """
 
     def __init__(
         self, *, clock: Clock, name: str = "plain", work_ms: float = 5.0
@@ -25,11 +29,16 @@
         self.name = name
         self.work_ms = work_ms
         self.executions: dict[str, int] = {}
+        self.executions_by_key: dict[str, int] = {}
         self.serve("POST", "/v1/run", self._run)
 
     def stats(self) -> dict[str, Any]:
-        """Returns executions by request id."""
-        return {"counts": dict(self.counts), "executions": self.executions}
+        """Returns executions by request id and by idempotency key."""
+        return {
+            "counts": dict(self.counts),
+            "executions": self.executions,
+            "executions_by_key": self.executions_by_key,
+        }
 
     async def _run(self, request: Request) -> Response:
         call = request.json().unwrap()
@@ -38,15 +47,26 @@
             return json_response(
                 {"error": "leaving", "ran": "not_run"}, status=503
             )
+        if self.faults.get("refuse", 0) > 0:
+            self.faults["refuse"] -= 1
+            return json_response(
+                {"error": "busy", "ran": "not_run"}, status=503
+            )
         await self.clock.sleep(self.work_ms)
         key = call["request_id"]
         self.executions[key] = self.executions.get(key, 0) + 1
+        name = call.get("idempotency_key", "")
+        self.executions_by_key[name] = self.executions_by_key.get(name, 0) + 1
         return json_response(
             {
                 "request_id": key,
                 "stage": call["stage"],
                 "attempt": call["attempt"],
-                "output": {"booked": call["input"]},
+                "output": self._output(call["input"]),
                 "busy_ms": self.work_ms,
             }
         )
+
+    def _output(self, value: Any) -> dict[str, Any]:
+        extra = self.faults.get("output_bytes", 0)
+        return {"booked": value, **({"form": "x" * extra} if extra else {})}
