Count exchanges and bytes at a daemon's edges by purpose

Change: a metered network and handler count control exchanges by purpose and by who began them; the process's CPU and memory are on /metrics.

--- a/cactusdyke/application.py
+++ b/cactusdyke/application.py
@@ -64,6 +64,7 @@
         network: Network,
         object_store: ObjectStore,
         host_list: HostList,
+        registry: prometheus_client.CollectorRegistry | None = None,
         replacements: Mapping[str, str] | None = None,
     ) -> None:
         self._settings = settings
@@ -76,7 +77,7 @@
         self._kernel = Kernel()
         self._routes = Routes()
         self._extensions: dict[str, ExtensionMetadata] = {}
-        self._registry = prometheus_client.CollectorRegistry()
+        self._registry = registry or prometheus_client.CollectorRegistry()
         self._draining = False
         self._stack = contextlib.AsyncExitStack()
 
--- a/cactusdyke/daemon.py
+++ b/cactusdyke/daemon.py
@@ -9,10 +9,12 @@
 
 import anyio
 import eliot
+import prometheus_client
 
 from cactusdyke import events
 from cactusdyke.application import Application
 from cactusdyke.clock import SystemClock
+from cactusdyke.observe.traffic import MeteredNetwork, Traffic
 from cactusdyke.platform.host_list import HttpHostList
 from cactusdyke.platform.http_object_store import HttpObjectStore
 from cactusdyke.transport.asgi import AsgiAdapter
@@ -30,7 +32,11 @@
         OSError: The address can't be bound.
     """
     clock = SystemClock()
-    async with HttpNetwork() as network:
+    registry = prometheus_client.CollectorRegistry()
+    prometheus_client.ProcessCollector(registry=registry)
+    traffic = Traffic(registry)
+    async with HttpNetwork() as connections:
+        network = MeteredNetwork(network=connections, traffic=traffic)
         app = Application(
             settings=settings,
             clock=clock,
@@ -40,13 +46,14 @@
                 address=settings.object_service, network=network
             ),
             host_list=HttpHostList(address=settings.host_list, network=network),
+            registry=registry,
         )
         app.setup_all()
         server = HttpServer(
             host=settings.host,
             port=settings.port,
             adapter=AsgiAdapter(
-                handler=app.routes.handle,
+                handler=traffic.metered(app.routes.handle),
                 clock=clock,
                 is_draining=lambda: app.draining,
             ),
