--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -46,16 +46,22 @@
     name: str
     address: str
     popen: subprocess.Popen[bytes]
+    _asked: bool = attrs.field(default=False, init=False)
 
     def send(self, signal_number: int) -> None:
         """Sends a signal to this process only."""
         self.popen.send_signal(signal_number)
 
-    def stop(self) -> int:
-        """Ends the process gracefully and returns its exit status."""
-        if self.popen.poll() is None:
+    def ask_to_stop(self) -> None:
+        """Asks the process to end gracefully, also where it is frozen."""
+        if self.popen.poll() is None and not self._asked:
+            self._asked = True
             self.popen.send_signal(signal.SIGCONT)
             self.popen.terminate()
+
+    def stop(self) -> int:
+        """Ends the process gracefully and returns its exit status."""
+        self.ask_to_stop()
         try:
             return self.popen.wait(STOP_TIMEOUT_S)
         except subprocess.TimeoutExpired:
@@ -87,6 +93,8 @@
         return self
 
     def __exit__(self, *_: object) -> None:
+        for process in self._processes.values():
+            process.ask_to_stop()
         for process in reversed(list(self._processes.values())):
             process.stop()
 
@@ -97,7 +105,7 @@
         """Starts a stand-in and waits until it answers."""
         port = free_port()
         arguments = [f"--{key}={value}" for key, value in options.items()]
-        process = self._start(
+        process = self.start(
             name, port, ["standins.serve", kind, str(port), *arguments]
         )
         _wait(lambda: request_json("GET", process.address, "/stats"), process)
@@ -107,7 +115,7 @@
         """Starts an entry daemon and waits until it answers."""
         path = self._directory / f"{settings['name']}.json"
         path.write_text(json.dumps(settings, indent=2))
-        process = self._start(
+        process = self.start(
             settings["name"],
             settings["port"],
             ["cactusdyke.cmd.main", "entry", str(path)],
@@ -124,7 +132,8 @@
                 process,
             )
 
-    def _start(self, name: str, port: int, arguments: Sequence[str]) -> Process:
+    def start(self, name: str, port: int, arguments: Sequence[str]) -> Process:
+        """Starts `python -m ARGUMENTS`, which is to listen on a port."""
         log = self._directory / f"{name}.log"
         with log.open("wb") as output:
             popen = subprocess.Popen(
