Lend customers' limits from owners, and answer addresses by customer

Cause: an equal share of every limit for each daemon gives a pair of customer and daemon a hundredth of a request a second at the target size, so that customers far below their limits are refused. Change: the first daemon of a customer's rendezvous order owns the limit and lends tokens and rates for two seconds; callers are told a subset by token, corrected lazily in answer headers.

--- a/cactusdyke/api/__init__.py
+++ b/cactusdyke/api/__init__.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from cactusdyke.api import addresses
 from cactusdyke.api.calls import CallHandlers
 from cactusdyke.api.flights import Flights
 from cactusdyke.api.operations import OperationHandlers
@@ -11,7 +12,7 @@
 from cactusdyke.application import ExtensionMetadata
 from cactusdyke.booking.bookings import Bookings
 from cactusdyke.configuration.in_force import InForce
-from cactusdyke.limits.customer_limits import CustomerLimits
+from cactusdyke.limits.limiter import Limiter
 from cactusdyke.membership.members import Members
 from cactusdyke.observe.cost import CostBook
 from cactusdyke.observe.metrics import Metrics
@@ -29,7 +30,7 @@
         clock=app.clock,
         rng=app.rng,
         in_force=app.service("configuration", InForce),
-        limits=app.service("limits", CustomerLimits),
+        limits=app.service("limits", Limiter),  # type: ignore[type-abstract]
         pipelines=app.service("pipeline", PipelineRunner),
         bookings=app.service("bookings", Bookings),
         flights=flights,
@@ -49,10 +50,11 @@
         settings_token_hashes=app.settings.operator_token_hashes,
     )
     app.add_route("POST", "/v1/submissions", submissions.submit)
-    app.add_route("POST", "/v1/pipelines/{name}", calls.pipeline)
-    app.add_route("POST", "/v1/services/{name}", calls.service)
+    book = addresses.of_application(app, app.service("configuration", InForce))
+    app.add_route("POST", "/v1/pipelines/{name}", book.telling(calls.pipeline))
+    app.add_route("POST", "/v1/services/{name}", book.telling(calls.service))
     app.add_route("GET", "/v1/requests/{key}", calls.find)
-    app.add_route("GET", "/v1/addresses", operations.addresses)
+    app.add_route("GET", "/v1/addresses", book.handle)
     app.add_route("GET", "/v1/status", operations.status)
     app.add_route("GET", "/v1/cost", operations.cost)
     app.add_route("GET", "/v1/traces/{trace_id}", operations.trace)
--- /dev/null
+++ b/cactusdyke/api/addresses.py
@@ -0,0 +1,129 @@
+"""Says which addresses a customer's callers should use.
+
+A caller keeps the list and is corrected lazily: whoever it calls serves the
+request, and names the current list in the answer's headers if the caller
+holds another one.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import xxhash
+from result import Err
+
+from cactusdyke.api import authentication
+from cactusdyke.limits.fleet import FleetView, MembersFleet
+from cactusdyke.limits.limiter import Limiter
+from cactusdyke.limits.subsets import LARGEST_SUBSET, Subsets
+from cactusdyke.membership.members import Members
+from cactusdyke.transport.messages import Request, Response, json_response
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Sequence
+
+    from cactusdyke.application import Application
+    from cactusdyke.configuration.in_force import InForce
+    from cactusdyke.limits.fleet import Daemon
+    from cactusdyke.transport.messages import Handler
+
+ADDRESS_LIFETIME_MS = 3_000
+LIST_HEADER = "x-cactusdyke-address-list"
+ADDRESSES_HEADER = "x-cactusdyke-addresses"
+LIFETIME_HEADER = "x-cactusdyke-addresses-lifetime-ms"
+
+
+class Addresses:
+    """Answers the address question by customer."""
+
+    def __init__(
+        self,
+        *,
+        in_force: InForce,
+        limiter: Limiter,
+        view: FleetView,
+        subsets: Subsets,
+        rng: random.Random,
+    ) -> None:
+        self._in_force = in_force
+        self._limiter = limiter
+        self._view = view
+        self._subsets = subsets
+        self._rng = rng
+
+    async def handle(self, request: Request) -> Response:
+        """Says which addresses to use, and for how long."""
+        daemons = self._customers_daemons(request) or self._anybodys_daemons()
+        return json_response(
+            {
+                "addresses": [
+                    {"address": d.address, "data_centre": d.data_centre}
+                    for d in daemons
+                ],
+                "list": list_id([d.address for d in daemons]),
+                "lifetime_ms": ADDRESS_LIFETIME_MS,
+            }
+        )
+
+    def telling(self, handler: Handler) -> Handler:
+        """Returns a handler that also corrects a caller's list."""
+
+        async def handle(request: Request) -> Response:
+            response = await handler(request)
+            told = self._correction(request)
+            if not told:
+                return response
+            headers = {**response.headers, **told}
+            return attrs.evolve(response, headers=headers)
+
+        return handle
+
+    def _correction(self, request: Request) -> dict[str, str]:
+        daemons = self._customers_daemons(request)
+        if not daemons:
+            return {}
+        addresses = [daemon.address for daemon in daemons]
+        held = request.headers.get(LIST_HEADER)
+        if held is None:
+            is_right = self._view.own_name in {d.name for d in daemons}
+        else:
+            is_right = held == list_id(addresses)
+        if is_right:
+            return {}
+        return {
+            ADDRESSES_HEADER: " ".join(addresses),
+            LIFETIME_HEADER: str(ADDRESS_LIFETIME_MS),
+        }
+
+    def _customers_daemons(self, request: Request) -> tuple[Daemon, ...]:
+        customer = authentication.customer_of(request, self._in_force.current)
+        if isinstance(customer, Err):
+            return ()
+        name = customer.ok_value.name
+        return self._subsets.members(name, self._limiter.subset_size(name))
+
+    def _anybodys_daemons(self) -> Sequence[Daemon]:
+        serving = self._view.serving
+        if len(serving) <= LARGEST_SUBSET:
+            return serving
+        return self._rng.sample(serving, LARGEST_SUBSET)
+
+
+def list_id(addresses: Sequence[str]) -> str:
+    """Returns a short name of a list of addresses, whatever their order."""
+    return xxhash.xxh3_64_hexdigest(" ".join(sorted(addresses)).encode())
+
+
+def of_application(app: Application, in_force: InForce) -> Addresses:
+    """Returns the answers of a daemon whose services are registered."""
+    fleet = MembersFleet(members=app.service("membership", Members))
+    view = FleetView(clock=app.clock, fleet=fleet)
+    return Addresses(
+        in_force=in_force,
+        limiter=app.service("limits", Limiter),  # type: ignore[type-abstract]
+        view=view,
+        subsets=Subsets(view=view),
+        rng=app.rng,
+    )
--- a/cactusdyke/api/calls.py
+++ b/cactusdyke/api/calls.py
@@ -30,7 +30,7 @@
     from cactusdyke.booking.bookings import Bookings
     from cactusdyke.clock import Clock
     from cactusdyke.configuration.in_force import InForce
-    from cactusdyke.limits.customer_limits import CustomerLimits
+    from cactusdyke.limits.limiter import Limiter
     from cactusdyke.observe.metrics import Metrics
     from cactusdyke.observe.tracing import Tracing
     from cactusdyke.pipeline.runner import PipelineRunner
@@ -50,7 +50,7 @@
         clock: Clock,
         rng: random.Random,
         in_force: InForce,
-        limits: CustomerLimits,
+        limits: Limiter,
         pipelines: PipelineRunner,
         bookings: Bookings,
         flights: Flights,
@@ -71,7 +71,9 @@
         """Runs a pipeline and answers whole or as server-sent events."""
         name = request.parameters["name"]
         configuration = self._in_force.current
-        opened = self._open(request, configuration.pipelines.get(name), name)
+        opened = await self._open(
+            request, configuration.pipelines.get(name), name
+        )
         if isinstance(opened, Err):
             return failure_response(opened.err_value)
         context, pipeline, stream = opened.ok_value
@@ -91,7 +93,9 @@
         """Makes one call to a plain service."""
         name = request.parameters["name"]
         configuration = self._in_force.current
-        opened = self._open(request, configuration.services.get(name), name)
+        opened = await self._open(
+            request, configuration.services.get(name), name
+        )
         if isinstance(opened, Err):
             return failure_response(opened.err_value)
         context, service, _ = opened.ok_value
@@ -129,7 +133,7 @@
             return await self._bookings.book(context, service)
         return await self._pipelines.run_service(context, service)
 
-    def _open(
+    async def _open(
         self, request: Request, target: TargetType | None, name: str
     ) -> Result[tuple[RequestContext, TargetType, bool], Failure]:
         """Checks who calls, what for and with what, and starts a request."""
@@ -145,7 +149,7 @@
         key = _idempotency_key(request, target)
         if isinstance(key, Err):
             return key
-        admitted = self._limits.admit(customer.ok_value)
+        admitted = await self._limits.admit(customer.ok_value)
         if isinstance(admitted, Err):
             events.log(
                 events.Event.REQUEST_REFUSED,
--- a/cactusdyke/api/operations.py
+++ b/cactusdyke/api/operations.py
@@ -23,8 +23,6 @@
     from cactusdyke.observe.cost import CostBook
     from cactusdyke.observe.tracing import Tracing
 
-ADDRESS_LIFETIME_MS = 3_000
-
 
 class OperationHandlers:
     """The handlers that do not run requests."""
@@ -44,20 +42,6 @@
         self._tracing = tracing
         self._cost = cost
 
-    async def addresses(self, request: Request) -> Response:
-        """Says which addresses to use, and for how long."""
-        del request
-        serving = self._members.serving()
-        return json_response(
-            {
-                "addresses": [
-                    {"address": m.address, "data_centre": m.data_centre}
-                    for m in serving
-                ],
-                "lifetime_ms": ADDRESS_LIFETIME_MS,
-            }
-        )
-
     async def status(self, request: Request) -> Response:
         """Says what each daemon is and has in force."""
         operator = authentication.operator_of(request, self._in_force.current)
--- a/cactusdyke/client.py
+++ b/cactusdyke/client.py
@@ -85,7 +85,7 @@
             return self._addresses
         for address in (*self._addresses, *self._seeds):
             answer = await self._fetch(
-                address, Request(method="GET", path="/v1/addresses")
+                address, self._request("/v1/addresses", None, None, None)
             )
             if isinstance(answer, Ok):
                 self._keep(answer.ok_value)
--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -46,6 +46,27 @@
         "Look at the backend server if this is repeated.",
     )
     REQUEST_REFUSED = (4003, "A request was refused before it ran.", "")
+    LIMIT_OWNED = (
+        4201,
+        "This daemon begins to lend out a customer's limit.",
+        "",
+    )
+    LIMIT_OWNER_UNREACHABLE = (
+        4202,
+        "The owner of a customer's limit can't be reached; this daemon admits"
+        " an equal part of the limit meanwhile.",
+        "Look at the daemon named first for the customer if this goes on.",
+    )
+    LIMIT_OWNER_PAUSED = (
+        4203,
+        "This daemon was paused; limits that it lends did not grow meanwhile.",
+        "Look for a host that is overloaded or suspended.",
+    )
+    CUSTOMER_SUBSET_CHANGED = (
+        4204,
+        "The number of daemons that a customer's callers use has changed.",
+        "",
+    )
     BOOKING_OUTCOME_UNKNOWN = (
         5001,
         "A non-idempotent call may or may not have run.",
--- a/cactusdyke/limits/__init__.py
+++ b/cactusdyke/limits/__init__.py
@@ -1,23 +1,46 @@
-"""Limits by customer."""
+"""Limits by customer over all daemons, and which daemons a customer uses."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 from cactusdyke.application import ExtensionMetadata
+from cactusdyke.configuration.in_force import InForce
 from cactusdyke.limits.customer_limits import CustomerLimits
+from cactusdyke.limits.fleet import FleetView, MembersFleet
+from cactusdyke.limits.ledger import Ledger
+from cactusdyke.limits.lending import LOANS_PATH, HttpLender, LoanHandler
+from cactusdyke.limits.subsets import Subsets
 from cactusdyke.membership.members import Members
+from cactusdyke.observe.metrics import Metrics
 
 if TYPE_CHECKING:
     from cactusdyke.application import Application
 
 
 def setup(app: Application) -> ExtensionMetadata:
-    """Registers the limits service."""
+    """Registers the limits service and its route."""
+    app.setup_extension("cactusdyke.observe")
+    app.setup_extension("cactusdyke.configuration")
     app.setup_extension("cactusdyke.membership")
-    members = app.service("membership", Members)
-    app.add_service(
-        "limits",
-        CustomerLimits(clock=app.clock, daemons=lambda: len(members.serving())),
+    in_force = app.service("configuration", InForce)
+    fleet = MembersFleet(members=app.service("membership", Members))
+    view = FleetView(clock=app.clock, fleet=fleet)
+    subsets = Subsets(view=view)
+    ledger = Ledger(
+        clock=app.clock,
+        view=view,
+        subsets=subsets,
+        find_customer=lambda name: in_force.current.customers.get(name),  # noqa: PLW0108,
     )
+    limits = CustomerLimits(
+        clock=app.clock,
+        view=view,
+        subsets=subsets,
+        ledger=ledger,
+        lender=HttpLender(network=app.network),
+        metrics=app.service("metrics", Metrics),
+    )
+    app.add_service("limits", limits)
+    app.add_route("POST", LOANS_PATH, LoanHandler(ledger=ledger).handle)
     return ExtensionMetadata(version="1")
--- /dev/null
+++ b/cactusdyke/limits/demand.py
@@ -0,0 +1,35 @@
+"""Measures how often something happens, with the past fading out."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from cactusdyke.clock import MS_PER_SECOND
+
+if TYPE_CHECKING:
+    from cactusdyke.clock import Instant
+
+FADE_MS = 4_000.0
+
+
+class Demand:
+    """An exponentially fading rate."""
+
+    def __init__(self, *, now: Instant) -> None:
+        self._weight = 0.0
+        self._at = now
+
+    def count(self, now: Instant) -> None:
+        """Counts one occurrence."""
+        self._fade(now)
+        self._weight += 1.0
+
+    def per_second(self, now: Instant) -> float:
+        """Returns occurrences a second of late."""
+        self._fade(now)
+        return self._weight / (FADE_MS / MS_PER_SECOND)
+
+    def _fade(self, now: Instant) -> None:
+        self._weight *= math.exp(-max(0.0, now - self._at) / FADE_MS)
+        self._at = now
--- /dev/null
+++ b/cactusdyke/limits/fleet.py
@@ -0,0 +1,143 @@
+"""The daemons that share the customers' limits, as seen from here."""
+
+from __future__ import annotations
+
+import abc
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from cactusdyke.clock import Clock, Instant
+    from cactusdyke.membership.members import Members
+
+VIEW_AGE_MS = 250.0
+LOSS_MEMORY_MS = 30_000.0
+
+
+@attrs.frozen(kw_only=True)
+class Daemon:
+    """A daemon that callers may be sent to.
+
+    Attributes:
+        name: The daemon's name.
+        address: Where it serves, `host:port`.
+        data_centre: Where it stands.
+        region: The region of its data centre.
+    """
+
+    name: str
+    address: str
+    data_centre: str
+    region: str
+
+
+class Fleet(abc.ABC):
+    """Which daemons there are."""
+
+    @property
+    @abc.abstractmethod
+    def own_name(self) -> str:
+        """This daemon's name."""
+
+    @abc.abstractmethod
+    def serving(self) -> tuple[Daemon, ...]:
+        """Returns the daemons that callers may be sent to."""
+
+    @abc.abstractmethod
+    def leaving(self) -> frozenset[str]:
+        """Returns the names of daemons that said they are leaving."""
+
+
+class MembersFleet(Fleet):
+    """The fleet as the membership service knows it."""
+
+    def __init__(self, *, members: Members) -> None:
+        self._members = members
+
+    @property
+    def own_name(self) -> str:
+        """This daemon's name."""
+        return self._members.own.name
+
+    def serving(self) -> tuple[Daemon, ...]:
+        """Returns the daemons that callers may be sent to."""
+        return tuple(
+            Daemon(
+                name=member.name,
+                address=member.address,
+                data_centre=member.data_centre,
+                region=member.region,
+            )
+            for member in self._members.serving()
+        )
+
+    def leaving(self) -> frozenset[str]:
+        """Returns the names of daemons that said they are leaving."""
+        serving = {member.name for member in self._members.serving()}
+        known = {member.name for member in self._members.all()}
+        return frozenset(known - serving)
+
+
+class FleetView:
+    """The fleet, read at most a few times a second, and its late losses."""
+
+    def __init__(self, *, clock: Clock, fleet: Fleet) -> None:
+        self._clock = clock
+        self._fleet = fleet
+        self._read_at: Instant = -VIEW_AGE_MS
+        self._serving: tuple[Daemon, ...] = ()
+        self._lost: dict[str, Instant] = {}
+        self._version = 0
+
+    @property
+    def own_name(self) -> str:
+        """This daemon's name."""
+        return self._fleet.own_name
+
+    @property
+    def version(self) -> int:
+        """Grows whenever the serving daemons change."""
+        return self._version
+
+    @property
+    def serving(self) -> tuple[Daemon, ...]:
+        """The daemons that callers may be sent to."""
+        self._refresh()
+        return self._serving
+
+    @property
+    def scale(self) -> float:
+        """The share of the fleet that is seen, of what was seen lately.
+
+        Two sides of a cut each see the other as lost. While they remember
+        each other, their shares of every limit add up to one.
+        """
+        self._refresh()
+        seen = len(self._serving)
+        return seen / max(1, seen + len(self._lost))
+
+    def _refresh(self) -> None:
+        now = self._clock.now()
+        if now - self._read_at < VIEW_AGE_MS:
+            return
+        self._read_at = now
+        serving = self._fleet.serving()
+        if serving != self._serving:
+            self._note_losses(serving, now)
+            self._serving = serving
+            self._version += 1
+        self._lost = {
+            name: at
+            for name, at in self._lost.items()
+            if now - at < LOSS_MEMORY_MS
+        }
+
+    def _note_losses(self, serving: tuple[Daemon, ...], now: Instant) -> None:
+        names = {daemon.name for daemon in serving}
+        planned = self._fleet.leaving()
+        for daemon in self._serving:
+            if daemon.name not in names and daemon.name not in planned:
+                self._lost[daemon.name] = now
+        for name in names:
+            self._lost.pop(name, None)
--- /dev/null
+++ b/cactusdyke/limits/ledger.py
@@ -0,0 +1,142 @@
+"""The accounts of the customers whose limits this daemon owns."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+from result import Err, Ok, Result
+
+from cactusdyke import events
+from cactusdyke.clock import Instant
+from cactusdyke.limits.account import Account, Ask, Loan
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cactusdyke.clock import Clock
+    from cactusdyke.configuration.model import Customer
+    from cactusdyke.limits.fleet import FleetView
+    from cactusdyke.limits.subsets import Subsets
+
+REVIEW_MS = 500.0
+PAUSE_MS = 2_000.0
+FORGET_AFTER_MS = 600_000.0
+
+
+@attrs.frozen(kw_only=True)
+class NotOwner:
+    """Another daemon lends this limit.
+
+    Attributes:
+        owner: Its address, None if the customer is not known here.
+    """
+
+    owner: str | None
+
+
+@attrs.define(kw_only=True)
+class _Entry:
+    account: Account
+    used_at: Instant
+    owned: bool = True
+
+
+class Ledger:
+    """Lends out limits for as long as this daemon is their owner."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        view: FleetView,
+        subsets: Subsets,
+        find_customer: Callable[[str], Customer | None],
+    ) -> None:
+        self._clock = clock
+        self._view = view
+        self._subsets = subsets
+        self._find_customer = find_customer
+        self._entries: dict[str, _Entry] = {}
+        self._reviewed_at = clock.now()
+        self._seen_version = -1
+
+    def owner(self, customer: str) -> str | None:
+        """Returns the name of the daemon that lends the customer's limit."""
+        owner = self._subsets.owner(customer)
+        return owner.name if owner else None
+
+    def size(self, customer: str) -> int | None:
+        """Returns the subset's size, if this daemon decides on it."""
+        entry = self._entries.get(customer)
+        return entry.account.size if entry and entry.owned else None
+
+    def lend(self, holder: str, ask: Ask) -> Result[Loan, NotOwner]:
+        """Lends a daemon a part of a customer's limit."""
+        self.review()
+        customer = self._find_customer(ask.customer)
+        owner = self._subsets.owner(ask.customer)
+        if customer is None or owner is None:
+            return Err(NotOwner(owner=None))
+        if owner.name != self._view.own_name:
+            return Err(NotOwner(owner=owner.address))
+        now = self._clock.now()
+        entry = self._entry(customer, now)
+        entry.used_at = now
+        entry.account.configure(
+            rate=customer.requests_per_second * self._view.scale,
+            burst=customer.burst,
+            now=now,
+        )
+        return Ok(entry.account.lend(holder, ask, now))
+
+    def review(self) -> None:
+        """Notes pauses and changes of owner; call it every REVIEW_MS."""
+        now = self._clock.now()
+        paused = now - self._reviewed_at > PAUSE_MS
+        if paused:
+            events.log(
+                events.Event.LIMIT_OWNER_PAUSED,
+                paused_ms=now - self._reviewed_at,
+            )
+        self._reviewed_at = now
+        changed = self._view.serving and (
+            self._view.version != self._seen_version
+        )
+        if not paused and not changed:
+            return
+        self._seen_version = self._view.version
+        for name, entry in list(self._entries.items()):
+            self._review_entry(name, entry, now, paused=paused)
+
+    def _review_entry(
+        self, name: str, entry: _Entry, now: Instant, *, paused: bool
+    ) -> None:
+        owned = self.owner(name) == self._view.own_name
+        if paused or not (entry.owned and owned):
+            # While this daemon was paused, or not the owner, another one
+            # may have lent the same refill. It would be admitted twice if
+            # the account grew for that time as well.
+            entry.account.skip(now)
+        entry.owned = owned
+        if now - entry.used_at > FORGET_AFTER_MS:
+            del self._entries[name]
+
+    def _entry(self, customer: Customer, now: Instant) -> _Entry:
+        entry = self._entries.get(customer.name)
+        if entry is None:
+            entry = _Entry(
+                account=Account(
+                    rate=customer.requests_per_second * self._view.scale,
+                    burst=customer.burst,
+                    now=now,
+                ),
+                used_at=now,
+            )
+            self._entries[customer.name] = entry
+            events.log(
+                events.Event.LIMIT_OWNED,
+                customer=customer.name,
+                daemon=self._view.own_name,
+            )
+        return entry
--- /dev/null
+++ b/cactusdyke/limits/lending.py
@@ -0,0 +1,117 @@
+"""Asks between daemons for a part of a customer's limit."""
+
+from __future__ import annotations
+
+import abc
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import orjson
+from result import Err, Ok, Result
+
+from cactusdyke.errors import Failure, FailureKind
+from cactusdyke.limits.account import Ask, Loan
+from cactusdyke.limits.ledger import NotOwner
+from cactusdyke.transport.messages import (
+    JSON_TYPE,
+    Request,
+    Response,
+    failure_response,
+    json_response,
+    parse_object,
+)
+from cactusdyke.transport.network import CallOptions
+from cactusdyke.util import structure
+
+if TYPE_CHECKING:
+    from cactusdyke.limits.ledger import Ledger
+    from cactusdyke.transport.network import Network
+
+LOANS_PATH = "/internal/v1/limits/loans"
+LOAN_TIMEOUT_MS = 300.0
+
+
+@attrs.frozen(kw_only=True)
+class LoanBody:
+    """The body of a question for a loan."""
+
+    holder: str
+    ask: Ask
+
+
+class Lender(abc.ABC):
+    """Reaches the daemons that own limits."""
+
+    @abc.abstractmethod
+    async def borrow(
+        self, address: str, holder: str, ask: Ask
+    ) -> Result[Loan | NotOwner, Failure]:
+        """Asks the daemon at an address; an error if it can't be reached."""
+
+
+class HttpLender(Lender):
+    """Asks over HTTP with JSON."""
+
+    def __init__(self, *, network: Network) -> None:
+        self._network = network
+
+    async def borrow(
+        self, address: str, holder: str, ask: Ask
+    ) -> Result[Loan | NotOwner, Failure]:
+        """Asks the daemon at an address."""
+        body = LoanBody(holder=holder, ask=ask)
+        request = Request(
+            method="POST",
+            path=LOANS_PATH,
+            headers={"content-type": JSON_TYPE},
+            body=orjson.dumps(attrs.asdict(body)),
+        )
+        options = CallOptions(
+            connect_timeout_ms=LOAN_TIMEOUT_MS,
+            progress_timeout_ms=LOAN_TIMEOUT_MS,
+        )
+        answer = await self._network.fetch(address, request, options)
+        if isinstance(answer, Err):
+            return answer
+        return _read_answer(answer.ok_value)
+
+
+class LoanHandler:
+    """Answers other daemons' questions from the ledger."""
+
+    def __init__(self, *, ledger: Ledger) -> None:
+        self._ledger = ledger
+
+    async def handle(self, request: Request) -> Response:
+        """Lends, or names the daemon that does."""
+        value = request.json().and_then(
+            lambda value: structure.structure(value, LoanBody, name="loan")
+        )
+        if isinstance(value, Err):
+            return failure_response(value.err_value)
+        body = value.ok_value
+        match self._ledger.lend(body.holder, body.ask):
+            case Ok(loan):
+                return json_response({"loan": attrs.asdict(loan)})
+            case Err(elsewhere):
+                return json_response({"not_owner": attrs.asdict(elsewhere)})
+
+
+def _read_answer(response: Response) -> Result[Loan | NotOwner, Failure]:
+    assert isinstance(response.body, bytes)
+    parsed = parse_object(response.body)
+    if isinstance(parsed, Err):
+        return parsed
+    value: dict[str, Any] = parsed.ok_value
+    if "loan" in value:
+        return structure.structure(value["loan"], Loan, name="loan")
+    if "not_owner" in value:
+        return structure.structure(
+            value["not_owner"], NotOwner, name="not_owner"
+        )
+    return Err(
+        Failure(
+            kind=FailureKind.INTERNAL,
+            detail="The answer to a question for a loan holds none",
+        )
+    )
--- a/cactusdyke/observe/metrics.py
+++ b/cactusdyke/observe/metrics.py
@@ -44,3 +44,15 @@
             ("target",),
             registry=registry,
         )
+        self.limit_decisions = prometheus_client.Counter(
+            "cactusdyke_limit_decisions",
+            "Requests held against a customer's limit, by decision.",
+            ("customer", "decision"),
+            registry=registry,
+        )
+        self.limit_questions = prometheus_client.Counter(
+            "cactusdyke_limit_questions",
+            "Questions to owners of limits, by outcome.",
+            ("outcome",),
+            registry=registry,
+        )
