Prove limits by failure stories and a state machine

Guards removed one by one fail a scenario each: expiry of loans, fallback, small start of a new owner, pause after a refusal, rates only when scarce, bound of lent rates.

--- a/cactusdyke/limits/__init__.py
+++ b/cactusdyke/limits/__init__.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from cactusdyke.application import Application
+    from cactusdyke.configuration.model import Customer
 
 
 def setup(app: Application) -> ExtensionMetadata:
@@ -24,6 +25,10 @@
     app.setup_extension("cactusdyke.configuration")
     app.setup_extension("cactusdyke.membership")
     in_force = app.service("configuration", InForce)
+
+    def find_customer(name: str) -> Customer | None:
+        return in_force.current.customers.get(name)
+
     fleet = MembersFleet(members=app.service("membership", Members))
     view = FleetView(clock=app.clock, fleet=fleet)
     subsets = Subsets(view=view)
@@ -31,7 +36,7 @@
         clock=app.clock,
         view=view,
         subsets=subsets,
-        find_customer=lambda name: in_force.current.customers.get(name),  # noqa: PLW0108,
+        find_customer=find_customer,
     )
     limits = CustomerLimits(
         clock=app.clock,
--- a/cactusdyke/limits/account.py
+++ b/cactusdyke/limits/account.py
@@ -16,7 +16,9 @@
 
 TERM_MS = 2_000.0
 DEMAND_MEMORY_MS = 5_000.0
-HEADROOM = 1.2
+HEADROOM = 1.1
+SMALLEST_RATE = 2.0
+SPARE_SHARE = 0.25
 SEED_MS = 500.0
 GROW_ABOVE = 2.0
 SHRINK_BELOW = 1.0
@@ -33,12 +35,14 @@
         waiting: Requests that wait for the answer.
         demand: Requests a second that came to the daemon of late.
         size: The subset's size that the daemon last heard of.
+        returned: Tokens of the last loan that the daemon gives back unspent.
     """
 
     customer: str
     waiting: int
     demand: float
     size: int = SMALLEST_SUBSET
+    returned: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -80,11 +84,11 @@
 
     def __init__(self, *, rate: float, burst: float, now: Instant) -> None:
         self._rate = rate
-        self._burst = burst
+        self._burst = max(1.0, burst)
         # An owner that takes over can't know what the one before has lent.
         # A full bucket would give the burst twice, an empty one would lock
         # out a customer that asks rarely; this start bounds both.
-        self._tokens = min(burst, max(1.0, rate * SEED_MS / MS_PER_SECOND))
+        self._tokens = min(self._burst, max(1.0, rate * SEED_MS / MS_PER_SECOND))
         self._settled_at = now
         self._leases: dict[str, _Lease] = {}
         self._size = SMALLEST_SUBSET
@@ -98,12 +102,10 @@
 
     def configure(self, *, rate: float, burst: float, now: Instant) -> None:
         """Takes over a changed limit; what is lent stays lent."""
-        if (rate, burst) == (self._rate, self._burst):
-            return
         self._settle(now)
         self._rate = rate
-        self._burst = burst
-        self._tokens = min(self._tokens, burst)
+        self._burst = max(1.0, burst)
+        self._tokens = min(self._tokens, self._burst)
 
     def skip(self, now: Instant) -> None:
         """Lets time pass without refill, such as that of another owner."""
@@ -112,6 +114,7 @@
     def lend(self, holder: str, ask: Ask, now: Instant) -> Loan:
         """Lends a daemon what it needs, as far as it is there."""
         self._settle(now)
+        self._tokens = min(self._burst, self._tokens + max(0.0, ask.returned))
         before = self._size
         self._review_size(holder, ask, now)
         if self._size != before:
@@ -120,7 +123,8 @@
                 customer=ask.customer,
                 size=self._size,
             )
-        rate = self._lend_rate(holder, ask, now)
+        fair = self._fair_rate(holder, ask)
+        rate = self._lend_rate(holder, ask, fair, now)
         tokens = self._lend_tokens(ask)
         return Loan(
             customer=ask.customer,
@@ -128,7 +132,7 @@
             rate=rate,
             term_ms=TERM_MS,
             size=self._size,
-            retry_after_ms=self._retry_after_ms(),
+            retry_after_ms=self._retry_after_ms(ask, fair),
         )
 
     def _settle(self, now: Instant) -> None:
@@ -144,20 +148,24 @@
             if now - lease.given_at < DEMAND_MEMORY_MS
         }
 
-    def _lend_rate(self, holder: str, ask: Ask, now: Instant) -> float:
-        others = [
-            lease for name, lease in self._leases.items() if name != holder
-        ]
+    def _others(self, holder: str) -> list[_Lease]:
+        return [x for name, x in self._leases.items() if name != holder]
+
+    def _fair_rate(self, holder: str, ask: Ask) -> float:
+        others = [x.demand * HEADROOM for x in self._others(holder)]
+        return _fair_part(self._rate, ask.demand * HEADROOM, others)
+
+    def _lend_rate(
+        self, holder: str, ask: Ask, fair: float, now: Instant
+    ) -> float:
+        others = self._others(holder)
         taken = sum(x.rate for x in others if x.expires_at > now)
         wanted = ask.demand * HEADROOM
-        fair = _fair_part(
-            self._rate, wanted, [x.demand * HEADROOM for x in others]
-        )
         rate = min(wanted, fair, max(0.0, self._rate - taken))
-        scarce = fair < wanted
-        if not scarce and rate * TERM_MS / MS_PER_SECOND < 1.0:
-            # Less than a request a term would lapse unused; such a daemon
-            # asks for each request instead.
+        if fair >= wanted or fair < SMALLEST_RATE:
+            # While there is enough, or where only a request now and then
+            # comes, a rate lapses unused while others are refused. Tokens
+            # follow the requests exactly.
             rate = 0.0
         self._leases[holder] = _Lease(
             rate=rate,
@@ -169,26 +177,30 @@
 
     def _lend_tokens(self, ask: Ask) -> int:
         there = max(0.0, self._tokens)
-        spread = math.sqrt(ask.demand * TERM_MS / MS_PER_SECOND)
-        # A few more while there is plenty, so that chance peaks at a busy
-        # daemon need no message each.
-        spare = min(math.floor(spread), math.floor(there / 4.0))
+        # Some more while there is plenty, so that a busy daemon needs no
+        # message for each request. What it doesn't spend it gives back.
+        coming = ask.demand * TERM_MS / MS_PER_SECOND
+        spare = math.floor(min(coming, there * SPARE_SHARE))
         tokens = min(ask.waiting + spare, math.floor(there))
         self._tokens -= tokens
         return tokens
 
-    def _retry_after_ms(self) -> float:
+    def _retry_after_ms(self, ask: Ask, fair: float) -> float:
         missing = max(0.0, 1.0 - self._tokens)
-        return missing / max(self._rate, 1e-9) * MS_PER_SECOND
+        rate = self._rate
+        if fair < ask.demand * HEADROOM:
+            # Others wait for the same tokens; a daemon that comes back for
+            # its own part only is not refused again for one message each.
+            missing = max(missing, 1.0)
+            rate = fair
+        return missing / max(rate, 1e-9) * MS_PER_SECOND
 
     def _review_size(self, holder: str, ask: Ask, now: Instant) -> None:
         if now - self._opened_at < DEMAND_MEMORY_MS:
             # A new owner learns the size from the daemons that the last one
             # told it. Later on their word may be older than the owner's own.
             self._size = max(self._size, min(ask.size, LARGEST_SUBSET))
-        demand = ask.demand + sum(
-            x.demand for name, x in self._leases.items() if name != holder
-        )
+        demand = ask.demand + sum(x.demand for x in self._others(holder))
         demand = min(demand, self._rate)
         fitting = math.ceil(demand / COMFORTABLE)
         fitting = min(LARGEST_SUBSET, max(SMALLEST_SUBSET, fitting))
--- a/cactusdyke/limits/customer_limits.py
+++ b/cactusdyke/limits/customer_limits.py
@@ -135,11 +135,13 @@
     async def _borrow(
         self, customer: Customer, holding: Holding
     ) -> Loan | None:
+        now = self._clock.now()
         ask = Ask(
             customer=customer.name,
             waiting=holding.waiting,
-            demand=holding.demand.per_second(self._clock.now()),
+            demand=holding.demand.per_second(now),
             size=holding.size,
+            returned=holding.give_back(now),
         )
         own_name = self._view.own_name
         owner = self._subsets.owner(customer.name)
--- a/cactusdyke/limits/holding.py
+++ b/cactusdyke/limits/holding.py
@@ -58,6 +58,13 @@
         self._level -= 1.0
         return True
 
+    def give_back(self, now: Instant) -> float:
+        """Gives up what is held but for one token, and returns how much."""
+        self._settle(now)
+        spare = max(0.0, self._level - 1.0)
+        self._level -= spare
+        return spare
+
     def add(self, loan: Loan, *, asked_at: Instant, now: Instant) -> None:
         """Adds a loan that was asked for at `asked_at`."""
         self._settle(now)
@@ -83,7 +90,7 @@
 
     def is_due(self, now: Instant) -> bool:
         """Returns whether the rate that is held should be renewed."""
-        return self._rate > 0.0 and now >= self._renew_at
+        return self._rate > 0.0 and self._renew_at <= now < self._expires_at
 
     def put_off(self, now: Instant) -> None:
         """Puts the next renewal off for a moment."""
--- /dev/null
+++ b/features/steps/limits_steps.py
@@ -0,0 +1,305 @@
+"""Steps of the customers' limits over a fleet of daemons."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+from behave import given, then, when
+
+from bench.naive.static_limits import NoLimits, StaticLimits
+from cactusdyke.limits import account, fleet
+from cactusdyke.limits.account import Loan
+from cactusdyke.limits.holding import Holding
+from features.support import limits_fleet, limits_machine
+from features.support.limits_fleet import LimitsFleet, excess
+from features.support.virtual import run_virtual
+
+TERM_S = account.TERM_MS / 1000.0
+RUSH = 30.0
+
+
+def make_static(world: LimitsFleet, name: str) -> StaticLimits:
+    return StaticLimits(
+        clock=world.hub.clock_of(name),
+        daemons=lambda: len(world.seen_by(name)),
+    )
+
+
+def make_none(world: LimitsFleet, name: str) -> NoLimits:
+    return NoLimits()
+
+
+def _world(context: Any, make_limiter: Any = None) -> LimitsFleet:
+    return LimitsFleet(
+        count=context.daemon_count,
+        customers=limits_fleet.customers(
+            {"customer": (context.rate, context.burst)}
+        ),
+        make_limiter=make_limiter,
+    )
+
+
+def _play(context: Any, story: Any, make_limiter: Any = None) -> LimitsFleet:
+    """Runs a story in a world and keeps both for the checks."""
+
+    async def run() -> LimitsFleet:
+        world = _world(context, make_limiter)
+        async with world:
+            await story(world)
+            await world.hub.clock.sleep(2_000)
+        return world
+
+    context.story = story
+    return run_virtual(run)
+
+
+def _over(context: Any, world: LimitsFleet) -> float:
+    times = world.admitted("customer")
+    return excess(times, rate=context.rate, burst=context.burst)
+
+
+@given(
+    "a limits fleet of {count:d} daemons and a customer with {rate:d}"
+    " requests a second"
+)
+def given_fleet(context, count, rate):
+    context.daemon_count = count
+    context.rate = float(rate)
+    context.burst = float(rate)
+
+
+@given("its burst is {burst:d}")
+def given_burst(context, burst):
+    context.burst = float(burst)
+
+
+@when(
+    "its callers send {rate:d} a second to {where} daemon for"
+    " {duration:d} seconds"
+)
+def when_sent(context, rate, where, duration):
+    async def story(world):
+        names = list(world.daemons)
+        await world.offer(
+            "customer",
+            rate=rate,
+            duration_ms=duration * 1000,
+            choose=lambda: (
+                names[1] if where == "one" else world.rng.choice(names)
+            ),
+        )
+
+    context.duration = duration
+    context.world = _play(context, story)
+
+
+@when(
+    "its callers send {rate:d} a second and the owner dies after"
+    " {after:d} seconds"
+)
+def when_owner_dies(context, rate, after):
+    async def story(world):
+        owner = world.owner("customer")
+        others = [name for name in world.daemons if name != owner]
+
+        def choose():
+            return world.rng.choice(others)
+
+        for _ in range(2):
+            await world.offer(
+                "customer", rate=rate, duration_ms=after * 1000, choose=choose
+            )
+            world.kill(owner)
+
+    context.world = _play(context, story)
+
+
+@when("its owner is frozen for {duration:d} seconds and wakes under a rush")
+def when_owner_frozen(context, duration):
+    async def story(world):
+        owner = world.owner("customer")
+        names = list(world.daemons)
+
+        async def rush(seconds):
+            await world.offer(
+                "customer",
+                rate=RUSH,
+                duration_ms=seconds * 1000,
+                choose=lambda: world.rng.choice(names),
+            )
+
+        await rush(40)
+        world.freeze(owner)
+        await rush(duration)
+        world.wake(owner)
+        await rush(10)
+
+    context.world = _play(context, story)
+
+
+@when("a borrower of {tokens:d} tokens is frozen for {duration:d} seconds")
+def when_borrower_frozen(context, tokens, duration):
+    holding = Holding(now=0.0)
+    loan = Loan(
+        customer="customer",
+        tokens=tokens,
+        rate=5.0,
+        term_ms=account.TERM_MS,
+        size=6,
+        retry_after_ms=0.0,
+    )
+    holding.add(loan, asked_at=0.0, now=1.0)
+    assert holding.take(2.0)
+    context.taken = holding.take(duration * 1000.0)
+
+
+@then("it holds none of them when it wakes")
+def then_holds_none(context):
+    assert context.taken is False
+
+
+@when("its halves are cut apart for {duration:d} seconds under a rush")
+def when_cut(context, duration):
+    async def story(world):
+        names = list(world.daemons)
+
+        async def rush(seconds):
+            await world.offer(
+                "customer",
+                rate=2 * RUSH,
+                duration_ms=seconds * 1000,
+                choose=lambda: world.rng.choice(names),
+            )
+
+        await rush(5)
+        world.cut(names[:3], names[3:])
+        world.cut(names[3:], names[:3])
+        await rush(duration)
+        world.heal()
+        await rush(5)
+
+    context.world = _play(context, story)
+
+
+@then("with no memory of lost daemons it goes over by more than {most:d}")
+def then_forgetful_over(context, most):
+    remembered = fleet.LOSS_MEMORY_MS
+    fleet.LOSS_MEMORY_MS = 0.0
+    try:
+        world = _play(context, context.story)
+    finally:
+        fleet.LOSS_MEMORY_MS = remembered
+    assert _over(context, world) > most, _over(context, world)
+
+
+@when("its limit is lowered to {rate:d} during a rush")
+def when_lowered(context, rate):
+    async def story(world):
+        names = list(world.daemons)
+
+        async def rush():
+            await world.offer(
+                "customer",
+                rate=3 * context.rate,
+                duration_ms=20_000,
+                choose=lambda: world.rng.choice(names),
+            )
+
+        await rush()
+        world.customers["customer"] = attrs.evolve(
+            world.customers["customer"],
+            requests_per_second=float(rate),
+            burst=float(rate),
+        )
+        context.since = world.now + account.TERM_MS
+        await rush()
+
+    context.lowered = float(rate)
+    context.world = _play(context, story)
+
+
+@then("after one term no window of it went over the lower limit and burst")
+def then_lowered(context):
+    times = [t for t in context.world.admitted("customer") if t > context.since]
+    over = excess(times, rate=context.lowered, burst=context.lowered)
+    assert times
+    assert over <= context.lowered * TERM_S, over
+
+
+@then("the limits fleet refused none of them")
+def then_refused_none(context):
+    assert len(context.world.admitted("customer")) > 0
+    assert context.world.refused("customer") == 0
+
+
+@then("the limits fleet refused at most {most:d} percent of them")
+def then_refused_few(context, most):
+    sent = len(context.world.log)
+    refused = context.world.refused("customer")
+    assert sent > 0
+    assert refused <= sent * most / 100, (refused, sent)
+
+
+@then("the static limits refuse more than half of the same requests")
+def then_static_refuses(context):
+    world = _play(context, context.story, make_static)
+    assert world.refused("customer") > len(world.log) / 2
+
+
+@then("the limits fleet admitted at least {least:d} percent of the limit")
+def then_admitted(context, least):
+    admitted = len(context.world.admitted("customer"))
+    assert admitted >= context.rate * context.duration * least / 100, admitted
+
+
+@then("no window of it went over limit and burst by more than one term")
+def then_within_term(context):
+    over = _over(context, context.world)
+    assert over <= context.rate * TERM_S, over
+
+
+@then("no window of it went over limit and burst by more than {most:d}")
+def then_within(context, most):
+    over = _over(context, context.world)
+    assert len(context.world.admitted("customer")) > 0
+    assert over <= most, over
+
+
+@then("the owner of the limit was asked at most {most:d} times a second")
+def then_asked(context, most):
+    asked = context.world.messages / context.duration
+    assert 0 < asked <= most, asked
+
+
+@then("without limits the same requests go over")
+def then_none_over(context):
+    world = _play(context, context.story, make_none)
+    assert _over(context, world) > context.rate * TERM_S
+
+
+@then("nobody of it was locked out for more than {most:d} ms")
+def then_not_locked_out(context, most):
+    longest = limits_fleet.longest_refusal_ms(context.world.log, "customer")
+    assert longest <= most, longest
+
+
+@when("the limits machine runs {count:d} examples of the project's limits")
+def when_machine(context, count):
+    context.examples = count
+    limits_machine.run(None, examples=count)
+
+
+@then("the limits oracle objects to nothing")
+def then_nothing(context):
+    assert context.examples > 0
+
+
+@then("the limits oracle catches static shares and no limits")
+def then_catches(context):
+    for make in (make_static, make_none):
+        try:
+            limits_machine.run(make, examples=context.examples)
+        except (AssertionError, BaseExceptionGroup):
+            continue
+        raise AssertionError(f"{make.__name__} was not caught")
--- /dev/null
+++ b/features/support/limits_fleet.py
@@ -0,0 +1,347 @@
+"""Daemons that share customers' limits, over the hub, with a fake membership.
+
+The membership here is a small oracle: a daemon sees another one until it has
+not heard of it for `SUSPECT_MS`, over whichever way the word can take.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+import anyio
+import attrs
+
+from cactusdyke.configuration.model import Customer
+from cactusdyke.limits.customer_limits import CustomerLimits
+from cactusdyke.limits.fleet import Daemon, Fleet, FleetView
+from cactusdyke.limits.ledger import Ledger
+from cactusdyke.limits.lending import HttpLender, LoanHandler
+from cactusdyke.limits.limiter import Limiter
+from cactusdyke.limits.subsets import Subsets
+from features.support.hub import Hub
+
+SUSPECT_MS = 5_000.0
+HEAR_MS = 500.0
+
+
+@attrs.frozen(kw_only=True)
+class Admission:
+    """How one request ended at a daemon."""
+
+    at: float
+    customer: str
+    daemon: str
+    admitted: bool
+
+
+class _SeenFleet(Fleet):
+    def __init__(self, *, world: LimitsFleet, name: str) -> None:
+        self._world = world
+        self._name = name
+
+    @property
+    def own_name(self) -> str:
+        return self._name
+
+    def serving(self) -> tuple[Daemon, ...]:
+        return self._world.seen_by(self._name)
+
+    def leaving(self) -> frozenset[str]:
+        return frozenset(self._world.left)
+
+
+@attrs.define(kw_only=True)
+class Running:
+    """One daemon's limits, as they run."""
+
+    limiter: Limiter
+    subsets: Subsets | None
+    ledger: Ledger | None
+    scope: anyio.CancelScope
+
+
+class LimitsFleet:
+    """A fleet of daemons without anything but limits."""
+
+    def __init__(
+        self,
+        *,
+        count: int,
+        customers: Sequence[Customer],
+        data_centres: int = 3,
+        regions: int = 1,
+        delay_ms: float = 1.0,
+        make_limiter: Callable[[LimitsFleet, str], Limiter] | None = None,
+        subsets: type[Subsets] = Subsets,
+        seed: int = 0,
+    ) -> None:
+        self.hub = Hub()
+        self.rng = random.Random(seed)
+        self.customers = {customer.name: customer for customer in customers}
+        self.daemons = {
+            f"entry-{i}": Daemon(
+                name=f"entry-{i}",
+                address=f"entry-{i}:1",
+                data_centre=f"data-centre-{i % data_centres}",
+                region=f"region-{i % data_centres % regions}",
+            )
+            for i in range(count)
+        }
+        self.running: dict[str, Running] = {}
+        self.left: set[str] = set()
+        self.frozen: set[str] = set()
+        self.cuts: set[tuple[str, str]] = set()
+        self.log: list[Admission] = []
+        self.messages = 0
+        self._delay_ms = delay_ms
+        self._make_limiter = make_limiter
+        self._subsets = subsets
+        self._heard: dict[str, dict[str, float]] = {}
+        self._faulty = False
+
+    async def __aenter__(self) -> LimitsFleet:
+        await self.hub.__aenter__()
+        for name in self.daemons:
+            self.start(name)
+        self.hub.start(self._hear_forever)
+        return self
+
+    async def __aexit__(self, *error: Any) -> None:
+        for running in self.running.values():
+            running.scope.cancel()
+        await self.hub.__aexit__(*error)
+
+    @property
+    def now(self) -> float:
+        """Milliseconds of virtual time."""
+        return self.hub.clock.now()
+
+    def start(self, name: str) -> None:
+        """Starts a daemon, empty as after any start."""
+        now = self.hub.clock.now()
+        self._heard[name] = {other: now for other in self.daemons}
+        scope = anyio.CancelScope()
+        if self._make_limiter is not None:
+            limiter = self._make_limiter(self, name)
+            self.running[name] = Running(
+                limiter=limiter, subsets=None, ledger=None, scope=scope
+            )
+        else:
+            self.running[name] = self._start_project(name, scope)
+        self.hub.start(self._run, self.running[name])
+
+    def _start_project(self, name: str, scope: anyio.CancelScope) -> Running:
+        clock = self.hub.clock_of(name)
+        view = FleetView(clock=clock, fleet=_SeenFleet(world=self, name=name))
+        subsets = self._subsets(view=view)
+        ledger = Ledger(
+            clock=clock,
+            view=view,
+            subsets=subsets,
+            find_customer=self.customers.get,
+        )
+        limiter = CustomerLimits(
+            clock=clock,
+            view=view,
+            subsets=subsets,
+            ledger=ledger,
+            lender=HttpLender(network=self.hub.network(name)),
+        )
+        handler = LoanHandler(ledger=ledger)
+
+        async def counted(request: Any) -> Any:
+            self.messages += 1
+            return await handler.handle(request)
+
+        self.hub.listen(self.daemons[name].address, counted, owner=name)
+        return Running(
+            limiter=limiter, subsets=subsets, ledger=ledger, scope=scope
+        )
+
+    def kill(self, name: str) -> None:
+        """Ends a daemon at once."""
+        self._faulty = True
+        if name in self.running:
+            self.hub.kill(name)
+            self.running.pop(name).scope.cancel()
+
+    def freeze(self, name: str) -> None:
+        """Stops a daemon, as SIGSTOP does."""
+        self._faulty = True
+        self.frozen.add(name)
+        self.hub.freeze(name)
+
+    def wake(self, name: str) -> None:
+        """Lets a frozen daemon go on."""
+        self.frozen.discard(name)
+        self.hub.wake(name)
+
+    def cut(self, sources: Sequence[str], targets: Sequence[str]) -> None:
+        """Cuts one direction between two sets of daemons."""
+        self._faulty = True
+        for source in sources:
+            for target in targets:
+                self.cuts.add((source, target))
+                self.hub.link(source, target).cut = True
+
+    def heal(self) -> None:
+        """Ends every cut."""
+        for source, target in self.cuts:
+            self.hub.link(source, target).cut = False
+        self.cuts.clear()
+
+    def seen_by(self, name: str) -> tuple[Daemon, ...]:
+        """Returns the daemons that one daemon believes to serve."""
+        if not self._faulty:
+            return tuple(self.daemons.values())
+        heard = self._heard[name]
+        now = self.now
+        return tuple(
+            daemon
+            for other, daemon in self.daemons.items()
+            if other == name or now - heard[other] <= SUSPECT_MS
+        )
+
+    def owner(self, customer: str, seen_by: str = "entry-0") -> str:
+        """Returns who lends a customer's limit, as one daemon sees it."""
+        subsets = self.running[seen_by].subsets
+        assert subsets is not None
+        owner = subsets.owner(customer)
+        assert owner is not None
+        return owner.name
+
+    async def request(self, name: str, customer: str) -> bool | None:
+        """Sends a request to a daemon; None if there is no such daemon."""
+        await self.hub.awake(name)
+        running = self.running.get(name)
+        if running is None:
+            return None
+        answer = await running.limiter.admit(self.customers[customer])
+        await self.hub.awake(name)
+        if self.running.get(name) is not running:
+            return None
+        self.log.append(
+            Admission(
+                at=self.now,
+                customer=customer,
+                daemon=name,
+                admitted=answer.is_ok(),
+            )
+        )
+        return answer.is_ok()
+
+    def send(self, name: str, customer: str) -> None:
+        """Sends a request without waiting for its end."""
+        self.hub.start(self.request, name, customer)
+
+    async def offer(
+        self,
+        customer: str,
+        *,
+        rate: float,
+        duration_ms: float,
+        choose: Callable[[], str],
+        poisson: bool = True,
+    ) -> None:
+        """Sends requests at a rate to daemons that `choose` names."""
+        end = self.now + duration_ms
+        while True:
+            gap = self.rng.expovariate(rate) if poisson else 1.0 / rate
+            await self.hub.clock.sleep(gap * 1000.0)
+            if self.now > end:
+                return
+            self.send(choose(), customer)
+
+    def admitted(self, customer: str) -> list[float]:
+        """Returns when a customer's requests were admitted, in order."""
+        return [
+            entry.at
+            for entry in self.log
+            if entry.customer == customer and entry.admitted
+        ]
+
+    def refused(self, customer: str, since: float = 0.0) -> int:
+        """Returns how many of a customer's requests were refused."""
+        return sum(
+            entry.customer == customer
+            and not entry.admitted
+            and entry.at >= since
+            for entry in self.log
+        )
+
+    async def _run(self, running: Running) -> None:
+        with running.scope:
+            await running.limiter.run()
+
+    async def _hear_forever(self) -> None:
+        while True:
+            if self._faulty:
+                self._hear()
+            else:
+                now = self.now
+                for heard in self._heard.values():
+                    heard.update(dict.fromkeys(heard, now))
+            await self.hub.clock.sleep(HEAR_MS)
+
+    def _hear(self) -> None:
+        awake = [n for n in self.running if n not in self.frozen]
+        for name in awake:
+            heard = self._heard[name]
+            reached = [name]
+            for target in reached:
+                for source in awake:
+                    if source not in reached and (
+                        source,
+                        target,
+                    ) not in self.cuts:
+                        reached.append(source)
+            heard.update(dict.fromkeys(reached, self.now))
+
+
+def excess(times: Sequence[float], *, rate: float, burst: float) -> float:
+    """Returns by how much any window went over burst plus rate times length.
+
+    Args:
+        times: When requests were admitted, in milliseconds.
+        rate: The limit in requests a second.
+        burst: Requests that may come on top.
+    """
+    worst = -burst
+    lowest = float("inf")
+    for index, at in enumerate(sorted(times)):
+        level = index - rate * at / 1000.0
+        lowest = min(lowest, level)
+        worst = max(worst, level + 1.0 - lowest - burst)
+    return worst
+
+
+def longest_refusal_ms(log: Sequence[Admission], customer: str) -> float:
+    """Returns the longest time in which every request was refused."""
+    longest = 0.0
+    since: float | None = None
+    for entry in log:
+        if entry.customer != customer:
+            continue
+        if entry.admitted:
+            since = None
+        else:
+            since = entry.at if since is None else since
+            longest = max(longest, entry.at - since)
+    return longest
+
+
+def customers(
+    limits: Mapping[str, tuple[float, float]],
+) -> list[Customer]:
+    """Returns customers with their rate and burst."""
+    return [
+        Customer(
+            name=name,
+            token_hashes=(),
+            requests_per_second=rate,
+            burst=burst,
+        )
+        for name, (rate, burst) in limits.items()
+    ]
