--- a/cactusdyke/limits/account.py
+++ b/cactusdyke/limits/account.py
@@ -35,14 +35,12 @@
         waiting: Requests that wait for the answer.
         demand: Requests a second that came to the daemon of late.
         size: The subset's size that the daemon last heard of.
-        returned: Tokens of the last loan that the daemon gives back unspent.
     """
 
     customer: str
     waiting: int
     demand: float
     size: int = SMALLEST_SUBSET
-    returned: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -88,7 +86,9 @@
         # An owner that takes over can't know what the one before has lent.
         # A full bucket would give the burst twice, an empty one would lock
         # out a customer that asks rarely; this start bounds both.
-        self._tokens = min(self._burst, max(1.0, rate * SEED_MS / MS_PER_SECOND))
+        self._tokens = min(
+            self._burst, max(1.0, rate * SEED_MS / MS_PER_SECOND)
+        )
         self._settled_at = now
         self._leases: dict[str, _Lease] = {}
         self._size = SMALLEST_SUBSET
@@ -114,7 +114,6 @@
     def lend(self, holder: str, ask: Ask, now: Instant) -> Loan:
         """Lends a daemon what it needs, as far as it is there."""
         self._settle(now)
-        self._tokens = min(self._burst, self._tokens + max(0.0, ask.returned))
         before = self._size
         self._review_size(holder, ask, now)
         if self._size != before:
@@ -178,7 +177,7 @@
     def _lend_tokens(self, ask: Ask) -> int:
         there = max(0.0, self._tokens)
         # Some more while there is plenty, so that a busy daemon needs no
-        # message for each request. What it doesn't spend it gives back.
+        # message for each request; a part only, as unspent tokens lapse.
         coming = ask.demand * TERM_MS / MS_PER_SECOND
         spare = math.floor(min(coming, there * SPARE_SHARE))
         tokens = min(ask.waiting + spare, math.floor(there))
--- a/cactusdyke/limits/customer_limits.py
+++ b/cactusdyke/limits/customer_limits.py
@@ -141,7 +141,6 @@
             waiting=holding.waiting,
             demand=holding.demand.per_second(now),
             size=holding.size,
-            returned=holding.give_back(now),
         )
         own_name = self._view.own_name
         owner = self._subsets.owner(customer.name)
--- a/cactusdyke/limits/holding.py
+++ b/cactusdyke/limits/holding.py
@@ -58,13 +58,6 @@
         self._level -= 1.0
         return True
 
-    def give_back(self, now: Instant) -> float:
-        """Gives up what is held but for one token, and returns how much."""
-        self._settle(now)
-        spare = max(0.0, self._level - 1.0)
-        self._level -= spare
-        return spare
-
     def add(self, loan: Loan, *, asked_at: Instant, now: Instant) -> None:
         """Adds a loan that was asked for at `asked_at`."""
         self._settle(now)
--- a/features/limits/limits.feature
+++ b/features/limits/limits.feature
@@ -45,6 +45,24 @@
     When its owner is frozen for 20 seconds and wakes under a rush
     Then no window of it went over limit and burst by more than 12
 
+  Scenario: the owner of a limit is frozen for so short that nobody notices
+    # The host stands still for four seconds and the others admit their equal
+    # parts, as they can't borrow. Once awake, its account must not have grown
+    # for the same four seconds.
+    Given a limits fleet of 6 daemons and a customer with 10 requests a second
+    And its burst is 40
+    When its owner is frozen for 4500 ms and is never suspected
+    Then no window of it went over limit and burst by more than 5
+
+  Scenario: daemons disagree about who owns a limit
+    # A host has just started and owns a limit; the caller's host has not heard
+    # of it and asks the former owner, which names the new one. If both lent,
+    # the customer would have the limit twice.
+    Given a limits fleet of 6 daemons and a customer with 10 requests a second
+    When a caller's daemon has not heard of the owner that just started
+    Then the limits fleet refused none of them
+    And only the owner that just started has lent to it
+
   Scenario: a frozen borrower wakes with an old loan
     # A host that borrowed is suspended; what it holds has been lent to others
     # since. Once awake, it must ask anew rather than spend the old loan.
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -138,6 +138,62 @@
     context.world = _play(context, story)
 
 
+@when("its owner is frozen for {duration:d} ms and is never suspected")
+def when_owner_frozen_shortly(context, duration):
+    async def story(world):
+        owner = world.owner("customer")
+        names = list(world.daemons)
+
+        async def rush(duration_ms):
+            await world.offer(
+                "customer",
+                rate=6 * RUSH,
+                duration_ms=duration_ms,
+                choose=lambda: world.rng.choice(names),
+            )
+
+        await world.request(owner, "customer")
+        await world.hub.clock.sleep(10_000)
+        await rush(10_000)
+        world.freeze(owner)
+        await rush(duration)
+        world.wake(owner)
+        await rush(5_000)
+
+    context.world = _play(context, story)
+
+
+@when("a caller's daemon has not heard of the owner that just started")
+def when_newcomer(context):
+    async def story(world):
+        owner = world.owner("customer")
+        last = next(n for n in world.daemons if n != owner)
+        for name in world.daemons:
+            if name != owner:
+                world.unseen.add((name, owner))
+        await world.hub.clock.sleep(300)
+        second = world.owner("customer", seen_by=last)
+        caller = next(n for n in world.daemons if n not in (owner, second))
+        world.unseen.discard((second, owner))
+        await world.hub.clock.sleep(300)
+        await world.offer(
+            "customer", rate=5, duration_ms=20_000, choose=lambda: caller
+        )
+        context.lenders = [
+            name
+            for name, running in world.running.items()
+            if running.ledger.size("customer") is not None
+        ]
+        context.owner = owner
+
+    context.world = _play(context, story)
+
+
+@then("only the owner that just started has lent to it")
+def then_one_lender(context):
+    assert context.lenders == [context.owner], context.lenders
+
+
 @when("a borrower of {tokens:d} tokens is frozen for {duration:d} seconds")
 def when_borrower_frozen(context, tokens, duration):
     holding = Holding(now=0.0)
--- a/features/support/limits_fleet.py
+++ b/features/support/limits_fleet.py
@@ -92,6 +92,7 @@
         self.running: dict[str, Running] = {}
         self.left: set[str] = set()
         self.frozen: set[str] = set()
+        self.unseen: set[tuple[str, str]] = set()
         self.cuts: set[tuple[str, str]] = set()
         self.log: list[Admission] = []
         self.messages = 0
@@ -121,7 +122,7 @@
     def start(self, name: str) -> None:
         """Starts a daemon, empty as after any start."""
         now = self.hub.clock.now()
-        self._heard[name] = {other: now for other in self.daemons}
+        self._heard[name] = dict.fromkeys(self.daemons, now)
         scope = anyio.CancelScope()
         if self._make_limiter is not None:
             limiter = self._make_limiter(self, name)
@@ -194,14 +195,17 @@
 
     def seen_by(self, name: str) -> tuple[Daemon, ...]:
         """Returns the daemons that one daemon believes to serve."""
-        if not self._faulty:
-            return tuple(self.daemons.values())
         heard = self._heard[name]
         now = self.now
         return tuple(
             daemon
             for other, daemon in self.daemons.items()
-            if other == name or now - heard[other] <= SUSPECT_MS
+            if (name, other) not in self.unseen
+            and (
+                not self._faulty
+                or other == name
+                or now - heard[other] <= SUSPECT_MS
+            )
         )
 
     def owner(self, customer: str, seen_by: str = "entry-0") -> str:
@@ -292,10 +296,14 @@
             reached = [name]
             for target in reached:
                 for source in awake:
-                    if source not in reached and (
-                        source,
-                        target,
-                    ) not in self.cuts:
+                    if (
+                        source not in reached
+                        and (
+                            source,
+                            target,
+                        )
+                        not in self.cuts
+                    ):
                         reached.append(source)
             heard.update(dict.fromkeys(reached, self.now))
 
