--- a/cactusdyke/api/calls.py
+++ b/cactusdyke/api/calls.py
@@ -4,13 +4,14 @@
 
 from typing import TYPE_CHECKING, Any, TypeVar
 
+import attrs
 import orjson
 from result import Err, Ok, Result
 
 from cactusdyke import events
 from cactusdyke.api import authentication, body
 from cactusdyke.configuration.model import Pipeline, PlainService
-from cactusdyke.errors import CactusdykeError, Failure, FailureKind
+from cactusdyke.errors import CactusdykeError, Failure, FailureKind, Ran
 from cactusdyke.observe import tracing
 from cactusdyke.pipeline.request import RequestContext
 from cactusdyke.routing.messages import StreamEnd, TokenBatch
@@ -116,15 +117,16 @@
                     Failure(
                         kind=FailureKind.NOT_FOUND,
                         detail="No request with this key is known",
+                        # One may be on its way, or be long forgotten.
+                        ran=Ran.UNKNOWN,
                     )
                 )
-            case Ok(record):
-                assert record is not None
-                return json_response(
-                    {"state": record.state, "output": record.output}
-                )
+            case Ok(outcome):
+                assert outcome is not None
+                return json_response(attrs.asdict(outcome))
             case Err(failure):
-                return failure_response(failure)
+                # Reading the record did not run, but the request may have.
+                return failure_response(attrs.evolve(failure, ran=Ran.UNKNOWN))
 
     async def _call_service(
         self, context: RequestContext, service: PlainService
@@ -158,11 +160,13 @@
             )
             return admitted
         allowed_ms = call.ok_value.deadline_ms or target.deadline_ms
+        now = self._clock.now()
         context = RequestContext(
             request_id=f"{self._rng.getrandbits(128):032x}",
             customer=customer.ok_value,
             configuration=configuration,
-            deadline=self._clock.now() + allowed_ms,
+            arrived=now,
+            deadline=now + allowed_ms,
             span=self._tracing.start(
                 f"request {name}",
                 tracing.parse_traceparent(request.headers.get("traceparent")),
@@ -180,9 +184,6 @@
         with self._flights.track():
             try:
                 async for part in self._pipelines.run_stream(context, pipeline):
-                    if isinstance(part, TokenBatch):
-                        count = len(part.tokens)
-                        self._metrics.tokens.labels(pipeline.name).inc(count)
                     yield _event_bytes(context, part)
             except CactusdykeError as error:
                 outcome = error.failure.kind.code
--- a/cactusdyke/limits/fleet.py
+++ b/cactusdyke/limits/fleet.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from cactusdyke.membership.member import MemberState
+
 if TYPE_CHECKING:
     from cactusdyke.clock import Clock, Instant
     from cactusdyke.membership.members import Members
@@ -74,9 +76,11 @@
 
     def leaving(self) -> frozenset[str]:
         """Returns the names of daemons that said they are leaving."""
-        serving = {member.name for member in self._members.serving()}
-        known = {member.name for member in self._members.all()}
-        return frozenset(known - serving)
+        return frozenset(
+            member.name
+            for member in self._members.all()
+            if member.state is MemberState.LEAVING
+        )
 
 
 class FleetView:
