Accept submissions whole and keep them in force by watch, peers and reads

Cause: the thin form recognised only the last submission, took a lost answer for a failure, copied a head that grows with the deployment to every daemon, and had every daemon watch and read the store.

Two daemons of a data centre watch the store, the others follow them and each other, peers are pulled from, and a daemon knows who last confirmed its revision. The store's adapter has timeouts, a call budget and a circuit. Answers are checked with every error at once.

--- a/cactusdyke/api/__init__.py
+++ b/cactusdyke/api/__init__.py
@@ -10,6 +10,7 @@
 from cactusdyke.api.submissions import SubmissionHandlers
 from cactusdyke.application import ExtensionMetadata
 from cactusdyke.booking.bookings import Bookings
+from cactusdyke.configuration.desk import SubmissionDesk
 from cactusdyke.configuration.in_force import InForce
 from cactusdyke.limits.customer_limits import CustomerLimits
 from cactusdyke.membership.members import Members
@@ -45,10 +46,13 @@
     )
     submissions = SubmissionHandlers(
         in_force=app.service("configuration", InForce),
-        object_store=app.object_store,
+        desk=app.service("submissions", SubmissionDesk),
         settings_token_hashes=app.settings.operator_token_hashes,
     )
     app.add_route("POST", "/v1/submissions", submissions.submit)
+    app.add_route("GET", "/v1/submissions/{id}", submissions.find)
+    app.add_route("GET", "/v1/history", submissions.history)
+    app.add_route("GET", "/v1/configuration", submissions.configuration)
     app.add_route("POST", "/v1/pipelines/{name}", calls.pipeline)
     app.add_route("POST", "/v1/services/{name}", calls.service)
     app.add_route("GET", "/v1/requests/{key}", calls.find)
--- a/cactusdyke/api/calls.py
+++ b/cactusdyke/api/calls.py
@@ -145,7 +145,9 @@
         key = _idempotency_key(request, target)
         if isinstance(key, Err):
             return key
-        admitted = self._limits.admit(customer.ok_value)
+        admitted = self._in_force.permit(
+            idempotent=isinstance(target, Pipeline) or target.idempotent
+        ).and_then(lambda _: self._limits.admit(customer.ok_value))
         if isinstance(admitted, Err):
             events.log(
                 events.Event.REQUEST_REFUSED,
--- a/cactusdyke/api/submissions.py
+++ b/cactusdyke/api/submissions.py
@@ -1,18 +1,19 @@
-"""Takes submissions from operators."""
+"""Takes submissions from operators, and shows them what was accepted."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import attrs
 from result import Err, Ok, Result
 
 from cactusdyke.api import authentication
 from cactusdyke.configuration.model import Operator
-from cactusdyke.configuration.submit import Submission, submit
+from cactusdyke.configuration.submission import Submission
 from cactusdyke.errors import Failure, FailureKind
+from cactusdyke.questionnaire import check, diff
 from cactusdyke.questionnaire.answers import Answers
-from cactusdyke.questionnaire.generate import generate
+from cactusdyke.questionnaire.generate import answers_of, generate
 from cactusdyke.transport.messages import (
     Request,
     Response,
@@ -24,89 +25,228 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from cactusdyke.configuration.desk import SubmissionDesk
     from cactusdyke.configuration.in_force import InForce
-    from cactusdyke.platform.object_store import ObjectStore
+    from cactusdyke.configuration.model import Configuration
+
+MAX_ID_LENGTH = 128
+DEFAULT_LISTED = 20
+SHOWN_HASH_DIGITS = 8
 
 
 @attrs.frozen(kw_only=True)
 class SubmissionBody:
-    """What an operator sends.
+    """What an operator sends: answers, or a revision to go back to.
 
     Attributes:
         id: Chosen by the operator's client; a repeated one is recognised.
         answers: The whole questionnaire.
+        from_revision: The revision to go back to.
         base_revision: The revision that the operator saw, None for any.
+        dry_run: Whether only to say what would change.
     """
 
     id: str
-    answers: Answers
+    answers: Answers | None = None
+    from_revision: int | None = None
     base_revision: int | None = None
+    dry_run: bool = False
 
 
 class SubmissionHandlers:
-    """The handler behind /v1/submissions."""
+    """The handlers behind /v1/submissions, /v1/history, /v1/configuration."""
 
     def __init__(
         self,
         *,
         in_force: InForce,
-        object_store: ObjectStore,
+        desk: SubmissionDesk,
         settings_token_hashes: Sequence[str],
     ) -> None:
         self._in_force = in_force
-        self._object_store = object_store
+        self._desk = desk
         self._settings_operator = Operator(
             name="settings", token_hashes=tuple(settings_token_hashes)
         )
 
     async def submit(self, request: Request) -> Response:
-        """Accepts or refuses a submission."""
+        """Accepts or refuses a submission, or says what it would change."""
+        operator = self._operator(request)
+        if isinstance(operator, Err):
+            return failure_response(operator.err_value)
+        submission = _submission(request, operator.ok_value)
+        if isinstance(submission, Err):
+            return failure_response(submission.err_value)
+        body, wanted = submission.ok_value
+        if body.dry_run:
+            return _respond(await self._dry_run(body, wanted))
+        accepted = await self._desk.submit(wanted)
+        return _respond(
+            accepted.map(
+                lambda found: {
+                    **structure.unstructure(found),
+                    "warnings": _warnings(body),
+                }
+            )
+        )
+
+    async def find(self, request: Request) -> Response:
+        """Says what became of a submission, by its id."""
         operator = self._operator(request)
         if isinstance(operator, Err):
             return failure_response(operator.err_value)
-        accepted = await self._submit(request, operator.ok_value)
-        match accepted:
-            case Ok(revision):
-                return json_response({"revision": revision})
-            case Err(failure):
-                return failure_response(failure)
+        name = request.parameters["id"]
+        found = await self._desk.find(name)
+        if isinstance(found, Err):
+            return failure_response(found.err_value)
+        if found.ok_value is None:
+            return failure_response(
+                Failure(
+                    kind=FailureKind.NOT_FOUND,
+                    detail="No submission of this id has been accepted so far",
+                )
+            )
+        return json_response(structure.unstructure(found.ok_value))
+
+    async def history(self, request: Request) -> Response:
+        """Lists the revisions accepted last, the newest first."""
+        operator = self._operator(request)
+        if isinstance(operator, Err):
+            return failure_response(operator.err_value)
+        limit = request.query.get("limit", str(DEFAULT_LISTED))
+        if not limit.isdecimal() or int(limit) == 0:
+            return failure_response(
+                Failure(
+                    kind=FailureKind.BAD_REQUEST,
+                    detail="limit is not a whole number above 0",
+                )
+            )
+        heads = await self._desk.history.latest(int(limit))
+        return _respond(
+            heads.map(
+                lambda some: {
+                    "revisions": [
+                        {
+                            "revision": head.revision,
+                            "submission": head.submission,
+                            "operator": head.operator,
+                            "changed": list(head.changed),
+                            "changed_count": head.changed_count,
+                            "accepted_at": head.accepted_at,
+                            "from_revision": head.from_revision,
+                        }
+                        for head in some
+                    ]
+                }
+            )
+        )
+
+    async def configuration(self, request: Request) -> Response:
+        """Shows what is in force at this daemon, without whole hashes."""
+        operator = self._operator(request)
+        if isinstance(operator, Err):
+            return failure_response(operator.err_value)
+        current = self._in_force.current
+        return json_response(
+            {
+                "revision": current.revision,
+                "confirmation": str(self._in_force.confirmation()),
+                "confirmed_ms_ago": self._in_force.confirmed_ms_ago(),
+                "answers": _redacted(current),
+            }
+        )
+
+    async def _dry_run(
+        self, body: SubmissionBody, wanted: Submission
+    ) -> Result[dict[str, Any], Failure]:
+        stored = await self._desk.history.head()
+        if isinstance(stored, Err):
+            return stored
+        head = stored.ok_value.head
+        current = await self._desk.accepted()
+        if isinstance(current, Err):
+            return current
+        new = await self._desk.resolve(wanted, head)
+        return new.map(
+            lambda configuration: {
+                "base_revision": current.ok_value.revision,
+                "changes": diff.describe(current.ok_value, configuration),
+                "warnings": _warnings(body),
+            }
+        )
 
     def _operator(self, request: Request) -> Result[Operator, Failure]:
-        configured = authentication.operator_of(request, self._in_force.current)
-        if configured.is_ok():
-            return configured
+        current = self._in_force.current
+        if current.operators:
+            return authentication.operator_of(request, current)
         # Before the first submission nobody is configured; the settings name
         # who may make it.
         return authentication.owner_of(
             request, {"settings": self._settings_operator}
         )
 
-    async def _submit(
-        self, request: Request, operator: Operator
-    ) -> Result[int, Failure]:
-        value = request.json()
-        if isinstance(value, Err):
-            return value
-        body = structure.structure(
-            value.ok_value, SubmissionBody, name="submission"
-        )
-        if isinstance(body, Err):
-            return body
-        configuration = generate(body.ok_value.answers)
-        if isinstance(configuration, Err):
-            return configuration
-        if not body.ok_value.id:
-            return Err(
-                Failure(
-                    kind=FailureKind.INVALID, detail="submission/id is empty"
-                )
+
+def _submission(
+    request: Request, operator: Operator
+) -> Result[tuple[SubmissionBody, Submission], Failure]:
+    value = request.json()
+    if isinstance(value, Err):
+        return value
+    parsed = structure.structure(
+        value.ok_value, SubmissionBody, name="submission"
+    )
+    if isinstance(parsed, Err):
+        return parsed
+    body = parsed.ok_value
+    if not 0 < len(body.id) <= MAX_ID_LENGTH:
+        return Err(
+            _invalid(
+                "submission/id is empty or longer than"
+                f" {MAX_ID_LENGTH} characters"
             )
-        return await submit(
-            self._object_store,
-            Submission(
-                id=body.ok_value.id,
-                operator=operator.name,
-                configuration=configuration.ok_value,
-                base_revision=body.ok_value.base_revision,
-            ),
         )
+    if (body.answers is None) == (body.from_revision is None):
+        return Err(
+            _invalid("submission: give either 'answers' or 'from_revision'")
+        )
+    configuration = None
+    if body.answers is not None:
+        generated = generate(body.answers)
+        if isinstance(generated, Err):
+            return generated
+        configuration = generated.ok_value
+    submission = Submission(
+        id=body.id,
+        operator=operator.name,
+        configuration=configuration,
+        from_revision=body.from_revision,
+        base_revision=body.base_revision,
+    )
+    return Ok((body, submission))
+
+
+def _warnings(body: SubmissionBody) -> list[str]:
+    return [] if body.answers is None else list(check.warnings(body.answers))
+
+
+def _redacted(configuration: Configuration) -> Any:
+    value = structure.unstructure(answers_of(configuration))
+    for people in (value["customers"], value["operators"]):
+        for person in people:
+            person["token_hashes"] = [
+                f"{full[:SHOWN_HASH_DIGITS]}..."
+                for full in person["token_hashes"]
+            ]
+    return value
+
+
+def _respond(answer: Result[dict[str, Any], Failure]) -> Response:
+    match answer:
+        case Ok(value):
+            return json_response(value)
+        case Err(failure):
+            return failure_response(failure)
+
+
+def _invalid(detail: str) -> Failure:
+    return Failure(kind=FailureKind.INVALID, detail=detail)
--- a/cactusdyke/configuration/__init__.py
+++ b/cactusdyke/configuration/__init__.py
@@ -5,16 +5,49 @@
 from typing import TYPE_CHECKING
 
 from cactusdyke.application import ExtensionMetadata
+from cactusdyke.configuration.desk import SubmissionDesk
+from cactusdyke.configuration.exchange import ExchangeHandlers
 from cactusdyke.configuration.in_force import InForce
+from cactusdyke.configuration.peers import HEAD_PATH, PARTS_PATH, Peer
 
 if TYPE_CHECKING:
     from cactusdyke.application import Application
 
 
 def setup(app: Application) -> ExtensionMetadata:
-    """Registers the service that keeps a configuration in force."""
+    """Registers what keeps a configuration in force and what accepts one."""
+    settings = app.settings
+    in_force = InForce(
+        own=Peer(
+            name=settings.name,
+            address=settings.address,
+            data_centre=settings.data_centre,
+        ),
+        seeds=[
+            Peer(
+                name=peer.name,
+                address=peer.address,
+                data_centre=peer.data_centre,
+            )
+            for peer in settings.peers
+        ],
+        clock=app.clock,
+        rng=app.rng,
+        object_store=app.object_store,
+        network=app.network,
+    )
+    app.add_service("configuration", in_force)
     app.add_service(
-        "configuration",
-        InForce(clock=app.clock, object_store=app.object_store),
+        "submissions",
+        SubmissionDesk(
+            clock=app.clock,
+            rng=app.rng,
+            object_store=app.object_store,
+            in_force=in_force,
+        ),
     )
-    return ExtensionMetadata(version="1")
+    exchange = ExchangeHandlers(in_force=in_force)
+    app.add_route("GET", HEAD_PATH, exchange.head)
+    app.add_route("POST", PARTS_PATH, exchange.parts)
+    app.object_store.publish(app.metrics)
+    return ExtensionMetadata(version="2")
--- a/cactusdyke/configuration/model.py
+++ b/cactusdyke/configuration/model.py
@@ -7,6 +7,9 @@
 
 import attrs
 
+from cactusdyke.util import checks
+from cactusdyke.util.checks import Within, checked
+
 
 class PoolKind(enum.StrEnum):
     """What the backend servers of a pool do."""
@@ -69,13 +72,19 @@
         slots: Requests that it runs at once.
     """
 
-    name: str
-    address: str
-    data_centre: str
+    name: str = attrs.field(metadata=checked(checks.NAME))
+    address: str = attrs.field(metadata=checked(checks.ADDRESS))
+    data_centre: str = attrs.field(metadata=checked(checks.NAME))
     accelerator: str = "none"
-    speed: float = 1.0
-    price_per_second: float = 0.0
-    slots: int = 8
+    speed: float = attrs.field(
+        default=1.0, metadata=checked(Within(low=0, high=1e6, above_low=True))
+    )
+    price_per_second: float = attrs.field(
+        default=0.0, metadata=checked(Within(low=0, high=1e6))
+    )
+    slots: int = attrs.field(
+        default=8, metadata=checked(Within(low=1, high=100_000))
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -148,11 +157,13 @@
     """What the operator weighs.
 
     Attributes:
+        deployment: The deployment's name.
         attainment_weight: From 0 (only cost counts) to 1 (only attainment).
         when_unconfirmed: What a daemon does that is cut off.
         unconfirmed_after_ms: How long without confirmation counts as cut off.
     """
 
+    deployment: str = ""
     attainment_weight: float = 0.5
     when_unconfirmed: WhenUnconfirmed = WhenUnconfirmed.REFUSE_BOOKINGS
     unconfirmed_after_ms: float = 30_000.0
--- a/cactusdyke/daemon.py
+++ b/cactusdyke/daemon.py
@@ -13,6 +13,7 @@
 from cactusdyke import events
 from cactusdyke.application import Application
 from cactusdyke.clock import SystemClock
+from cactusdyke.platform.guarded_object_store import GuardedObjectStore
 from cactusdyke.platform.host_list import HttpHostList
 from cactusdyke.platform.http_object_store import HttpObjectStore
 from cactusdyke.transport.asgi import AsgiAdapter
@@ -30,14 +31,19 @@
         OSError: The address can't be bound.
     """
     clock = SystemClock()
+    rng = random.SystemRandom()
     async with HttpNetwork() as network:
         app = Application(
             settings=settings,
             clock=clock,
-            rng=random.SystemRandom(),
+            rng=rng,
             network=network,
-            object_store=HttpObjectStore(
-                address=settings.object_service, network=network
+            object_store=GuardedObjectStore(
+                store=HttpObjectStore(
+                    address=settings.object_service, network=network
+                ),
+                clock=clock,
+                rng=rng,
             ),
             host_list=HttpHostList(address=settings.host_list, network=network),
         )
--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -29,11 +29,29 @@
         "A revision could not be read whole; the one in force stays.",
         "Submit the configuration again or read the named object.",
     )
+    CONFIGURATION_STORE_BEHIND = (
+        2003,
+        "The store names a lower revision than the one in force, which stays.",
+        "Find out whether the store was restored from an old copy.",
+    )
+    SUBMISSION_ACCEPTED = (2004, "A submission was accepted.", "")
+    SUBMISSION_UNKNOWN = (
+        2005,
+        "Whether a submission was accepted could not be found out.",
+        "Submit it again under the same id; it is accepted once at most.",
+    )
+    HISTORY_SWEPT = (2006, "An old revision and its parts were deleted.", "")
     STORE_UNAVAILABLE = (
         2101,
         "The object service did not answer.",
         "Check the platform's object service; serving goes on without it.",
     )
+    STORE_AVAILABLE = (2102, "The object service answers again.", "")
+    STORE_CIRCUIT_OPENED = (
+        2103,
+        "Calls to the object service are held back for a while.",
+        "Check the platform's object service; serving goes on without it.",
+    )
     MEMBER_CHANGED = (3001, "A daemon's state as seen from here changed.", "")
     ATTEMPT_FAILED = (
         4001,
--- a/cactusdyke/membership/__init__.py
+++ b/cactusdyke/membership/__init__.py
@@ -22,7 +22,9 @@
         rng=app.rng,
         network=app.network,
         revision=lambda: in_force.current.revision,
+        heard_of=in_force.heard_of,
     )
+    in_force.follow(members)
     app.add_service("membership", members)
     app.add_route("POST", GOSSIP_PATH, members.handle)
     return ExtensionMetadata(version="1")
--- a/cactusdyke/membership/members.py
+++ b/cactusdyke/membership/members.py
@@ -10,6 +10,7 @@
 from result import Err, Ok
 
 from cactusdyke import events
+from cactusdyke.configuration.peers import Directory, Peer
 from cactusdyke.kernel import Service
 from cactusdyke.transport.messages import (
     Request,
@@ -65,7 +66,7 @@
     revision: int
 
 
-class Members(Service):
+class Members(Service, Directory):
     """The table of daemons, exchanged with one other each second."""
 
     def __init__(
@@ -76,12 +77,14 @@
         rng: random.Random,
         network: Network,
         revision: Callable[[], int],
+        heard_of: Callable[[int, str], None],
     ) -> None:
         self._settings = settings
         self._clock = clock
         self._rng = rng
         self._network = network
         self._revision = revision
+        self._heard_of = heard_of
         self._state = MemberState.LIVE
         self._incarnation = clock.wall()
         self._heartbeat = 0
@@ -112,6 +115,13 @@
         ]
         return (self.own, *sorted(others, key=lambda member: member.name))
 
+    def peers(self) -> tuple[Peer, ...]:
+        """Returns the other daemons that configuration may be had from."""
+        return tuple(
+            Peer(name=m.name, address=m.address, data_centre=m.data_centre)
+            for m in self.all()[1:]
+        )
+
     def serving(self) -> tuple[Member, ...]:
         """Returns the daemons that callers may be sent to."""
         return tuple(m for m in self.all() if m.state is MemberState.LIVE)
@@ -183,6 +193,7 @@
             return
         self._members[member.name] = member
         self._heard_at[member.name] = self._clock.now()
+        self._heard_of(member.revision, member.address)
         if known is None or known.state is not member.state:
             events.log(
                 events.Event.MEMBER_CHANGED,
--- a/cactusdyke/platform/http_object_store.py
+++ b/cactusdyke/platform/http_object_store.py
@@ -5,7 +5,6 @@
 import base64
 from typing import TYPE_CHECKING, Any
 
-import orjson
 from result import Err, Ok, Result
 
 from cactusdyke.errors import Failure, FailureKind, Ran
@@ -114,8 +113,11 @@
         answer = await self._network.fetch(self._address, request, options)
         if isinstance(answer, Err):
             return Err(_unavailable(answer.err_value))
-        if answer.ok_value.status >= 500:
-            return Err(_refused(answer.ok_value.status))
+        status = answer.ok_value.status
+        if status >= 500:
+            return Err(_refused(status))
+        if status not in (200, 204, 404, 409):
+            return Err(_declined(status))
         return answer
 
 
@@ -139,7 +141,7 @@
 def _parse_object(
     response: Response,
 ) -> Result[StoredObject | None, Failure]:
-    return Ok(_to_object(orjson.loads(_bytes(response))))
+    return parse_object(_bytes(response)).map(_to_object)
 
 
 def _unavailable(failure: Failure) -> Failure:
@@ -161,6 +163,14 @@
     )
 
 
+def _declined(status: int) -> Failure:
+    return Failure(
+        kind=FailureKind.STORE_UNAVAILABLE,
+        detail=f"The object service declined the call with {status}",
+        retry_after_ms=RETRY_AFTER_MS,
+    )
+
+
 def _write_failure(failure: Failure) -> Failure:
     if failure.ran is Ran.NOT_RUN:
         return failure
--- a/cactusdyke/platform/object_store.py
+++ b/cactusdyke/platform/object_store.py
@@ -8,6 +8,7 @@
 import attrs
 
 if TYPE_CHECKING:
+    from prometheus_client import CollectorRegistry
     from result import Result
 
     from cactusdyke.errors import Failure
@@ -38,6 +39,10 @@
     done) or STORE_UNKNOWN (done or not: its answer was lost, read back).
     """
 
+    def publish(self, registry: CollectorRegistry) -> None:
+        """Registers the store's metrics, if it has any."""
+        del registry
+
     @abc.abstractmethod
     async def read(self, key: str) -> Result[StoredObject | None, Failure]:
         """Returns an object, or None where there is none."""
--- a/cactusdyke/questionnaire/answers.py
+++ b/cactusdyke/questionnaire/answers.py
@@ -11,74 +11,97 @@
     PoolKind,
     WhenUnconfirmed,
 )
-from cactusdyke.util import jsonc, structure
+from cactusdyke.util import checks, jsonc, structure
+from cactusdyke.util.checks import Each, Within, checked
 
 if TYPE_CHECKING:
     from result import Result
 
     from cactusdyke.errors import Failure
 
+MAX_DEADLINE_MS = 600_000.0
+
+_NAME = checked(checks.NAME)
+_HASHES = checked(Each(check=checks.TOKEN_HASH, at_least=1))
+_DEADLINE = checked(
+    Within(low=0, high=MAX_DEADLINE_MS, above_low=True, unit="ms")
+)
+_PRIORITY = checked(Within(low=-1000, high=1000))
+
 
 @attrs.frozen(kw_only=True)
 class PersonAnswer:
     """Who may operate the deployment."""
 
-    name: str
-    token_hashes: tuple[str, ...]
+    name: str = attrs.field(metadata=_NAME)
+    token_hashes: tuple[str, ...] = attrs.field(metadata=_HASHES)
 
 
 @attrs.frozen(kw_only=True)
 class CustomerAnswer:
     """Who sends requests, and how many."""
 
-    name: str
-    token_hashes: tuple[str, ...]
-    requests_per_second: float
-    burst: float
-    share: float = 1.0
-    priority: int = 0
+    name: str = attrs.field(metadata=_NAME)
+    token_hashes: tuple[str, ...] = attrs.field(metadata=_HASHES)
+    requests_per_second: float = attrs.field(
+        metadata=checked(Within(low=0, high=1e6, unit="a second"))
+    )
+    burst: float = attrs.field(
+        metadata=checked(Within(low=0, high=1e6, unit="requests"))
+    )
+    share: float = attrs.field(
+        default=1.0,
+        metadata=checked(Within(low=0, high=1e6, above_low=True)),
+    )
+    priority: int = attrs.field(default=0, metadata=_PRIORITY)
 
 
 @attrs.frozen(kw_only=True)
 class PoolAnswer:
     """Which backend servers there are."""
 
-    name: str
+    name: str = attrs.field(metadata=_NAME)
     kind: PoolKind
-    backend_servers: tuple[BackendServer, ...]
+    backend_servers: tuple[BackendServer, ...] = attrs.field(
+        metadata=checked(Each(at_least=1))
+    )
     checks_fencing_numbers: bool = False
     calls_may_be_repeated: bool = True
-    models: tuple[str, ...] = ()
+    models: tuple[str, ...] = attrs.field(
+        default=(), metadata=checked(Each(check=checks.NAME))
+    )
 
 
 @attrs.frozen(kw_only=True)
 class StageAnswer:
     """One step of a job."""
 
-    name: str
+    name: str = attrs.field(metadata=_NAME)
     pool: str
     model: str = ""
-    usually_takes_ms: float = 100.0
+    usually_takes_ms: float = attrs.field(default=100.0, metadata=_DEADLINE)
 
 
 @attrs.frozen(kw_only=True)
 class JobAnswer:
     """A job that callers ask for, as stages under one deadline."""
 
-    name: str
-    deadline_ms: float
-    stages: tuple[StageAnswer, ...]
-    priority: int = 0
+    name: str = attrs.field(metadata=_NAME)
+    deadline_ms: float = attrs.field(metadata=_DEADLINE)
+    stages: tuple[StageAnswer, ...] = attrs.field(
+        metadata=checked(Each(at_least=1))
+    )
+    priority: int = attrs.field(default=0, metadata=_PRIORITY)
 
 
 @attrs.frozen(kw_only=True)
 class ServiceAnswer:
     """A plain service, and whether its calls must never happen twice."""
 
-    name: str
+    name: str = attrs.field(metadata=_NAME)
     pool: str
     must_never_happen_twice: bool
-    deadline_ms: float
+    deadline_ms: float = attrs.field(metadata=_DEADLINE)
 
 
 @attrs.frozen(kw_only=True)
@@ -97,15 +120,20 @@
         services: Plain services that are routed to as well.
     """
 
-    deployment: str
-    attainment_against_cost: float
+    deployment: str = attrs.field(metadata=_NAME)
+    attainment_against_cost: float = attrs.field(
+        metadata=checked(Within(low=0, high=1))
+    )
     when_cut_off: WhenUnconfirmed
     operators: tuple[PersonAnswer, ...]
     customers: tuple[CustomerAnswer, ...]
     pools: tuple[PoolAnswer, ...]
     jobs: tuple[JobAnswer, ...]
     services: tuple[ServiceAnswer, ...] = ()
-    cut_off_after_ms: float = 30_000.0
+    cut_off_after_ms: float = attrs.field(
+        default=30_000.0,
+        metadata=checked(Within(low=5_000, high=600_000, unit="ms")),
+    )
 
 
 def parse(text: str, *, name: str) -> Result[Answers, Failure]:
--- a/cactusdyke/settings.py
+++ b/cactusdyke/settings.py
@@ -8,16 +8,17 @@
 from result import Err, Ok, Result
 
 from cactusdyke.errors import Failure, FailureKind
-from cactusdyke.util import jsonc, structure
+from cactusdyke.util import checks, jsonc, structure
+from cactusdyke.util.checks import Each, Matching, Within, checked
 
 
 @attrs.frozen(kw_only=True)
 class Peer:
     """Another daemon to begin membership with."""
 
-    name: str
-    address: str
-    data_centre: str
+    name: str = attrs.field(metadata=checked(checks.NAME))
+    address: str = attrs.field(metadata=checked(checks.ADDRESS))
+    data_centre: str = attrs.field(metadata=checked(checks.NAME))
 
 
 @attrs.frozen(kw_only=True)
@@ -51,22 +52,30 @@
         log_file: Where events are written; standard error if empty.
     """
 
-    name: str
+    name: str = attrs.field(metadata=checked(checks.NAME))
     host: str
-    port: int = attrs.field(
-        validator=[attrs.validators.ge(0), attrs.validators.le(65535)]
+    port: int = attrs.field(metadata=checked(Within(low=0, high=65535)))
+    data_centre: str = attrs.field(metadata=checked(checks.NAME))
+    object_service: str = attrs.field(metadata=checked(checks.ADDRESS))
+    host_list: str = attrs.field(metadata=checked(checks.ADDRESS))
+    region: str = attrs.field(default="default", metadata=checked(checks.NAME))
+    advertised_address: str = attrs.field(
+        default="",
+        metadata=checked(
+            Matching(
+                pattern=f"|{checks.ADDRESS.pattern}", form=checks.ADDRESS.form
+            )
+        ),
     )
-    data_centre: str
-    object_service: str
-    host_list: str
-    region: str = "default"
-    advertised_address: str = ""
     peers: tuple[Peer, ...] = ()
     adapters: Adapters = attrs.field(factory=Adapters)
     extensions: tuple[str, ...] = ()
-    operator_token_hashes: tuple[str, ...] = ()
+    operator_token_hashes: tuple[str, ...] = attrs.field(
+        default=(), metadata=checked(Each(check=checks.TOKEN_HASH))
+    )
     linger_ms: float = attrs.field(
-        default=5_000.0, validator=attrs.validators.ge(0)
+        default=5_000.0,
+        metadata=checked(Within(low=0, high=600_000, unit="ms")),
     )
     log_file: str = ""
 
--- a/features/support/deployment.py
+++ b/features/support/deployment.py
@@ -10,6 +10,7 @@
 
 from cactusdyke.application import Application
 from cactusdyke.client import Client
+from cactusdyke.platform.guarded_object_store import GuardedObjectStore
 from cactusdyke.platform.host_list import HttpHostList
 from cactusdyke.platform.http_object_store import HttpObjectStore
 from cactusdyke.settings import Settings
@@ -161,7 +162,11 @@
             clock=self.hub.clock_of(name),
             rng=random.Random(self.rng.random()),
             network=network,
-            object_store=HttpObjectStore(address=STORE, network=network),
+            object_store=GuardedObjectStore(
+                store=HttpObjectStore(address=STORE, network=network),
+                clock=self.hub.clock_of(name),
+                rng=random.Random(self.rng.random()),
+            ),
             host_list=HttpHostList(address=HOSTS, network=network),
             replacements=self._replacements,
         )
@@ -230,7 +235,11 @@
             }
             for kind, names in pools.items()
         ],
-        "jobs": [{"name": "summary", "deadline_ms": 6000, "stages": stages}],
+        "jobs": (
+            [{"name": "summary", "deadline_ms": 6000, "stages": stages}]
+            if stages
+            else []
+        ),
         "services": services if "plain" in pools else [],
     }
     return {**value, **changes}
