Prove submissions and what is in force by stories and a state machine

A hypothesis machine writes programs of racing submissions, outages, lost and late answers, silent connections, cuts, freezes and replaced daemons; they run in virtual time against a dictionary from revision to content.

--- a/cactusdyke/configuration/__init__.py
+++ b/cactusdyke/configuration/__init__.py
@@ -16,8 +16,18 @@
 
 def setup(app: Application) -> ExtensionMetadata:
     """Registers what keeps a configuration in force and what accepts one."""
+    return setup_with(app, in_force_type=InForce, desk_type=SubmissionDesk)
+
+
+def setup_with(
+    app: Application,
+    *,
+    in_force_type: type[InForce],
+    desk_type: type[SubmissionDesk],
+) -> ExtensionMetadata:
+    """Registers the services as these classes, such as naive versions."""
     settings = app.settings
-    in_force = InForce(
+    in_force = in_force_type(
         own=Peer(
             name=settings.name,
             address=settings.address,
@@ -39,7 +49,7 @@
     app.add_service("configuration", in_force)
     app.add_service(
         "submissions",
-        SubmissionDesk(
+        desk_type(
             clock=app.clock,
             rng=app.rng,
             object_store=app.object_store,
--- a/cactusdyke/configuration/sweeper.py
+++ b/cactusdyke/configuration/sweeper.py
@@ -32,8 +32,8 @@
     A reference is born with one revision and dropped by a later one for
     good: going back writes parts anew. So what the oldest kept revision
     names and its successor doesn't is named by no kept revision. Parts of
-    attempts that lost their race carry another nonce than their revision's
-    successor, and are found by their prefix.
+    attempts that lost the race for it carry another nonce, and are found by
+    the prefix that they share with its own.
     """
 
     def __init__(
@@ -102,7 +102,7 @@
         dropped = await self._dropped(oldest, successor)
         if isinstance(dropped, Err):
             return dropped
-        orphans = await self._orphans(successor)
+        orphans = await self._orphans(oldest)
         if isinstance(orphans, Err):
             return orphans
         # The history object goes last: a sweep that is cut short is begun
@@ -160,9 +160,9 @@
         return Ok(references)
 
     async def _orphans(
-        self, successor: objects.Head
+        self, winner: objects.Head
     ) -> Result[list[str], Failure]:
-        prefix = objects.part_key(f"{successor.revision - 1}-")
+        prefix = objects.part_key(f"{winner.revision - 1}-")
         orphans: list[str] = []
         after = ""
         while True:
@@ -173,7 +173,7 @@
                 return listed
             for stored in listed.ok_value:
                 reference = stored.key.removeprefix(objects.PART_PREFIX)
-                if objects.nonce_of(reference) != successor.nonce:
+                if objects.nonce_of(reference) != winner.nonce:
                     orphans.append(stored.key)
             if len(listed.ok_value) < ORPHANS_PER_LIST:
                 return Ok(orphans)
--- /dev/null
+++ b/features/configuration/in_force.feature
@@ -0,0 +1,71 @@
+Feature: an accepted configuration is in force everywhere and never reverts
+
+  Scenario: a watch that went silent is noticed
+    # Every open watch goes silent for good while new connections work. A
+    # change is accepted; daemons that trust their watch never learn of it.
+    Given a configuration world of 6 daemons
+    When all open connections to the store go silent and a change is accepted
+    Then the change is in force everywhere within 6500 ms
+
+  Scenario: few daemons watch the store, however many there are
+    # Every waiting watch is counted by the store. Daemons that follow others
+    # still get a change at once.
+    Given a configuration world of 24 daemons
+    When a change is accepted
+    Then the change is in force everywhere within 1000 ms
+    And 6 daemons watch the store
+
+  Scenario: followers of a dead daemon get the change
+    # The daemons that watch the store in a data centre die together. Their
+    # followers' questions are never answered.
+    Given a configuration world of 12 daemons
+    When the watchers of a data centre freeze and a change is accepted
+    Then the change is in force at all others within 13000 ms
+
+  Scenario: a daemon started in an outage takes the highest revision of peers
+    # The store is down and a host is replaced. Its daemon has no disk; without
+    # its peers it could serve nobody until the store is back.
+    Given a configuration world of 6 daemons
+    When a daemon is replaced while the store is down
+    Then it has the revision of its peers in force within 1000 ms
+
+  Scenario: a damaged part is not half applied
+    # One part of a new revision is damaged in the store. A daemon that applies
+    # the parts one by one serves some customers by the old limits and some by
+    # the new ones.
+    Given a configuration world of 3 daemons
+    When a part of an accepted change is damaged until it is mended
+    Then no daemon had any of the change before it was mended
+    And all have the change once it is mended
+
+  Scenario: a daemon that is cut off alone stops bookings, not pipelines
+    # One daemon loses the store and all other data centres. It cannot know
+    # whether a higher revision was accepted, and the operators chose that it
+    # then refuses bookings.
+    Given a configuration world of 6 daemons
+    When a daemon is cut off from the store and from the other data centres
+    Then it refuses bookings as unconfirmed and still runs pipelines
+    And it takes bookings again after the cut heals
+
+  Scenario: a store that is down for all does not stop the daemons
+    # The store is down for all. Nobody can have had a change accepted, and the
+    # daemons of most data centres still agree with each other.
+    Given a configuration world of 6 daemons
+    When the store is down for 10 minutes
+    Then every daemon is confirmed by its peers
+    And after the outage a change is in force everywhere within 3500 ms
+
+  Scenario: a request keeps the revision it began with
+    # A request is in its first stage when a change takes its second stage's
+    # pool away. Its second stage still runs as the old revision says.
+    Given a configuration world of 3 daemons
+    When a change removes a pool while a request is before that stage
+    Then the request is answered whole and later ones are not found
+
+  Scenario: daemons keep the promises whatever happens to them
+    When 25 programs of submissions and faults run
+    Then no promise about the configuration is broken
+
+  Scenario: the same programs catch a configuration polled object by object
+    When the programs run on the naive configuration
+    Then a partial, reverted or crossed configuration is found
--- a/features/support/deployment.py
+++ b/features/support/deployment.py
@@ -78,7 +78,7 @@
 
     async def start_daemon(self, name: str, peers: tuple[str, ...]) -> None:
         """Starts a daemon that knows some peers by name."""
-        number = len(self.daemons)
+        number = data_centre_number(name, len(self.daemons))
         settings = structure.structure(
             {
                 "name": name,
@@ -180,6 +180,12 @@
                 await anyio.sleep_forever()
 
 
+def data_centre_number(name: str, default: int) -> int:
+    """Returns a number that a replaced daemon keeps: that of its name."""
+    digits = name.rpartition("-")[2]
+    return int(digits) - 1 if digits.isdecimal() else default
+
+
 def answers(deployment: Deployment, **changes: Any) -> dict[str, Any]:
     """Returns answers for the deployment's backend servers.
 
--- a/features/support/hub.py
+++ b/features/support/hub.py
@@ -54,6 +54,7 @@
         self._links: dict[tuple[str, str], Link] = {}
         self._awake: dict[str, anyio.Event] = {}
         self._dead: dict[str, anyio.Event] = {}
+        self._open: dict[tuple[str, str], list[Any]] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
 
     async def __aenter__(self) -> Hub:
@@ -78,6 +79,10 @@
         """Returns the link whose faults may be changed."""
         return self._links.setdefault((source, target), Link())
 
+    def links(self) -> list[Link]:
+        """Returns every link whose faults were ever looked at."""
+        return list(self._links.values())
+
     def clock_of(self, owner: str) -> Clock:
         """Returns a clock whose sleeps end only while the owner is awake."""
         return _OwnerClock(hub=self, owner=owner)
@@ -105,6 +110,19 @@
         while event := self._awake.get(owner):
             await event.wait()
 
+    def silence_open(self, caller: str, listener: str) -> None:
+        """Lets connections open now go silent for good; new ones work."""
+        for exchange in self._open.get((caller, listener), ()):
+            exchange.lose()
+
+    def opened(self, caller: str, listener: str, exchange: Any) -> None:
+        """Notes an exchange that is under way."""
+        self._open.setdefault((caller, listener), []).append(exchange)
+
+    def closed(self, caller: str, listener: str, exchange: Any) -> None:
+        """Forgets an exchange that has ended."""
+        self._open[caller, listener].remove(exchange)
+
     def start(self, function: Any, *args: Any) -> None:
         """Runs a task for as long as the hub is open."""
         assert self._tasks is not None
@@ -159,11 +177,13 @@
             options=options,
         )
         self._hub.start(exchange.serve, request)
+        self._hub.opened(self._owner, listener.owner, exchange)
         try:
             opened = await exchange.head()
             await self._hub.awake(self._owner)
             yield opened
         finally:
+            self._hub.closed(self._owner, listener.owner, exchange)
             exchange.close()
 
 
@@ -236,6 +256,10 @@
             await self._hub.awake(self._caller)
             yield chunk
 
+    def lose(self) -> None:
+        """Lets nothing more of the answer arrive."""
+        self._lost = True
+
     def close(self) -> None:
         """Leaves the answer; its server notices at its next send."""
         self._receiver.close()
--- a/standins/object_service.py
+++ b/standins/object_service.py
@@ -50,6 +50,11 @@
     async def _write(self, request: Request) -> Response:
         self.counts["writes"] += 1
         key = _key(request)
+        # Faults of one write: `late_write` takes effect after its writer has
+        # given up; `lost_write` takes effect, but its answer never comes.
+        if self.faults.get("late_write") == key:
+            del self.faults["late_write"]
+            await self.clock.sleep(self.faults["late_ms"])
         if self._conflicts(request, key):
             return json_response({"error": "version"}, status=409)
         if len(request.body) > MAX_VALUE_BYTES:
@@ -57,6 +62,9 @@
         self.version += 1
         self.objects[key] = (self.version, request.body)
         self._notify()
+        if self.faults.get("lost_write") == key:
+            del self.faults["lost_write"]
+            await anyio.sleep_forever()
         return json_response({"version": self.version})
 
     async def _delete(self, request: Request) -> Response:
