--- a/cactusdyke/api/submissions.py
+++ b/cactusdyke/api/submissions.py
@@ -7,8 +7,6 @@
 import attrs
 from result import Err, Ok, Result
 
-from cactusdyke.api import authentication
-from cactusdyke.configuration.model import Operator
 from cactusdyke.configuration.submission import Submission
 from cactusdyke.errors import Failure, FailureKind
 from cactusdyke.questionnaire import check, diff
@@ -23,11 +21,10 @@
 from cactusdyke.util import structure
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
-
+    from cactusdyke.api.authentication import OperatorGate
     from cactusdyke.configuration.desk import SubmissionDesk
     from cactusdyke.configuration.in_force import InForce
-    from cactusdyke.configuration.model import Configuration
+    from cactusdyke.configuration.model import Configuration, Operator
 
 MAX_ID_LENGTH = 128
 DEFAULT_LISTED = 20
@@ -59,19 +56,17 @@
     def __init__(
         self,
         *,
+        gate: OperatorGate,
         in_force: InForce,
         desk: SubmissionDesk,
-        settings_token_hashes: Sequence[str],
     ) -> None:
+        self._gate = gate
         self._in_force = in_force
         self._desk = desk
-        self._settings_operator = Operator(
-            name="settings", token_hashes=tuple(settings_token_hashes)
-        )
 
     async def submit(self, request: Request) -> Response:
         """Accepts or refuses a submission, or says what it would change."""
-        operator = self._operator(request)
+        operator = self._gate.operator_of(request)
         if isinstance(operator, Err):
             return failure_response(operator.err_value)
         submission = _submission(request, operator.ok_value)
@@ -92,7 +87,7 @@
 
     async def find(self, request: Request) -> Response:
         """Says what became of a submission, by its id."""
-        operator = self._operator(request)
+        operator = self._gate.operator_of(request)
         if isinstance(operator, Err):
             return failure_response(operator.err_value)
         name = request.parameters["id"]
@@ -110,7 +105,7 @@
 
     async def history(self, request: Request) -> Response:
         """Lists the revisions accepted last, the newest first."""
-        operator = self._operator(request)
+        operator = self._gate.operator_of(request)
         if isinstance(operator, Err):
             return failure_response(operator.err_value)
         limit = request.query.get("limit", str(DEFAULT_LISTED))
@@ -143,7 +138,7 @@
 
     async def configuration(self, request: Request) -> Response:
         """Shows what is in force at this daemon, without whole hashes."""
-        operator = self._operator(request)
+        operator = self._gate.operator_of(request)
         if isinstance(operator, Err):
             return failure_response(operator.err_value)
         current = self._in_force.current
@@ -175,16 +170,6 @@
             }
         )
 
-    def _operator(self, request: Request) -> Result[Operator, Failure]:
-        current = self._in_force.current
-        if current.operators:
-            return authentication.operator_of(request, current)
-        # Before the first submission nobody is configured; the settings name
-        # who may make it.
-        return authentication.owner_of(
-            request, {"settings": self._settings_operator}
-        )
-
 
 def _submission(
     request: Request, operator: Operator
