--- a/cactusdyke/util/structure.py
+++ b/cactusdyke/util/structure.py
@@ -109,7 +109,7 @@
     return hook
 
 
-def _enum_hook(value: Any, kind: type[enum.Enum]) -> enum.Enum:
+def _enum_hook(value: Any, kind: type[enum.StrEnum]) -> enum.StrEnum:
     known = [member.value for member in kind]
     if value not in known:
         raise _Rejected(
@@ -187,10 +187,8 @@
     converter.register_structure_hook(int, _strict(int, "a whole number"))
     converter.register_structure_hook(float, _strict((int, float), "a number"))
     converter.register_structure_hook(bool, _strict(bool, "true or false"))
-    converter.register_structure_hook_func(
-        lambda kind: isinstance(kind, type) and issubclass(kind, enum.Enum),
-        _enum_hook,
-    )
+    # Dispatched as a class, as StrEnum would else be taken for a text.
+    converter.register_structure_hook(enum.StrEnum, _enum_hook)
     converter.register_structure_hook_factory(_is_tuple)(_tuple_factory)
     converter.register_structure_hook_factory(attrs.has)(_class_factory)
     return converter
