Merge configuration

Submissions, what is in force, the guarded store and the questionnaire meet the membership of probes: the revision hook replaces the table's, members are the configuration's directory.

--- a/cactusdyke/daemon.py
+++ b/cactusdyke/daemon.py
@@ -15,6 +15,7 @@
 from cactusdyke.application import Application
 from cactusdyke.clock import SystemClock
 from cactusdyke.observe.traffic import MeteredNetwork, Traffic
+from cactusdyke.platform.guarded_object_store import GuardedObjectStore
 from cactusdyke.platform.host_list import HttpHostList
 from cactusdyke.platform.http_object_store import HttpObjectStore
 from cactusdyke.transport.asgi import AsgiAdapter
@@ -32,6 +33,7 @@
         OSError: The address can't be bound.
     """
     clock = SystemClock()
+    rng = random.SystemRandom()
     registry = prometheus_client.CollectorRegistry()
     prometheus_client.ProcessCollector(registry=registry)
     traffic = Traffic(registry)
@@ -40,10 +42,14 @@
         app = Application(
             settings=settings,
             clock=clock,
-            rng=random.SystemRandom(),
+            rng=rng,
             network=network,
-            object_store=HttpObjectStore(
-                address=settings.object_service, network=network
+            object_store=GuardedObjectStore(
+                store=HttpObjectStore(
+                    address=settings.object_service, network=network
+                ),
+                clock=clock,
+                rng=rng,
             ),
             host_list=HttpHostList(address=settings.host_list, network=network),
             registry=registry,
--- a/cactusdyke/membership/__init__.py
+++ b/cactusdyke/membership/__init__.py
@@ -31,6 +31,8 @@
         host_list=app.host_list,
         revision=lambda: in_force.current.revision,
     )
+    members.on_revision(in_force.heard_of)
+    in_force.follow(members)
     app.add_service("membership", members)
     app.add_route("POST", GOSSIP_PATH, members.handle)
     return ExtensionMetadata(version="1")
--- a/cactusdyke/membership/members.py
+++ b/cactusdyke/membership/members.py
@@ -7,6 +7,7 @@
 import anyio
 from result import Err
 
+from cactusdyke.configuration.peers import Directory, Peer
 from cactusdyke.kernel import Service
 from cactusdyke.membership.exchange import Exchange
 from cactusdyke.membership.member import Member, MemberState
@@ -43,7 +44,7 @@
 LEAVE_FANOUT = 6
 
 
-class Members(Service):
+class Members(Service, Directory):
     """Probes one daemon each second and passes on what it hears."""
 
     def __init__(
@@ -92,6 +93,13 @@
         others = self._table.others(exclude={MemberState.DEAD})
         return (self.own, *sorted(others, key=_by_name))
 
+    def peers(self) -> tuple[Peer, ...]:
+        """Returns the other daemons that configuration may be had from."""
+        return tuple(
+            Peer(name=m.name, address=m.address, data_centre=m.data_centre)
+            for m in self.all()[1:]
+        )
+
     def serving(self) -> tuple[Member, ...]:
         """Returns the daemons that callers may be sent to.
 
