Show what answers would change, and look up a submission whose answer was lost

Cause: operators could not see a change before making it, nor the examples without a checkout; and a submit whose daemon died before answering ended as unknown although the history knows.

Ruled out: sending it again blindly. The id makes that harmless, but the history answers without another write.

Change: questionnaire example, check with every error and warning, generate with a line for each difference, history, submit that looks a lost answer up.

--- a/cactusdyke/client.py
+++ b/cactusdyke/client.py
@@ -7,6 +7,7 @@
 import random
 from typing import TYPE_CHECKING, Any, Self
 
+import attrs
 import orjson
 from result import Err, Ok, Result
 
@@ -172,13 +173,16 @@
             if not await tries.wait_until_next():
                 raise CactusdykeError(tries.failure)
 
-    async def get(self, path: str) -> Result[dict[str, Any], Failure]:
+    async def get(
+        self, path: str, **query: str
+    ) -> Result[dict[str, Any], Failure]:
         """Reads from the first address that answers."""
+        request = attrs.evolve(
+            self._request(path, None, None, None), query=query
+        )
         failure = no_address()
         for address in await self._shuffled():
-            answer = await self._fetch(
-                address, self._request(path, None, None, None)
-            )
+            answer = await self._fetch(address, request)
             if isinstance(answer, Ok):
                 return answer
             failure = answer.err_value
--- a/cactusdyke/cmd/connection.py
+++ b/cactusdyke/cmd/connection.py
@@ -24,6 +24,11 @@
     return Client(seeds=addresses(entry), token=token(token_file))
 
 
+def is_named(entry: str | Sequence[str]) -> bool:
+    """Returns whether a deployment was named, by flag or environment."""
+    return bool(entry or os.environ.get(ENTRY_VARIABLE, ""))
+
+
 def addresses(entry: str | Sequence[str]) -> tuple[str, ...]:
     """Returns the addresses of `--entry`, or of CACTUSDYKE_ENTRY.
 
--- a/cactusdyke/cmd/main.py
+++ b/cactusdyke/cmd/main.py
@@ -25,6 +25,7 @@
     "questionnaire": QuestionnaireCommands,
     "submit": submit,
     "status": reading.status,
+    "history": reading.history,
     "addresses": reading.addresses,
     "call": call,
     "cost": reading.cost,
--- a/cactusdyke/cmd/questionnaire.py
+++ b/cactusdyke/cmd/questionnaire.py
@@ -2,53 +2,121 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import pathlib
+import sys
+import uuid
+from typing import TYPE_CHECKING, Any
 
 from cactusdyke.cmd import connection, output
-from cactusdyke.cmd.action import Action
-from cactusdyke.questionnaire import answers, generate
-from cactusdyke.util import structure
+from cactusdyke.cmd.action import Action, asynchronous
+from cactusdyke.questionnaire import check, examples, generate
+from cactusdyke.util import jsonc, structure
 
 if TYPE_CHECKING:
-    from cactusdyke.configuration.model import Configuration
+    from cactusdyke.questionnaire.answers import Answers
 
 
 class QuestionnaireCommands:
-    """Works on questionnaires, without a deployment."""
+    """Works on questionnaires: example, check, generate."""
 
-    def check(self, answers_file: str) -> Action:
-        """Says every error in a questionnaire.
+    def example(self, name: str = examples.NAMES[0]) -> Action:
+        """Prints a worked example to begin with.
 
         Args:
-            answers_file: A questionnaire in JSON with comments.
+            name: derwent or tokachi.
         """
 
         def work() -> None:
-            configuration = _generate(answers_file)
-            print(
-                f"{answers_file}: good, {len(configuration.customers)}"
-                f" customers, {len(configuration.pipelines)} pipelines,"
-                f" {len(configuration.services)} services,"
-                f" {len(configuration.pools)} pools"
-            )
+            if name not in examples.NAMES:
+                output.usage(
+                    f"no example {name!r}; take {' or '.join(examples.NAMES)}"
+                )
+            print(examples.read(name), end="")
 
         return Action(work=work)
 
-    def generate(self, answers_file: str) -> Action:
-        """Prints the configuration that a questionnaire generates.
+    def check(self, answers_file: str) -> Action:
+        """Says every error and every doubt in a questionnaire.
 
         Args:
             answers_file: A questionnaire in JSON with comments.
         """
 
         def work() -> None:
-            configuration = _generate(answers_file)
-            output.show_json(structure.unstructure(configuration))
+            answers = read_answers(answers_file)
+            print(
+                f"{answers_file}: good, {len(answers.customers)} customers,"
+                f" {len(answers.jobs)} jobs, {len(answers.services)} services,"
+                f" {len(answers.pools)} pools"
+            )
 
         return Action(work=work)
 
+    def generate(
+        self,
+        answers_file: str,
+        *,
+        out: str = "",
+        entry: str = "",
+        token_file: str = "",
+    ) -> Action:
+        """Prints what a questionnaire generates, or what it would change.
 
-def _generate(path: str) -> Configuration:
-    text = connection.read_text(path)
-    parsed = output.unwrap(answers.parse(text, name=path))
-    return output.unwrap(generate.generate(parsed))
+        With --entry (or CACTUSDYKE_ENTRY) a line is printed for each
+        difference from what is in force there; nothing is changed.
+
+        Args:
+            answers_file: A questionnaire in JSON with comments.
+            out: Write the configuration to this file as well.
+            entry: Addresses HOST:PORT, separated by commas.
+            token_file: A file with the operator's token.
+        """
+
+        async def work() -> None:
+            answers = read_answers(answers_file)
+            plain = structure.unstructure(
+                output.unwrap(generate.generate(answers))
+            )
+            if out:
+                _write(out, plain)
+            if not connection.is_named(entry):
+                if not out:
+                    output.show_json(plain)
+                return
+            await _print_changes(answers, entry, token_file)
+
+        return asynchronous(work)
+
+
+def read_answers(path: str) -> Answers:
+    """Returns the answers of a file, or ends with a line for each error."""
+    report = check.check_text(connection.read_text(path), name=path)
+    for warning in report.warnings:
+        print(f"cactusdyke: warning: {warning}", file=sys.stderr)
+    if report.answers is None or report.errors:
+        for error in report.errors:
+            print(f"cactusdyke: {error}", file=sys.stderr)
+        sys.exit(output.ExitCode.USAGE)
+    return report.answers
+
+
+def _write(path: str, plain: Any) -> None:
+    try:
+        pathlib.Path(path).write_bytes(jsonc.canonical(plain) + b"\n")
+    except OSError as error:
+        output.usage(
+            f"{path} can't be written ({error.strerror}); name another file"
+        )
+
+
+async def _print_changes(answers: Answers, entry: str, token_file: str) -> None:
+    body: dict[str, Any] = {
+        "id": uuid.uuid4().hex,
+        "answers": structure.unstructure(answers),
+        "dry_run": True,
+    }
+    async with connection.connect(entry, token_file) as client:
+        value = output.unwrap(await client.post("/v1/submissions", body))
+    print(f"against revision {value['base_revision']}:")
+    for line in value["changes"] or ["nothing changes"]:
+        print(f"  {line}")
--- a/cactusdyke/cmd/reading.py
+++ b/cactusdyke/cmd/reading.py
@@ -73,6 +73,40 @@
     return asynchronous(work)
 
 
+def history(
+    *,
+    limit: int = 20,
+    entry: str = "",
+    token_file: str = "",
+    json: bool = False,
+) -> Action:
+    """Shows the revisions accepted last, the newest first.
+
+    Args:
+        limit: How many to show.
+        entry: Addresses HOST:PORT, separated by commas.
+        token_file: A file with the operator's token.
+        json: Print JSON.
+    """
+
+    async def work() -> None:
+        async with connection.connect(entry, token_file) as client:
+            value = output.unwrap(
+                await client.get("/v1/history", limit=str(limit))
+            )
+        if json:
+            output.show_json(value)
+            return
+        output.show_table(
+            [
+                {**row, "changed": ", ".join(row["changed"])}
+                for row in value["revisions"]
+            ]
+        )
+
+    return asynchronous(work)
+
+
 def cost(
     *, entry: str = "", token_file: str = "", json: bool = False
 ) -> Action:
--- a/cactusdyke/cmd/submit.py
+++ b/cactusdyke/cmd/submit.py
@@ -5,16 +5,21 @@
 import uuid
 from typing import TYPE_CHECKING, Any
 
+from result import Ok, Result
+
 from cactusdyke.clock import SystemClock
 from cactusdyke.cmd import connection, fleet_status, output
 from cactusdyke.cmd.action import Action, asynchronous
-from cactusdyke.util import jsonc
+from cactusdyke.cmd.questionnaire import read_answers
+from cactusdyke.errors import Failure, Ran
+from cactusdyke.util import structure
 
 if TYPE_CHECKING:
     from cactusdyke.client import Client
 
 POLL_MS = 200.0
 WAIT_MS = 30_000.0
+RESOLVE_MS = 10_000.0
 
 
 def submit(
@@ -55,12 +60,9 @@
         if from_revision is not None:
             body["from_revision"] = from_revision
         else:
-            text = connection.read_text(answers_file)
-            body["answers"] = output.unwrap(
-                jsonc.parse_text(text, name=answers_file)
-            )
+            body["answers"] = structure.unstructure(read_answers(answers_file))
         async with connection.connect(entry, token_file) as client:
-            accepted = output.unwrap(await client.post("/v1/submissions", body))
+            accepted = output.unwrap(await _send(client, body))
             revision = int(accepted["revision"])
             behind: list[str] = []
             if wait:
@@ -70,6 +72,27 @@
     return asynchronous(work)
 
 
+async def _send(
+    client: Client, body: dict[str, Any]
+) -> Result[dict[str, Any], Failure]:
+    """Submits; a lost answer is looked up by the submission's id.
+
+    The daemon that took a submission may die before it answers. Whether it
+    was accepted then stands in the history, which every daemon can read.
+    """
+    answer = await client.post("/v1/submissions", body)
+    if isinstance(answer, Ok) or answer.err_value.ran is not Ran.UNKNOWN:
+        return answer
+    clock = SystemClock()
+    give_up = clock.now() + RESOLVE_MS
+    while clock.now() < give_up:
+        found = await client.get(f"/v1/submissions/{body['id']}")
+        if isinstance(found, Ok):
+            return found
+        await clock.sleep(POLL_MS)
+    return answer
+
+
 async def _wait(client: Client, revision: int, wait_ms: float) -> list[str]:
     """Returns the live daemons that have not applied the revision in time."""
     clock = SystemClock()
--- a/features/cmd/command_line.feature
+++ b/features/cmd/command_line.feature
@@ -49,3 +49,25 @@
     When a caller with a wrong token calls the pipeline
     Then it ends with exit code 4
     And it prints one line on standard error that holds "bearer token"
+
+  Scenario: the worked examples are good and generate the same each time
+    When the command line is "questionnaire example tokachi"
+    Then it ends with exit code 0
+    And what it printed, kept as a file, passes the questionnaire check
+    And generating from it twice gives the same configuration
+
+  Scenario: every error in a questionnaire is named at once
+    When a questionnaire with three errors is checked by the command line
+    Then it ends with exit code 2
+    And it prints a line for each of the three errors
+
+  Scenario: a change is shown before it is made, and the history afterwards
+    Given a fleet of 1 daemons as processes
+    When the operator submits the answers and waits
+    And the customer's limit is raised in the answers
+    Then generate prints what would change at the deployment
+    When the operator submits the answers and waits
+    Then the history shows 2 revisions, the last with a new limit
+    When the operator goes back to revision 1
+    Then the command ends with exit code 0
+    And the history shows 3 revisions, the last with a new limit
--- a/features/steps/cmd_steps.py
+++ b/features/steps/cmd_steps.py
@@ -8,11 +8,13 @@
 import subprocess
 import sys
 
+import pyjson5
 from behave import given, then, when
 
 from cactusdyke.errors import FailureKind
 from cactusdyke.events import Event
 from cactusdyke.observe import catalogue
+from cactusdyke.questionnaire import examples
 from features.support.deployment import Deployment
 from features.support.virtual import run_virtual
 from standins.engine import generate
@@ -207,3 +209,73 @@
 @then("a wrong token is refused")
 def then_refused(context):
     assert context.refused.err_value.kind is FailureKind.UNAUTHENTICATED
+
+
+@then("what it printed, kept as a file, passes the questionnaire check")
+def then_example(context):
+    BUILD.mkdir(parents=True, exist_ok=True)
+    context.example = BUILD / "example.jsonc"
+    context.example.write_text(context.done.stdout)
+    done = run_command(
+        context, ["questionnaire", "check", str(context.example)]
+    )
+    assert done.returncode == 0, done
+    assert "5 customers" in done.stdout, done.stdout
+
+
+@then("generating from it twice gives the same configuration")
+def then_same_configuration(context):
+    arguments = ["questionnaire", "generate", str(context.example)]
+    first = run_command(context, arguments).stdout
+    assert json.loads(first)["customers"]
+    assert run_command(context, arguments).stdout == first
+
+
+@when("a questionnaire with three errors is checked by the command line")
+def when_three_errors(context):
+    BUILD.mkdir(parents=True, exist_ok=True)
+    value = pyjson5.decode(examples.read("derwent"))
+    value["attainment_against_cost"] = 7
+    value["customers"][0]["burts"] = 1
+    value["jobs"][0]["deadline_ms"] = -1
+    path = BUILD / "wrong.jsonc"
+    path.write_text(json.dumps(value))
+    run_command(context, ["questionnaire", "check", str(path)])
+
+
+@then("it prints a line for each of the three errors")
+def then_three_lines(context):
+    lines = context.done.stderr.splitlines()
+    for name in ("attainment_against_cost", "burts", "deadline_ms"):
+        assert any(name in line for line in lines), (name, lines)
+    assert any("burst" in line for line in lines if "burts" in line), lines
+
+
+@when("the customer's limit is raised in the answers")
+def when_raised(context):
+    context.answers["customers"][0]["requests_per_second"] = 2000
+
+
+@then("generate prints what would change at the deployment")
+def then_changes(context):
+    path = BUILD / "changed.jsonc"
+    path.write_text(json.dumps(context.answers))
+    arguments = ["questionnaire", "generate", str(path)]
+    done = run_command(context, arguments, OPERATOR_TOKEN)
+    assert "against revision 1" in done.stdout, done
+    assert "customers/road-crews/requests_per_second" in done.stdout
+    assert len(done.stdout.splitlines()) == 2, done.stdout
+
+
+@then("the history shows {count:d} revisions, the last with a new limit")
+def then_history(context, count):
+    done = run_command(context, ["history", "--json"], OPERATOR_TOKEN)
+    rows = json.loads(done.stdout)["revisions"]
+    assert [row["revision"] for row in rows] == list(range(count, 0, -1))
+    assert rows[0]["changed"] == ["customers/road-crews"], rows[0]
+
+
+@when("the operator goes back to revision 1")
+def when_back(context):
+    arguments = ["submit", "--from-revision=1", "--wait"]
+    run_command(context, arguments, OPERATOR_TOKEN)
