Bound connection waits by a watchdog instead of scopes

Change: one task a network looks through the present waits 40 times a second and closes those that have taken too long.

--- a/cactusdyke/transport/http_network.py
+++ b/cactusdyke/transport/http_network.py
@@ -17,6 +17,7 @@
     KeptConnections,
 )
 from cactusdyke.transport.network import CallOptions, Incoming, Network
+from cactusdyke.transport.watchdog import Watchdog
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Mapping
@@ -81,8 +82,10 @@
 
     def __init__(self, *, clock: Clock | None = None) -> None:
         self._clock = clock or SystemClock()
-        self._kept = KeptConnections(clock=self._clock)
+        self._watchdog = Watchdog(clock=self._clock)
+        self._kept = KeptConnections(clock=self._clock, watchdog=self._watchdog)
         self._cleaned_at = self._clock.now()
+        self._stack = contextlib.AsyncExitStack()
 
     @property
     def idle_connections(self) -> int:
@@ -90,6 +93,10 @@
         return len(self._kept)
 
     async def __aenter__(self) -> Self:
+        tasks = await self._stack.enter_async_context(anyio.create_task_group())
+        self._stack.callback(tasks.cancel_scope.cancel)
+        self._stack.push_async_callback(self._kept.aclose)
+        tasks.start_soon(self._watchdog.run, name="connection watchdog")
         return self
 
     async def __aexit__(
@@ -98,7 +105,7 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        await self._kept.aclose()
+        await self._stack.__aexit__(kind, error, trace)
 
     @contextlib.asynccontextmanager
     async def open(
@@ -163,7 +170,6 @@
     if request.query:
         target += "?" + urlencode(request.query)
     connect_s = options.connect_timeout_ms / MS_PER_SECOND
-    progress_s = options.progress_timeout_ms / MS_PER_SECOND
     return httpcore.Request(
         request.method,
         f"http://{address}{target}",
@@ -175,12 +181,7 @@
         content=request.body,
         extensions={
             "trace": hand_over,
-            "timeout": {
-                "connect": connect_s,
-                "pool": connect_s,
-                "read": progress_s,
-                "write": progress_s,
-            },
+            "timeout": {"connect": connect_s},
         },
     )
 
--- a/cactusdyke/transport/kept_connections.py
+++ b/cactusdyke/transport/kept_connections.py
@@ -13,6 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from cactusdyke.transport.watchdog import Watchdog
+
 OLDEST_MS = 300_000.0
 LONGEST_IDLE_MS = 10_000.0
 MOST_IDLE = 512
@@ -43,8 +45,9 @@
 class KeptConnections:
     """Idle connections by address, none of them old, idle long or doubted."""
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(self, *, clock: Clock, watchdog: Watchdog) -> None:
         self._clock = clock
+        self._watchdog = watchdog
         self._idle: dict[str, list[KeptConnection]] = {}
         self._epochs: dict[str, int] = {}
         self._count = 0
@@ -56,7 +59,7 @@
         """Returns a new connection, which connects with its first request."""
         host, _, port = address.rpartition(":")
         origin = httpcore.Origin(b"http", host.strip("[]").encode(), int(port))
-        backend = BoundedBackend(clock=self._clock)
+        backend = BoundedBackend(clock=self._clock, watchdog=self._watchdog)
         return KeptConnection(
             connection=httpcore.AsyncHTTPConnection(
                 origin=origin, network_backend=backend
--- /dev/null
+++ b/cactusdyke/transport/watchdog.py
@@ -0,0 +1,62 @@
+"""Ends waits on connections that take too long."""
+
+from __future__ import annotations
+
+import abc
+from typing import TYPE_CHECKING
+
+import anyio
+
+if TYPE_CHECKING:
+    from cactusdyke.clock import Clock, Instant
+
+TICK_MS = 25.0
+
+
+class Watched(abc.ABC):
+    """A connection that somebody waits on."""
+
+    @property
+    @abc.abstractmethod
+    def wait_until(self) -> Instant:
+        """Instant at which the present wait has taken too long."""
+
+    @abc.abstractmethod
+    async def give_up(self) -> None:
+        """Closes the connection, which ends the wait."""
+
+
+class Watchdog:
+    """Looks through all present waits a few times a second.
+
+    A time-out scope around each wait costs more than the read that it bounds,
+    and nearly none of them ever fires.
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._waiting: set[Watched] = set()
+        self._begun = anyio.Event()
+
+    def begin(self, watched: Watched) -> None:
+        """Notes that a wait has begun."""
+        self._waiting.add(watched)
+        if not self._begun.is_set():
+            self._begun.set()
+
+    def end(self, watched: Watched) -> None:
+        """Notes that a wait has ended."""
+        self._waiting.discard(watched)
+
+    async def run(self) -> None:
+        """Watches until it is cancelled; sleeps while nobody waits."""
+        while True:
+            await self._begun.wait()
+            await self._clock.sleep(TICK_MS)
+            now = self._clock.now()
+            late = [w for w in self._waiting if w.wait_until <= now]
+            for watched in late:
+                self._waiting.discard(watched)
+                await watched.give_up()
+            if not self._waiting:
+                self._begun = anyio.Event()
