--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -35,6 +35,16 @@
         "Check the platform's object service; serving goes on without it.",
     )
     MEMBER_CHANGED = (3001, "A daemon's state as seen from here changed.", "")
+    DAEMON_PAUSED = (
+        3002,
+        "This daemon stood still; it accuses no other for some seconds.",
+        "Look for a suspended or overcommitted host if this is repeated.",
+    )
+    GOSSIP_REJECTED = (
+        3003,
+        "A value on another daemon's message could not be read.",
+        "Check that all daemons run releases that may run together.",
+    )
     ATTEMPT_FAILED = (
         4001,
         "An attempt at a backend server failed.",
@@ -76,6 +86,22 @@
         "A non-idempotent call may or may not have run.",
         "Ask the plain service by the idempotency key.",
     )
+    BOOKING_NOT_STORED = (
+        5002,
+        "A call's outcome could not be stored; its record says less.",
+        "Check the object service; ask the plain service by the key.",
+    )
+    BOOKING_CLAIMED = (
+        5003,
+        "A call was taken over from a daemon that had not made it.",
+        "",
+    )
+    BOOKINGS_DELETED = (5004, "Records past their retention were deleted.", "")
+    BOOKING_WITHDRAWN = (
+        5005,
+        "A call was not made: marking its record had no clear outcome.",
+        "Check the object service; the caller may ask again with the key.",
+    )
 
     def __init__(self, number: int, meaning: str, remedy: str) -> None:
         self.number = number
