--- a/cactusdyke/errors.py
+++ b/cactusdyke/errors.py
@@ -16,8 +16,13 @@
     UNKNOWN = "unknown"
 
 
+@enum.unique
 class FailureKind(enum.Enum):
-    """Every kind of failure, with its HTTP status and its remedy."""
+    """Every kind of failure, with its HTTP status and its remedy.
+
+    Two kinds of the same status and remedy would be one kind under two names,
+    and callers would read the first one's name; hence `unique`.
+    """
 
     BAD_REQUEST = (400, "Correct the request as described and send it again")
     UNAUTHENTICATED = (401, "Send a valid bearer token of this customer")
@@ -34,15 +39,21 @@
         "Send fewer requests, or ask the operator for a higher limit",
     )
     OVERLOADED = (503, "Send the request again after retry_after_ms")
-    NO_BACKEND_SERVER = (503, "Send the request again after retry_after_ms")
+    NO_BACKEND_SERVER = (
+        503,
+        "Send the request again after retry_after_ms; the pool is failing",
+    )
     STOPPING = (503, "Ask for addresses again and use another one")
     UNCONFIRMED = (503, "Try another address; this daemon is cut off")
-    STORE_UNAVAILABLE = (503, "Send the request again after retry_after_ms")
+    STORE_UNAVAILABLE = (
+        503,
+        "Send the request again after retry_after_ms; the store is down",
+    )
     STORE_UNKNOWN = (503, "Read the object back before writing it again")
     STORE_CONFLICT = (409, "Read the object again and repeat the change")
     BACKEND_FAILED = (502, "Send the request again; it may be repeated")
     BACKEND_LEAVING = (503, "Send the request again; others take it")
-    BROKEN_ANSWER = (502, "Send the request again; it may be repeated")
+    BROKEN_ANSWER = (502, "Send the request again; the answer was dropped")
     OUTCOME_UNKNOWN = (502, "Ask for the outcome with the same key")
     DEADLINE = (504, "Allow a longer deadline or send it again later")
     NOT_SENT = (502, "Try another backend server; nothing was handed over")
--- a/cactusdyke/pipeline/retries.py
+++ b/cactusdyke/pipeline/retries.py
@@ -151,6 +151,8 @@
 def final(work: StageWork, failure: Failure) -> Failure:
     """Returns what the caller is told once a stage is given up."""
     told = work.history.tell(failure)
+    if not work.pool.calls_repeatable and told.ran is not Ran.NOT_RUN:
+        told = attrs.evolve(told, kind=FailureKind.OUTCOME_UNKNOWN)
     if told.kind in _INNER_KINDS:
         told = attrs.evolve(told, kind=FailureKind.BACKEND_FAILED)
     if told.retry_after_ms is None:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -30,8 +30,8 @@
 class Engine(StandIn):
     """Answers stage calls; what it says follows from its input alone.
 
-    Further faults: `crossed` (how many of the next answers carry another
-    request's id), `die_after_tokens` (streams end early), `slow_factor`.
+    Further faults: `crossed` (how many of the next answers are another
+    request's), `die_after_tokens` (streams end early), `slow_factor`.
     """
 
     def __init__(
@@ -53,6 +53,7 @@
         self.running = 0
         self.waiting = 0
         self.executions: dict[str, int] = {}
+        self.executions_by_input: dict[bytes, int] = {}
         self._slots = anyio.Semaphore(slots)
         self.serve("POST", "/v1/run", self._run)
         self.routes.add("GET", "/v1/load", self._load_report)
@@ -78,11 +79,12 @@
     async def _whole(self, call: dict[str, Any]) -> Response:
         began = self.clock.now()
         await self._work(call, self.stage_ms)
+        call = self._crossed(call)
         output = self.output(call["input"])
         busy = self.clock.now() - began
         return json_response(
             {
-                **self._echo(call),
+                **_echo(call),
                 "output": output,
                 "busy_ms": busy,
                 "load": self.load(),
@@ -98,16 +100,20 @@
             if die_after is not None and position >= die_after:
                 return
             await self.clock.sleep(self.token_ms * self._slow())
+            answered = self._crossed(call)
+            if answered is not call:
+                words = generate(answered["input"], self.token_count)
+                call = answered
             yield _event(
                 {
-                    **self._echo(call),
+                    **_echo(call),
                     "position": position,
                     "text": words[position],
                 }
             )
         yield _event(
             {
-                **self._echo(call),
+                **_echo(call),
                 "end": True,
                 "tokens": len(words),
                 "busy_ms": self.clock.now() - began,
@@ -126,6 +132,10 @@
                 self.running -= 1
         key = f"{call['request_id']}/{call['stage']}"
         self.executions[key] = self.executions.get(key, 0) + 1
+        name = orjson.dumps(call["input"])
+        self.executions_by_input[name] = (
+            self.executions_by_input.get(name, 0) + 1
+        )
 
     def output(self, value: Any) -> Any:
         """Returns what the stage makes of its input."""
@@ -141,16 +151,12 @@
     def _slow(self) -> float:
         return float(self.faults.get("slow_factor", 1.0))
 
-    def _echo(self, call: dict[str, Any]) -> dict[str, Any]:
-        request_id = call["request_id"]
-        if self.faults.get("crossed", 0) > 0:
-            self.faults["crossed"] -= 1
-            request_id = "another-request"
-        return {
-            "request_id": request_id,
-            "stage": call["stage"],
-            "attempt": call["attempt"],
-        }
+    def _crossed(self, call: dict[str, Any]) -> dict[str, Any]:
+        """Returns the call to answer: another one, where answers cross."""
+        if self.faults.get("crossed", 0) <= 0:
+            return call
+        self.faults["crossed"] -= 1
+        return {**call, "request_id": "another-request", "input": "another"}
 
     async def _load_report(self, request: Request) -> Response:
         return json_response({"name": self.name, **self.load()})
@@ -164,5 +170,13 @@
     return [f"{seed[i % 60 : i % 60 + 4]} " for i in range(count)]
 
 
+def _echo(call: dict[str, Any]) -> dict[str, Any]:
+    return {
+        "request_id": call["request_id"],
+        "stage": call["stage"],
+        "attempt": call["attempt"],
+    }
+
+
 def _event(value: dict[str, Any]) -> bytes:
     return b"data: " + orjson.dumps(value) + b"\n\n"
--- a/standins/plain.py
+++ b/standins/plain.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, Any
 
+import orjson
+
 from cactusdyke.transport.messages import (
     Request,
     Response,
@@ -29,6 +31,7 @@
         self.name = name
         self.work_ms = work_ms
         self.executions: dict[str, int] = {}
+        self.executions_by_input: dict[bytes, int] = {}
         self.executions_by_key: dict[str, int] = {}
         self.serve("POST", "/v1/run", self._run)
 
@@ -55,14 +58,22 @@
         await self.clock.sleep(self.work_ms)
         key = call["request_id"]
         self.executions[key] = self.executions.get(key, 0) + 1
+        value = orjson.dumps(call["input"])
+        self.executions_by_input[value] = (
+            self.executions_by_input.get(value, 0) + 1
+        )
         name = call.get("idempotency_key", "")
         self.executions_by_key[name] = self.executions_by_key.get(name, 0) + 1
+        output = self._output(call["input"])
+        if self.faults.get("crossed", 0) > 0:
+            self.faults["crossed"] -= 1
+            key, output = "another-request", {"booked": "another's"}
         return json_response(
             {
                 "request_id": key,
                 "stage": call["stage"],
                 "attempt": call["attempt"],
-                "output": self._output(call["input"]),
+                "output": output,
                 "busy_ms": self.work_ms,
             }
         )
