--- a/cactusdyke/api/calls.py
+++ b/cactusdyke/api/calls.py
@@ -31,7 +31,8 @@
     from cactusdyke.booking.bookings import Bookings
     from cactusdyke.clock import Clock
     from cactusdyke.configuration.in_force import InForce
-    from cactusdyke.limits.customer_limits import CustomerLimits
+    from cactusdyke.configuration.model import Customer
+    from cactusdyke.limits.limiter import Limiter
     from cactusdyke.observe.metrics import Metrics
     from cactusdyke.observe.tracing import Tracing
     from cactusdyke.pipeline.runner import PipelineRunner
@@ -51,7 +52,7 @@
         clock: Clock,
         rng: random.Random,
         in_force: InForce,
-        limits: CustomerLimits,
+        limits: Limiter,
         pipelines: PipelineRunner,
         bookings: Bookings,
         flights: Flights,
@@ -72,7 +73,9 @@
         """Runs a pipeline and answers whole or as server-sent events."""
         name = request.parameters["name"]
         configuration = self._in_force.current
-        opened = self._open(request, configuration.pipelines.get(name), name)
+        opened = await self._open(
+            request, configuration.pipelines.get(name), name
+        )
         if isinstance(opened, Err):
             return failure_response(opened.err_value)
         context, pipeline, stream = opened.ok_value
@@ -92,7 +95,9 @@
         """Makes one call to a plain service."""
         name = request.parameters["name"]
         configuration = self._in_force.current
-        opened = self._open(request, configuration.services.get(name), name)
+        opened = await self._open(
+            request, configuration.services.get(name), name
+        )
         if isinstance(opened, Err):
             return failure_response(opened.err_value)
         context, service, _ = opened.ok_value
@@ -131,10 +136,11 @@
             return await self._bookings.book(context, service)
         return await self._pipelines.run_service(context, service)
 
-    def _open(
+    async def _open(
         self, request: Request, target: TargetType | None, name: str
     ) -> Result[tuple[RequestContext, TargetType, bool], Failure]:
         """Checks who calls, what for and with what, and starts a request."""
+        now = self._clock.now()
         configuration = self._in_force.current
         customer = authentication.customer_of(request, configuration)
         if isinstance(customer, Err):
@@ -147,16 +153,10 @@
         key = _idempotency_key(request, target)
         if isinstance(key, Err):
             return key
-        admitted = self._limits.admit(customer.ok_value)
+        admitted = await self._admit(customer.ok_value, target)
         if isinstance(admitted, Err):
-            events.log(
-                events.Event.REQUEST_REFUSED,
-                customer=customer.ok_value.name,
-                detail=admitted.err_value.detail,
-            )
             return admitted
         allowed_ms = call.ok_value.deadline_ms or target.deadline_ms
-        now = self._clock.now()
         context = RequestContext(
             request_id=f"{self._rng.getrandbits(128):032x}",
             customer=customer.ok_value,
@@ -173,6 +173,22 @@
         )
         return Ok((context, target, call.ok_value.stream))
 
+    async def _admit(
+        self, customer: Customer, target: Pipeline | PlainService
+    ) -> Result[None, Failure]:
+        """Refuses if the daemon is cut off or the customer over its limit."""
+        idempotent = isinstance(target, Pipeline) or target.idempotent
+        admitted = self._in_force.permit(idempotent=idempotent)
+        if admitted.is_ok():
+            admitted = await self._limits.admit(customer)
+        if isinstance(admitted, Err):
+            events.log(
+                events.Event.REQUEST_REFUSED,
+                customer=customer.name,
+                detail=admitted.err_value.detail,
+            )
+        return admitted
+
     async def _events(
         self, context: RequestContext, pipeline: Pipeline
     ) -> AsyncIterator[bytes]:
