--- a/features/configuration/in_force.feature
+++ b/features/configuration/in_force.feature
@@ -11,7 +11,7 @@
     # Every waiting watch is counted by the store. Daemons that follow others
     # still get a change at once.
     Given a configuration world of 24 daemons
-    When a change is accepted
+    When a configuration change is accepted
     Then the change is in force everywhere within 1000 ms
     And 6 daemons watch the store
 
@@ -51,7 +51,7 @@
     # The store is down for all. Nobody can have had a change accepted, and the
     # daemons of most data centres still agree with each other.
     Given a configuration world of 6 daemons
-    When the store is down for 10 minutes
+    When the configuration's store is down for 5 minutes
     Then every daemon is confirmed by its peers
     And after the outage a change is in force everywhere within 3500 ms
 
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -362,7 +362,7 @@
     return await world.until_equal(number)
 
 
-@when("a change is accepted")
+@when("a configuration change is accepted")
 def when_change(context):
     async def story(world):
         await world.hub.clock.sleep(10_000)
@@ -446,7 +446,8 @@
                     is_new = key.startswith(objects.part_key("1-"))
                     if is_new and b"customer-3" in data and not whole:
                         whole[key] = (version, data)
-                        store.objects[key] = (version, data[:-9])
+                        wrong = data.replace(b":2.0", b":9.0")
+                        store.objects[key] = (version, wrong)
                 await world.hub.clock.sleep(1)
 
         world.hub.link("entry-1", "store").delay_ms = 5
@@ -524,7 +525,7 @@
     assert booking.is_ok(), booking
 
 
-@when("the store is down for {minutes:d} minutes")
+@when("the configuration's store is down for {minutes:d} minutes")
 def when_down(context, minutes):
     async def story(world):
         store = world.deployment.store
