--- a/cactusdyke/api/operations.py
+++ b/cactusdyke/api/operations.py
@@ -23,8 +23,6 @@
     from cactusdyke.observe.cost import CostBook
     from cactusdyke.observe.tracing import Tracing
 
-ADDRESS_LIFETIME_MS = 3_000
-
 
 class OperationHandlers:
     """The handlers that do not run requests."""
@@ -46,20 +44,6 @@
         self._tracing = tracing
         self._cost = cost
 
-    async def addresses(self, request: Request) -> Response:
-        """Says which addresses to use, and for how long."""
-        del request
-        serving = self._members.serving()
-        return json_response(
-            {
-                "addresses": [
-                    {"address": m.address, "data_centre": m.data_centre}
-                    for m in serving
-                ],
-                "lifetime_ms": ADDRESS_LIFETIME_MS,
-            }
-        )
-
     async def status(self, request: Request) -> Response:
         """Says what each daemon is and has in force."""
         operator = self._gate.operator_of(request)
@@ -67,6 +51,7 @@
             return failure_response(operator.err_value)
         return json_response(
             {
+                "daemon": self._app.settings.name,
                 "revision": self._in_force.current.revision,
                 "daemons": [attrs.asdict(m) for m in self._members.all()],
             }
--- a/cactusdyke/errors.py
+++ b/cactusdyke/errors.py
@@ -27,6 +27,7 @@
     CONFLICT = (409, "Read what changed, adapt the change and submit again")
     KEY_REUSED = (409, "Use a new idempotency key for a new request")
     IN_PROGRESS = (409, "Ask again with the same key after retry_after_ms")
+    ANSWER_NOT_KEPT = (410, "Ask the plain service; do not send it again")
     TOO_LARGE = (413, "Send a smaller body")
     LIMITED = (
         429,
@@ -40,6 +41,8 @@
     STORE_UNKNOWN = (503, "Read the object back before writing it again")
     STORE_CONFLICT = (409, "Read the object again and repeat the change")
     BACKEND_FAILED = (502, "Send the request again; it may be repeated")
+    BACKEND_LEAVING = (503, "Send the request again; others take it")
+    BROKEN_ANSWER = (502, "Send the request again; it may be repeated")
     OUTCOME_UNKNOWN = (502, "Ask for the outcome with the same key")
     DEADLINE = (504, "Allow a longer deadline or send it again later")
     NOT_SENT = (502, "Try another backend server; nothing was handed over")
--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -53,6 +53,16 @@
         "Check the platform's object service; serving goes on without it.",
     )
     MEMBER_CHANGED = (3001, "A daemon's state as seen from here changed.", "")
+    DAEMON_PAUSED = (
+        3002,
+        "This daemon stood still; it accuses no other for some seconds.",
+        "Look for a suspended or overcommitted host if this is repeated.",
+    )
+    GOSSIP_REJECTED = (
+        3003,
+        "A value on another daemon's message could not be read.",
+        "Check that all daemons run releases that may run together.",
+    )
     ATTEMPT_FAILED = (
         4001,
         "An attempt at a backend server failed.",
@@ -64,11 +74,73 @@
         "Look at the backend server if this is repeated.",
     )
     REQUEST_REFUSED = (4003, "A request was refused before it ran.", "")
+    BACKEND_SERVER_LEAVING = (
+        4010,
+        "A backend server said that it is leaving; it gets no new work.",
+        "",
+    )
+    BACKEND_SERVER_EJECTED = (
+        4011,
+        "A backend server failed in a row and is left out for a while.",
+        "Look at the backend server; it is probed and let back in by itself.",
+    )
+    ATTEMPT_HEDGED = (
+        4012,
+        "An attempt was late for its stage, and another one was started.",
+        "Look at the backend server if it is named again and again.",
+    )
+    STREAM_RESUMED = (
+        4013,
+        "A stream broke or stalled and goes on at another backend server.",
+        "Look at the backend server if it is named again and again.",
+    )
+    RETRY_REFUSED = (
+        4014,
+        "A retry was not made because the pool's retry budget is spent.",
+        "Look at the pool: a large share of its attempts fails.",
+    )
+    LIMIT_OWNED = (
+        4201,
+        "This daemon begins to lend out a customer's limit.",
+        "",
+    )
+    LIMIT_OWNER_UNREACHABLE = (
+        4202,
+        "The owner of a customer's limit can't be reached; this daemon admits"
+        " an equal part of the limit meanwhile.",
+        "Look at the daemon named first for the customer if this goes on.",
+    )
+    LIMIT_OWNER_PAUSED = (
+        4203,
+        "This daemon was paused; limits that it lends did not grow meanwhile.",
+        "Look for a host that is overloaded or suspended.",
+    )
+    CUSTOMER_SUBSET_CHANGED = (
+        4204,
+        "The number of daemons that a customer's callers use has changed.",
+        "",
+    )
     BOOKING_OUTCOME_UNKNOWN = (
         5001,
         "A non-idempotent call may or may not have run.",
         "Ask the plain service by the idempotency key.",
     )
+    BOOKING_NOT_STORED = (
+        5002,
+        "A call's outcome could not be stored; its record says less.",
+        "Check the object service; ask the plain service by the key.",
+    )
+    BOOKING_CLAIMED = (
+        5003,
+        "A call was taken over from a daemon that had not made it.",
+        "",
+    )
+    BOOKINGS_DELETED = (5004, "Records past their retention were deleted.", "")
+    BOOKING_WITHDRAWN = (
+        5005,
+        "A call was not made: marking its record had no clear outcome.",
+        "Check the object service; the caller may ask again with the key.",
+    )
 
     def __init__(self, number: int, meaning: str, remedy: str) -> None:
         self.number = number
