Build the request rig on answers that the questionnaire accepts

The questionnaire refuses stages whose calls may not be repeated, so the rig sets that in the configuration in force.

--- a/features/support/request_rig.py
+++ b/features/support/request_rig.py
@@ -12,6 +12,7 @@
 from result import Err, Ok
 
 from cactusdyke.client import Client
+from cactusdyke.configuration.in_force import InForce
 from cactusdyke.errors import CactusdykeError, Failure, FailureKind, Ran
 from features.support.deployment import Deployment, answers
 from standins.engine import generate
@@ -59,6 +60,14 @@
 
     async def __aenter__(self) -> RequestRig:
         await self._stack.enter_async_context(self.deployment)
+        try:
+            await self._set_up()
+        except BaseException:
+            await self._stack.aclose()
+            raise
+        return self
+
+    async def _set_up(self) -> None:
         for kind, count in self.pools.items():
             for number in range(1, count + 1):
                 name = f"{kind}-{number}"
@@ -67,15 +76,13 @@
                 else:
                     self.deployment.engine(name, tokens=TOKENS, token_ms=20)
         await self.deployment.start_daemons(1)
-        await self.deployment.submit(
-            {
-                **answers(self.deployment),
-                "jobs": self._jobs(),
-                "services": [],
-                **self.changes,
-            },
-            submission="first",
+        submitted = answers(
+            self.deployment, jobs=self._jobs(), services=[], **self.changes
         )
+        for pool in submitted["pools"]:
+            pool["calls_may_be_repeated"] = True
+        await self.deployment.submit(submitted, submission="first")
+        self._forbid_repeats("plain")
         self.client: Client = await self._stack.enter_async_context(
             self.deployment.client()
         )
@@ -83,7 +90,29 @@
         self.tasks = await self._stack.enter_async_context(
             anyio.create_task_group()
         )
-        return self
+
+    def _forbid_repeats(self, pool: str) -> None:
+        """Says that a pool's calls may not be repeated.
+
+        The questionnaire refuses such a stage, as bookings go another way.
+        What is tested here is the runner's own guard behind that.
+        """
+        service = self.deployment.daemons[DAEMON].service(
+            "configuration", InForce
+        )
+        configuration = service.current
+        if pool not in configuration.pools:
+            return
+        pools = {
+            **configuration.pools,
+            pool: attrs.evolve(
+                configuration.pools[pool], calls_repeatable=False
+            ),
+        }
+        service._snapshot = attrs.evolve(
+            service.snapshot,
+            configuration=attrs.evolve(configuration, pools=pools),
+        )
 
     async def __aexit__(self, *error: Any) -> None:
         self.tasks.cancel_scope.cancel()
