--- a/cactusdyke/booking/__init__.py
+++ b/cactusdyke/booking/__init__.py
@@ -21,7 +21,7 @@
     """Registers the bookings service and the sweeper of its records."""
     app.setup_extension("cactusdyke.routing")
     app.setup_extension("cactusdyke.membership")
-    records = Records(object_store=app.object_store)
+    records = Records(clock=app.clock, object_store=app.object_store)
     maker = CallMaker(
         daemon=app.settings.name,
         clock=app.clock,
--- a/cactusdyke/booking/records.py
+++ b/cactusdyke/booking/records.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, TypeAlias
 
+import anyio
 import attrs
 from result import Err, Ok, Result
 
@@ -12,9 +13,12 @@
 from cactusdyke.platform.object_store import MUST_NOT_EXIST
 
 if TYPE_CHECKING:
+    from cactusdyke.clock import Clock
     from cactusdyke.platform.object_store import ObjectStore
 
 WRITE_TRIES = 2
+READ_BACK_AFTER_MS = 400.0
+"""Far above what the store takes, far below a caller's deadline."""
 
 
 @attrs.frozen(kw_only=True)
@@ -47,7 +51,8 @@
     the record back tells whether it was this very write that was done.
     """
 
-    def __init__(self, *, object_store: ObjectStore) -> None:
+    def __init__(self, *, clock: Clock, object_store: ObjectStore) -> None:
+        self._clock = clock
         self._object_store = object_store
 
     async def read(self, key: str) -> Result[StoredRecord | None, Failure]:
@@ -76,9 +81,7 @@
         failure: Failure | None = None
         doubtful = False
         for _ in range(WRITE_TRIES):
-            written = await self._object_store.write(
-                key, record.encode(), if_version=if_version
-            )
+            written = await self._write(key, record, if_version=if_version)
             if isinstance(written, Ok):
                 return Ok(Written(version=written.ok_value))
             failure = written.err_value
@@ -103,6 +106,38 @@
         assert failure is not None
         return Err(attrs.evolve(failure, ran=Ran.UNKNOWN))
 
+    async def _write(
+        self, key: str, record: Record, *, if_version: int
+    ) -> Result[int, Failure]:
+        """Writes, and reads back beside it if the answer is slow to come.
+
+        Waiting for a lost answer until it times out would use up a caller's
+        time (seen as refusals while the store works); giving up early would
+        refuse whatever a slow store does in the end.
+        """
+        outcome: list[Result[int, Failure]] = []
+        ended = anyio.Event()
+
+        async def write() -> None:
+            outcome.append(
+                await self._object_store.write(
+                    key, record.encode(), if_version=if_version
+                )
+            )
+            ended.set()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(write)
+            with self._clock.timeout(READ_BACK_AFTER_MS):
+                await ended.wait()
+            if not outcome:
+                found = await self.read(key)
+                stored = found.unwrap_or(None)
+                if stored is not None and _is_same(stored.record, record):
+                    outcome.append(Ok(stored.version))
+                    tasks.cancel_scope.cancel()
+        return outcome[0]
+
     async def wait(
         self, key: str, *, above_version: int, wait_ms: float
     ) -> Result[StoredRecord | None, Failure]:
--- a/cactusdyke/errors.py
+++ b/cactusdyke/errors.py
@@ -16,8 +16,13 @@
     UNKNOWN = "unknown"
 
 
+@enum.unique
 class FailureKind(enum.Enum):
-    """Every kind of failure, with its HTTP status and its remedy."""
+    """Every kind of failure, with its HTTP status and its remedy.
+
+    Kinds with the same status and remedy would be one kind under two names
+    (seen as a store that was down told as an overload).
+    """
 
     BAD_REQUEST = (400, "Correct the request as described and send it again")
     UNAUTHENTICATED = (401, "Send a valid bearer token of this customer")
@@ -34,10 +39,16 @@
         "Send fewer requests, or ask the operator for a higher limit",
     )
     OVERLOADED = (503, "Send the request again after retry_after_ms")
-    NO_BACKEND_SERVER = (503, "Send the request again after retry_after_ms")
+    NO_BACKEND_SERVER = (
+        503,
+        "Send the request again after retry_after_ms, or add backend servers",
+    )
     STOPPING = (503, "Ask for addresses again and use another one")
     UNCONFIRMED = (503, "Try another address; this daemon is cut off")
-    STORE_UNAVAILABLE = (503, "Send the request again after retry_after_ms")
+    STORE_UNAVAILABLE = (
+        503,
+        "Send the request again after retry_after_ms; the store is down",
+    )
     STORE_UNKNOWN = (503, "Read the object back before writing it again")
     STORE_CONFLICT = (409, "Read the object again and repeat the change")
     BACKEND_FAILED = (502, "Send the request again; it may be repeated")
--- a/features/support/hub.py
+++ b/features/support/hub.py
@@ -184,6 +184,8 @@
         self._listener = listener
         self._address = address
         self._options = options
+        # A restarted owner has a new event; this is about the old process.
+        self._death = hub.death(listener.owner)
         self._sender, self._receiver = anyio.create_memory_object_stream[
             Response | bytes | None
         ](math.inf)
@@ -207,6 +209,9 @@
         await self._hub.clock.sleep(there.delay_ms)
         if there.cut or there.silent:
             return
+        if self._death.is_set():
+            self._break()
+            return
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch_death, tasks.cancel_scope)
             await self._hub.awake(owner)
@@ -269,12 +274,15 @@
         return True
 
     async def _watch_death(self, scope: anyio.CancelScope) -> None:
-        await self._hub.death(self._listener.owner).wait()
+        await self._death.wait()
+        self._break()
+        scope.cancel()
+
+    def _break(self) -> None:
         with contextlib.suppress(
             anyio.BrokenResourceError, anyio.ClosedResourceError
         ):
             self._sender.send_nowait(None)
-        scope.cancel()
 
     async def _next(self) -> Response | bytes | None:
         with self._hub.clock.timeout(self._options.progress_timeout_ms):
--- a/standins/object_service.py
+++ b/standins/object_service.py
@@ -19,6 +19,8 @@
 from standins.base import StandIn
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cactusdyke.clock import Clock
 
 MAX_VALUE_BYTES = 1 << 20
@@ -31,6 +33,7 @@
         super().__init__(clock=clock)
         self.version = 0
         self.objects: dict[str, tuple[int, bytes]] = {}
+        self.on_delete: Callable[[], object] = lambda: None
         self._changed = anyio.Event()
         for depth in range(1, 6):
             key = "/".join(f"{{k{i}}}" for i in range(depth))
@@ -61,6 +64,7 @@
 
     async def _delete(self, request: Request) -> Response:
         self.counts["deletes"] += 1
+        self.on_delete()
         key = _key(request)
         if key in self.objects and self._conflicts(request, key):
             return json_response({"error": "version"}, status=409)
--- a/standins/plain.py
+++ b/standins/plain.py
@@ -23,9 +23,15 @@
     """
 
     def __init__(
-        self, *, clock: Clock, name: str = "plain", work_ms: float = 5.0
+        self,
+        *,
+        clock: Clock,
+        name: str = "plain",
+        work_ms: float = 5.0,
+        receipts: bool = False,
     ) -> None:
         super().__init__(clock=clock)
+        self._receipts = receipts
         self.name = name
         self.work_ms = work_ms
         self.executions: dict[str, int] = {}
@@ -68,5 +74,9 @@
         )
 
     def _output(self, value: Any) -> dict[str, Any]:
-        extra = self.faults.get("output_bytes", 0)
-        return {"booked": value, **({"form": "x" * extra} if extra else {})}
+        output: dict[str, Any] = {"booked": value}
+        if extra := self.faults.get("output_bytes", 0):
+            output["form"] = "x" * extra
+        if self._receipts:
+            output["receipt"] = f"{self.name}/{sum(self.executions.values())}"
+        return output
