--- a/cactusdyke/api/__init__.py
+++ b/cactusdyke/api/__init__.py
@@ -4,14 +4,17 @@
 
 from typing import TYPE_CHECKING
 
+from cactusdyke.api import addresses
+from cactusdyke.api.authentication import OperatorGate
 from cactusdyke.api.calls import CallHandlers
 from cactusdyke.api.flights import Flights
 from cactusdyke.api.operations import OperationHandlers
 from cactusdyke.api.submissions import SubmissionHandlers
 from cactusdyke.application import ExtensionMetadata
 from cactusdyke.booking.bookings import Bookings
+from cactusdyke.configuration.desk import SubmissionDesk
 from cactusdyke.configuration.in_force import InForce
-from cactusdyke.limits.customer_limits import CustomerLimits
+from cactusdyke.limits.limiter import Limiter
 from cactusdyke.membership.members import Members
 from cactusdyke.observe.cost import CostBook
 from cactusdyke.observe.metrics import Metrics
@@ -29,30 +32,39 @@
         clock=app.clock,
         rng=app.rng,
         in_force=app.service("configuration", InForce),
-        limits=app.service("limits", CustomerLimits),
+        limits=app.service("limits", Limiter),  # type: ignore[type-abstract]
         pipelines=app.service("pipeline", PipelineRunner),
         bookings=app.service("bookings", Bookings),
         flights=flights,
         tracing=app.service("tracing", Tracing),
         metrics=app.service("metrics", Metrics),
     )
+    gate = OperatorGate(
+        in_force=app.service("configuration", InForce),
+        settings_token_hashes=app.settings.operator_token_hashes,
+    )
     operations = OperationHandlers(
         app=app,
+        gate=gate,
         in_force=app.service("configuration", InForce),
         members=app.service("membership", Members),
         tracing=app.service("tracing", Tracing),
         cost=app.service("cost", CostBook),
     )
     submissions = SubmissionHandlers(
+        gate=gate,
         in_force=app.service("configuration", InForce),
-        object_store=app.object_store,
-        settings_token_hashes=app.settings.operator_token_hashes,
+        desk=app.service("submissions", SubmissionDesk),
     )
     app.add_route("POST", "/v1/submissions", submissions.submit)
-    app.add_route("POST", "/v1/pipelines/{name}", calls.pipeline)
-    app.add_route("POST", "/v1/services/{name}", calls.service)
+    app.add_route("GET", "/v1/submissions/{id}", submissions.find)
+    app.add_route("GET", "/v1/history", submissions.history)
+    app.add_route("GET", "/v1/configuration", submissions.configuration)
+    book = addresses.of_application(app, app.service("configuration", InForce))
+    app.add_route("POST", "/v1/pipelines/{name}", book.telling(calls.pipeline))
+    app.add_route("POST", "/v1/services/{name}", book.telling(calls.service))
     app.add_route("GET", "/v1/requests/{key}", calls.find)
-    app.add_route("GET", "/v1/addresses", operations.addresses)
+    app.add_route("GET", "/v1/addresses", book.handle)
     app.add_route("GET", "/v1/status", operations.status)
     app.add_route("GET", "/v1/cost", operations.cost)
     app.add_route("GET", "/v1/traces/{trace_id}", operations.trace)
--- a/cactusdyke/client.py
+++ b/cactusdyke/client.py
@@ -7,6 +7,7 @@
 import random
 from typing import TYPE_CHECKING, Any, Self
 
+import attrs
 import orjson
 from result import Err, Ok, Result
 
@@ -71,13 +72,18 @@
         self._addresses = (address,)
         self._valid_until = math.inf
 
+    def unpin(self) -> None:
+        """Asks for addresses again before the next call."""
+        self._addresses = ()
+        self._valid_until = 0.0
+
     async def addresses(self) -> tuple[str, ...]:
         """Returns addresses to use, asking again once they have expired."""
         if self._clock.now() < self._valid_until:
             return self._addresses
         for address in (*self._addresses, *self._seeds):
             answer = await self._fetch(
-                address, Request(method="GET", path="/v1/addresses")
+                address, self._request("/v1/addresses", None, None, None)
             )
             if isinstance(answer, Ok):
                 self._keep(answer.ok_value)
@@ -167,13 +173,16 @@
             if not await tries.wait_until_next():
                 raise CactusdykeError(tries.failure)
 
-    async def get(self, path: str) -> Result[dict[str, Any], Failure]:
+    async def get(
+        self, path: str, **query: str
+    ) -> Result[dict[str, Any], Failure]:
         """Reads from the first address that answers."""
+        request = attrs.evolve(
+            self._request(path, None, None, None), query=query
+        )
         failure = no_address()
         for address in await self._shuffled():
-            answer = await self._fetch(
-                address, self._request(path, None, None, None)
-            )
+            answer = await self._fetch(address, request)
             if isinstance(answer, Ok):
                 return answer
             failure = answer.err_value
@@ -221,7 +230,9 @@
         idempotency_key: str | None,
         traceparent: str | None,
     ) -> Request:
-        headers = {"authorization": f"Bearer {self._token}"}
+        headers = {}
+        if self._token:
+            headers["authorization"] = f"Bearer {self._token}"
         if idempotency_key is not None:
             headers["idempotency-key"] = idempotency_key
         if traceparent is not None:
--- a/cactusdyke/errors.py
+++ b/cactusdyke/errors.py
@@ -20,8 +20,8 @@
 class FailureKind(enum.Enum):
     """Every kind of failure, with its HTTP status and its remedy.
 
-    Kinds with the same status and remedy would be one kind under two names
-    (seen as a store that was down told as an overload).
+    Two kinds of the same status and remedy would be one kind under two names,
+    and callers would read the first one's name; hence `unique`.
     """
 
     BAD_REQUEST = (400, "Correct the request as described and send it again")
@@ -41,7 +41,7 @@
     OVERLOADED = (503, "Send the request again after retry_after_ms")
     NO_BACKEND_SERVER = (
         503,
-        "Send the request again after retry_after_ms, or add backend servers",
+        "Send the request again after retry_after_ms; the pool is failing",
     )
     STOPPING = (503, "Ask for addresses again and use another one")
     UNCONFIRMED = (503, "Try another address; this daemon is cut off")
@@ -52,6 +52,8 @@
     STORE_UNKNOWN = (503, "Read the object back before writing it again")
     STORE_CONFLICT = (409, "Read the object again and repeat the change")
     BACKEND_FAILED = (502, "Send the request again; it may be repeated")
+    BACKEND_LEAVING = (503, "Send the request again; others take it")
+    BROKEN_ANSWER = (502, "Send the request again; the answer was dropped")
     OUTCOME_UNKNOWN = (502, "Ask for the outcome with the same key")
     DEADLINE = (504, "Allow a longer deadline or send it again later")
     NOT_SENT = (502, "Try another backend server; nothing was handed over")
