Admit requests by priority and fair share, and refuse those too late

Cause: every request began at once, so that in a burst all of them waited at the engines until they were past their deadlines. Change: a bounded concurrency by pool, moved by what waits at the backend servers, a queue by priority and start-time fair shares, and a refusal, not run and with retry_after_ms, as soon as a request can't end in time.

--- a/cactusdyke/api/__init__.py
+++ b/cactusdyke/api/__init__.py
@@ -13,6 +13,7 @@
 from cactusdyke.application import ExtensionMetadata
 from cactusdyke.booking.bookings import Bookings
 from cactusdyke.configuration.in_force import InForce
+from cactusdyke.limits.admission import Admission
 from cactusdyke.limits.limiter import Limiter
 from cactusdyke.membership.members import Members
 from cactusdyke.observe.cost import CostBook
@@ -32,6 +33,7 @@
         rng=app.rng,
         in_force=app.service("configuration", InForce),
         limits=app.service("limits", Limiter),  # type: ignore[type-abstract]
+        admission=app.service("admission", Admission),  # type: ignore[type-abstract]
         pipelines=app.service("pipeline", PipelineRunner),
         bookings=app.service("bookings", Bookings),
         flights=flights,
--- a/cactusdyke/api/calls.py
+++ b/cactusdyke/api/calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import TYPE_CHECKING, Any, TypeVar
 
 import attrs
@@ -31,6 +32,7 @@
     from cactusdyke.booking.bookings import Bookings
     from cactusdyke.clock import Clock
     from cactusdyke.configuration.in_force import InForce
+    from cactusdyke.limits.admission import Admission
     from cactusdyke.limits.limiter import Limiter
     from cactusdyke.observe.metrics import Metrics
     from cactusdyke.observe.tracing import Tracing
@@ -52,6 +54,7 @@
         rng: random.Random,
         in_force: InForce,
         limits: Limiter,
+        admission: Admission,
         pipelines: PipelineRunner,
         bookings: Bookings,
         flights: Flights,
@@ -62,6 +65,7 @@
         self._rng = rng
         self._in_force = in_force
         self._limits = limits
+        self._admission = admission
         self._pipelines = pipelines
         self._bookings = bookings
         self._flights = flights
@@ -79,17 +83,39 @@
             return failure_response(opened.err_value)
         context, pipeline, stream = opened.ok_value
         if stream:
-            return Response(
-                headers={
-                    "content-type": EVENT_STREAM_TYPE,
-                    "x-request-id": context.request_id,
-                },
-                body=self._events(context, pipeline),
-            )
+            return await self._stream(context, pipeline)
         with self._flights.track():
-            answer = await self._pipelines.run_whole(context, pipeline)
+            async with self._admission.enter(context, pipeline) as permit:
+                if isinstance(permit, Err):
+                    return self._close(context, name, permit)
+                answer = await self._pipelines.run_whole(context, pipeline)
         return self._close(context, name, answer)
 
+    async def _stream(
+        self, context: RequestContext, pipeline: Pipeline
+    ) -> Response:
+        """Starts a stream once it is admitted."""
+        stack = contextlib.AsyncExitStack()
+        stack.enter_context(self._flights.track())
+        permit = await stack.enter_async_context(
+            self._admission.enter(context, pipeline)
+        )
+        if isinstance(permit, Err):
+            await stack.aclose()
+            return self._close(context, pipeline.name, permit)
+        chunks = self._events(context, pipeline, stack)
+        # A caller may leave before it reads anything, and what was never
+        # begun cleans up nothing: the permit would be held for good. The
+        # first chunk is empty and lets the generator own the stack.
+        await anext(chunks)
+        return Response(
+            headers={
+                "content-type": EVENT_STREAM_TYPE,
+                "x-request-id": context.request_id,
+            },
+            body=chunks,
+        )
+
     async def service(self, request: Request) -> Response:
         """Makes one call to a plain service."""
         name = request.parameters["name"]
@@ -178,11 +204,15 @@
         return Ok((context, target, call.ok_value.stream))
 
     async def _events(
-        self, context: RequestContext, pipeline: Pipeline
+        self,
+        context: RequestContext,
+        pipeline: Pipeline,
+        stack: contextlib.AsyncExitStack,
     ) -> AsyncIterator[bytes]:
         outcome = "ok"
-        with self._flights.track():
+        async with stack:
             try:
+                yield b""
                 async for part in self._pipelines.run_stream(context, pipeline):
                     yield _event_bytes(context, part)
             except CactusdykeError as error:
--- a/cactusdyke/application.py
+++ b/cactusdyke/application.py
@@ -31,6 +31,7 @@
     "cactusdyke.limits",
     "cactusdyke.routing",
     "cactusdyke.pipeline",
+    "cactusdyke.limits.overload",
     "cactusdyke.booking",
     "cactusdyke.orders",
     "cactusdyke.api",
--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -102,6 +102,12 @@
         "The number of daemons that a customer's callers use has changed.",
         "",
     )
+    OVERLOAD_SHED = (
+        4211,
+        "Requests are refused because they would end too late; told at most"
+        " once a second.",
+        "Add backend servers to the pipeline's pools if this goes on.",
+    )
     BOOKING_OUTCOME_UNKNOWN = (
         5001,
         "A non-idempotent call may or may not have run.",
--- /dev/null
+++ b/cactusdyke/limits/fair_admission.py
@@ -0,0 +1,245 @@
+"""Admission by what pools can take, in a short queue of fair shares."""
+
+from __future__ import annotations
+
+import collections
+import contextlib
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+from result import Err, Ok, Result
+
+from cactusdyke import events
+from cactusdyke.clock import MS_PER_SECOND, Instant
+from cactusdyke.errors import Failure, FailureKind
+from cactusdyke.limits.admission import Admission, Permit
+from cactusdyke.limits.fair_queue import FairQueue, Ticket
+from cactusdyke.limits.pools import Claim
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import AsyncIterator
+
+    from cactusdyke.clock import Clock
+    from cactusdyke.configuration.model import Pipeline
+    from cactusdyke.limits.pools import Pools
+    from cactusdyke.observe.metrics import Metrics
+    from cactusdyke.pipeline.request import RequestContext
+
+REVIEW_MS = 100.0
+SHED_EVERY_MS = 50.0
+MAX_WAITING = 1_000
+# A request starts no later than this many times its usual length before its
+# deadline, as half of all requests take longer than usual.
+START_MARGIN = 1.25
+SHORTEST_RETRY_MS = 100.0
+LONGEST_RETRY_MS = 10_000.0
+RETRY_SPREAD = 0.5
+SHED_EVENT_EVERY_MS = 1_000.0
+
+
+@attrs.define(kw_only=True, eq=False)
+class _Waiter:
+    """A request that waits to begin.
+
+    Attributes:
+        target: The pipeline or service that it asks for.
+        claim: What it takes.
+        start_by: Instant from which it would be late.
+        decided: Set once it is admitted or refused.
+        refusal: Why it was refused, None if it was admitted.
+    """
+
+    target: str
+    claim: Claim
+    start_by: Instant
+    decided: anyio.Event = attrs.field(factory=anyio.Event)
+    refusal: Failure | None = None
+    admitted: bool = False
+
+
+class FairAdmission(Admission):
+    """Admits by priority and fair share, and refuses what would be late."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        pools: Pools,
+        metrics: Metrics | None = None,
+    ) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._pools = pools
+        self._metrics = metrics
+        self._queue: FairQueue[_Waiter] = FairQueue()
+        self._waiting: collections.Counter[str] = collections.Counter()
+        self._shed_at: Instant = 0.0
+        self._told_at: Instant = -SHED_EVENT_EVERY_MS
+
+    @property
+    def waiting(self) -> int:
+        """How many requests wait to begin."""
+        return len(self._queue)
+
+    async def run(self) -> None:
+        """Moves bounds and refuses late requests while any wait."""
+        while True:
+            await self._clock.sleep(REVIEW_MS)
+            if self._queue:
+                self._dispatch()
+                self._shed()
+
+    @contextlib.asynccontextmanager
+    async def enter(
+        self, context: RequestContext, pipeline: Pipeline
+    ) -> AsyncIterator[Result[Permit, Failure]]:
+        """Waits for a permit and holds it while the block runs."""
+        claim = self._pools.claim(context.configuration, pipeline)
+        refusal = await self._wait(context, pipeline, claim)
+        if refusal is not None:
+            self._count_refusal(pipeline, refusal)
+            yield Err(refusal)
+            return
+        try:
+            yield Ok(Permit(admitted_at=self._clock.now()))
+        finally:
+            self._pools.leave(claim)
+            self._dispatch()
+
+    async def _wait(
+        self, context: RequestContext, pipeline: Pipeline, claim: Claim
+    ) -> Failure | None:
+        """Returns once the request may begin or is refused."""
+        waiter = _Waiter(
+            target=pipeline.name,
+            claim=claim,
+            start_by=context.deadline - claim.total_ms * START_MARGIN,
+        )
+        ticket = self._queue.add(
+            waiter,
+            customer=context.customer.name,
+            share=context.customer.share,
+            cost=max(claim.work_ms.values()),
+            priority=context.customer.priority + pipeline.priority,
+        )
+        self._waiting[pipeline.name] += 1
+        self._dispatch()
+        self._shed_sometimes()
+        try:
+            await self._decision(waiter)
+        except BaseException:
+            # The caller has left: its place or its permit must go with it.
+            if waiter.admitted:
+                self._pools.leave(claim)
+                self._dispatch()
+            raise
+        finally:
+            if not waiter.decided.is_set():
+                self._drop(ticket)
+        return waiter.refusal
+
+    async def _decision(self, waiter: _Waiter) -> None:
+        if waiter.decided.is_set():
+            return
+        remaining = waiter.start_by - self._clock.now()
+        with self._clock.timeout(remaining):
+            await waiter.decided.wait()
+        if not waiter.decided.is_set():
+            waiter.refusal = self._late(SHORTEST_RETRY_MS)
+
+    def _dispatch(self) -> None:
+        """Admits waiters in order, as far as their pools can take them."""
+        blocked_targets: set[str] = set()
+        blocked_pools: set[str] = set()
+        for ticket in list(self._queue):
+            if len(blocked_targets) == len(self._waiting):
+                return
+            waiter = ticket.item
+            if waiter.target in blocked_targets:
+                continue
+            claim = waiter.claim
+            self._pools.move(claim)
+            # Smaller requests behind must not take for ever what one ahead
+            # of them waits for.
+            free = blocked_pools.isdisjoint(claim.work_ms)
+            if free and self._pools.fits(claim):
+                self._admit(ticket)
+            else:
+                blocked_targets.add(waiter.target)
+                blocked_pools.update(claim.work_ms)
+
+    def _admit(self, ticket: Ticket[_Waiter]) -> None:
+        self._queue.serve(ticket)
+        self._forget(ticket.item)
+        self._pools.enter(ticket.item.claim)
+        ticket.item.admitted = True
+        ticket.item.decided.set()
+
+    def _shed_sometimes(self) -> None:
+        if self._clock.now() - self._shed_at >= SHED_EVERY_MS:
+            self._shed()
+        elif len(self._queue) > MAX_WAITING:
+            self._refuse(list(self._queue)[-1], LONGEST_RETRY_MS)
+
+    def _shed(self) -> None:
+        """Refuses each waiter that those ahead of it would make late.
+
+        What is ahead is served by priority and fair share, so that it is
+        the low priorities and those over their share who are refused.
+        """
+        now = self._clock.now()
+        self._shed_at = now
+        ahead_ms: dict[str, float] = {}
+        for ticket in list(self._queue):
+            waiter = ticket.item
+            claim = waiter.claim
+            wait_ms = max(
+                ahead_ms.get(pool, 0.0) / self._pools.bound(pool)
+                for pool in claim.work_ms
+            )
+            late_ms = now + wait_ms - waiter.start_by
+            if late_ms > 0.0:
+                self._refuse(ticket, late_ms)
+                continue
+            for pool, work_ms in claim.work_ms.items():
+                ahead_ms[pool] = ahead_ms.get(pool, 0.0) + work_ms
+
+    def _drop(self, ticket: Ticket[_Waiter]) -> None:
+        self._queue.drop(ticket)
+        self._forget(ticket.item)
+
+    def _forget(self, waiter: _Waiter) -> None:
+        self._waiting[waiter.target] -= 1
+        if not self._waiting[waiter.target]:
+            del self._waiting[waiter.target]
+
+    def _refuse(self, ticket: Ticket[_Waiter], late_ms: float) -> None:
+        self._drop(ticket)
+        ticket.item.refusal = self._late(late_ms)
+        ticket.item.decided.set()
+
+    def _late(self, late_ms: float) -> Failure:
+        # Spread out, so that those refused together don't return together.
+        spread = 1.0 + self._rng.random() * RETRY_SPREAD
+        retry_ms = min(max(late_ms, SHORTEST_RETRY_MS), LONGEST_RETRY_MS)
+        return Failure(
+            kind=FailureKind.OVERLOADED,
+            detail="More requests are ahead than can end before the deadline",
+            retry_after_ms=int(retry_ms * spread),
+        )
+
+    def _count_refusal(self, pipeline: Pipeline, refusal: Failure) -> None:
+        if self._metrics is not None:
+            self._metrics.shed.labels(pipeline.name).inc()
+        now = self._clock.now()
+        if now - self._told_at >= SHED_EVENT_EVERY_MS:
+            self._told_at = now
+            events.log(
+                events.Event.OVERLOAD_SHED,
+                pipeline=pipeline.name,
+                waiting=len(self._queue),
+                retry_after_s=(refusal.retry_after_ms or 0) / MS_PER_SECOND,
+            )
--- /dev/null
+++ b/cactusdyke/limits/overload.py
@@ -0,0 +1,38 @@
+"""The extension that admits requests and sheds overload."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cactusdyke.application import ExtensionMetadata
+from cactusdyke.limits.fair_admission import FairAdmission
+from cactusdyke.limits.pools import Pools
+from cactusdyke.membership.members import Members
+from cactusdyke.observe.metrics import Metrics
+from cactusdyke.pipeline.timings import Timings
+from cactusdyke.routing.router import Router
+
+if TYPE_CHECKING:
+    from cactusdyke.application import Application
+
+
+def setup(app: Application) -> ExtensionMetadata:
+    """Registers the admission service."""
+    app.setup_extension("cactusdyke.membership")
+    app.setup_extension("cactusdyke.pipeline")
+    members = app.service("membership", Members)
+    pools = Pools(
+        clock=app.clock,
+        rng=app.rng,
+        timings=app.service("timings", Timings),
+        router=app.service("router", Router),
+        daemons=lambda: len(members.serving()),
+    )
+    admission = FairAdmission(
+        clock=app.clock,
+        rng=app.rng,
+        pools=pools,
+        metrics=app.service("metrics", Metrics),
+    )
+    app.add_service("admission", admission)
+    return ExtensionMetadata(version="1")
--- a/cactusdyke/observe/metrics.py
+++ b/cactusdyke/observe/metrics.py
@@ -85,3 +85,9 @@
             ("outcome",),
             registry=registry,
         )
+        self.shed = prometheus_client.Counter(
+            "cactusdyke_shed_requests",
+            "Requests refused because they would end too late.",
+            ("target",),
+            registry=registry,
+        )
--- a/cactusdyke/pipeline/__init__.py
+++ b/cactusdyke/pipeline/__init__.py
@@ -28,6 +28,7 @@
     """Registers the pipeline runner."""
     app.setup_extension("cactusdyke.observe")
     app.setup_extension("cactusdyke.routing")
+    app.add_service("timings", Timings(clock=app.clock))
     app.add_service("pipeline", _runner(app))
     return ExtensionMetadata(version="1")
 
@@ -37,7 +38,7 @@
     metrics = app.service("metrics", Metrics)
     router = app.service("router", Router)
     tracing = app.service("tracing", Tracing)
-    timings = Timings(clock=clock)
+    timings = app.service("timings", Timings)
     budgets = Budgets()
     shares = DeadlineShares(clock=clock, timings=timings)
     retries = Retries(
--- a/cactusdyke/pipeline/timings.py
+++ b/cactusdyke/pipeline/timings.py
@@ -6,6 +6,8 @@
 
 from hdrh.histogram import HdrHistogram
 
+from cactusdyke.kernel import Service
+
 if TYPE_CHECKING:
     from collections.abc import Hashable
 
@@ -75,7 +77,7 @@
         self._values = {q: found[q] / TICKS_PER_MS for q in _QUANTILES}
 
 
-class Timings:
+class Timings(Service):
     """Quantiles by name, of what was seen in the last half minute or so.
 
     Times that were measured in an outage would make the daemon refuse
