Let one request through to a pool without usable backend servers

Cause: with every backend server of a pool leaving, the pool's bound became 0. Admission then divided by it, which ended the daemon, and held requests back until they were late.

Ruled out: refusing in admission; routing knows why nothing can be chosen and says so with the truthful kind.

Change: a bound is never below 1. The naive runner registers the timings that admission asks for.

--- a/bench/naive/pipeline.py
+++ b/bench/naive/pipeline.py
@@ -15,6 +15,7 @@
 from cactusdyke.observe.metrics import Metrics
 from cactusdyke.pipeline.request import RequestContext
 from cactusdyke.pipeline.runner import PipelineRunner
+from cactusdyke.pipeline.timings import Timings
 from cactusdyke.routing.messages import StreamEnd, Token, TokenBatch
 from cactusdyke.transport.messages import Request
 from cactusdyke.transport.network import CallOptions
@@ -187,5 +188,6 @@
     """Registers the naive runner in the pipeline's place."""
     app.setup_extension("cactusdyke.observe")
     app.setup_extension("cactusdyke.routing")
+    app.add_service("timings", Timings(clock=app.clock))
     app.add_service("pipeline", NaiveRunner(app=app))
     return ExtensionMetadata(version="1")
--- a/cactusdyke/limits/concurrency.py
+++ b/cactusdyke/limits/concurrency.py
@@ -75,4 +75,7 @@
         elif pressure < LOW_PRESSURE and self._was_short:
             self._bound = max(self._bound * GROWTH, self._bound + 0.5)
         self._was_short = False
-        self._bound = min(max(LEAST, self._bound), MOST_OF_SLOTS * slots)
+        # With every backend server leaving there are no slots. A bound of 0
+        # would hold requests back until they are late; one at a time is let
+        # through to be refused at once by routing, which knows why.
+        self._bound = max(LEAST, min(self._bound, MOST_OF_SLOTS * slots))
