Tell stories of stragglers, outages, leaving, streams and routing

Found by them and mended: a hedged straggler was told to the speed book with the wrong stage time and looked fast; a hedge refused by the budget was never asked for again; the only near backend server was kept although slow; a slow stream's own pace was taken for a stall near its deadline; tiny differences in speed drew nearly all requests to one backend server.

--- a/cactusdyke/pipeline/race.py
+++ b/cactusdyke/pipeline/race.py
@@ -24,7 +24,7 @@
         clock: For the delay.
         primary: Runs the first attempt.
         backup: Returns a runner of the hedge when it is due, or None where
-            none may be made.
+            none may be made yet; it is then asked again after the delay.
         drop: Takes an answer that came whole, but second.
     """
 
@@ -48,10 +48,11 @@
         """Returns the first whole answer, or the last failure."""
         async with anyio.create_task_group() as tasks:
             self._start(tasks, self._primary)
-            await self._clock.sleep(delay_ms)
-            runner = self._backup()
-            if runner is not None:
-                self._start(tasks, runner)
+            runner = None
+            while runner is None:
+                await self._clock.sleep(delay_ms)
+                runner = self._backup()
+            self._start(tasks, runner)
         # The group ends when an answer cancels it or all have failed.
         if self._winner is not None:
             return self._winner
--- a/cactusdyke/pipeline/retries.py
+++ b/cactusdyke/pipeline/retries.py
@@ -31,6 +31,8 @@
 # Of a stage that was not measured lately only the expected time is known.
 UNMEASURED_FACTOR = 4.0
 HEDGE_MARGIN = 1.2
+# What a late attempt counts as, in multiples of the usual time.
+LATE_RATIO = 4.0
 
 
 class Retries:
@@ -114,9 +116,10 @@
         self, work: StageWork, late: BackendServer, waited_ms: float
     ) -> BackendServer | None:
         """Returns where a hedge goes, None where none may be made."""
-        typical = self._timings.quantile(work.timing, timings.TYPICAL)
-        if typical:
-            self._router.speed.observe(late.name, waited_ms / typical)
+        # The late attempt is cancelled if it loses, so how slow it would have
+        # been is never seen. Without a word to the speed book the straggler
+        # would be chosen, and hedged, for ever.
+        self._router.speed.observe(late.name, LATE_RATIO)
         weight = work.context.configuration.policy.attainment_weight
         pool = work.pool.name
         budget = self._budgets.hedges(pool)
--- a/cactusdyke/pipeline/streamed_stage.py
+++ b/cactusdyke/pipeline/streamed_stage.py
@@ -31,6 +31,7 @@
 LONGEST_GAP_MS = 2_000.0
 SHORTEST_GAP_MS = 250.0
 GAP_FACTOR = 20.0
+OWN_GAP_FACTOR = 3.0
 GAP_SHARE_OF_REMAINING = 0.4
 
 
@@ -70,19 +71,24 @@
                 last = opened.err_value
             else:
                 attempt = opened.ok_value
-                worst = self._timings.quantile(gap(work), timings.WORST)
+                usual = self._usual_gap_ms(work)
                 try:
                     while True:
-                        part = await attempt.next(self._gap_ms(work, worst))
+                        began = self._clock.now()
+                        part = await attempt.next(self._gap_ms(work, usual))
                         if isinstance(part, Err):
                             last = part.err_value
                             break
+                        usual = max(usual, self._clock.now() - began)
                         yield part.ok_value
                         if isinstance(part.ok_value, StreamEnd):
                             return
                         position += len(part.ok_value.tokens)
                 finally:
                     await attempt.close()
+            if work.context.remaining_ms(self._clock) <= 0:
+                last = _cut_by_deadline(work)
+                raise CactusdykeError(final(work, last))
             if not await self._retries.again(work, last):
                 raise CactusdykeError(final(work, last))
             if position:
@@ -147,16 +153,21 @@
 
         return run
 
-    def _gap_ms(self, work: StageWork, worst: float | None) -> float:
+    def _usual_gap_ms(self, work: StageWork) -> float:
+        """Returns the longest gap between tokens that was usual of late."""
+        worst = self._timings.quantile(gap(work), timings.WORST)
+        return LONGEST_GAP_MS / GAP_FACTOR if worst is None else worst
+
+    def _gap_ms(self, work: StageWork, usual_ms: float) -> float:
         """Returns how long the next token may take."""
         remaining = work.context.remaining_ms(self._clock)
         if remaining <= 0:
             raise CactusdykeError(final(work, _cut_by_deadline(work)))
-        longest = LONGEST_GAP_MS
-        if worst is not None:
-            longest = min(longest, max(GAP_FACTOR * worst, SHORTEST_GAP_MS))
-        # A stall is noticed while there is time to go on elsewhere.
-        share = max(remaining * GAP_SHARE_OF_REMAINING, SHORTEST_GAP_MS)
+        # A stall is noticed while there is time to go on elsewhere, but near
+        # the deadline a pace that was good so far is not taken for a stall.
+        shortest = max(SHORTEST_GAP_MS, OWN_GAP_FACTOR * usual_ms)
+        longest = min(LONGEST_GAP_MS, max(GAP_FACTOR * usual_ms, shortest))
+        share = max(remaining * GAP_SHARE_OF_REMAINING, shortest)
         return min(longest, share, remaining)
 
     async def _drop(self, work: StageWork, attempt: StreamAttempt) -> None:
--- a/cactusdyke/routing/router.py
+++ b/cactusdyke/routing/router.py
@@ -98,7 +98,7 @@
         index = self._index(pool)
         weight = max(attainment_weight, LEAST_ATTAINMENT_WEIGHT)
         best = self._better(index, index.near, exclude, weight)
-        if best is None or self._occupancy(best) >= NEAR_OCCUPANCY:
+        if best is None or not self._good_enough(best):
             far = self._better(index, index.far, exclude, weight)
             found = [server for server in (best, far) if server is not None]
             if not found:
@@ -230,6 +230,11 @@
                 return server
         return best
 
+    def _good_enough(self, server: BackendServer) -> bool:
+        """Returns whether to stay in the own data centre."""
+        slow = self._speed.slowness(server.name) > 1
+        return not slow and self._occupancy(server) < NEAR_OCCUPANCY
+
     def _occupancy(self, server: BackendServer) -> float:
         return self._load.outstanding(server.name) / server.slots
 
--- a/cactusdyke/routing/speed.py
+++ b/cactusdyke/routing/speed.py
@@ -15,6 +15,7 @@
 HALF_LIFE_MS = 10_000.0
 SLOWEST = 50.0
 FASTEST = 0.2
+NOISE = 1.25
 
 
 @attrs.define(kw_only=True)
@@ -50,7 +51,10 @@
         known = self._slowness.get(server_name)
         if known is None:
             return 1.0
-        return self._decayed(known, self._clock.now())
+        value = self._decayed(known, self._clock.now())
+        # Within the noise all are alike; otherwise every daemon would send
+        # its requests to the one that was quickest by a hair.
+        return 1.0 if 1 / NOISE < value < NOISE else value
 
     def forget_old(self) -> None:
         """Drops what has faded away."""
--- a/features/support/request_rig.py
+++ b/features/support/request_rig.py
@@ -34,6 +34,7 @@
     began: float
     ended: float = 0.0
     output: Any = None
+    first_token: float = 0.0
     tokens: list[str] = attrs.field(factory=list)
     positions: list[int] = attrs.field(factory=list)
     whole: bool = False
@@ -186,7 +187,9 @@
         """Returns the answer that is whole and the request's own."""
         if outcome.kind == "once":
             return {"booked": outcome.value}
-        encoded = self.deployment.servers["encoder-1"].output(outcome.value)
+        encoded = outcome.value
+        if "encoder" in self.pools:
+            encoded = self.deployment.servers["encoder-1"].output(encoded)
         if outcome.kind == "stream":
             return generate(encoded, TOKENS)
         return self.deployment.servers["engine-1"].output(encoded)
@@ -209,7 +212,7 @@
                 problems.append(f"it ended after {count} tokens")
         elif outcome.whole and outcome.output != expected:
             problems.append(f"it got the answer {outcome.output}")
-        first = "plain" if outcome.kind == "once" else "encoder"
+        first = "plain" if outcome.kind == "once" else next(iter(self.pools))
         runs = self.executions(outcome, first)
         failure = outcome.failure
         if failure and failure.ran is Ran.NOT_RUN and runs:
@@ -241,6 +244,8 @@
                 "whole", outcome.value, deadline_ms=self.deadline_ms
             ):
                 if event.name == "token":
+                    now = self.deployment.hub.clock.now()
+                    outcome.first_token = outcome.first_token or now
                     outcome.tokens.append(event.data["text"])
                     outcome.positions.append(event.data["position"])
                 elif event.name == "end":
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -31,7 +31,8 @@
     """Answers stage calls; what it says follows from its input alone.
 
     Further faults: `crossed` (how many of the next answers are another
-    request's), `die_after_tokens` (streams end early), `slow_factor`.
+    request's), `die_after_tokens` (streams end early), `slow_factor`,
+    `fail_after_run` (answers 500).
     """
 
     def __init__(
@@ -79,6 +80,8 @@
     async def _whole(self, call: dict[str, Any]) -> Response:
         began = self.clock.now()
         await self._work(call, self.stage_ms)
+        if self.faults.get("fail_after_run"):
+            return json_response({"error": "broken"}, status=500)
         call = self._crossed(call)
         output = self.output(call["input"])
         busy = self.clock.now() - began
