--- a/cactusdyke/routing/backend_client.py
+++ b/cactusdyke/routing/backend_client.py
@@ -177,6 +177,7 @@
                 "stream": call.stream,
                 "resume_from": call.resume_from,
                 "prefix": call.prefix,
+                "idempotency_key": call.idempotency_key,
             }
         ),
     )
