--- a/standins/serve.py
+++ b/standins/serve.py
@@ -26,6 +26,9 @@
     "plain": PlainServer,
 }
 
+# Nothing of theirs is lost by a cut: a watch would hold the stop up.
+WITHOUT_GRACE = ("object_service", "host_list")
+
 
 async def serve(kind: str, host: str, port: int, options: dict[str, Any]):
     """Serves a stand-in until it is told to stop."""
@@ -44,6 +47,8 @@
             async for _ in signals:
                 break
         server.stop()
+        if kind in WITHOUT_GRACE:
+            tasks.cancel_scope.cancel()
 
 
 def main(kind: str, port: int, host: str = "127.0.0.1", **options: Any) -> None:
