--- a/cactusdyke/api/authentication.py
+++ b/cactusdyke/api/authentication.py
@@ -31,6 +31,15 @@
     request: Request, configuration: Configuration
 ) -> Result[Customer, Failure]:
     """Returns the customer whose token the request carries."""
+    if configuration.revision == 0:
+        # A daemon that has just started knows no token yet. Told that its
+        # token is unknown, a caller would stop instead of moving on.
+        return Err(
+            Failure(
+                kind=FailureKind.UNCONFIRMED,
+                detail="This daemon has no configuration in force yet",
+            )
+        )
     return _owner_of(request, configuration.customers)
 
 
--- a/cactusdyke/client.py
+++ b/cactusdyke/client.py
@@ -29,6 +29,7 @@
 CONNECT_TIMEOUT_MS = 1_000.0
 ANSWER_MARGIN_MS = 1_000.0
 DEFAULT_DEADLINE_MS = 6_000.0
+ADDRESSES_DEADLINE_MS = 500.0
 FORGET_AFTER_MS = 500.0
 """How soon new addresses are asked for once one has failed."""
 
@@ -81,13 +82,16 @@
         """Returns addresses to use, asking again once they have expired."""
         if self._clock.now() < self._valid_until:
             return self._addresses
-        for address in (*self._addresses, *self._seeds):
+        for address in dict.fromkeys((*self._addresses, *self._seeds)):
             answer = await self._fetch(
-                address, self._request("/v1/addresses", None, None, None)
+                address,
+                self._request("/v1/addresses", None, None, None),
+                ADDRESSES_DEADLINE_MS,
             )
             if isinstance(answer, Ok):
                 self._keep(answer.ok_value)
                 break
+            self._forget(address)
         return self._addresses or self._seeds
 
     async def call(
@@ -116,7 +120,7 @@
                     idempotency_key,
                     traceparent,
                 )
-                answer = await self._fetch(address, request, tries.remaining_ms)
+                answer = await self._fetch(address, request, tries.patience_ms)
                 if isinstance(answer, Ok):
                     return answer
                 tries.failed(answer.err_value)
--- a/cactusdyke/client_tries.py
+++ b/cactusdyke/client_tries.py
@@ -16,6 +16,8 @@
 ROUND_PAUSE_MS = 200.0
 """Pause after a round in which no address could be reached."""
 RETRY_JITTER = 0.2
+KEYED_SHARE = 0.4
+"""Share of the time left that a call with a key spends on one daemon."""
 MOVE_ON = frozenset(
     {
         FailureKind.NOT_SENT,
@@ -53,6 +55,17 @@
         """Time left until the deadline."""
         return self._deadline - self._clock.now()
 
+    @property
+    def patience_ms(self) -> float:
+        """Longest wait for one try's answer.
+
+        A frozen daemon keeps its connections open and says nothing. A call
+        with a key leaves time to ask another daemon, which answers from the
+        same record; without a key there is nothing to be done but wait.
+        """
+        share = KEYED_SHARE if self._has_key else 1.0
+        return self.remaining_ms * share
+
     @property
     def may_move_on(self) -> bool:
         """Whether another address may be tried at once."""
--- a/features/bookings/client.feature
+++ b/features/bookings/client.feature
@@ -27,3 +27,10 @@
   Scenario: a client leaves an address out that refuses because it is stopping
     When a client meets a daemon that is stopping and one that serves
     Then the client's call was answered by the one that serves
+
+  Scenario: a client whose daemon freezes gets its booking from another
+    # The daemon that a crew's client has called is frozen before it has the
+    # call, and its connection stays open. Waiting for it alone, the client
+    # would spend its whole deadline on it.
+    When a client books while the first daemon that it calls is frozen
+    Then the client's booking answer came before the deadline, and once
--- a/features/steps/bookings_client_steps.py
+++ b/features/steps/bookings_client_steps.py
@@ -163,3 +163,32 @@
 @then("the client's call was answered by the one that serves")
 def then_served(context):
     assert context.client_answers == [{"output": "served"}] * 5
+
+
+@when("a client books while the first daemon that it calls is frozen")
+def when_frozen(context):
+    async def play():
+        async with BookingWorld() as world:
+            async with world.deployment.client() as client:
+                addresses = await client.addresses()
+                first = addresses[0].partition(":")[0]
+                world.hub.freeze(first)
+                answers = [
+                    await client.call(
+                        "/v1/services/hire-booking", n, idempotency_key=f"f{n}"
+                    )
+                    for n in range(4)
+                ]
+                world.hub.wake(first)
+            await world.heal()
+            context.client_answers = answers
+            context.client_runs = [world.executions(f"f{n}") for n in range(4)]
+
+    run_virtual(play)
+
+
+@then("the client's booking answer came before the deadline, and once")
+def then_before(context):
+    outputs = [answer.unwrap()["output"] for answer in context.client_answers]
+    assert [output["booked"] for output in outputs] == [0, 1, 2, 3]
+    assert context.client_runs == [1, 1, 1, 1]
