--- a/bench/serving/case_g_rolling_restart.py
+++ b/bench/serving/case_g_rolling_restart.py
@@ -22,6 +22,7 @@
             BUILD / column,
             callers=TINY_CALLERS if tiny else CALLERS,
             module=module,
+            restarted=rolling.NAMES[:1] if tiny else rolling.NAMES,
         )
         rows.append(
             {
--- a/bench/serving/rolling.py
+++ b/bench/serving/rolling.py
@@ -6,6 +6,7 @@
 import json
 import pathlib
 import signal
+from collections.abc import Sequence
 from typing import Any
 
 import anyio
@@ -56,20 +57,22 @@
     callers: int,
     module: str = DAEMON_MODULE,
     impatient: bool = False,
+    restarted: Sequence[str] = NAMES,
 ) -> Rolled:
-    """Restarts three daemons in turn under load.
+    """Restarts daemons of three in turn under load.
 
     Args:
         directory: Where logs and settings go.
         callers: How many callers call at once.
         module: The module that runs a daemon.
         impatient: Whether a second SIGTERM follows the first.
+        restarted: Which of the daemons are restarted.
     """
     with small_fleet(directory, linger_ms=LINGER_MS, module=module) as (
         fleet,
         answers,
     ):
-        restart = _Restart(fleet, directory, module, impatient)
+        restart = _Restart(fleet, directory, module, impatient, restarted)
         return anyio.run(restart.run, answers, callers)
 
 
@@ -80,11 +83,13 @@
         directory: pathlib.Path,
         module: str,
         impatient: bool,
+        restarted: Sequence[str],
     ) -> None:
         self._fleet = fleet
         self._directory = directory
         self._module = module
         self._impatient = impatient
+        self._restarted = restarted
         self._seeds = [fleet[name].address for name in NAMES]
         self._over = False
         self.rolled = Rolled()
@@ -97,7 +102,7 @@
         async with anyio.create_task_group() as tasks:
             for number in range(callers):
                 tasks.start_soon(self._call, number)
-            for name in NAMES:
+            for name in self._restarted:
                 await anyio.sleep(1.0)
                 await anyio.to_thread.run_sync(self._restart, name)
             await anyio.sleep(1.0)
--- a/features/steps/bookings_steps.py
+++ b/features/steps/bookings_steps.py
@@ -7,6 +7,7 @@
 import attrs
 from behave import given, then, when
 
+from bench.serving import case_h_bookings
 from cactusdyke.booking.record import Record, RecordState, record_key
 from features.support.booking_machine import run_machine
 from features.support.booking_world import BookingWorld, Said
@@ -282,3 +283,22 @@
     assert times
     for began in times:
         assert sum(began <= each < began + 1_000 for each in times) <= count
+
+
+@when("bookings are measured in their smallest size")
+def when_measured(context):
+    context.booking_rows = case_h_bookings.run_case(tiny=True)
+
+
+@then("the naive bookings were doubled and the project's were not")
+def then_not_doubled(context):
+    naive, project = context.booking_rows
+    assert (naive["column"], project["column"]) == ("naive", "project")
+    assert naive["bookings"] == project["bookings"] > 0
+    assert naive["doubled"] > 0
+    assert (project["doubled"], project["false_not_run"]) == (0, 0)
+
+
+@then("the project's bookings took {count:d} writes each")
+def then_each(context, count):
+    assert context.booking_rows[1]["writes_per_booking"] == count
--- a/features/steps/stops_steps.py
+++ b/features/steps/stops_steps.py
@@ -14,7 +14,7 @@
 
 from behave import given, then, when
 
-from bench.serving import rolling
+from bench.serving import case_g_rolling_restart, rolling
 from standins.fleet import (
     CUSTOMER_TOKEN,
     OPERATOR_TOKEN,
@@ -320,3 +320,22 @@
 def then_status(context, status):
     context.stop_raw["stalled"].close()
     assert context.stop_status == status
+
+
+@when("the rolling restart is measured in its smallest size")
+def when_measured(context):
+    context.rolling_rows = case_g_rolling_restart.run_case(tiny=True)
+
+
+@then("it has a row for the naive and one for the project's stop")
+def then_rows(context):
+    columns = [row["column"] for row in context.rolling_rows]
+    assert columns == ["naive", "project"]
+    assert all(row["answered"] > 0 for row in context.rolling_rows)
+
+
+@then("the project's stop cut and doubled nothing")
+def then_project(context):
+    row = context.rolling_rows[1]
+    assert (row["cut"], row["refused"], row["doubled"]) == (0, 0, 0), row
+    assert row["exits"] == [0]
