--- a/cactusdyke/limits/concurrency.py
+++ b/cactusdyke/limits/concurrency.py
@@ -8,7 +8,7 @@
     from cactusdyke.clock import Instant
 
 GROWTH = 1.05
-CUT = 0.9
+LARGEST_CUT = 0.5
 LOW_PRESSURE = 0.1
 HIGH_PRESSURE = 0.25
 LEAST = 1.0
@@ -19,12 +19,15 @@
 class PoolConcurrency:
     """One pool's bound at this daemon, moved by the pressure that is seen.
 
+    The bound is this daemon's equal part of the pool's slots times a factor.
     Pressure is what waits at the pool's backend servers, by slot. A little
     of it keeps all slots busy, more only makes requests late.
     """
 
-    def __init__(self, *, bound: float, now: Instant) -> None:
-        self._bound = max(LEAST, bound)
+    def __init__(self, *, now: Instant) -> None:
+        self._factor = 1.0
+        self._slots = 0.0
+        self._daemons = 1
         self._used = 0.0
         self._was_short = False
         self._moved_at = now
@@ -32,18 +35,24 @@
     @property
     def bound(self) -> float:
         """How many requests may be under way at once."""
-        return self._bound
+        part = self._slots / self._daemons * self._factor
+        return min(max(LEAST, part), MOST_OF_SLOTS * self._slots)
 
     @property
     def used(self) -> float:
         """How many requests are under way, by their expected parts."""
         return self._used
 
+    def size(self, *, slots: float, daemons: int) -> None:
+        """Takes over how large the pool is, and who shares it."""
+        self._slots = max(LEAST, slots)
+        self._daemons = max(1, daemons)
+
     def fits(self, part: float) -> bool:
         """Returns whether another request fits, and notes if not."""
         # One request always fits, however large its part: a bound below it
         # would lock its pipeline out.
-        if self._used + part <= self._bound or self._used < part:
+        if self._used + part <= self.bound or self._used < part:
             return True
         self._was_short = True
         return False
@@ -61,18 +70,21 @@
         interval = max(SHORTEST_INTERVAL_MS, stage_ms)
         return now - self._moved_at >= interval
 
-    def move(self, now: Instant, *, pressure: float, slots: float) -> None:
+    def move(self, now: Instant, *, pressure: float) -> None:
         """Moves the bound by the pressure that is seen.
 
         Args:
             now: The current instant.
             pressure: Requests that wait at the backend servers, by slot.
-            slots: The slots of the pool's usable backend servers.
         """
         self._moved_at = now
         if pressure > HIGH_PRESSURE:
-            self._bound *= CUT
+            fitting = (1.0 + HIGH_PRESSURE) / (1.0 + pressure)
+            self._factor *= max(LARGEST_CUT, fitting)
         elif pressure < LOW_PRESSURE and self._was_short:
-            self._bound = max(self._bound * GROWTH, self._bound + 0.5)
+            self._factor *= GROWTH
         self._was_short = False
-        self._bound = min(max(LEAST, self._bound), MOST_OF_SLOTS * slots)
+        part = self._slots / self._daemons
+        least = LEAST / part
+        most = MOST_OF_SLOTS * self._slots / part
+        self._factor = min(max(least, self._factor), most)
--- a/cactusdyke/limits/fair_admission.py
+++ b/cactusdyke/limits/fair_admission.py
@@ -30,9 +30,10 @@
 REVIEW_MS = 100.0
 SHED_EVERY_MS = 50.0
 MAX_WAITING = 1_000
-# A request starts no later than this many times its usual length before its
-# deadline, as half of all requests take longer than usual.
-START_MARGIN = 1.25
+# Of the time that a request can spare it waits at most this part. Queues that
+# use all of it up make every request end at its deadline, where the smallest
+# delay makes it late.
+WAITING_SHARE = 0.5
 SHORTEST_RETRY_MS = 100.0
 LONGEST_RETRY_MS = 10_000.0
 RETRY_SPREAD = 0.5
@@ -116,7 +117,7 @@
         waiter = _Waiter(
             target=pipeline.name,
             claim=claim,
-            start_by=context.deadline - claim.total_ms * START_MARGIN,
+            start_by=self._start_by(context, claim),
         )
         ticket = self._queue.add(
             waiter,
@@ -141,6 +142,11 @@
                 self._drop(ticket)
         return waiter.refusal
 
+    def _start_by(self, context: RequestContext, claim: Claim) -> Instant:
+        now = self._clock.now()
+        spare_ms = context.deadline - now - claim.late_ms
+        return now + max(0.0, spare_ms) * WAITING_SHARE
+
     async def _decision(self, waiter: _Waiter) -> None:
         if waiter.decided.is_set():
             return
--- a/cactusdyke/limits/pools.py
+++ b/cactusdyke/limits/pools.py
@@ -29,10 +29,13 @@
     Attributes:
         work_ms: Time at each pool, in milliseconds.
         total_ms: Time at all of them.
+        late_ms: Time at all of them if each stage is as slow as its slowest
+            of late, but for one in twenty.
     """
 
     work_ms: Mapping[str, float]
     total_ms: float
+    late_ms: float
 
     def part(self, pool: str) -> float:
         """Returns the part of its time that the request is at a pool."""
@@ -63,13 +66,17 @@
         """Returns what a request of a pipeline takes."""
         self._configured = configuration.pools
         work: dict[str, float] = {}
+        late_ms = 0.0
         for stage in pipeline.stages:
-            measured = self._timings.quantile(
-                (pipeline.name, stage.name), timings.TYPICAL
-            )
-            took = stage.expected_ms if measured is None else measured
+            name = (pipeline.name, stage.name)
+            typical = self._timings.quantile(name, timings.TYPICAL)
+            took = stage.expected_ms if typical is None else typical
+            late = self._timings.quantile(name, timings.LATE)
             work[stage.pool] = work.get(stage.pool, 0.0) + max(took, 0.1)
-        return Claim(work_ms=work, total_ms=sum(work.values()))
+            late_ms += stage.expected_ms if late is None else late
+        return Claim(
+            work_ms=work, total_ms=sum(work.values()), late_ms=late_ms
+        )
 
     def fits(self, claim: Claim) -> bool:
         """Returns whether a request may start now."""
@@ -105,19 +112,18 @@
             concurrency = self._pool(name)
             pool = self._configured.get(name)
             if pool is not None and concurrency.is_due(now, work_ms):
-                concurrency.move(
-                    now,
-                    pressure=self._pressure(pool),
-                    slots=self._slots(pool),
+                concurrency.size(
+                    slots=self._slots(pool), daemons=self._daemons()
                 )
+                concurrency.move(now, pressure=self._pressure(pool))
 
     def _pool(self, name: str) -> PoolConcurrency:
         if name not in self._pools:
             pool = self._configured.get(name)
             slots = self._slots(pool) if pool is not None else 0.0
-            self._pools[name] = PoolConcurrency(
-                bound=slots / max(1, self._daemons()), now=self._clock.now()
-            )
+            concurrency = PoolConcurrency(now=self._clock.now())
+            concurrency.size(slots=slots, daemons=self._daemons())
+            self._pools[name] = concurrency
         return self._pools[name]
 
     def _slots(self, pool: Pool) -> float:
