--- a/cactusdyke/api/__init__.py
+++ b/cactusdyke/api/__init__.py
@@ -12,6 +12,7 @@
 from cactusdyke.api.submissions import SubmissionHandlers
 from cactusdyke.application import ExtensionMetadata
 from cactusdyke.booking.bookings import Bookings
+from cactusdyke.configuration.desk import SubmissionDesk
 from cactusdyke.configuration.in_force import InForce
 from cactusdyke.limits.admission import Admission
 from cactusdyke.limits.limiter import Limiter
@@ -52,8 +53,15 @@
         tracing=app.service("tracing", Tracing),
         cost=app.service("cost", CostBook),
     )
-    submissions = SubmissionHandlers(gate=gate, object_store=app.object_store)
+    submissions = SubmissionHandlers(
+        gate=gate,
+        in_force=app.service("configuration", InForce),
+        desk=app.service("submissions", SubmissionDesk),
+    )
     app.add_route("POST", "/v1/submissions", submissions.submit)
+    app.add_route("GET", "/v1/submissions/{id}", submissions.find)
+    app.add_route("GET", "/v1/history", submissions.history)
+    app.add_route("GET", "/v1/configuration", submissions.configuration)
     book = addresses.of_application(app, app.service("configuration", InForce))
     app.add_route("POST", "/v1/pipelines/{name}", book.telling(calls.pipeline))
     app.add_route("POST", "/v1/services/{name}", book.telling(calls.service))
--- a/cactusdyke/api/calls.py
+++ b/cactusdyke/api/calls.py
@@ -32,6 +32,7 @@
     from cactusdyke.booking.bookings import Bookings
     from cactusdyke.clock import Clock
     from cactusdyke.configuration.in_force import InForce
+    from cactusdyke.configuration.model import Customer
     from cactusdyke.limits.admission import Admission
     from cactusdyke.limits.limiter import Limiter
     from cactusdyke.observe.metrics import Metrics
@@ -165,6 +166,7 @@
         self, request: Request, target: TargetType | None, name: str
     ) -> Result[tuple[RequestContext, TargetType, bool], Failure]:
         """Checks who calls, what for and with what, and starts a request."""
+        now = self._clock.now()
         configuration = self._in_force.current
         customer = authentication.customer_of(request, configuration)
         if isinstance(customer, Err):
@@ -177,16 +179,10 @@
         key = _idempotency_key(request, target)
         if isinstance(key, Err):
             return key
-        admitted = await self._limits.admit(customer.ok_value)
+        admitted = await self._admit(customer.ok_value, target)
         if isinstance(admitted, Err):
-            events.log(
-                events.Event.REQUEST_REFUSED,
-                customer=customer.ok_value.name,
-                detail=admitted.err_value.detail,
-            )
             return admitted
         allowed_ms = call.ok_value.deadline_ms or target.deadline_ms
-        now = self._clock.now()
         context = RequestContext(
             request_id=f"{self._rng.getrandbits(128):032x}",
             customer=customer.ok_value,
@@ -203,6 +199,22 @@
         )
         return Ok((context, target, call.ok_value.stream))
 
+    async def _admit(
+        self, customer: Customer, target: Pipeline | PlainService
+    ) -> Result[None, Failure]:
+        """Refuses if the daemon is cut off or the customer over its limit."""
+        idempotent = isinstance(target, Pipeline) or target.idempotent
+        admitted = self._in_force.permit(idempotent=idempotent)
+        if admitted.is_ok():
+            admitted = await self._limits.admit(customer)
+        if isinstance(admitted, Err):
+            events.log(
+                events.Event.REQUEST_REFUSED,
+                customer=customer.name,
+                detail=admitted.err_value.detail,
+            )
+        return admitted
+
     async def _events(
         self,
         context: RequestContext,
--- a/standins/object_service.py
+++ b/standins/object_service.py
@@ -19,6 +19,8 @@
 from standins.base import StandIn
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cactusdyke.clock import Clock
 
 MAX_VALUE_BYTES = 1 << 20
@@ -31,6 +33,7 @@
         super().__init__(clock=clock)
         self.version = 0
         self.objects: dict[str, tuple[int, bytes]] = {}
+        self.on_delete: Callable[[], object] = lambda: None
         self._changed = anyio.Event()
         for depth in range(1, 6):
             key = "/".join(f"{{k{i}}}" for i in range(depth))
@@ -50,6 +53,11 @@
     async def _write(self, request: Request) -> Response:
         self.counts["writes"] += 1
         key = _key(request)
+        # Faults of one write: `late_write` takes effect after its writer has
+        # given up; `lost_write` takes effect, but its answer never comes.
+        if self.faults.get("late_write") == key:
+            del self.faults["late_write"]
+            await self.clock.sleep(self.faults["late_ms"])
         if self._conflicts(request, key):
             return json_response({"error": "version"}, status=409)
         if len(request.body) > MAX_VALUE_BYTES:
@@ -57,10 +65,14 @@
         self.version += 1
         self.objects[key] = (self.version, request.body)
         self._notify()
+        if self.faults.get("lost_write") == key:
+            del self.faults["lost_write"]
+            await anyio.sleep_forever()
         return json_response({"version": self.version})
 
     async def _delete(self, request: Request) -> Response:
         self.counts["deletes"] += 1
+        self.on_delete()
         key = _key(request)
         if key in self.objects and self._conflicts(request, key):
             return json_response({"error": "version"}, status=409)
