--- a/cactusdyke/limits/fair_admission.py
+++ b/cactusdyke/limits/fair_admission.py
@@ -85,6 +85,10 @@
         """How many requests wait to begin."""
         return len(self._queue)
 
+    def used(self, pool: str) -> float:
+        """Returns how many requests are at a pool, as expected."""
+        return self._pools.used(pool)
+
     async def run(self) -> None:
         """Moves bounds and refuses late requests while any wait."""
         while True:
--- a/cactusdyke/limits/pools.py
+++ b/cactusdyke/limits/pools.py
@@ -74,9 +74,7 @@
             late = self._timings.quantile(name, timings.LATE)
             work[stage.pool] = work.get(stage.pool, 0.0) + max(took, 0.1)
             late_ms += stage.expected_ms if late is None else late
-        return Claim(
-            work_ms=work, total_ms=sum(work.values()), late_ms=late_ms
-        )
+        return Claim(work_ms=work, total_ms=sum(work.values()), late_ms=late_ms)
 
     def fits(self, claim: Claim) -> bool:
         """Returns whether a request may start now."""
@@ -85,6 +83,8 @@
             for name in claim.work_ms
             if not self._pool(name).fits(claim.part(name))
         ]
+        for name in short:
+            self._router.mark_short(name)
         return not short
 
     def enter(self, claim: Claim) -> None:
--- a/cactusdyke/pipeline/retries.py
+++ b/cactusdyke/pipeline/retries.py
@@ -120,7 +120,9 @@
         weight = work.context.configuration.policy.attainment_weight
         pool = work.pool.name
         budget = self._budgets.hedges(pool)
-        if budget.balance < 1:
+        # While requests wait to begin, a hedge takes the slot of one that has
+        # no other, and what it was to replace goes on running.
+        if budget.balance < 1 or self._router.is_short(pool):
             self._metrics.hedges.labels(pool, "refused").inc()
             return None
         server = self._router.choose(
--- a/cactusdyke/routing/router.py
+++ b/cactusdyke/routing/router.py
@@ -24,6 +24,7 @@
 CHOICES = 2
 DRAWS = 8
 LEAVING_MS = 30_000.0
+SHORT_MS = 1_000.0
 FORGET_EVERY_MS = 60_000.0
 # Near servers are preferred until they are this full.
 NEAR_OCCUPANCY = 0.8
@@ -48,6 +49,7 @@
         self._hints = PrefixHints(clock=clock)
         self._ejections = Ejections(clock=clock)
         self._leaving: dict[str, Instant] = {}
+        self._short: dict[str, Instant] = {}
         self._indexes: dict[str, PoolIndex] = {}
 
     @property
@@ -157,6 +159,14 @@
             server.name
         )
 
+    def mark_short(self, pool_name: str) -> None:
+        """Notes that requests wait for a pool before they may begin."""
+        self._short[pool_name] = self._clock.now() + SHORT_MS
+
+    def is_short(self, pool_name: str) -> bool:
+        """Returns whether requests waited for a pool a moment ago."""
+        return self._clock.now() < self._short.get(pool_name, 0.0)
+
     @contextlib.contextmanager
     def in_flight(self, server: BackendServer) -> Iterator[None]:
         """Counts an attempt as in flight while the block runs."""
