--- a/cactusdyke/limits/concurrency.py
+++ b/cactusdyke/limits/concurrency.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from cactusdyke.clock import Instant
 
-GROWTH = 1.05
+LARGEST_GROWTH = 0.2
 LARGEST_CUT = 0.5
 LOW_PRESSURE = 0.1
 HIGH_PRESSURE = 0.25
@@ -82,7 +82,9 @@
             fitting = (1.0 + HIGH_PRESSURE) / (1.0 + pressure)
             self._factor *= max(LARGEST_CUT, fitting)
         elif pressure < LOW_PRESSURE and self._was_short:
-            self._factor *= GROWTH
+            # A daemon that more than its part of the callers use must reach
+            # the slots that the others leave idle within seconds.
+            self._factor *= 1.0 + LARGEST_GROWTH * (1 - pressure / LOW_PRESSURE)
         self._was_short = False
         part = self._slots / self._daemons
         least = LEAST / part
--- a/features/support/limits_fleet.py
+++ b/features/support/limits_fleet.py
@@ -89,6 +89,7 @@
             )
             for i in range(count)
         }
+        self._all = tuple(self.daemons.values())
         self.running: dict[str, Running] = {}
         self.left: set[str] = set()
         self.frozen: set[str] = set()
@@ -195,6 +196,8 @@
 
     def seen_by(self, name: str) -> tuple[Daemon, ...]:
         """Returns the daemons that one daemon believes to serve."""
+        if not self._faulty and not self.unseen:
+            return self._all
         heard = self._heard[name]
         now = self.now
         return tuple(
