--- a/bench/serving/case_i_customer_subsets.py
+++ b/bench/serving/case_i_customer_subsets.py
@@ -11,10 +11,11 @@
 import anyio
 import attrs
 
-from bench.naive.static_limits import StaticLimits
+from bench.naive.static_limits import OneBucket, StaticLimits
 from cactusdyke.clock import EventLoopClock
 from cactusdyke.configuration.model import Customer
 from cactusdyke.limits import account, holding, subsets
+from cactusdyke.limits.limiter import Limiter
 from cactusdyke.limits.subsets import rank
 from cactusdyke.routing.prefix_hints import PrefixHints
 from features.support import limits_fleet
@@ -51,25 +52,40 @@
 
     Attributes:
         name: What the table calls it.
-        static: Whether each daemon takes an equal share, without messages.
+        make: How limits are held where it is not by loans.
         smallest: The smallest subset, 0 for all daemons.
         grows: Whether subsets grow with demand.
     """
 
     name: str
-    static: bool
+    make: Callable[[LimitsFleet, Column], Limiter] | None
     smallest: int
     grows: bool
 
 
+def _equal_shares(fleet: LimitsFleet, column: Column) -> Limiter:
+    return StaticLimits(
+        clock=fleet.hub.clock,
+        daemons=lambda: column.smallest or len(fleet.daemons),
+    )
+
+
+def _one_bucket(fleet: LimitsFleet, column: Column) -> Limiter:
+    del column
+    return OneBucket(clock=fleet.hub.clock, buckets=fleet.shared)
+
+
 COLUMNS = (
-    Column(name="equal shares, all", static=True, smallest=0, grows=False),
-    Column(name="equal shares, 6", static=True, smallest=6, grows=False),
-    Column(name="loans, all", static=False, smallest=0, grows=False),
-    Column(name="loans, 6", static=False, smallest=6, grows=False),
-    Column(name="loans, growing 3", static=False, smallest=3, grows=True),
-    Column(name="loans, growing 6", static=False, smallest=6, grows=True),
-    Column(name="loans, growing 12", static=False, smallest=12, grows=True),
+    Column(name="one bucket, all", make=_one_bucket, smallest=0, grows=False),
+    Column(
+        name="equal shares, all", make=_equal_shares, smallest=0, grows=False
+    ),
+    Column(name="equal shares, 6", make=_equal_shares, smallest=6, grows=False),
+    Column(name="loans, all", make=None, smallest=0, grows=False),
+    Column(name="loans, 6", make=None, smallest=6, grows=False),
+    Column(name="loans, growing 3", make=None, smallest=3, grows=True),
+    Column(name="loans, growing 6", make=None, smallest=6, grows=True),
+    Column(name="loans, growing 12", make=None, smallest=12, grows=True),
 )
 
 
@@ -143,7 +159,7 @@
         customers=list(customers),
         data_centres=10 if size.daemons > 50 else 3,
         regions=3 if size.daemons > 50 else 1,
-        make_limiter=_static(column) if column.static else None,
+        make_limiter=_maker(column),
     )
     static_lists = {
         c.name: tuple(
@@ -263,11 +279,8 @@
     return GREEDY_LOAD if _is_greedy(index) else USUAL_LOAD
 
 
-def _static(column: Column) -> Callable[[LimitsFleet, str], StaticLimits]:
-    def make(fleet: LimitsFleet, name: str) -> StaticLimits:
-        return StaticLimits(
-            clock=fleet.hub.clock,
-            daemons=lambda: column.smallest or len(fleet.daemons),
-        )
-
-    return make
+def _maker(column: Column) -> Callable[[LimitsFleet, str], Limiter] | None:
+    make = column.make
+    if make is None:
+        return None
+    return lambda fleet, name: make(fleet, column)
--- a/cactusdyke/limits/concurrency.py
+++ b/cactusdyke/limits/concurrency.py
@@ -45,6 +45,9 @@
 
     def size(self, *, slots: float, daemons: int) -> None:
         """Takes over how large the pool is, and who shares it."""
+        # With every backend server leaving there are no slots. A bound of 0
+        # would hold requests back until they are late; one at a time is let
+        # through to be refused at once by routing, which knows why.
         self._slots = max(LEAST, slots)
         self._daemons = max(1, daemons)
 
--- a/features/support/limits_fleet.py
+++ b/features/support/limits_fleet.py
@@ -97,6 +97,7 @@
         self.cuts: set[tuple[str, str]] = set()
         self.log: list[Admission] = []
         self.messages = 0
+        self.shared: dict[str, Any] = {}
         self._delay_ms = delay_ms
         self._make_limiter = make_limiter
         self._subsets = subsets
