Tell callers the daemons of their customer, lazily

A caller at another daemon than those of its list is served and told the list in the answer's headers; one that names the list it holds is told only a newer one.

--- a/cactusdyke/api/addresses.py
+++ b/cactusdyke/api/addresses.py
@@ -10,7 +10,6 @@
 from typing import TYPE_CHECKING
 
 import attrs
-import xxhash
 from result import Err
 
 from cactusdyke.api import authentication
@@ -18,6 +17,7 @@
 from cactusdyke.limits.limiter import Limiter
 from cactusdyke.limits.subsets import LARGEST_SUBSET, Subsets
 from cactusdyke.membership.members import Members
+from cactusdyke.transport.address_list import LIST_HEADER, AddressList
 from cactusdyke.transport.messages import Request, Response, json_response
 
 if TYPE_CHECKING:
@@ -27,12 +27,9 @@
     from cactusdyke.application import Application
     from cactusdyke.configuration.in_force import InForce
     from cactusdyke.limits.fleet import Daemon
-    from cactusdyke.transport.messages import Handler
+from cactusdyke.transport.messages import Handler
 
 ADDRESS_LIFETIME_MS = 3_000
-LIST_HEADER = "x-cactusdyke-address-list"
-ADDRESSES_HEADER = "x-cactusdyke-addresses"
-LIFETIME_HEADER = "x-cactusdyke-addresses-lifetime-ms"
 
 
 class Addresses:
@@ -62,7 +59,7 @@
                     {"address": d.address, "data_centre": d.data_centre}
                     for d in daemons
                 ],
-                "list": list_id([d.address for d in daemons]),
+                "list": _address_list(daemons).list_id,
                 "lifetime_ms": ADDRESS_LIFETIME_MS,
             }
         )
@@ -84,18 +81,13 @@
         daemons = self._customers_daemons(request)
         if not daemons:
             return {}
-        addresses = [daemon.address for daemon in daemons]
+        current = _address_list(daemons)
         held = request.headers.get(LIST_HEADER)
         if held is None:
             is_right = self._view.own_name in {d.name for d in daemons}
         else:
-            is_right = held == list_id(addresses)
-        if is_right:
-            return {}
-        return {
-            ADDRESSES_HEADER: " ".join(addresses),
-            LIFETIME_HEADER: str(ADDRESS_LIFETIME_MS),
-        }
+            is_right = held == current.list_id
+        return {} if is_right else current.to_headers()
 
     def _customers_daemons(self, request: Request) -> tuple[Daemon, ...]:
         customer = authentication.customer_of(request, self._in_force.current)
@@ -111,9 +103,11 @@
         return self._rng.sample(serving, LARGEST_SUBSET)
 
 
-def list_id(addresses: Sequence[str]) -> str:
-    """Returns a short name of a list of addresses, whatever their order."""
-    return xxhash.xxh3_64_hexdigest(" ".join(sorted(addresses)).encode())
+def _address_list(daemons: Sequence[Daemon]) -> AddressList:
+    return AddressList(
+        addresses=tuple(daemon.address for daemon in daemons),
+        lifetime_ms=ADDRESS_LIFETIME_MS,
+    )
 
 
 def of_application(app: Application, in_force: InForce) -> Addresses:
--- a/cactusdyke/client.py
+++ b/cactusdyke/client.py
@@ -15,6 +15,8 @@
 from cactusdyke.client_tries import Tries, no_address
 from cactusdyke.clock import Clock, SystemClock
 from cactusdyke.errors import CactusdykeError, Failure, FailureKind
+from cactusdyke.transport import address_list
+from cactusdyke.transport.address_list import AddressList
 from cactusdyke.transport.http_network import HttpNetwork
 from cactusdyke.transport.messages import (
     JSON_TYPE,
@@ -51,6 +53,7 @@
         self._clock = clock or SystemClock()
         self._rng = rng or random.Random()
         self._addresses: tuple[str, ...] = ()
+        self._list_id = ""
         self._valid_until = 0.0
         self._stack = contextlib.AsyncExitStack()
 
@@ -159,6 +162,8 @@
                 async with self._open_network().open(
                     address, request, _options(remaining)
                 ) as opened:
+                    if isinstance(opened, Ok):
+                        self._correct(opened.ok_value.headers)
                     began = await client_answers.begun(opened)
                     if isinstance(began, Ok):
                         async for event in client_answers.events(
@@ -220,8 +225,20 @@
     def _keep(self, value: Mapping[str, Any]) -> None:
         listed = tuple(item["address"] for item in value["addresses"])
         if listed:
-            self._addresses = listed
-            self._valid_until = self._clock.now() + value["lifetime_ms"]
+            self._use(
+                AddressList(addresses=listed, lifetime_ms=value["lifetime_ms"])
+            )
+
+    def _correct(self, headers: Mapping[str, str]) -> None:
+        """Takes over the list that a daemon tells who was not on the last."""
+        told = address_list.from_headers(headers)
+        if told is not None and self._valid_until != math.inf:
+            self._use(told)
+
+    def _use(self, told: AddressList) -> None:
+        self._addresses = told.addresses
+        self._list_id = told.list_id
+        self._valid_until = self._clock.now() + told.lifetime_ms
 
     def _request(
         self,
@@ -233,6 +250,8 @@
         headers = {}
         if self._token:
             headers["authorization"] = f"Bearer {self._token}"
+        if self._list_id:
+            headers[address_list.LIST_HEADER] = self._list_id
         if idempotency_key is not None:
             headers["idempotency-key"] = idempotency_key
         if traceparent is not None:
@@ -258,6 +277,7 @@
         )
         if isinstance(answer, Err):
             return answer
+        self._correct(answer.ok_value.headers)
         return client_answers.parse(answer.ok_value)
 
     def _open_network(self) -> Network:
--- a/cactusdyke/limits/fair_admission.py
+++ b/cactusdyke/limits/fair_admission.py
@@ -34,6 +34,7 @@
 # use all of it up make every request end at its deadline, where the smallest
 # delay makes it late.
 WAITING_SHARE = 0.5
+NEWCOMER_SHARE = 0.5
 SHORTEST_RETRY_MS = 100.0
 LONGEST_RETRY_MS = 10_000.0
 RETRY_SPREAD = 0.5
@@ -48,6 +49,7 @@
         target: The pipeline or service that it asks for.
         claim: What it takes.
         start_by: Instant from which it would be late.
+        accepted: Whether it was found to be able to begin in time.
         decided: Set once it is admitted or refused.
         refusal: Why it was refused, None if it was admitted.
     """
@@ -55,6 +57,7 @@
     target: str
     claim: Claim
     start_by: Instant
+    accepted: bool = False
     decided: anyio.Event = attrs.field(factory=anyio.Event)
     refusal: Failure | None = None
     admitted: bool = False
@@ -210,10 +213,15 @@
                 ahead_ms.get(pool, 0.0) / self._pools.bound(pool)
                 for pool in claim.work_ms
             )
-            late_ms = now + wait_ms - waiter.start_by
-            if late_ms > 0.0:
-                self._refuse(ticket, late_ms)
+            spare_ms = waiter.start_by - now
+            if not waiter.accepted:
+                # Estimates waver. A newcomer is taken with some of its time
+                # to spare, or many would wait only to be refused later.
+                spare_ms *= NEWCOMER_SHARE
+            if wait_ms > spare_ms:
+                self._refuse(ticket, wait_ms - spare_ms)
                 continue
+            waiter.accepted = True
             for pool, work_ms in claim.work_ms.items():
                 ahead_ms[pool] = ahead_ms.get(pool, 0.0) + work_ms
 
--- /dev/null
+++ b/features/steps/addresses_steps.py
@@ -0,0 +1,254 @@
+"""Steps of the address question and of lists that are corrected lazily."""
+
+from __future__ import annotations
+
+import collections
+from typing import Any
+
+import anyio
+import orjson
+from behave import given, then, when
+
+from cactusdyke.limits import subsets
+from cactusdyke.limits.fleet import Daemon
+from cactusdyke.limits.subsets import SMALLEST_SUBSET
+from cactusdyke.transport import address_list
+from cactusdyke.transport.messages import Request
+from cactusdyke.transport.network import CallOptions
+from features.support.deployment import Deployment, answers
+from features.support.virtual import run_virtual
+from standins.fleet import CUSTOMER_TOKEN, token_hash
+
+LIMIT = 10
+
+
+def _play(context: Any, story: Any) -> None:
+    async def run() -> None:
+        async with Deployment() as deployment:
+            for number in range(4):
+                deployment.engine(f"engine-{number}", slots=32)
+            await deployment.start_daemons(context.daemon_count)
+            # Twelve daemons hear of each other within a few rounds.
+            await deployment.hub.clock.sleep(8_000)
+            value = answers(deployment)
+            if context.limit:
+                value["customers"] = [
+                    {
+                        "name": "road-crews",
+                        "token_hashes": [token_hash(CUSTOMER_TOKEN)],
+                        "requests_per_second": context.limit,
+                        "burst": context.limit,
+                    }
+                ]
+            await deployment.submit(value, submission="first")
+            await story(deployment)
+
+    run_virtual(run)
+
+
+def _request() -> Request:
+    return Request(
+        method="POST",
+        path="/v1/pipelines/summary",
+        headers={"authorization": f"Bearer {CUSTOMER_TOKEN}"},
+        body=orjson.dumps({"input": {"plan": 1}}),
+    )
+
+
+def _count_calls(deployment: Deployment) -> collections.Counter[str]:
+    calls: collections.Counter[str] = collections.Counter()
+    for name, daemon in deployment.daemons.items():
+
+        async def handle(request, name=name, daemon=daemon):
+            calls[name] += request.path.startswith("/v1/pipelines")
+            return await daemon.routes.handle(request)
+
+        deployment.hub.listen(f"{name}:1", handle, owner=name)
+    return calls
+
+
+async def _listed(deployment: Deployment) -> list[str]:
+    async with deployment.client() as client:
+        return [a.split(":")[0] for a in await client.addresses()]
+
+
+@given("an addresses deployment of {count:d} daemons")
+def given_deployment(context, count):
+    context.daemon_count = count
+    context.limit = 0
+
+
+@when("a caller holds only the address of a daemon outside its list")
+def when_wrong(context):
+    async def story(deployment):
+        context.listed = await _listed(deployment)
+        wrong = next(n for n in deployment.daemons if n not in context.listed)
+        context.calls = _count_calls(deployment)
+        async with deployment.client() as client:
+            client._addresses = (f"{wrong}:1",)
+            client._valid_until = deployment.hub.clock.now() + 1_000_000.0
+            context.first = await client.call("/v1/pipelines/summary", 1)
+            context.calls.clear()
+            for _ in range(10):
+                (await client.call("/v1/pipelines/summary", 1)).unwrap()
+
+    _play(context, story)
+
+
+@then("its request is answered")
+def then_answered(context):
+    assert context.first.is_ok(), context.first
+
+
+@then("from then on it calls only daemons of its list")
+def then_only_listed(context):
+    assert len(context.listed) == SMALLEST_SUBSET
+    assert set(context.calls) <= set(context.listed), context.calls
+
+
+@when("a caller that has asked for addresses sends {count:d} requests")
+def when_right(context, count):
+    async def story(deployment):
+        network = deployment.hub.network("caller")
+        listed = await _listed(deployment)
+        context.told = []
+        for name in listed[:count]:
+            answer = await network.fetch(f"{name}:1", _request(), CallOptions())
+            told = address_list.from_headers(answer.unwrap().headers)
+            context.told.append(told)
+        wrong = next(n for n in deployment.daemons if n not in listed)
+        answer = await network.fetch(f"{wrong}:1", _request(), CallOptions())
+        context.told_by_wrong = address_list.from_headers(
+            answer.unwrap().headers
+        )
+
+    _play(context, story)
+
+
+@then("no answer names addresses again")
+def then_untold(context):
+    assert context.told == [None] * 5, context.told
+    assert context.told_by_wrong is not None
+
+
+@when("a caller sends {rate:d} requests a second for {seconds:d} seconds")
+def when_grows(context, rate, seconds):
+    async def story(deployment):
+        context.calls = _count_calls(deployment)
+        context.answers = []
+        async with (
+            deployment.client() as client,
+            anyio.create_task_group() as t,
+        ):
+
+            async def call():
+                answer = await client.call("/v1/pipelines/summary", 1)
+                context.answers.append(answer.is_ok())
+
+            for _ in range(rate * seconds):
+                t.start_soon(call)
+                await deployment.hub.clock.sleep(1_000 / rate)
+
+    _play(context, story)
+
+
+@then("its requests reach more than {count:d} daemons")
+def then_reach(context, count):
+    assert sum(n > 0 for n in context.calls.values()) > count, context.calls
+
+
+@then("none of its requests failed")
+def then_none_failed(context):
+    assert context.answers
+    assert all(context.answers)
+
+
+@given(
+    "an addresses fleet of {count:d} daemons in {places:d} data centres and"
+    " {regions:d} regions"
+)
+def given_fleet(context, count, places, regions):
+    context.fleet = [
+        Daemon(
+            name=f"entry-{i}",
+            address=f"entry-{i}:1",
+            data_centre=f"data-centre-{i % places}",
+            region=f"region-{i % places % regions}",
+        )
+        for i in range(count)
+    ]
+
+
+@when("the lists of {count:d} customers are computed")
+def when_lists(context, count):
+    names = [f"customer-{i}" for i in range(count)]
+    context.orders = {n: subsets.rank(n, context.fleet) for n in names}
+
+
+@then(
+    "no data centre holds more than {in_one:d} and no region more than"
+    " {in_region:d} of a list"
+)
+def then_spread(context, in_one, in_region):
+    for order in context.orders.values():
+        first = order[:SMALLEST_SUBSET]
+        places = collections.Counter(d.data_centre for d in first)
+        regions = collections.Counter(d.region for d in first)
+        assert max(places.values()) <= in_one
+        assert max(regions.values()) <= in_region
+
+
+@then("a larger list begins with the smaller one")
+def then_prefix(context):
+    for order in context.orders.values():
+        assert len(set(order)) == len(context.fleet)
+
+
+@then("without a daemon only the lists that held it change, by one address")
+def then_stable(context):
+    gone = context.fleet[17]
+    left = [daemon for daemon in context.fleet if daemon is not gone]
+    held = 0
+    for name, order in context.orders.items():
+        before = set(order[:SMALLEST_SUBSET])
+        after = set(subsets.rank(name, left)[:SMALLEST_SUBSET])
+        if gone in before:
+            held += 1
+            assert len(before - after) <= 2, (before, after)
+        else:
+            assert before == after
+    assert held > 0
+
+
+@when(
+    "the store goes down and a caller sends 3 times its limit for"
+    " {seconds:d} seconds"
+)
+def when_store_down(context, seconds):
+    context.limit = LIMIT
+    context.seconds = seconds
+
+    async def story(deployment):
+        deployment.store.faults["down"] = True
+        await deployment.hub.clock.sleep(60_000)
+        network = deployment.hub.network("caller")
+        context.statuses = collections.Counter()
+
+        async def send(name):
+            answer = await network.fetch(f"{name}:1", _request(), CallOptions())
+            context.statuses[answer.unwrap().status] += 1
+
+        names = list(deployment.daemons)
+        async with anyio.create_task_group() as tasks:
+            for number in range(3 * LIMIT * seconds):
+                tasks.start_soon(send, names[number % len(names)])
+                await deployment.hub.clock.sleep(1_000 / (3 * LIMIT))
+
+    _play(context, story)
+
+
+@then("it gets its limit and burst and no more")
+def then_limit(context):
+    expected = LIMIT * context.seconds
+    assert set(context.statuses) == {200, 429}, context.statuses
+    assert 0.9 * expected <= context.statuses[200] <= expected + 3 * LIMIT
