--- a/bench/control/configuration_fleet.py
+++ b/bench/control/configuration_fleet.py
@@ -37,6 +37,7 @@
     def __init__(self, deployment: Deployment) -> None:
         super().__init__(deployment)
         self.calls: collections.Counter[str] = collections.Counter()
+        self.by_second: collections.Counter[int] = collections.Counter()
         self.bytes_read = 0
 
     async def begin(self, daemons: int) -> None:
@@ -82,6 +83,7 @@
     def reset(self) -> None:
         """Begins counting anew."""
         self.calls.clear()
+        self.by_second.clear()
         self.bytes_read = 0
 
     def _shows(self, name: str, marker: float) -> bool:
@@ -103,6 +105,7 @@
     async def _count(self, request: Any) -> Any:
         first = request.path.split("/")[1]
         self.calls[KINDS[request.method, first]] += 1
+        self.by_second[int(self.hub.clock.now() // 1_000)] += 1
         answer = await self.deployment.store.routes.handle(request)
         self.bytes_read += len(answer.body)
         return answer
@@ -113,11 +116,14 @@
     *,
     daemons: int,
     column: str,
+    guarded: bool = True,
 ) -> Any:
     """Runs a story on a settled fleet and returns what it returns."""
 
     async def run() -> Any:
-        async with Deployment(replacements=COLUMNS[column]) as deployment:
+        async with Deployment(
+            replacements=COLUMNS[column], guarded=guarded
+        ) as deployment:
             world = FleetWorld(deployment)
             await world.begin(daemons)
             return await story(world)
--- a/cactusdyke/configuration/confirmation.py
+++ b/cactusdyke/configuration/confirmation.py
@@ -11,7 +11,7 @@
 from cactusdyke.errors import Failure, FailureKind
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Callable, Collection
 
     from cactusdyke.clock import Instant
     from cactusdyke.configuration.model import Policy
@@ -64,13 +64,13 @@
         *,
         revision: int,
         within_ms: float,
-        data_centres: Collection[str],
+        data_centres: Callable[[], Collection[str]],
     ) -> Confirmation:
         """Returns who confirmed `revision` in the last `within_ms`."""
         age = self.store_age_ms(now)
         if age is not None and age <= within_ms:
             return Confirmation.BY_STORE
-        known = {*data_centres, self._data_centre}
+        known = {*data_centres(), self._data_centre}
         agreeing = {
             centre
             for centre, (heard, at) in self._heard.items()
--- a/features/configuration/in_force.feature
+++ b/features/configuration/in_force.feature
@@ -93,3 +93,8 @@
     When a daemon is killed and started again during the outage
     Then it has its peers' revision in force before the store is back
     And a change that is accepted after the outage reaches every process
+
+  Scenario: the measurements of configuration run in their smallest size
+    When the configuration's cases are measured in their smallest size
+    Then in force and store calls have a row for each column, fault and layout
+    And a small change costs a small part of the whole in every layout's row
--- a/features/support/deployment.py
+++ b/features/support/deployment.py
@@ -13,6 +13,7 @@
 from cactusdyke.platform.guarded_object_store import GuardedObjectStore
 from cactusdyke.platform.host_list import HttpHostList
 from cactusdyke.platform.http_object_store import HttpObjectStore
+from cactusdyke.platform.object_store import ObjectStore
 from cactusdyke.settings import Settings
 from cactusdyke.util import structure
 from features.support.hub import Hub
@@ -33,7 +34,8 @@
 
     Every daemon is an owner of the hub under its name, as is every stand-in
     (`store`, `hosts` and the backend servers' names). `replacements` puts
-    other extensions in the place of built-in ones, such as naive versions.
+    other extensions in the place of built-in ones, such as naive versions;
+    without `guarded` daemons call the object service as they please.
     """
 
     def __init__(
@@ -42,8 +44,10 @@
         seed: int = 0,
         linger_ms: float = 1_000.0,
         replacements: Mapping[str, str] | None = None,
+        guarded: bool = True,
     ) -> None:
         self._replacements = replacements
+        self._guarded = guarded
         self.hub = Hub()
         self.rng = random.Random(seed)
         self.linger_ms = linger_ms
@@ -162,11 +166,7 @@
             clock=self.hub.clock_of(name),
             rng=random.Random(self.rng.random()),
             network=network,
-            object_store=GuardedObjectStore(
-                store=HttpObjectStore(address=STORE, network=network),
-                clock=self.hub.clock_of(name),
-                rng=random.Random(self.rng.random()),
-            ),
+            object_store=self._store_of(name),
             host_list=HttpHostList(address=HOSTS, network=network),
             replacements=self._replacements,
         )
@@ -179,6 +179,16 @@
                 started.set()
                 await anyio.sleep_forever()
 
+    def _store_of(self, name: str) -> ObjectStore:
+        store = HttpObjectStore(address=STORE, network=self.hub.network(name))
+        if not self._guarded:
+            return store
+        return GuardedObjectStore(
+            store=store,
+            clock=self.hub.clock_of(name),
+            rng=random.Random(self.rng.random()),
+        )
+
 
 def data_centre_number(name: str, default: int) -> int:
     """Returns a number that a replaced daemon keeps: that of its name."""
