Let the request rig change the revision in force where it is now held

The two request machine scenarios failed after the split of in_force.py: the rig forbade repeats by setting a private attribute that had moved, so its non-repeatable stage was repeated. The scenarios are as strict as before.

--- a/features/support/request_rig.py
+++ b/features/support/request_rig.py
@@ -109,7 +109,7 @@
                 configuration.pools[pool], calls_repeatable=False
             ),
         }
-        service._snapshot = attrs.evolve(
+        service._revisions._snapshot = attrs.evolve(
             service.snapshot,
             configuration=attrs.evolve(configuration, pools=pools),
         )
