--- a/bench/control/case_store_calls.py
+++ b/bench/control/case_store_calls.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import Any
+from unittest import mock
 
 import attrs
 
 from bench.control.configuration_fleet import FleetWorld, play
-from cactusdyke.configuration import model, objects
+from cactusdyke.configuration import model, objects, peers
 
 SIZES = (6, 12, 24, 48)
 CHANGES_PER_DAY = 8_600
@@ -173,16 +175,24 @@
     )
 
 
+def _watchers(count: int | None) -> contextlib.AbstractContextManager[Any]:
+    """Sets how many daemons of a data centre watch, None for the usual."""
+    if count is None:
+        return contextlib.nullcontext()
+    return mock.patch.object(peers, "WATCHERS_PER_DATA_CENTRE", count)
+
+
 def run_case(*, tiny: bool) -> list[dict[str, Any]]:
     """Returns a row for each size and column, and for each layout."""
     rows = []
     for size in SIZES[:1] if tiny else SIZES:
-        for column in ("naive", "project"):
-            counted = play(
-                lambda world: steady(world, 2 if tiny else CHANGES),
-                daemons=size,
-                column=column,
-            )
+        for column in ("naive", "all daemons watch", "project"):
+            with _watchers(1_000 if column.startswith("all") else None):
+                counted = play(
+                    lambda world: steady(world, 2 if tiny else CHANGES),
+                    daemons=size,
+                    column="naive" if column == "naive" else "project",
+                )
             rows.append({"column": column, "daemons": size, **counted})
     for guarded in (False, True):
         duration_ms = TINY_OUTAGE_MS if tiny else OUTAGE_MS
--- a/cactusdyke/api/submissions.py
+++ b/cactusdyke/api/submissions.py
@@ -19,6 +19,7 @@
     json_response,
 )
 from cactusdyke.util import structure
+from cactusdyke.util.checks import Matching, checked
 
 if TYPE_CHECKING:
     from cactusdyke.api.authentication import OperatorGate
@@ -26,7 +27,10 @@
     from cactusdyke.configuration.in_force import InForce
     from cactusdyke.configuration.model import Configuration, Operator
 
-MAX_ID_LENGTH = 128
+SUBMISSION_ID = Matching(
+    pattern=r"[A-Za-z0-9._:-]{1,128}",
+    form="1 to 128 letters, digits, dots, colons, dashes and underscores",
+)
 DEFAULT_LISTED = 20
 SHOWN_HASH_DIGITS = 8
 
@@ -43,7 +47,7 @@
         dry_run: Whether only to say what would change.
     """
 
-    id: str
+    id: str = attrs.field(metadata=checked(SUBMISSION_ID))
     answers: Answers | None = None
     from_revision: int | None = None
     base_revision: int | None = None
@@ -183,13 +187,6 @@
     if isinstance(parsed, Err):
         return parsed
     body = parsed.ok_value
-    if not 0 < len(body.id) <= MAX_ID_LENGTH:
-        return Err(
-            _invalid(
-                "submission/id is empty or longer than"
-                f" {MAX_ID_LENGTH} characters"
-            )
-        )
     if (body.answers is None) == (body.from_revision is None):
         return Err(
             _invalid("submission: give either 'answers' or 'from_revision'")
--- a/cactusdyke/configuration/conflicts.py
+++ b/cactusdyke/configuration/conflicts.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING, Any, TypeAlias
+from typing import TYPE_CHECKING
 
-from result import Err, Result
+from result import Err
 
 from cactusdyke.errors import Failure, FailureKind
 
@@ -13,8 +12,6 @@
     from cactusdyke.configuration import objects
     from cactusdyke.configuration.history import History
 
-Write: TypeAlias = Callable[[], Awaitable[Result[Any, Failure]]]
-
 MAX_NAMED_REVISIONS = 5
 
 
@@ -28,8 +25,6 @@
     """
     between = await history.between(base, newest)
     heads = [*between.unwrap_or([]), newest]
-    if base > newest.revision:
-        heads = [newest]
     shown = "; ".join(_line(head) for head in heads[-MAX_NAMED_REVISIONS:])
     return Err(
         Failure(
--- a/cactusdyke/configuration/desk.py
+++ b/cactusdyke/configuration/desk.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Any, TypeAlias
 
 import anyio
 import attrs
@@ -33,6 +34,9 @@
 NONCE_BITS = 48
 
 
+_Write: TypeAlias = Callable[[], Awaitable[Result[Any, Failure]]]
+
+
 class SubmissionDesk(Service):
     """Takes submissions of this daemon's callers to the store."""
 
@@ -202,7 +206,7 @@
                 tasks.start_soon(write, reference, data)
         return Err(_not_accepted(failures[0])) if failures else Ok(None)
 
-    async def _repeat(self, write: conflicts.Write) -> Result[None, Failure]:
+    async def _repeat(self, write: _Write) -> Result[None, Failure]:
         """Repeats a write that may be done twice."""
         for _ in range(WRITE_TRIES - 1):
             done = await write()
--- a/features/configuration/submissions.feature
+++ b/features/configuration/submissions.feature
@@ -76,3 +76,18 @@
     When revisions are swept down to the last 3 after lost races
     Then every kept revision can be loaded whole
     And no object of a swept revision or lost race is left
+
+  Scenario Outline: a submission with <what> is refused and changes nothing
+    Given a configuration world of 1 daemons
+    When an operator submits the body <body>
+    Then the submission ends with <status> and "<text>"
+
+    Examples:
+      | what                       | body                                   | status | text                                         |
+      | no id                      | {"from_revision": 1}                   | 422    | submission/id: is missing                    |
+      | a slash in its id          | {"id": "a/b", "from_revision": 1}      | 422    | submission/id: 'a/b' is not allowed          |
+      | neither answers nor origin | {"id": "a"}                            | 422    | give either 'answers' or 'from_revision'     |
+      | an unknown field           | {"id": "a", "from_revison": 1}         | 422    | did you mean 'from_revision'?                |
+      | a revision not kept        | {"id": "a", "from_revision": 77}       | 404    | Revision 77 is not kept                      |
+      | half the answers           | {"id": "a", "answers": {"jobs": 3}}    | 422    | submission/answers/jobs: 3 is not a list     |
+      | a body that is no object   | [1]                                    | 400    | not a JSON object                            |
--- a/features/steps/configuration_in_force_steps.py
+++ b/features/steps/configuration_in_force_steps.py
@@ -370,14 +370,15 @@
     counted = [row for row in context.calls if "daemons" in row]
     assert [row["column"] for row in counted] == [
         "naive",
+        "all daemons watch",
         "project",
         "project, unguarded store",
         "project",
     ]
     in_it = "calls_per_s_per_daemon_in_it"
-    assert counted[2][in_it] > counted[3][in_it] > 0
-    assert counted[1]["watches_per_s"] > 0
-    assert counted[0]["lists_per_s"] > counted[1]["lists_per_s"]
+    assert counted[3][in_it] > counted[4][in_it] > 0
+    assert counted[2]["watches_per_s"] > 0
+    assert counted[0]["lists_per_s"] > counted[2]["lists_per_s"]
 
 
 @then("a small change costs a small part of the whole in every layout's row")
--- a/features/steps/configuration_submission_steps.py
+++ b/features/steps/configuration_submission_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from json import loads
+
 import anyio
 from behave import given, then, when
 
@@ -309,3 +311,21 @@
         and int(key.removeprefix(objects.PART_PREFIX).split("-")[0]) < oldest
     ]
     assert left == [], left
+
+
+@when("an operator submits the body {body}")
+def when_body(context, body):
+    async def story(world):
+        answer = await world.post("entry-1", "/v1/submissions", loads(body))
+        assert world.head().revision == 1
+        return answer
+
+    play(context, story)
+
+
+@then('the submission ends with {status:d} and "{text}"')
+def then_status(context, status, text):
+    found, body = context.outcome
+    assert found == status, context.outcome
+    assert text in body["error"]["message"], body
+    assert body["error"]["ran"] == "not_run"
