--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -29,11 +29,29 @@
         "A revision could not be read whole; the one in force stays.",
         "Submit the configuration again or read the named object.",
     )
+    CONFIGURATION_STORE_BEHIND = (
+        2003,
+        "The store names a lower revision than the one in force, which stays.",
+        "Find out whether the store was restored from an old copy.",
+    )
+    SUBMISSION_ACCEPTED = (2004, "A submission was accepted.", "")
+    SUBMISSION_UNKNOWN = (
+        2005,
+        "Whether a submission was accepted could not be found out.",
+        "Submit it again under the same id; it is accepted once at most.",
+    )
+    HISTORY_SWEPT = (2006, "An old revision and its parts were deleted.", "")
     STORE_UNAVAILABLE = (
         2101,
         "The object service did not answer.",
         "Check the platform's object service; serving goes on without it.",
     )
+    STORE_AVAILABLE = (2102, "The object service answers again.", "")
+    STORE_CIRCUIT_OPENED = (
+        2103,
+        "Calls to the object service are held back for a while.",
+        "Check the platform's object service; serving goes on without it.",
+    )
     MEMBER_CHANGED = (3001, "A daemon's state as seen from here changed.", "")
     DAEMON_PAUSED = (
         3002,
@@ -56,11 +74,79 @@
         "Look at the backend server if this is repeated.",
     )
     REQUEST_REFUSED = (4003, "A request was refused before it ran.", "")
+    BACKEND_SERVER_LEAVING = (
+        4010,
+        "A backend server said that it is leaving; it gets no new work.",
+        "",
+    )
+    BACKEND_SERVER_EJECTED = (
+        4011,
+        "A backend server failed in a row and is left out for a while.",
+        "Look at the backend server; it is probed and let back in by itself.",
+    )
+    ATTEMPT_HEDGED = (
+        4012,
+        "An attempt was late for its stage, and another one was started.",
+        "Look at the backend server if it is named again and again.",
+    )
+    STREAM_RESUMED = (
+        4013,
+        "A stream broke or stalled and goes on at another backend server.",
+        "Look at the backend server if it is named again and again.",
+    )
+    RETRY_REFUSED = (
+        4014,
+        "A retry was not made because the pool's retry budget is spent.",
+        "Look at the pool: a large share of its attempts fails.",
+    )
+    LIMIT_OWNED = (
+        4201,
+        "This daemon begins to lend out a customer's limit.",
+        "",
+    )
+    LIMIT_OWNER_UNREACHABLE = (
+        4202,
+        "The owner of a customer's limit can't be reached; this daemon admits"
+        " an equal part of the limit meanwhile.",
+        "Look at the daemon named first for the customer if this goes on.",
+    )
+    LIMIT_OWNER_PAUSED = (
+        4203,
+        "This daemon was paused; limits that it lends did not grow meanwhile.",
+        "Look for a host that is overloaded or suspended.",
+    )
+    CUSTOMER_SUBSET_CHANGED = (
+        4204,
+        "The number of daemons that a customer's callers use has changed.",
+        "",
+    )
+    OVERLOAD_SHED = (
+        4211,
+        "Requests are refused because they would end too late; told at most"
+        " once a second.",
+        "Add backend servers to the pipeline's pools if this goes on.",
+    )
     BOOKING_OUTCOME_UNKNOWN = (
         5001,
         "A non-idempotent call may or may not have run.",
         "Ask the plain service by the idempotency key.",
     )
+    BOOKING_NOT_STORED = (
+        5002,
+        "A call's outcome could not be stored; its record says less.",
+        "Check the object service; ask the plain service by the key.",
+    )
+    BOOKING_CLAIMED = (
+        5003,
+        "A call was taken over from a daemon that had not made it.",
+        "",
+    )
+    BOOKINGS_DELETED = (5004, "Records past their retention were deleted.", "")
+    BOOKING_WITHDRAWN = (
+        5005,
+        "A call was not made: marking its record had no clear outcome.",
+        "Check the object service; the caller may ask again with the key.",
+    )
 
     def __init__(self, number: int, meaning: str, remedy: str) -> None:
         self.number = number
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -46,16 +46,22 @@
     name: str
     address: str
     popen: subprocess.Popen[bytes]
+    _asked: bool = attrs.field(default=False, init=False)
 
     def send(self, signal_number: int) -> None:
         """Sends a signal to this process only."""
         self.popen.send_signal(signal_number)
 
-    def stop(self) -> int:
-        """Ends the process gracefully and returns its exit status."""
-        if self.popen.poll() is None:
+    def ask_to_stop(self) -> None:
+        """Asks the process to end gracefully, also where it is frozen."""
+        if self.popen.poll() is None and not self._asked:
+            self._asked = True
             self.popen.send_signal(signal.SIGCONT)
             self.popen.terminate()
+
+    def stop(self) -> int:
+        """Ends the process gracefully and returns its exit status."""
+        self.ask_to_stop()
         try:
             return self.popen.wait(STOP_TIMEOUT_S)
         except subprocess.TimeoutExpired:
@@ -64,13 +70,20 @@
 
 
 def request_json(
-    method: str, address: str, path: str, value: Any = None
+    method: str,
+    address: str,
+    path: str,
+    value: Any = None,
+    *,
+    token: str = "",
 ) -> Any:
     """Makes one small HTTP call for set-up and counts."""
     data = None if value is None else json.dumps(value).encode()
     request = urllib.request.Request(
         f"http://{address}{path}", data=data, method=method
     )
+    if token:
+        request.add_header("Authorization", f"Bearer {token}")
     with urllib.request.urlopen(request, timeout=5) as response:
         return json.loads(response.read() or b"null")
 
@@ -87,6 +100,8 @@
         return self
 
     def __exit__(self, *_: object) -> None:
+        for process in self._processes.values():
+            process.ask_to_stop()
         for process in reversed(list(self._processes.values())):
             process.stop()
 
@@ -97,7 +112,7 @@
         """Starts a stand-in and waits until it answers."""
         port = free_port()
         arguments = [f"--{key}={value}" for key, value in options.items()]
-        process = self._start(
+        process = self.start(
             name, port, ["standins.serve", kind, str(port), *arguments]
         )
         _wait(lambda: request_json("GET", process.address, "/stats"), process)
@@ -107,7 +122,7 @@
         """Starts an entry daemon and waits until it answers."""
         path = self._directory / f"{settings['name']}.json"
         path.write_text(json.dumps(settings, indent=2))
-        process = self._start(
+        process = self.start(
             settings["name"],
             settings["port"],
             ["cactusdyke.cmd.main", "entry", str(path)],
@@ -124,7 +139,8 @@
                 process,
             )
 
-    def _start(self, name: str, port: int, arguments: Sequence[str]) -> Process:
+    def start(self, name: str, port: int, arguments: Sequence[str]) -> Process:
+        """Starts `python -m ARGUMENTS`, which is to listen on a port."""
         log = self._directory / f"{name}.log"
         with log.open("wb") as output:
             popen = subprocess.Popen(
