Collect load by rendezvous hash and tell of leaving servers

Cause: routers knew load only from answers, and a leaving backend server from the refusals that each daemon met for itself. Change: each replica is read by one daemon of its data centre, readings ride on probes with their age, pools' sums between data centres; host list, refusals, load answers and peers' word are joined. Guards taken out one by one failed a scenario: the order's key, reassignment, refusals, load answers, the host list, urgent news, and a mark that would confirm itself for ever.

--- a/cactusdyke/application.py
+++ b/cactusdyke/application.py
@@ -30,6 +30,7 @@
     "cactusdyke.membership",
     "cactusdyke.limits",
     "cactusdyke.routing",
+    "cactusdyke.load",
     "cactusdyke.pipeline",
     "cactusdyke.limits.overload",
     "cactusdyke.booking",
--- /dev/null
+++ b/cactusdyke/load/__init__.py
@@ -0,0 +1,44 @@
+"""Load reports and departures of backend servers, for the whole fleet."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cactusdyke.application import ExtensionMetadata
+from cactusdyke.configuration.in_force import InForce
+from cactusdyke.load.collector import LoadCollector
+from cactusdyke.load.departures import Departures
+from cactusdyke.membership.control_client import ControlClient
+from cactusdyke.membership.members import Members
+from cactusdyke.routing.router import Router
+
+if TYPE_CHECKING:
+    from cactusdyke.application import Application
+
+
+def setup(app: Application) -> ExtensionMetadata:
+    """Registers the collector of load and the watcher of departures."""
+    app.setup_extension("cactusdyke.membership")
+    app.setup_extension("cactusdyke.routing")
+    in_force = app.service("configuration", InForce)
+    members = app.service("membership", Members)
+    router = app.service("router", Router)
+    departures = Departures(
+        clock=app.clock,
+        rng=app.rng,
+        members=members,
+        host_list=app.host_list,
+        router=router,
+        configuration=lambda: in_force.current,
+    )
+    app.add_service("departures", departures)
+    collector = LoadCollector(
+        clock=app.clock,
+        client=app.service("control_client", ControlClient),
+        members=members,
+        departures=departures,
+        load_book=router.load,
+        configuration=lambda: in_force.current,
+    )
+    app.add_service("load", collector)
+    return ExtensionMetadata(version="1")
--- a/cactusdyke/membership/control_client.py
+++ b/cactusdyke/membership/control_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING, Any
 
 import orjson
@@ -36,15 +37,21 @@
             ("kind",),
             registry=registry,
         )
+        self._by_kind: collections.Counter[str] = collections.Counter()
         self.messages_sent = 0
         self.bytes_sent = 0
 
     def sent(self, kind: str, body: bytes) -> None:
         """Counts a message."""
         self.messages_sent += 1
+        self._by_kind[kind] += 1
         self._messages.labels(kind).inc()
         self._count_bytes(kind, body)
 
+    def sent_of(self, kind: str) -> int:
+        """Returns how many messages of a kind were sent."""
+        return self._by_kind[kind]
+
     def answered(self, body: bytes) -> None:
         """Counts an answer."""
         self._count_bytes("answer", body)
--- a/cactusdyke/membership/exchange.py
+++ b/cactusdyke/membership/exchange.py
@@ -173,8 +173,10 @@
     ) -> Gossip:
         name = receiver.name if receiver else ""
         riders: dict[str, Any] = {}
-        if kind in WITH_RIDERS:
-            for key, rider in self._riders.items():
+        for key, rider in self._riders.items():
+            if kind in WITH_RIDERS or (
+                rider.urgent and kind is GossipKind.URGENT
+            ):
                 value = rider.write(receiver)
                 if value is not None:
                     riders[key] = value
--- a/cactusdyke/membership/members.py
+++ b/cactusdyke/membership/members.py
@@ -64,7 +64,7 @@
         self._host_list = host_list
         self._revision = revision
         self._table = MemberTable(own=_own_member(settings, clock), clock=clock)
-        self._table.on_leaving(self._hurry)
+        self._table.on_leaving(self.hurry)
         self._rounds = Rounds(table=self._table, rng=rng)
         self._exchange = Exchange(
             table=self._table, client=client, traffic=traffic
@@ -142,6 +142,10 @@
         self._refresh()
         return await self._exchange.handle(request)
 
+    def hurry(self) -> None:
+        """Sends a few daemons the latest news without waiting for a probe."""
+        self._urgent.set()
+
     def leave(self) -> None:
         """Says from now on that this daemon is leaving."""
         if self._table.own.state is not MemberState.LEAVING:
@@ -235,9 +239,6 @@
             digests=self._table.digests,
         )
 
-    def _hurry(self) -> None:
-        self._urgent.set()
-
     async def _run_urgent(self) -> None:
         # News that a daemon leaves would take a probe for each doubling of
         # those who know, longer than callers keep an address. Everyone who
--- a/cactusdyke/membership/riders.py
+++ b/cactusdyke/membership/riders.py
@@ -23,7 +23,14 @@
 
 
 class Rider(abc.ABC):
-    """Adds a value to messages and reads what others added."""
+    """Adds a value to messages and reads what others added.
+
+    Attributes:
+        urgent: Whether it rides on urgent messages too, not only on probes
+            and answers.
+    """
+
+    urgent = False
 
     @abc.abstractmethod
     def write(self, receiver: Member | None) -> Any:
--- a/cactusdyke/routing/router.py
+++ b/cactusdyke/routing/router.py
@@ -48,6 +48,7 @@
         self._hints = PrefixHints(clock=clock)
         self._ejections = Ejections(clock=clock)
         self._leaving: dict[str, Instant] = {}
+        self._refusals: set[str] = set()
         self._indexes: dict[str, PoolIndex] = {}
 
     @property
@@ -122,6 +123,12 @@
         """Takes back `mark_leaving`, as when the host list says so."""
         self._leaving.pop(server_name, None)
 
+    def take_refusals(self) -> tuple[str, ...]:
+        """Returns who said since the last call that they are leaving."""
+        refusals = tuple(self._refusals)
+        self._refusals.clear()
+        return refusals
+
     def is_leaving(self, server_name: str) -> bool:
         """Returns whether a backend server is known to be leaving."""
         until = self._leaving.get(server_name)
@@ -137,6 +144,7 @@
         """Notes that an attempt failed, and draws the consequences."""
         if failure.kind is FailureKind.BACKEND_LEAVING:
             self.mark_leaving(server.name)
+            self._refusals.add(server.name)
             return
         refused = failure.kind is FailureKind.BACKEND_FAILED
         if refused and failure.ran is Ran.NOT_RUN:
--- /dev/null
+++ b/features/steps/load_steps.py
@@ -0,0 +1,282 @@
+"""Steps of load reports and departures, in virtual time."""
+
+from __future__ import annotations
+
+import base64
+
+import attrs
+from behave import given, then, when
+from result import Ok
+
+from bench.control import case_load_reports
+from cactusdyke.errors import Failure, FailureKind
+from cactusdyke.load.replicas import in_data_centre
+from cactusdyke.platform.host_list import HostList, HostState, ListedHost
+from features.support.load_fleet import LoadFleet
+from features.support.virtual import run_virtual
+
+WARM_MS = 15_000.0
+
+
+class _Hosts(HostList):
+    def __init__(self):
+        self.hosts = ()
+        self.reads = 0
+
+    async def read(self):
+        self.reads += 1
+        return Ok(self.hosts)
+
+
+def _start(context, replicas, daemons, hosts=None):
+    context.parts = []
+    context.sizes = (replicas, daemons)
+    context.hosts = hosts
+
+
+def _finish(context):
+    async def run():
+        replicas, daemons = context.sizes
+        async with LoadFleet(replicas=replicas) as load:
+            if context.hosts:
+                load.host_list = context.hosts
+            load.fleet.start_all(daemons)
+            await load.fleet.hub.clock.sleep(WARM_MS)
+            for part in context.parts:
+                await part(load)
+
+    run_virtual(run)
+
+
+@given("load of {replicas:d} replicas read by {daemons:d} daemons")
+def given_load(context, replicas, daemons):
+    _start(context, replicas, daemons)
+
+
+@given(
+    "load of {replicas:d} replicas read by {daemons:d} daemons with a host list"
+)
+def given_hosts(context, replicas, daemons):
+    _start(context, replicas, daemons, _Hosts())
+
+
+@then("load readings are at most {seconds:d} seconds old at every daemon")
+def then_fresh(context, seconds):
+    async def check(load):
+        for _ in range(10):
+            await load.fleet.hub.clock.sleep(700)
+            assert load.ages()[-1] <= seconds * 1000, load.ages()[-5:]
+
+    context.parts.append(check)
+
+
+@then("load is read at most 3 times a second by each daemon")
+def then_reads(context):
+    async def check(load):
+        before = {n: _reads(d) for n, d in load.fleet.daemons.items()}
+        await load.fleet.hub.clock.sleep(10_000)
+        for name, daemon in load.fleet.daemons.items():
+            assert 0 < _reads(daemon) - before[name] <= 33
+
+    context.parts.append(check)
+
+
+def _reads(daemon):
+    return daemon.traffic.sent_of("load")
+
+
+@then("the load book of {name} holds what {replica} reported")
+def then_book(context, name, replica):
+    async def check(load):
+        load.engines[replica].waiting = 7
+        await load.fleet.hub.clock.sleep(6_000)
+        book = load.router_of(name).load
+        assert 3 < book.outstanding(replica) <= 7, book.outstanding(replica)
+
+    context.parts.append(check)
+    _finish(context)
+
+
+@when("load collector {name} dies")
+def when_dies(context, name):
+    async def kill(load):
+        load.fleet.kill(name)
+        await load.fleet.hub.clock.sleep(12_000)
+
+    context.parts.append(kill)
+
+
+@then("load readings are at most {seconds:d} seconds old at every daemon again")
+def then_fresh_again(context, seconds):
+    then_fresh(context, seconds)
+    _finish(context)
+
+
+@when("load of {count:d} requests for {model} runs at {replica}")
+def when_busy(context, count, model, replica):
+    async def busy(load):
+        engine = load.engines[replica]
+        plain = engine.load
+        engine.load = lambda: {**plain(), "running": count, "model": model}
+        await load.fleet.hub.clock.sleep(20_000)
+
+    context.parts.append(busy)
+
+
+@then("load of {model} is known to be {count:d} at every daemon")
+def then_aggregate(context, model, count):
+    async def check(load):
+        for name in load.fleet.daemons:
+            found = [
+                a.running
+                for a in load.collector_of(name).all_aggregates()
+                if a.model == model
+            ]
+            assert found == [count], (name, found)
+
+    context.parts.append(check)
+    _finish(context)
+
+
+@when("load reading comes in the order of another revision")
+def when_other_order(context):
+    async def send(load):
+        name = "d-0"
+        collector = load.collector_of(name)
+        for engine in load.engines.values():
+            engine.faults["down"] = True
+        pool = load.configuration.pools["engine"]
+        shorter = attrs.evolve(pool, backend_servers=pool.backend_servers[3:])
+        other = in_data_centre(
+            attrs.evolve(load.configuration, pools={"engine": shorter}),
+            load.fleet.place(name)[0],
+        )
+        context.seen = []
+        sink = collector.readings.add
+        collector.readings.add = lambda n, r: (
+            context.seen.append(r.waiting),
+            sink(n, r),
+        )
+        data = bytes((0, 99, 255, 0)) * len(other.replicas)
+        value = [other.key, base64.b64encode(data).decode()]
+        sender = load.fleet.daemons["d-3"].members.own
+        collector.readings.read(sender, value)
+
+    context.parts.append(send)
+
+
+@then("load of no replica was taken from it")
+def then_none_taken(context):
+    _finish(context)
+    assert 99 not in context.seen
+
+
+@when("load replica {replica} begins to leave")
+def when_leaves(context, replica):
+    async def leave(load):
+        load.engines[replica].leaving = True
+
+    context.parts.append(leave)
+
+
+@when("load replica {replica} refuses a call of {name} as leaving")
+def when_refuses(context, replica, name):
+    async def refuse(load):
+        router = load.router_of(name)
+        pool = load.configuration.pools["engine"]
+        server = next(s for s in pool.backend_servers if s.name == replica)
+        failure = Failure(kind=FailureKind.BACKEND_LEAVING, detail="leaving")
+        router.failed(pool, server, failure)
+
+    context.parts.append(refuse)
+
+
+@when("load host list names {replica} as leaving")
+def when_listed(context, replica):
+    async def listed(load):
+        context.before = context.hosts.reads
+        context.hosts.hosts = (
+            ListedHost(
+                name=replica,
+                address=f"{replica}:1",
+                data_centre="s1",
+                state=HostState.LEAVING,
+            ),
+        )
+
+    context.parts.append(listed)
+
+
+@then(
+    "load replica {replica} is marked at every daemon within {seconds:d}"
+    " seconds"
+)
+def then_marked(context, replica, seconds):
+    async def check(load):
+        await load.fleet.until(
+            lambda: all(
+                load.router_of(n).is_leaving(replica)
+                for n in load.fleet.daemons
+            ),
+            limit_ms=seconds * 1000,
+        )
+
+    context.parts.append(check)
+    if not context.hosts:
+        _finish(context)
+
+
+@then("load host list was read less than {count:d} times a second")
+def then_few_reads(context, count):
+    async def check(load):
+        before = context.hosts.reads
+        await load.fleet.hub.clock.sleep(20_000)
+        assert 0 < context.hosts.reads - before < 20 * count
+
+    context.parts.append(check)
+    _finish(context)
+
+
+@when("load replica {replica} leaves for {seconds:d} seconds and comes back")
+def when_comes_back(context, replica, seconds):
+    async def leave(load):
+        load.engines[replica].leaving = True
+        await load.fleet.hub.clock.sleep(seconds * 1000)
+        assert load.router_of("d-0").is_leaving(replica)
+        load.engines[replica].leaving = False
+
+    context.parts.append(leave)
+
+
+@then(
+    "load replica {replica} is unmarked at every daemon within {seconds:d}"
+    " seconds"
+)
+def then_unmarked(context, replica, seconds):
+    async def check(load):
+        await load.fleet.until(
+            lambda: (
+                not any(
+                    load.router_of(n).is_leaving(replica)
+                    for n in load.fleet.daemons
+                )
+            ),
+            limit_ms=seconds * 1000,
+        )
+
+    context.parts.append(check)
+    _finish(context)
+
+
+@when("the load reports case of the bench runs tiny")
+def when_bench(context):
+    context.rows = case_load_reports.run_case(tiny=True)
+
+
+@then("load collectors read less than all reading all")
+def then_less(context):
+    rows = {(row["version"], str(row["daemons"])): row for row in context.rows}
+    last = "350 by slope"
+    assert rows["project", last]["messages_per_s"] <= 5
+    assert rows["all read all", last]["messages_per_s"] > 50
+    assert rows["answers only", "6"]["median_age_ms"] > 0
--- a/features/support/member_fleet.py
+++ b/features/support/member_fleet.py
@@ -37,13 +37,19 @@
     traffic: ControlTraffic
     scope: anyio.CancelScope
     revision: int = 1
+    services: list[Any] = attrs.field(factory=list)
 
 
 class MemberFleet:
     """Starts, kills, freezes, cuts and heals daemons by name."""
 
     def __init__(
-        self, *, kind: type = Members, seed: int = 0, skew_ms: int = 0
+        self,
+        *,
+        kind: type = Members,
+        seed: int = 0,
+        skew_ms: int = 0,
+        equip: Any = None,
     ) -> None:
         self.hub = Hub()
         self.kind = kind
@@ -52,6 +58,7 @@
         self.cut_pairs: set[tuple[str, str]] = set()
         self.names: list[str] = []
         self.skew_ms = skew_ms
+        self.equip = equip
 
     async def __aenter__(self) -> MemberFleet:
         await self.hub.__aenter__()
@@ -95,13 +102,13 @@
         if self.skew_ms:
             now = clock.wall()
             clock.wall = lambda: now + self.skew_ms  # type: ignore
+        client = ControlClient(network=self.hub.network(host), traffic=traffic)
+        rng = random.Random(self.rng.random())
         members = self.kind(
             settings=settings,
             clock=clock,
-            rng=random.Random(self.rng.random()),
-            client=ControlClient(
-                network=self.hub.network(host), traffic=traffic
-            ),
+            rng=rng,
+            client=client,
             traffic=traffic,
             host_list=NoHosts(),
             revision=lambda: daemon.revision,
@@ -112,12 +119,18 @@
         routes = Routes()
         routes.add("POST", GOSSIP_PATH, members.handle)
         self.daemons[name] = daemon
+        if self.equip:
+            daemon.services = self.equip(
+                members=members, client=client, clock=clock, rng=rng
+            )
         self.hub.listen(f"{host}:1", routes.handle, owner=host)
         self.hub.start(self._run, daemon)
 
     async def _run(self, daemon: Daemon) -> None:
         with daemon.scope:
-            await daemon.members.run()
+            async with anyio.create_task_group() as tasks:
+                for service in (daemon.members, *daemon.services):
+                    tasks.start_soon(service.run)
 
     def kill(self, name: str) -> None:
         """Ends a daemon at once."""
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -159,7 +159,10 @@
         return {**call, "request_id": "another-request", "input": "another"}
 
     async def _load_report(self, request: Request) -> Response:
-        return json_response({"name": self.name, **self.load()})
+        leaving = bool(self.leaving or self.faults.get("leaving"))
+        return json_response(
+            {"name": self.name, "leaving": leaving, **self.load()}
+        )
 
 
 def generate(value: Any, count: int) -> list[str]:
