Order engines under a fenced lease, with placement

Cause: no role could order engines to load what demand calls for. Change: a lease in the object service with a fencing number, held by the holder's own clock; a controller that reads states, plans with hysteresis, drains, orders and looks again; may_send is asked right before the first byte.

--- /dev/null
+++ b/bench/naive/lease.py
@@ -0,0 +1,18 @@
+"""A naive lease: believed until a renewal fails, and short-sighted."""
+
+from __future__ import annotations
+
+from cactusdyke.orders.lease import LeaseKeeper
+
+
+class NaiveLeaseKeeper(LeaseKeeper):
+    """Looks at no clock of its own, and at no number before an order."""
+
+    @property
+    def held(self):
+        """The lease last granted, however long ago."""
+        return self._lease
+
+    def holds(self, fencing_number: int) -> bool:
+        """Takes any lease for the one asked about."""
+        return self._lease is not None
--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -148,6 +148,22 @@
         "Check the object service; the caller may ask again with the key.",
     )
 
+    LEASE_GRANTED = (
+        6001,
+        "This daemon was granted the lease to order engines.",
+        "",
+    )
+    LEASE_NOT_RENEWED = (
+        6002,
+        "The lease to order engines could not be renewed.",
+        "Check the object service; another daemon takes over when it is back.",
+    )
+    ENGINE_ORDERED = (
+        6003,
+        "An engine was ordered to change what it has loaded.",
+        "",
+    )
+
     def __init__(self, number: int, meaning: str, remedy: str) -> None:
         self.number = number
         self.meaning = meaning
--- a/cactusdyke/transport/http_network.py
+++ b/cactusdyke/transport/http_network.py
@@ -20,7 +20,7 @@
 from cactusdyke.transport.watchdog import Watchdog
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Mapping
+    from collections.abc import AsyncIterator, Callable, Mapping
     from types import TracebackType
 
     from cactusdyke.transport.messages import Request
@@ -69,12 +69,16 @@
 class _HandOver:
     """Notes whether a byte of the request was handed to a connection."""
 
-    def __init__(self) -> None:
+    def __init__(self, may_send: Callable[[], bool] | None) -> None:
+        self._may_send = may_send
         self.happened = False
 
     async def __call__(self, name: str, info: Mapping[str, Any]) -> None:
-        if name == HANDED_OVER_EVENT:
-            self.happened = True
+        if name != HANDED_OVER_EVENT:
+            return
+        if self._may_send is not None and not self._may_send():
+            raise httpcore.LocalProtocolError("the sender may no longer send")
+        self.happened = True
 
 
 class HttpNetwork(Network):
@@ -113,7 +117,7 @@
     ) -> AsyncIterator[Result[Incoming, Failure]]:
         """Sends a request and gives its response while the block runs."""
         await self._clean()
-        hand_over = _HandOver()
+        hand_over = _HandOver(options.may_send)
         outgoing = _to_httpcore(address, request, options, hand_over)
         kept = None if options.fresh else await self._kept.take(address)
         if kept is None:
--- a/cactusdyke/transport/network.py
+++ b/cactusdyke/transport/network.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import attrs
@@ -60,12 +61,15 @@
         fresh: Whether to open a connection used by nothing else, so that a
             stale idle one can't make the outcome doubtful.
         limit: Bounds each wait for the answer as well, if given.
+        may_send: Asked with the connection open, right before the first byte
+            is handed over; if it says no, nothing is sent (NOT_SENT).
     """
 
     connect_timeout_ms: float = 1_000.0
     progress_timeout_ms: float = 5_000.0
     fresh: bool = False
     limit: ProgressLimit | None = None
+    may_send: Callable[[], bool] | None = None
 
     def wait_ms(self, clock: Clock) -> float:
         """Returns how long the next wait for the answer may be."""
--- a/features/support/hub.py
+++ b/features/support/hub.py
@@ -169,6 +169,9 @@
             await self._hub.clock.sleep(options.connect_timeout_ms)
             yield Err(_not_sent(address, "no answer to the connection"))
             return
+        if options.may_send is not None and not options.may_send():
+            yield Err(_not_sent(address, "the sender may no longer send"))
+            return
         exchange = _Exchange(
             hub=self._hub,
             caller=self._owner,
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -18,9 +18,10 @@
     json_response,
 )
 from standins.base import StandIn
+from standins.engine_orders import EngineOrders
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Sequence
 
     from cactusdyke.clock import Clock
 
@@ -30,6 +31,7 @@
 class Engine(StandIn):
     """Answers stage calls; what it says follows from its input alone.
 
+    With `models` it takes orders to load others, see `EngineOrders`.
     Further faults: `crossed` (how many of the next answers are another
     request's), `die_after_tokens` (streams end early), `slow_factor`.
     """
@@ -43,6 +45,9 @@
         token_ms: float = 1.0,
         slots: int = 8,
         tokens: int = TOKEN_COUNT,
+        models: Sequence[str] | None = None,
+        checks_fencing: bool = True,
+        load_ms: float = 2_000.0,
     ) -> None:
         super().__init__(clock=clock)
         self.name = name
@@ -55,6 +60,16 @@
         self.executions: dict[str, int] = {}
         self.executions_by_input: dict[bytes, int] = {}
         self._slots = anyio.Semaphore(slots)
+        self.orders = EngineOrders(
+            clock=clock,
+            models=models or (),
+            checks_fencing=checks_fencing,
+            load_ms=load_ms,
+            in_flight=lambda: self.running + self.waiting,
+        )
+        if models is not None:
+            self.routes.add("GET", "/v1/state", self.orders.state)
+            self.serve("POST", "/v1/orders", self.orders.take)
         self.serve("POST", "/v1/run", self._run)
         self.routes.add("GET", "/v1/load", self._load_report)
 
