--- a/bench/control/case_store_calls.py
+++ b/bench/control/case_store_calls.py
@@ -2,18 +2,29 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import Any
+from unittest import mock
 
 import attrs
 
 from bench.control.configuration_fleet import FleetWorld, play
-from cactusdyke.configuration import model, objects
+from cactusdyke.configuration import model, objects, peers
 
 SIZES = (6, 12, 24, 48)
 CHANGES_PER_DAY = 8_600
 MS_PER_DAY = 86_400_000
 INTERVAL_MS = MS_PER_DAY / CHANGES_PER_DAY
 CHANGES = 12
+OUTAGE_MS = 3_600_000.0
+TINY_OUTAGE_MS = 20_000.0
+AFTER_MS = 30_000.0
+KINDS = {
+    "read": "reads",
+    "write": "writes",
+    "list": "lists",
+    "watch": "watches",
+}
 CUSTOMERS = 210
 REPLICAS = 1_800
 MODELS = 12
@@ -27,15 +38,35 @@
         await world.hub.clock.sleep(INTERVAL_MS)
         await world.change_one()
     seconds = (world.hub.clock.now() - began) / 1_000
-    kinds = ("read", "write", "list", "watch")
     return {
-        **{f"{kind}s_per_s": world.calls[kind] / seconds for kind in kinds},
+        **{
+            f"{plural}_per_s": world.calls[kind] / seconds
+            for kind, plural in KINDS.items()
+        },
         "store_kb_per_s_per_daemon": (
             world.bytes_read / 1_000 / seconds / len(world.revisions())
         ),
     }
 
 
+async def outage(world: FleetWorld, duration_ms: float) -> dict[str, float]:
+    """Counts calls through an outage and after its end."""
+    world.reset()
+    world.deployment.store.faults["down"] = True
+    await world.hub.clock.sleep(duration_ms)
+    calls = world.calls.total()
+    world.deployment.store.faults["down"] = False
+    world.reset()
+    await world.hub.clock.sleep(AFTER_MS)
+    return {
+        "outage_s": duration_ms / 1_000,
+        "calls_per_s_per_daemon_in_it": (
+            calls / duration_ms * 1_000 / len(world.revisions())
+        ),
+        "most_calls_in_a_second_after_it": max(world.by_second.values()),
+    }
+
+
 def target() -> model.Configuration:
     """Returns a configuration of the target's size."""
     per_model = REPLICAS // MODELS
@@ -144,15 +175,33 @@
     )
 
 
+def _watchers(count: int | None) -> contextlib.AbstractContextManager[Any]:
+    """Sets how many daemons of a data centre watch, None for the usual."""
+    if count is None:
+        return contextlib.nullcontext()
+    return mock.patch.object(peers, "WATCHERS_PER_DATA_CENTRE", count)
+
+
 def run_case(*, tiny: bool) -> list[dict[str, Any]]:
     """Returns a row for each size and column, and for each layout."""
     rows = []
     for size in SIZES[:1] if tiny else SIZES:
-        for column in ("naive", "project"):
-            counted = play(
-                lambda world: steady(world, 2 if tiny else CHANGES),
-                daemons=size,
-                column=column,
-            )
+        for column in ("naive", "all daemons watch", "project"):
+            with _watchers(1_000 if column.startswith("all") else None):
+                counted = play(
+                    lambda world: steady(world, 2 if tiny else CHANGES),
+                    daemons=size,
+                    column="naive" if column == "naive" else "project",
+                )
             rows.append({"column": column, "daemons": size, **counted})
+    for guarded in (False, True):
+        duration_ms = TINY_OUTAGE_MS if tiny else OUTAGE_MS
+        counted = play(
+            lambda world, ms=duration_ms: outage(world, ms),
+            daemons=SIZES[0],
+            column="project",
+            guarded=guarded,
+        )
+        column = "project" if guarded else "project, unguarded store"
+        rows.append({"column": column, "daemons": SIZES[0], **counted})
     return rows + change_costs()
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -19,9 +19,10 @@
     json_response,
 )
 from standins.base import StandIn
+from standins.engine_orders import EngineOrders
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Sequence
 
     from cactusdyke.clock import Clock
 
@@ -31,6 +32,7 @@
 class Engine(StandIn):
     """Answers stage calls; what it says follows from its input alone.
 
+    With `models` it takes orders to load others, see `EngineOrders`.
     Further faults: `crossed` (how many of the next answers are another
     request's), `die_after_tokens` (streams end early), `slow_factor`,
     `fail_after_run` (answers 500).
@@ -48,6 +50,9 @@
         load_lag_ms: float = 0.0,
         prefill_ms: float = 0.0,
         cached_prefixes: int = 0,
+        models: Sequence[str] | None = None,
+        checks_fencing: bool = True,
+        load_ms: float = 2_000.0,
     ) -> None:
         super().__init__(clock=clock)
         self.name = name
@@ -69,6 +74,16 @@
         self.executions: dict[str, int] = {}
         self.executions_by_input: dict[bytes, int] = {}
         self._slots = anyio.Semaphore(slots)
+        self.orders = EngineOrders(
+            clock=clock,
+            models=models or (),
+            checks_fencing=checks_fencing,
+            load_ms=load_ms,
+            in_flight=lambda: self.running + self.waiting,
+        )
+        if models is not None:
+            self.routes.add("GET", "/v1/state", self.orders.state)
+            self.serve("POST", "/v1/orders", self.orders.take)
         self.serve("POST", "/v1/run", self._run)
         self.routes.add("GET", "/v1/load", self._load_report)
 
@@ -108,6 +123,15 @@
         )
 
     async def _stream(self, call: dict[str, Any]) -> AsyncIterator[bytes]:
+        ended = False
+        try:
+            async for event in self._tokens(call):
+                yield event
+            ended = True
+        finally:
+            self.counts["streams_ended" if ended else "streams_left"] += 1
+
+    async def _tokens(self, call: dict[str, Any]) -> AsyncIterator[bytes]:
         began = self.clock.now()
         await self._work(call, self.stage_ms)
         words = generate(call["input"], self.token_count)
@@ -208,7 +232,10 @@
         return {**call, "request_id": "another-request", "input": "another"}
 
     async def _load_report(self, request: Request) -> Response:
-        return json_response({"name": self.name, **self.load()})
+        leaving = bool(self.leaving or self.faults.get("leaving"))
+        return json_response(
+            {"name": self.name, "leaving": leaving, **self.load()}
+        )
 
 
 def generate(value: Any, count: int) -> list[str]:
