--- a/bench/naive/bookings.py
+++ b/bench/naive/bookings.py
@@ -8,9 +8,11 @@
 
 from cactusdyke.application import Application, ExtensionMetadata
 from cactusdyke.booking import answers
+from cactusdyke.booking.asking import Asker
 from cactusdyke.booking.bookings import Bookings
 from cactusdyke.booking.maker import CallMaker
 from cactusdyke.booking.records import Records
+from cactusdyke.booking.sending import Sender
 from cactusdyke.configuration.model import PlainService
 from cactusdyke.errors import Failure
 from cactusdyke.pipeline.request import RequestContext
@@ -71,7 +73,8 @@
         clock=app.clock,
         records=records,
         router=router,
-        client=client,
+        sender=Sender(clock=app.clock, router=router, client=client),
+        asker=Asker(network=app.network),
     )
     app.add_service(
         "bookings",
--- a/bench/serving/case_g_rolling_restart.py
+++ b/bench/serving/case_g_rolling_restart.py
@@ -30,6 +30,7 @@
                 "answered": rolled.answered.total(),
                 "cut": rolled.cut.total(),
                 "refused": rolled.refused,
+                "limited": rolled.limited,
                 "doubled": rolled.doubled,
                 "exits": rolled.exits,
                 "first": rolled.details[:1],
--- a/cactusdyke/booking/__init__.py
+++ b/cactusdyke/booking/__init__.py
@@ -5,9 +5,11 @@
 from typing import TYPE_CHECKING
 
 from cactusdyke.application import ExtensionMetadata
+from cactusdyke.booking.asking import Asker
 from cactusdyke.booking.bookings import Bookings
 from cactusdyke.booking.maker import CallMaker
 from cactusdyke.booking.records import Records
+from cactusdyke.booking.sending import Sender
 from cactusdyke.booking.sweeper import Sweeper
 from cactusdyke.membership.members import Members
 from cactusdyke.routing.backend_client import BackendClient
@@ -27,7 +29,12 @@
         clock=app.clock,
         records=records,
         router=app.service("router", Router),
-        client=BackendClient(network=app.network),
+        sender=Sender(
+            clock=app.clock,
+            router=app.service("router", Router),
+            client=BackendClient(network=app.network),
+        ),
+        asker=Asker(network=app.network),
     )
     app.add_service(
         "bookings",
--- a/cactusdyke/booking/maker.py
+++ b/cactusdyke/booking/maker.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, TypeVar
+from typing import TYPE_CHECKING, TypeVar
 
 import attrs
 from result import Err, Ok, Result
@@ -10,16 +10,17 @@
 from cactusdyke import events
 from cactusdyke.booking import answers
 from cactusdyke.booking.record import Record, RecordState, StoredRecord
-from cactusdyke.booking.records import Records, Superseded, Written
+from cactusdyke.booking.records import Records, Superseded
+from cactusdyke.booking.settling import Settler
 from cactusdyke.errors import Failure, FailureKind, Ran
-from cactusdyke.routing.messages import StageCall
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
 
+    from cactusdyke.booking.asking import Asker
     from cactusdyke.booking.call import Call
+    from cactusdyke.booking.sending import Sender
     from cactusdyke.clock import Clock
-    from cactusdyke.routing.backend_client import BackendClient
     from cactusdyke.routing.router import Router
 
 T = TypeVar("T")
@@ -28,10 +29,6 @@
 """Longest wait for the store while a caller waits."""
 FOLLOW_MS = 1_000.0
 """Longest wait for another daemon's call with the same key."""
-SERVERS_PER_CALL = 3
-SETTLE_FOR_MS = 600_000.0
-SETTLE_PAUSE_MS = 100.0
-MAX_SETTLE_PAUSE_MS = 5_000.0
 
 
 class CallMaker:
@@ -50,13 +47,16 @@
         clock: Clock,
         records: Records,
         router: Router,
-        client: BackendClient,
+        sender: Sender,
+        asker: Asker,
     ) -> None:
         self._daemon = daemon
         self._clock = clock
         self._records = records
         self._router = router
-        self._client = client
+        self._sender = sender
+        self._settler = Settler(clock=clock, records=records)
+        self._asker = asker
 
     async def make(self, call: Call) -> None:
         """Makes a call, gives its answer and stores how it ended."""
@@ -150,18 +150,23 @@
         )
         call.give(Err(answers.in_progress("The store's answer was lost")))
         not_run = attrs.evolve(record, state=RecordState.NOT_RUN)
-        await self._settle(call, not_run, version)
+        await self._settler.settle(call, not_run, version)
 
     async def _follow(
         self, call: Call, stored: StoredRecord
     ) -> StoredRecord | None:
         """Waits a while for a call that somebody else makes."""
-        if stored.record.state is not RecordState.DISPATCHING:
+        if stored.record.state is RecordState.DONE:
             call.give(answers.answer_from(stored.record))
             return None
+        if stored.record.state is RecordState.UNKNOWN:
+            await self._ask(
+                call, stored, answers.unknown("Its answer was lost")
+            )
+            return None
         if answers.is_over(stored.record, wall=self._clock.wall()):
             lost = "The daemon that made the call was lost"
-            call.give(Err(answers.unknown(lost)))
+            await self._ask(call, stored, answers.unknown(lost))
             return None
         remaining = call.context.remaining_ms(self._clock)
         wait_ms = min(FOLLOW_MS, remaining)
@@ -176,9 +181,21 @@
         )
         if isinstance(followed, Ok) and followed.ok_value is not None:
             return followed.ok_value
-        call.give(Err(answers.in_progress()))
+        await self._ask(call, stored, answers.in_progress())
         return None
 
+    async def _ask(
+        self, call: Call, stored: StoredRecord, otherwise: Failure
+    ) -> None:
+        """Answers from the service, if it can be asked and knows the call."""
+        found = await self._asker.find(call)
+        if found is None:
+            call.give(Err(otherwise))
+            return
+        call.give(Ok(found.output))
+        done = stored.record.with_output(found.output)
+        await self._settler.settle(call, done, stored.version)
+
     async def _dispatch(self, call: Call, marked: StoredRecord) -> None:
         """Sends a call whose record says dispatching, and stores the end.
 
@@ -186,13 +203,17 @@
         Nobody claims a record that says dispatching, so the late send is
         still the only one; all that others say meanwhile is `unknown`.
         """
-        answer = await self._send(call)
+        answer = await self._sender.send(call)
+        if isinstance(answer, Err) and answer.err_value.ran is Ran.UNKNOWN:
+            found = await self._asker.find(call)
+            if found is not None:
+                answer = Ok(found.output)
         record = marked.record
         match answer:
             case Ok(output):
                 call.give(Ok(output))
                 done = record.with_output(output)
-                await self._settle(call, done, marked.version)
+                await self._settler.settle(call, done, marked.version)
             case Err(failure) if failure.ran is Ran.NOT_RUN:
                 not_run = attrs.evolve(record, state=RecordState.NOT_RUN)
                 await self._refuse(call, not_run, marked.version, failure)
@@ -205,56 +226,7 @@
                 )
                 call.give(Err(answers.unknown(failure.detail)))
                 lost = attrs.evolve(record, state=RecordState.UNKNOWN)
-                await self._settle(call, lost, marked.version)
-
-    async def _send(self, call: Call) -> Result[Any, Failure]:
-        """Hands the call to one backend server after the other.
-
-        The next one is tried only after the one before is known not to have
-        run the call: nothing was handed over, or it says so itself.
-        """
-        pool = call.context.configuration.pools[call.service.pool]
-        tried: list[str] = []
-        failure = answers.no_backend_server(call.service)
-        for attempt in range(1, SERVERS_PER_CALL + 1):
-            server = self._router.choose(pool, exclude=tried)
-            if server is None:
-                break
-            remaining = call.context.remaining_ms(self._clock)
-            # The clock counts pauses: an owner that wakes after its caller
-            # has gone finds the time spent, and leaves the call unmade.
-            if remaining <= 0:
-                return Err(answers.too_late())
-            tried.append(server.name)
-            stage_call = StageCall(
-                request_id=call.context.request_id,
-                stage=call.service.name,
-                attempt=attempt,
-                model="",
-                input=call.context.input,
-                remaining_ms=remaining,
-                idempotency_key=call.service_key,
-            )
-            patience_ms = remaining + answers.LATE_ANSWER_MS
-            answer: Result[Any, Failure] = Err(
-                answers.unknown(f"{server.name} did not answer in time")
-            )
-            with (
-                self._clock.timeout(patience_ms),
-                self._router.in_flight(server),
-            ):
-                answer = await self._client.call(
-                    server,
-                    stage_call,
-                    progress_timeout_ms=patience_ms,
-                    fresh=True,
-                )
-            if isinstance(answer, Ok):
-                return Ok(answer.ok_value.output)
-            if answer.err_value.ran is not Ran.NOT_RUN:
-                return answer
-            failure = answer.err_value
-        return Err(failure)
+                await self._settler.settle(call, lost, marked.version)
 
     async def _refuse(
         self, call: Call, not_run: Record, version: int, failure: Failure
@@ -262,38 +234,12 @@
         """Says `not_run` once the record says it, or promises an answer."""
         settled = False
         with self._clock.timeout(STORE_PATIENCE_MS):
-            settled = await self._settle(call, not_run, version)
+            settled = await self._settler.settle(call, not_run, version)
         if settled:
             call.give(Err(failure))
             return
         call.give(Err(answers.in_progress("The store does not answer")))
-        await self._settle(call, not_run, version)
-
-    async def _settle(self, call: Call, final: Record, version: int) -> bool:
-        """Writes a claim's last state, for as long as that makes sense."""
-        give_up_at = self._clock.now() + SETTLE_FOR_MS
-        pause_ms = SETTLE_PAUSE_MS
-        while self._clock.now() < give_up_at:
-            written = await self._records.replace(
-                call.key, final, if_version=version
-            )
-            match written:
-                case Ok(Written()):
-                    return True
-                case Ok(Superseded(stored=stored)):
-                    if stored is None or stored.record.nonce != call.nonce:
-                        return True
-                    version = stored.version
-                case Err():
-                    await self._clock.sleep(pause_ms)
-                    pause_ms = min(2 * pause_ms, MAX_SETTLE_PAUSE_MS)
-        events.log(
-            events.Event.BOOKING_NOT_STORED,
-            request_id=call.context.request_id,
-            idempotency_key=call.service_key,
-            state=str(final.state),
-        )
-        return False
+        await self._settler.settle(call, not_run, version)
 
     def _record(self, call: Call, state: RecordState) -> Record:
         return call.record(state, owner=self._daemon, clock=self._clock)
--- a/cactusdyke/configuration/model.py
+++ b/cactusdyke/configuration/model.py
@@ -143,6 +143,8 @@
         name: The service's name.
         pool: The pool that runs it.
         idempotent: Whether a call may run more than once.
+        answers_by_key: Whether its backend servers can be asked what became
+            of a call, by its idempotency key.
         deadline_ms: Longest time for a call.
     """
 
@@ -150,6 +152,7 @@
     pool: str
     idempotent: bool
     deadline_ms: float
+    answers_by_key: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/cactusdyke/questionnaire/answers.py
+++ b/cactusdyke/questionnaire/answers.py
@@ -96,12 +96,22 @@
 
 @attrs.frozen(kw_only=True)
 class ServiceAnswer:
-    """A plain service, and whether its calls must never happen twice."""
+    """A plain service, and whether its calls must never happen twice.
+
+    Attributes:
+        name: The service's name.
+        pool: The pool that runs it.
+        must_never_happen_twice: Whether a call may run at most once.
+        deadline_ms: Longest time for a call.
+        can_be_asked_by_key: Whether its servers tell, by idempotency key,
+            what became of a call.
+    """
 
     name: str = attrs.field(metadata=_NAME)
     pool: str
     must_never_happen_twice: bool
     deadline_ms: float = attrs.field(metadata=_DEADLINE)
+    can_be_asked_by_key: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/cactusdyke/questionnaire/generate.py
+++ b/cactusdyke/questionnaire/generate.py
@@ -50,6 +50,7 @@
                     name=s.name,
                     pool=s.pool,
                     idempotent=not s.must_never_happen_twice,
+                    answers_by_key=s.can_be_asked_by_key,
                     deadline_ms=s.deadline_ms,
                 )
                 for s in answers.services
@@ -91,6 +92,7 @@
                 name=s.name,
                 pool=s.pool,
                 must_never_happen_twice=not s.idempotent,
+                can_be_asked_by_key=s.answers_by_key,
                 deadline_ms=s.deadline_ms,
             )
             for _, s in sorted(configuration.services.items())
--- a/features/bookings/records.feature
+++ b/features/bookings/records.feature
@@ -97,6 +97,23 @@
     Then the booking answer at "entry-2" was unknown
     And the booking was made 1 time
 
+  Scenario: an owner lost in mid-call is made up for by asking the service
+    # The same, but the service knows its bookings by key. The crew's second
+    # call, at another daemon, gets the receipt that the first one lost.
+    Given a plain service that can be asked by key
+    And a booking's owner is to be "kill" at "in_flight" for 60000 ms
+    When a trailer is booked at "entry-1" and after 2000 ms at "entry-2"
+    Then the booking answer at "entry-2" names a receipt
+    And the booking was made 1 time
+
+  Scenario: a lost answer of the service is asked for by key
+    Given a plain service that can be asked by key
+    And the backend servers lose their next answer
+    When a trailer is booked at "entry-1" and after 20000 ms at "entry-2"
+    Then the booking answer at "entry-1" was unknown
+    And the booking answer at "entry-2" names a receipt
+    And the booking was made 1 time
+
   Scenario: an answer too large for a record is told as such
     Given the backend servers answer with 1200000 bytes
     When a trailer is booked at "entry-1" and then at "entry-2" with one key
--- a/features/steps/bookings_steps.py
+++ b/features/steps/bookings_steps.py
@@ -25,7 +25,8 @@
 
 def _run(context: Any, action: Any) -> None:
     async def play() -> None:
-        async with BookingWorld() as world:
+        by_key = getattr(context, "booking_by_key", False)
+        async with BookingWorld(by_key=by_key) as world:
             for prepare in _setup(context):
                 prepare(world)
             context.booked = {}
@@ -96,6 +97,11 @@
     _setup(context).append(lambda world: world.hub.start(later, world))
 
 
+@given("a plain service that can be asked by key")
+def given_by_key(context):
+    context.booking_by_key = True
+
+
 @given("the store is down")
 def given_store_down(context):
     _setup(context).append(
@@ -112,6 +118,15 @@
     _setup(context).append(prepare)
 
 
+@given("the backend servers lose their next answer")
+def given_lost(context):
+    def prepare(world):
+        for server in world.deployment.servers.values():
+            server.faults["lose_answers"] = 1
+
+    _setup(context).append(prepare)
+
+
 @given("the backend servers answer with {size:d} bytes")
 def given_size(context, size):
     def prepare(world):
--- a/standins/plain.py
+++ b/standins/plain.py
@@ -39,7 +39,9 @@
         self.executions: dict[str, int] = {}
         self.executions_by_input: dict[bytes, int] = {}
         self.executions_by_key: dict[str, int] = {}
+        self.outputs_by_key: dict[str, Any] = {}
         self.serve("POST", "/v1/run", self._run)
+        self.serve("GET", "/v1/outcomes", self._outcome)
 
     def stats(self) -> dict[str, Any]:
         """Returns executions by request id and by idempotency key."""
@@ -71,6 +73,7 @@
         name = call.get("idempotency_key", "")
         self.executions_by_key[name] = self.executions_by_key.get(name, 0) + 1
         output = self._output(call["input"])
+        self.outputs_by_key[name] = output
         if self.faults.get("crossed", 0) > 0:
             self.faults["crossed"] -= 1
             key, output = "another-request", {"booked": "another's"}
@@ -84,6 +87,18 @@
             }
         )
 
+    async def _outcome(self, request: Request) -> Response:
+        key = request.query["idempotency_key"]
+        if key not in self.outputs_by_key:
+            return json_response({"error": "unknown key"}, status=404)
+        return json_response(
+            {
+                "idempotency_key": key,
+                "ran": "ran",
+                "output": self.outputs_by_key[key],
+            }
+        )
+
     def _output(self, value: Any) -> dict[str, Any]:
         output: dict[str, Any] = {"booked": value}
         if extra := self.faults.get("output_bytes", 0):
