--- a/features/limits/addresses.feature
+++ b/features/limits/addresses.feature
@@ -25,7 +25,7 @@
   Scenario Outline: every list survives the loss of a place
     # Ten data centres in three regions, or in one. Whichever goes, each of
     # 210 customers must have daemons of its list left.
-    Given an addresses fleet of 350 daemons in 10 data centres and <regions> regions
+    Given an addresses fleet of 350 daemons, 10 data centres, <regions> regions
     When the lists of 210 customers are computed
     Then no data centre holds more than 2 and no region more than <in_region> of a list
     And a larger list begins with the smaller one
--- a/features/steps/addresses_steps.py
+++ b/features/steps/addresses_steps.py
@@ -138,7 +138,7 @@
         context.answers = []
         async with (
             deployment.client() as client,
-            anyio.create_task_group() as t,
+            anyio.create_task_group() as tasks,
         ):
 
             async def call():
@@ -164,7 +164,7 @@
 
 
 @given(
-    "an addresses fleet of {count:d} daemons in {places:d} data centres and"
+    "an addresses fleet of {count:d} daemons, {places:d} data centres,"
     " {regions:d} regions"
 )
 def given_fleet(context, count, places, regions):
