Let the last daemon that stops end well

Cause: the load collector chose the reader of each replica among the serving members. Once every daemon is leaving there is none, max() of nothing raised, and the daemon ended with status 1 in the middle of its planned stop.

Ruled out: the slow stop seen beside it; that one is the 30 s after which the test kills a daemon.

Change: nobody reads load where nobody serves.

--- a/cactusdyke/load/replicas.py
+++ b/cactusdyke/load/replicas.py
@@ -79,6 +79,10 @@
     daemon's end moves only its own replicas, evenly, to the others.
     """
     names = [member.name for member in members]
+    # The last daemon that stops finds no serving member, itself included; to
+    # choose among none would end it while requests are still in flight.
+    if not names:
+        return []
     return [
         replica
         for replica in replicas
