--- a/cactusdyke/client.py
+++ b/cactusdyke/client.py
@@ -15,6 +15,8 @@
 from cactusdyke.client_tries import Tries, no_address
 from cactusdyke.clock import Clock, SystemClock
 from cactusdyke.errors import CactusdykeError, Failure, FailureKind
+from cactusdyke.transport import address_list
+from cactusdyke.transport.address_list import AddressList
 from cactusdyke.transport.http_network import HttpNetwork
 from cactusdyke.transport.messages import (
     JSON_TYPE,
@@ -29,6 +31,7 @@
 CONNECT_TIMEOUT_MS = 1_000.0
 ANSWER_MARGIN_MS = 1_000.0
 DEFAULT_DEADLINE_MS = 6_000.0
+ADDRESSES_DEADLINE_MS = 500.0
 FORGET_AFTER_MS = 500.0
 """How soon new addresses are asked for once one has failed."""
 
@@ -51,6 +54,7 @@
         self._clock = clock or SystemClock()
         self._rng = rng or random.Random()
         self._addresses: tuple[str, ...] = ()
+        self._list_id = ""
         self._valid_until = 0.0
         self._stack = contextlib.AsyncExitStack()
 
@@ -81,13 +85,16 @@
         """Returns addresses to use, asking again once they have expired."""
         if self._clock.now() < self._valid_until:
             return self._addresses
-        for address in (*self._addresses, *self._seeds):
+        for address in dict.fromkeys((*self._addresses, *self._seeds)):
             answer = await self._fetch(
-                address, self._request("/v1/addresses", None, None, None)
+                address,
+                self._request("/v1/addresses", None, None, None),
+                ADDRESSES_DEADLINE_MS,
             )
             if isinstance(answer, Ok):
                 self._keep(answer.ok_value)
                 break
+            self._forget(address)
         return self._addresses or self._seeds
 
     async def call(
@@ -116,7 +123,7 @@
                     idempotency_key,
                     traceparent,
                 )
-                answer = await self._fetch(address, request, tries.remaining_ms)
+                answer = await self._fetch(address, request, tries.patience_ms)
                 if isinstance(answer, Ok):
                     return answer
                 tries.failed(answer.err_value)
@@ -159,6 +166,8 @@
                 async with self._open_network().open(
                     address, request, _options(remaining)
                 ) as opened:
+                    if isinstance(opened, Ok):
+                        self._correct(opened.ok_value.headers)
                     began = await client_answers.begun(opened)
                     if isinstance(began, Ok):
                         async for event in client_answers.events(
@@ -220,8 +229,20 @@
     def _keep(self, value: Mapping[str, Any]) -> None:
         listed = tuple(item["address"] for item in value["addresses"])
         if listed:
-            self._addresses = listed
-            self._valid_until = self._clock.now() + value["lifetime_ms"]
+            self._use(
+                AddressList(addresses=listed, lifetime_ms=value["lifetime_ms"])
+            )
+
+    def _correct(self, headers: Mapping[str, str]) -> None:
+        """Takes over the list that a daemon tells who was not on the last."""
+        told = address_list.from_headers(headers)
+        if told is not None and self._valid_until != math.inf:
+            self._use(told)
+
+    def _use(self, told: AddressList) -> None:
+        self._addresses = told.addresses
+        self._list_id = told.list_id
+        self._valid_until = self._clock.now() + told.lifetime_ms
 
     def _request(
         self,
@@ -233,6 +254,8 @@
         headers = {}
         if self._token:
             headers["authorization"] = f"Bearer {self._token}"
+        if self._list_id:
+            headers[address_list.LIST_HEADER] = self._list_id
         if idempotency_key is not None:
             headers["idempotency-key"] = idempotency_key
         if traceparent is not None:
@@ -258,6 +281,7 @@
         )
         if isinstance(answer, Err):
             return answer
+        self._correct(answer.ok_value.headers)
         return client_answers.parse(answer.ok_value)
 
     def _open_network(self) -> Network:
--- a/cactusdyke/limits/fair_admission.py
+++ b/cactusdyke/limits/fair_admission.py
@@ -30,9 +30,11 @@
 REVIEW_MS = 100.0
 SHED_EVERY_MS = 50.0
 MAX_WAITING = 1_000
-# A request starts no later than this many times its usual length before its
-# deadline, as half of all requests take longer than usual.
-START_MARGIN = 1.25
+# Of the time that a request can spare it waits at most this part. Queues that
+# use all of it up make every request end at its deadline, where the smallest
+# delay makes it late.
+WAITING_SHARE = 0.5
+NEWCOMER_SHARE = 0.5
 SHORTEST_RETRY_MS = 100.0
 LONGEST_RETRY_MS = 10_000.0
 RETRY_SPREAD = 0.5
@@ -47,6 +49,7 @@
         target: The pipeline or service that it asks for.
         claim: What it takes.
         start_by: Instant from which it would be late.
+        accepted: Whether it was found to be able to begin in time.
         decided: Set once it is admitted or refused.
         refusal: Why it was refused, None if it was admitted.
     """
@@ -54,6 +57,7 @@
     target: str
     claim: Claim
     start_by: Instant
+    accepted: bool = False
     decided: anyio.Event = attrs.field(factory=anyio.Event)
     refusal: Failure | None = None
     admitted: bool = False
@@ -84,6 +88,10 @@
         """How many requests wait to begin."""
         return len(self._queue)
 
+    def used(self, pool: str) -> float:
+        """Returns how many requests are at a pool, as expected."""
+        return self._pools.used(pool)
+
     async def run(self) -> None:
         """Moves bounds and refuses late requests while any wait."""
         while True:
@@ -116,7 +124,7 @@
         waiter = _Waiter(
             target=pipeline.name,
             claim=claim,
-            start_by=context.deadline - claim.total_ms * START_MARGIN,
+            start_by=self._start_by(context, claim),
         )
         ticket = self._queue.add(
             waiter,
@@ -141,6 +149,11 @@
                 self._drop(ticket)
         return waiter.refusal
 
+    def _start_by(self, context: RequestContext, claim: Claim) -> Instant:
+        now = self._clock.now()
+        spare_ms = context.deadline - now - claim.late_ms
+        return now + max(0.0, spare_ms) * WAITING_SHARE
+
     async def _decision(self, waiter: _Waiter) -> None:
         if waiter.decided.is_set():
             return
@@ -200,10 +213,15 @@
                 ahead_ms.get(pool, 0.0) / self._pools.bound(pool)
                 for pool in claim.work_ms
             )
-            late_ms = now + wait_ms - waiter.start_by
-            if late_ms > 0.0:
-                self._refuse(ticket, late_ms)
+            spare_ms = waiter.start_by - now
+            if not waiter.accepted:
+                # Estimates waver. A newcomer is taken with some of its time
+                # to spare, or many would wait only to be refused later.
+                spare_ms *= NEWCOMER_SHARE
+            if wait_ms > spare_ms:
+                self._refuse(ticket, wait_ms - spare_ms)
                 continue
+            waiter.accepted = True
             for pool, work_ms in claim.work_ms.items():
                 ahead_ms[pool] = ahead_ms.get(pool, 0.0) + work_ms
 
--- a/cactusdyke/membership/members.py
+++ b/cactusdyke/membership/members.py
@@ -151,7 +151,7 @@
         if self._table.own.state is not MemberState.LEAVING:
             self._table.contradict(state=MemberState.LEAVING)
 
-    async def drain(self) -> None:
+    async def announce_stop(self) -> None:
         """Says that this daemon is leaving, to several others at once."""
         self.leave()
         await self._tell(self._rounds.some(LEAVE_FANOUT))
--- a/cactusdyke/routing/router.py
+++ b/cactusdyke/routing/router.py
@@ -24,6 +24,7 @@
 CHOICES = 2
 DRAWS = 8
 LEAVING_MS = 30_000.0
+SHORT_MS = 1_000.0
 FORGET_EVERY_MS = 60_000.0
 # Near servers are preferred until they are this full.
 NEAR_OCCUPANCY = 0.8
@@ -48,6 +49,7 @@
         self._hints = PrefixHints(clock=clock)
         self._ejections = Ejections(clock=clock)
         self._leaving: dict[str, Instant] = {}
+        self._short: dict[str, Instant] = {}
         self._refusals: set[str] = set()
         self._indexes: dict[str, PoolIndex] = {}
 
@@ -99,7 +101,7 @@
         index = self._index(pool)
         weight = max(attainment_weight, LEAST_ATTAINMENT_WEIGHT)
         best = self._better(index, index.near, exclude, weight)
-        if best is None or self._occupancy(best) >= NEAR_OCCUPANCY:
+        if best is None or not self._good_enough(best):
             far = self._better(index, index.far, exclude, weight)
             found = [server for server in (best, far) if server is not None]
             if not found:
@@ -165,6 +167,14 @@
             server.name
         )
 
+    def mark_short(self, pool_name: str) -> None:
+        """Notes that requests wait for a pool before they may begin."""
+        self._short[pool_name] = self._clock.now() + SHORT_MS
+
+    def is_short(self, pool_name: str) -> bool:
+        """Returns whether requests waited for a pool a moment ago."""
+        return self._clock.now() < self._short.get(pool_name, 0.0)
+
     @contextlib.contextmanager
     def in_flight(self, server: BackendServer) -> Iterator[None]:
         """Counts an attempt as in flight while the block runs."""
@@ -238,6 +248,11 @@
                 return server
         return best
 
+    def _good_enough(self, server: BackendServer) -> bool:
+        """Returns whether to stay in the own data centre."""
+        slow = self._speed.slowness(server.name) > 1
+        return not slow and self._occupancy(server) < NEAR_OCCUPANCY
+
     def _occupancy(self, server: BackendServer) -> float:
         return self._load.outstanding(server.name) / server.slots
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -33,7 +33,8 @@
 
     With `models` it takes orders to load others, see `EngineOrders`.
     Further faults: `crossed` (how many of the next answers are another
-    request's), `die_after_tokens` (streams end early), `slow_factor`.
+    request's), `die_after_tokens` (streams end early), `slow_factor`,
+    `fail_after_run` (answers 500).
     """
 
     def __init__(
@@ -94,6 +95,8 @@
     async def _whole(self, call: dict[str, Any]) -> Response:
         began = self.clock.now()
         await self._work(call, self.stage_ms)
+        if self.faults.get("fail_after_run"):
+            return json_response({"error": "broken"}, status=500)
         call = self._crossed(call)
         output = self.output(call["input"])
         busy = self.clock.now() - began
@@ -107,6 +110,15 @@
         )
 
     async def _stream(self, call: dict[str, Any]) -> AsyncIterator[bytes]:
+        ended = False
+        try:
+            async for event in self._tokens(call):
+                yield event
+            ended = True
+        finally:
+            self.counts["streams_ended" if ended else "streams_left"] += 1
+
+    async def _tokens(self, call: dict[str, Any]) -> AsyncIterator[bytes]:
         began = self.clock.now()
         await self._work(call, self.stage_ms)
         words = generate(call["input"], self.token_count)
