--- a/cactusdyke/orders/lease.py
+++ b/cactusdyke/orders/lease.py
@@ -111,7 +111,7 @@
                 await self._look()
                 await self._clock.sleep(LOOK_MS)
 
-    async def drain(self) -> None:
+    async def announce_stop(self) -> None:
         """Gives the lease back, so that another takes it at once."""
         self._draining = True
         lease, self._lease = self._lease, None
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -223,7 +223,7 @@
 def when_stop(context):
     async def stop(fleet):
         (context.holder,) = fleet.holders()
-        await fleet.daemons[context.holder][0].drain()
+        await fleet.daemons[context.holder][0].announce_stop()
 
     context.parts.append(stop)
 
