--- a/cactusdyke/limits/fair_admission.py
+++ b/cactusdyke/limits/fair_admission.py
@@ -33,7 +33,7 @@
 # Of the time that a request can spare it waits at most this part. Queues that
 # use all of it up make every request end at its deadline, where the smallest
 # delay makes it late.
-WAITING_SHARE = 0.5
+WAITING_SHARE = 0.75
 NEWCOMER_SHARE = 0.5
 SHORTEST_RETRY_MS = 100.0
 LONGEST_RETRY_MS = 10_000.0
@@ -206,7 +206,10 @@
         now = self._clock.now()
         self._shed_at = now
         ahead_ms: dict[str, float] = {}
-        for ticket in list(self._queue):
+        tickets = list(self._queue)
+        accepted = [i for i, t in enumerate(tickets) if t.item.accepted]
+        last_accepted = accepted[-1] if accepted else -1
+        for index, ticket in enumerate(tickets):
             waiter = ticket.item
             claim = waiter.claim
             wait_ms = max(
@@ -214,9 +217,11 @@
                 for pool in claim.work_ms
             )
             spare_ms = waiter.start_by - now
-            if not waiter.accepted:
-                # Estimates waver. A newcomer is taken with some of its time
-                # to spare, or many would wait only to be refused later.
+            if not waiter.accepted and index > last_accepted:
+                # Estimates waver. A newcomer at the end is taken with some
+                # of its time to spare, or many would wait only to be refused
+                # later. One that priority or share puts before others takes
+                # the place of these.
                 spare_ms *= NEWCOMER_SHARE
             if wait_ms > spare_ms:
                 self._refuse(ticket, wait_ms - spare_ms)
