--- a/cactusdyke/limits/account.py
+++ b/cactusdyke/limits/account.py
@@ -111,11 +111,20 @@
         """Lets time pass without refill, such as that of another owner."""
         self._settled_at = now
 
-    def lend(self, holder: str, ask: Ask, now: Instant) -> Loan:
-        """Lends a daemon what it needs, as far as it is there."""
+    def lend(
+        self, holder: str, ask: Ask, now: Instant, *, daemons: int
+    ) -> Loan:
+        """Lends a daemon what it needs, as far as it is there.
+
+        Args:
+            holder: The daemon's name.
+            ask: What it asks for.
+            now: The current instant.
+            daemons: How many daemons serve.
+        """
         self._settle(now)
         before = self._size
-        self._review_size(holder, ask, now)
+        self._review_size(holder, ask, now, daemons)
         if self._size != before:
             events.log(
                 events.Event.CUSTOMER_SUBSET_CHANGED,
@@ -194,15 +203,18 @@
             rate = fair
         return missing / max(rate, 1e-9) * MS_PER_SECOND
 
-    def _review_size(self, holder: str, ask: Ask, now: Instant) -> None:
+    def _review_size(
+        self, holder: str, ask: Ask, now: Instant, daemons: int
+    ) -> None:
+        largest = max(SMALLEST_SUBSET, min(LARGEST_SUBSET, daemons))
         if now - self._opened_at < DEMAND_MEMORY_MS:
             # A new owner learns the size from the daemons that the last one
             # told it. Later on their word may be older than the owner's own.
-            self._size = max(self._size, min(ask.size, LARGEST_SUBSET))
+            self._size = max(self._size, min(ask.size, largest))
         demand = ask.demand + sum(x.demand for x in self._others(holder))
         demand = min(demand, self._rate)
         fitting = math.ceil(demand / COMFORTABLE)
-        fitting = min(LARGEST_SUBSET, max(SMALLEST_SUBSET, fitting))
+        fitting = min(largest, max(SMALLEST_SUBSET, fitting))
         if demand > GROW_ABOVE * self._size:
             self._size = max(self._size, fitting)
         if demand >= SHRINK_BELOW * self._size or fitting >= self._size:
--- a/cactusdyke/limits/ledger.py
+++ b/cactusdyke/limits/ledger.py
@@ -88,7 +88,8 @@
             burst=customer.burst,
             now=now,
         )
-        return Ok(entry.account.lend(holder, ask, now))
+        daemons = len(self._view.serving)
+        return Ok(entry.account.lend(holder, ask, now, daemons=daemons))
 
     def review(self) -> None:
         """Notes pauses and changes of owner; call it every REVIEW_MS."""
--- a/features/limits/addresses.feature
+++ b/features/limits/addresses.feature
@@ -22,6 +22,19 @@
     Then its requests reach more than 6 daemons
     And none of its requests failed
 
+  Scenario: a list shrinks only after a calm minute
+    # Demand that swings up and down within a minute must not send callers to
+    # and fro, since each change costs warm prefixes.
+    Given an addresses account of a customer with 100 requests a second
+    When its demand is 30 a second, and then 2 for 59 seconds
+    Then its list is as large as before
+    And after 2 more seconds it is the smallest
+
+  Scenario: the subsets bench runs in its tiny size
+    When the addresses bench compares the ways to place customers
+    Then loans refuse fewer below the limit than equal shares do
+    And the bench says messages, warm prefixes and load for each way
+
   Scenario Outline: every list survives the loss of a place
     # Ten data centres in three regions, or in one. Whichever goes, each of
     # 210 customers must have daemons of its list left.
--- a/features/steps/addresses_steps.py
+++ b/features/steps/addresses_steps.py
@@ -9,7 +9,9 @@
 import orjson
 from behave import given, then, when
 
+from bench.serving import case_i_customer_subsets
 from cactusdyke.limits import subsets
+from cactusdyke.limits.account import Account, Ask
 from cactusdyke.limits.fleet import Daemon
 from cactusdyke.limits.subsets import SMALLEST_SUBSET
 from cactusdyke.transport import address_list
@@ -163,6 +165,60 @@
     assert all(context.answers)
 
 
+@given("an addresses account of a customer with {rate:d} requests a second")
+def given_account(context, rate):
+    context.account = Account(rate=rate, burst=rate, now=0.0)
+
+
+def _ask_until(context: Any, demand: float, since: float, until: float) -> None:
+    for second in range(int(since), int(until) + 1):
+        ask = Ask(customer="customer", waiting=1, demand=demand)
+        context.account.lend("entry-1", ask, second * 1_000.0, daemons=100)
+
+
+@when(
+    "its demand is {high:d} a second, and then {low:d} for {seconds:d} seconds"
+)
+def when_swings(context, high, low, seconds):
+    _ask_until(context, high, 1, 9)
+    context.grown = context.account.size
+    _ask_until(context, low, 10, 10 + seconds)
+    context.kept = context.account.size
+
+
+@then("its list is as large as before")
+def then_kept(context):
+    assert context.grown > 30, context.grown
+    assert context.kept == context.grown
+
+
+@then("after {seconds:d} more seconds it is the smallest")
+def then_smallest(context, seconds):
+    _ask_until(context, 2, 70, 69 + seconds)
+    assert context.account.size == SMALLEST_SUBSET, context.account.size
+
+
+@when("the addresses bench compares the ways to place customers")
+def when_bench(context):
+    rows = case_i_customer_subsets.run_case(tiny=True)
+    context.rows = {row["column"]: row for row in rows}
+
+
+@then("loans refuse fewer below the limit than equal shares do")
+def then_fewer(context):
+    refused = {n: r["below limit, refused"] for n, r in context.rows.items()}
+    assert refused["loans, growing 6"] < refused["equal shares, 6"], refused
+    assert refused["loans, all"] < refused["equal shares, all"], refused
+
+
+@then("the bench says messages, warm prefixes and load for each way")
+def then_columns(context):
+    for row in context.rows.values():
+        assert 0 <= row["warm prefix"] <= 1
+        assert row["busiest daemon/mean"] >= 1
+        assert row["messages/s/daemon"] >= 0
+
+
 @given(
     "an addresses fleet of {count:d} daemons, {places:d} data centres,"
     " {regions:d} regions"
