--- a/cactusdyke/routing/router.py
+++ b/cactusdyke/routing/router.py
@@ -29,7 +29,7 @@
 # Near servers are preferred until they are this full.
 NEAR_OCCUPANCY = 0.8
 # A warm cache is worth a load up to this many times the better of two.
-CACHE_LOAD_FACTOR = 1.5
+CACHE_LOAD_FACTOR = 2.0
 RING_STEPS = 8
 # Attainment always counts a little: the cheapest server is no use when late.
 LEAST_ATTAINMENT_WEIGHT = 0.1
@@ -50,6 +50,7 @@
         self._ejections = Ejections(clock=clock)
         self._leaving: dict[str, Instant] = {}
         self._short: dict[str, Instant] = {}
+        self._refusals: set[str] = set()
         self._indexes: dict[str, PoolIndex] = {}
 
     @property
@@ -124,6 +125,12 @@
         """Takes back `mark_leaving`, as when the host list says so."""
         self._leaving.pop(server_name, None)
 
+    def take_refusals(self) -> tuple[str, ...]:
+        """Returns who said since the last call that they are leaving."""
+        refusals = tuple(self._refusals)
+        self._refusals.clear()
+        return refusals
+
     def is_leaving(self, server_name: str) -> bool:
         """Returns whether a backend server is known to be leaving."""
         until = self._leaving.get(server_name)
@@ -139,6 +146,7 @@
         """Notes that an attempt failed, and draws the consequences."""
         if failure.kind is FailureKind.BACKEND_LEAVING:
             self.mark_leaving(server.name)
+            self._refusals.add(server.name)
             return
         refused = failure.kind is FailureKind.BACKEND_FAILED
         if refused and failure.ran is Ran.NOT_RUN:
