--- a/features/limits/addresses.feature
+++ b/features/limits/addresses.feature
@@ -49,6 +49,13 @@
       | 3       | 2         |
       | 1       | 6         |
 
+  Scenario: the owner dies among whole daemons
+    # As with the limits fleet, but with the real membership: whoever it still
+    # lists, callers below their limit must not be locked out.
+    Given an addresses deployment of 6 daemons
+    When its limit's owner dies while callers send half of their limit
+    Then at most 10 percent were refused, and never for longer than 2000 ms
+
   Scenario: limits hold while the store is down
     # The platform's store is out for an hour. Limits live among the daemons
     # and go on as before.
--- a/features/steps/addresses_steps.py
+++ b/features/steps/addresses_steps.py
@@ -308,3 +308,42 @@
     expected = LIMIT * context.seconds
     assert set(context.statuses) == {200, 429}, context.statuses
     assert 0.9 * expected <= context.statuses[200] <= expected + 3 * LIMIT
+
+
+@when("its limit's owner dies while callers send half of their limit")
+def when_owner_dies(context):
+    context.limit = LIMIT
+    context.outcomes = []
+
+    async def story(deployment):
+        owner, *others = await _listed(deployment)
+        network = deployment.hub.network("caller")
+        rate = LIMIT / 2
+
+        async def send(name):
+            answer = await network.fetch(f"{name}:1", _request(), CallOptions())
+            status = answer.unwrap().status
+            context.outcomes.append((deployment.hub.clock.now(), status))
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(int(60 * rate)):
+                if number == 20 * rate:
+                    deployment.kill_daemon(owner)
+                tasks.start_soon(send, others[number % len(others)])
+                await deployment.hub.clock.sleep(1_000 / rate)
+
+    _play(context, story)
+
+
+@then(
+    "at most {percent:d} percent were refused, and never for longer than"
+    " {most:d} ms"
+)
+def then_rarely(context, percent, most):
+    statuses = collections.Counter(status for _, status in context.outcomes)
+    assert set(statuses) <= {200, 429}, statuses
+    assert statuses[429] <= len(context.outcomes) * percent / 100, statuses
+    since = None
+    for at, status in sorted(context.outcomes):
+        since = None if status == 200 else since or at
+        assert since is None or at - since <= most, (since, at)
