--- a/bench/naive/static_limits.py
+++ b/bench/naive/static_limits.py
@@ -47,6 +47,29 @@
         )
 
 
+class OneBucket(Limiter):
+    """One token bucket that all daemons would see at once, as a measure."""
+
+    def __init__(self, *, clock: Clock, buckets: dict[str, _Bucket]) -> None:
+        self._clock = clock
+        self._buckets = buckets
+
+    async def admit(self, customer: Customer) -> Result[None, Failure]:
+        """Takes one request from the limit, or refuses it."""
+        now = self._clock.now()
+        bucket = self._buckets.setdefault(
+            customer.name, _Bucket(tokens=customer.burst, filled_at=now)
+        )
+        grown = (now - bucket.filled_at) / MS_PER_SECOND
+        grown *= customer.requests_per_second
+        bucket.tokens = min(customer.burst, bucket.tokens + grown)
+        bucket.filled_at = now
+        if bucket.tokens >= 1.0:
+            bucket.tokens -= 1.0
+            return Ok(None)
+        return Err(Failure(kind=FailureKind.LIMITED, detail="Over the limit"))
+
+
 class NoLimits(Limiter):
     """Admits everything."""
 
--- a/cactusdyke/membership/members.py
+++ b/cactusdyke/membership/members.py
@@ -64,7 +64,7 @@
         self._host_list = host_list
         self._revision = revision
         self._table = MemberTable(own=_own_member(settings, clock), clock=clock)
-        self._table.on_leaving(self._hurry)
+        self._table.on_leaving(self.hurry)
         self._rounds = Rounds(table=self._table, rng=rng)
         self._exchange = Exchange(
             table=self._table, client=client, traffic=traffic
@@ -114,7 +114,7 @@
         if known:
             return tuple(known)
         dead = [m for m in self._table.others() if m.state is MemberState.DEAD]
-        return tuple(sorted(dead, key=_by_name))
+        return tuple(sorted(dead, key=_by_name)) or self._from_settings()
 
     def ride(self, key: str, rider: Rider) -> None:
         """Lets a rider's values travel on each probe and its answer."""
@@ -142,13 +142,16 @@
         self._refresh()
         return await self._exchange.handle(request)
 
+    def hurry(self) -> None:
+        """Sends a few daemons the latest news without waiting for a probe."""
+        self._urgent.set()
+
     def leave(self) -> None:
         """Says from now on that this daemon is leaving."""
         if self._table.own.state is not MemberState.LEAVING:
             self._table.contradict(state=MemberState.LEAVING)
-            self._hurry()
 
-    async def drain(self) -> None:
+    async def announce_stop(self) -> None:
         """Says that this daemon is leaving, to several others at once."""
         self.leave()
         await self._tell(self._rounds.some(LEAVE_FANOUT))
@@ -165,6 +168,20 @@
                 took = self._clock.now() - began
                 await self._sleep(max(0.0, PROBE_INTERVAL_MS - took))
 
+    def _from_settings(self) -> tuple[Member, ...]:
+        # A daemon told to stop right after its start knows nobody yet.
+        return tuple(
+            Member(
+                name=peer.name,
+                address=peer.address,
+                data_centre=peer.data_centre,
+                region="",
+                incarnation=0,
+            )
+            for peer in self._settings.peers
+            if self._table.find(peer.name) is None
+        )
+
     async def _tick(self) -> None:
         self._refresh()
         self._table.expire()
@@ -222,9 +239,6 @@
             digests=self._table.digests,
         )
 
-    def _hurry(self) -> None:
-        self._urgent.set()
-
     async def _run_urgent(self) -> None:
         # News that a daemon leaves would take a probe for each doubling of
         # those who know, longer than callers keep an address. Everyone who
--- a/cactusdyke/routing/router.py
+++ b/cactusdyke/routing/router.py
@@ -24,11 +24,12 @@
 CHOICES = 2
 DRAWS = 8
 LEAVING_MS = 30_000.0
+SHORT_MS = 1_000.0
 FORGET_EVERY_MS = 60_000.0
 # Near servers are preferred until they are this full.
 NEAR_OCCUPANCY = 0.8
 # A warm cache is worth a load up to this many times the better of two.
-CACHE_LOAD_FACTOR = 1.5
+CACHE_LOAD_FACTOR = 2.0
 RING_STEPS = 8
 # Attainment always counts a little: the cheapest server is no use when late.
 LEAST_ATTAINMENT_WEIGHT = 0.1
@@ -48,6 +49,8 @@
         self._hints = PrefixHints(clock=clock)
         self._ejections = Ejections(clock=clock)
         self._leaving: dict[str, Instant] = {}
+        self._short: dict[str, Instant] = {}
+        self._refusals: set[str] = set()
         self._indexes: dict[str, PoolIndex] = {}
 
     @property
@@ -98,7 +101,7 @@
         index = self._index(pool)
         weight = max(attainment_weight, LEAST_ATTAINMENT_WEIGHT)
         best = self._better(index, index.near, exclude, weight)
-        if best is None or self._occupancy(best) >= NEAR_OCCUPANCY:
+        if best is None or not self._good_enough(best):
             far = self._better(index, index.far, exclude, weight)
             found = [server for server in (best, far) if server is not None]
             if not found:
@@ -122,6 +125,12 @@
         """Takes back `mark_leaving`, as when the host list says so."""
         self._leaving.pop(server_name, None)
 
+    def take_refusals(self) -> tuple[str, ...]:
+        """Returns who said since the last call that they are leaving."""
+        refusals = tuple(self._refusals)
+        self._refusals.clear()
+        return refusals
+
     def is_leaving(self, server_name: str) -> bool:
         """Returns whether a backend server is known to be leaving."""
         until = self._leaving.get(server_name)
@@ -137,6 +146,7 @@
         """Notes that an attempt failed, and draws the consequences."""
         if failure.kind is FailureKind.BACKEND_LEAVING:
             self.mark_leaving(server.name)
+            self._refusals.add(server.name)
             return
         refused = failure.kind is FailureKind.BACKEND_FAILED
         if refused and failure.ran is Ran.NOT_RUN:
@@ -157,6 +167,14 @@
             server.name
         )
 
+    def mark_short(self, pool_name: str) -> None:
+        """Notes that requests wait for a pool before they may begin."""
+        self._short[pool_name] = self._clock.now() + SHORT_MS
+
+    def is_short(self, pool_name: str) -> bool:
+        """Returns whether requests waited for a pool a moment ago."""
+        return self._clock.now() < self._short.get(pool_name, 0.0)
+
     @contextlib.contextmanager
     def in_flight(self, server: BackendServer) -> Iterator[None]:
         """Counts an attempt as in flight while the block runs."""
@@ -230,6 +248,11 @@
                 return server
         return best
 
+    def _good_enough(self, server: BackendServer) -> bool:
+        """Returns whether to stay in the own data centre."""
+        slow = self._speed.slowness(server.name) > 1
+        return not slow and self._occupancy(server) < NEAR_OCCUPANCY
+
     def _occupancy(self, server: BackendServer) -> float:
         return self._load.outstanding(server.name) / server.slots
 
--- a/features/steps/bookings_steps.py
+++ b/features/steps/bookings_steps.py
@@ -7,6 +7,7 @@
 import attrs
 from behave import given, then, when
 
+from bench.serving import case_h_bookings
 from cactusdyke.booking.record import Record, RecordState, record_key
 from features.support.booking_machine import run_machine
 from features.support.booking_world import BookingWorld, Said
@@ -24,7 +25,8 @@
 
 def _run(context: Any, action: Any) -> None:
     async def play() -> None:
-        async with BookingWorld() as world:
+        by_key = getattr(context, "booking_by_key", False)
+        async with BookingWorld(by_key=by_key) as world:
             for prepare in _setup(context):
                 prepare(world)
             context.booked = {}
@@ -95,6 +97,11 @@
     _setup(context).append(lambda world: world.hub.start(later, world))
 
 
+@given("a plain service that can be asked by key")
+def given_by_key(context):
+    context.booking_by_key = True
+
+
 @given("the store is down")
 def given_store_down(context):
     _setup(context).append(
@@ -111,6 +118,15 @@
     _setup(context).append(prepare)
 
 
+@given("the backend servers lose their next answer")
+def given_lost(context):
+    def prepare(world):
+        for server in world.deployment.servers.values():
+            server.faults["lose_answers"] = 1
+
+    _setup(context).append(prepare)
+
+
 @given("the backend servers answer with {size:d} bytes")
 def given_size(context, size):
     def prepare(world):
@@ -282,3 +298,22 @@
     assert times
     for began in times:
         assert sum(began <= each < began + 1_000 for each in times) <= count
+
+
+@when("bookings are measured in their smallest size")
+def when_measured(context):
+    context.booking_rows = case_h_bookings.run_case(tiny=True)
+
+
+@then("the naive bookings were doubled and the project's were not")
+def then_not_doubled(context):
+    naive, project = context.booking_rows
+    assert (naive["column"], project["column"]) == ("naive", "project")
+    assert naive["bookings"] == project["bookings"] > 0
+    assert naive["doubled"] > 0
+    assert (project["doubled"], project["false_not_run"]) == (0, 0)
+
+
+@then("the project's bookings took {count:d} writes each")
+def then_each(context, count):
+    assert context.booking_rows[1]["writes_per_booking"] == count
