End the crowd of a capacity run at once

Cause: its daemons were cancelled inside their servers, which waited for the connections of the others; each world took 30 s to stop, until it was killed.

Change: the crowd has no callers, SIGTERM ends it.

--- a/bench/capacity/crowd.py
+++ b/bench/capacity/crowd.py
@@ -5,7 +5,6 @@
 import json
 import pathlib
 import random
-import signal
 import sys
 from typing import Any
 
@@ -46,17 +45,16 @@
 
 
 async def run(values: list[dict[str, Any]]) -> None:
-    """Runs a daemon for each settings value until SIGTERM."""
+    """Runs a daemon for each settings value until SIGTERM ends the process.
+
+    The crowd has no callers to serve to the end, so it doesn't drain.
+    """
     async with anyio.create_task_group() as tasks:
         for value in values:
             settings = structure.structure(
                 value, Settings, name=value["name"]
             ).unwrap()
             tasks.start_soon(_daemon, settings)
-        with anyio.open_signal_receiver(signal.SIGTERM) as signals:
-            async for _ in signals:
-                break
-        tasks.cancel_scope.cancel()
 
 
 if __name__ == "__main__":
