Keep a leaving daemon reading loads, and follow the announced stop

A daemon that leaves is told to its peers before it is drained, and is no member from then on. Where it was its data centre's only daemon, sharing out the load reports failed for want of members and ended the daemon with requests in flight; it goes on reading them itself.

--- a/cactusdyke/load/replicas.py
+++ b/cactusdyke/load/replicas.py
@@ -77,6 +77,10 @@
 
     Each replica belongs to the daemon with the highest hash, so that a
     daemon's end moves only its own replicas, evenly, to the others.
+
+    A daemon that is leaving is no member any more, but serves on for a while.
+    Where there is no other, it goes on reading (seen as a daemon that ended in
+    its planned stop with requests in flight).
     """
     names = [member.name for member in members]
     return [
@@ -87,6 +91,7 @@
             key=lambda n: xxhash.xxh64_intdigest(
                 f"{replica.server.name} {n}".encode()
             ),
+            default=own,
         )
         == own
     ]
--- a/features/support/member_fleet.py
+++ b/features/support/member_fleet.py
@@ -140,7 +140,7 @@
 
     async def leave(self, name: str) -> None:
         """Lets a daemon say that it leaves; it goes on answering."""
-        await self.daemons[name].members.drain()
+        await self.daemons[name].members.announce_stop()
 
     def cut(self, source: str, target: str) -> None:
         """Cuts one direction between two daemons."""
