--- a/bench/naive/members.py
+++ b/bench/naive/members.py
@@ -57,7 +57,7 @@
         """Returns the daemons heard lately that are not leaving."""
         return tuple(m for m in self.all() if m.state is MemberState.LIVE)
 
-    async def drain(self) -> None:
+    async def announce_stop(self) -> None:
         """Will say so with the next heartbeat."""
         self._state = MemberState.LEAVING
 
