--- a/cactusdyke/load/replicas.py
+++ b/cactusdyke/load/replicas.py
@@ -83,6 +83,10 @@
     its planned stop with requests in flight).
     """
     names = [member.name for member in members]
+    # The last daemon that stops finds no serving member, itself included; to
+    # choose among none would end it while requests are still in flight.
+    if not names:
+        return []
     return [
         replica
         for replica in replicas
--- a/features/steps/addresses_steps.py
+++ b/features/steps/addresses_steps.py
@@ -9,7 +9,9 @@
 import orjson
 from behave import given, then, when
 
+from bench.serving import case_i_customer_subsets
 from cactusdyke.limits import subsets
+from cactusdyke.limits.account import Account, Ask
 from cactusdyke.limits.fleet import Daemon
 from cactusdyke.limits.subsets import SMALLEST_SUBSET
 from cactusdyke.transport import address_list
@@ -138,7 +140,7 @@
         context.answers = []
         async with (
             deployment.client() as client,
-            anyio.create_task_group() as t,
+            anyio.create_task_group() as tasks,
         ):
 
             async def call():
@@ -146,7 +148,7 @@
                 context.answers.append(answer.is_ok())
 
             for _ in range(rate * seconds):
-                t.start_soon(call)
+                tasks.start_soon(call)
                 await deployment.hub.clock.sleep(1_000 / rate)
 
     _play(context, story)
@@ -163,8 +165,62 @@
     assert all(context.answers)
 
 
+@given("an addresses account of a customer with {rate:d} requests a second")
+def given_account(context, rate):
+    context.account = Account(rate=rate, burst=rate, now=0.0)
+
+
+def _ask_until(context: Any, demand: float, since: float, until: float) -> None:
+    for second in range(int(since), int(until) + 1):
+        ask = Ask(customer="customer", waiting=1, demand=demand)
+        context.account.lend("entry-1", ask, second * 1_000.0, daemons=100)
+
+
+@when(
+    "its demand is {high:d} a second, and then {low:d} for {seconds:d} seconds"
+)
+def when_swings(context, high, low, seconds):
+    _ask_until(context, high, 1, 9)
+    context.grown = context.account.size
+    _ask_until(context, low, 10, 10 + seconds)
+    context.kept = context.account.size
+
+
+@then("its list is as large as before")
+def then_kept(context):
+    assert context.grown > 30, context.grown
+    assert context.kept == context.grown
+
+
+@then("after {seconds:d} more seconds it is the smallest")
+def then_smallest(context, seconds):
+    _ask_until(context, 2, 70, 69 + seconds)
+    assert context.account.size == SMALLEST_SUBSET, context.account.size
+
+
+@when("the addresses bench compares the ways to place customers")
+def when_bench(context):
+    rows = case_i_customer_subsets.run_case(tiny=True)
+    context.rows = {row["column"]: row for row in rows}
+
+
+@then("loans refuse fewer below the limit than equal shares do")
+def then_fewer(context):
+    refused = {n: r["below limit, refused"] for n, r in context.rows.items()}
+    assert refused["loans, growing 6"] < refused["equal shares, 6"], refused
+    assert refused["loans, all"] < refused["equal shares, all"], refused
+
+
+@then("the bench says messages, warm prefixes and load for each way")
+def then_columns(context):
+    for row in context.rows.values():
+        assert 0 <= row["warm prefix"] <= 1
+        assert row["busiest daemon/mean"] >= 1
+        assert row["messages/s/daemon"] >= 0
+
+
 @given(
-    "an addresses fleet of {count:d} daemons in {places:d} data centres and"
+    "an addresses fleet of {count:d} daemons, {places:d} data centres,"
     " {regions:d} regions"
 )
 def given_fleet(context, count, places, regions):
@@ -252,3 +308,42 @@
     expected = LIMIT * context.seconds
     assert set(context.statuses) == {200, 429}, context.statuses
     assert 0.9 * expected <= context.statuses[200] <= expected + 3 * LIMIT
+
+
+@when("its limit's owner dies while callers send half of their limit")
+def when_owner_dies(context):
+    context.limit = LIMIT
+    context.outcomes = []
+
+    async def story(deployment):
+        owner, *others = await _listed(deployment)
+        network = deployment.hub.network("caller")
+        rate = LIMIT / 2
+
+        async def send(name):
+            answer = await network.fetch(f"{name}:1", _request(), CallOptions())
+            status = answer.unwrap().status
+            context.outcomes.append((deployment.hub.clock.now(), status))
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(int(60 * rate)):
+                if number == 20 * rate:
+                    deployment.kill_daemon(owner)
+                tasks.start_soon(send, others[number % len(others)])
+                await deployment.hub.clock.sleep(1_000 / rate)
+
+    _play(context, story)
+
+
+@then(
+    "at most {percent:d} percent were refused, and never for longer than"
+    " {most:d} ms"
+)
+def then_rarely(context, percent, most):
+    statuses = collections.Counter(status for _, status in context.outcomes)
+    assert set(statuses) <= {200, 429}, statuses
+    assert statuses[429] <= len(context.outcomes) * percent / 100, statuses
+    since = None
+    for at, status in sorted(context.outcomes):
+        since = None if status == 200 else since or at
+        assert since is None or at - since <= most, (since, at)
