Let the connection watchdog sleep until a wait is due

Cause: an idle daemon used 20 ms of CPU a second at every size; it woke 40 times a second because some wait, such as the store's watch, is always present. Change: it sleeps until the earliest wait is due, 250 ms at most, and a wait that is due sooner wakes it.

--- a/cactusdyke/transport/watchdog.py
+++ b/cactusdyke/transport/watchdog.py
@@ -11,6 +11,7 @@
     from cactusdyke.clock import Clock, Instant
 
 TICK_MS = 25.0
+LONGEST_PAUSE_MS = 250.0
 
 
 class Watched(abc.ABC):
@@ -30,19 +31,24 @@
     """Looks through all present waits a few times a second.
 
     A time-out scope around each wait costs more than the read that it bounds,
-    and nearly none of them ever fires.
+    and nearly none of them ever fires. It sleeps until the earliest wait is
+    too long, and a wait that ends before that wakes it.
     """
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._waiting: set[Watched] = set()
         self._begun = anyio.Event()
+        self._sooner = anyio.Event()
+        self._looks_at: Instant = 0.0
 
     def begin(self, watched: Watched) -> None:
         """Notes that a wait has begun."""
         self._waiting.add(watched)
         if not self._begun.is_set():
             self._begun.set()
+        if watched.wait_until < self._looks_at:
+            self._sooner.set()
 
     def end(self, watched: Watched) -> None:
         """Notes that a wait has ended."""
@@ -52,7 +58,7 @@
         """Watches until it is cancelled; sleeps while nobody waits."""
         while True:
             await self._begun.wait()
-            await self._clock.sleep(TICK_MS)
+            await self._pause()
             now = self._clock.now()
             late = [w for w in self._waiting if w.wait_until <= now]
             for watched in late:
@@ -60,3 +66,14 @@
                 await watched.give_up()
             if not self._waiting:
                 self._begun = anyio.Event()
+
+    async def _pause(self) -> None:
+        self._sooner = anyio.Event()
+        now = self._clock.now()
+        earliest = min((w.wait_until for w in self._waiting), default=now)
+        pause_ms = min(earliest - now, LONGEST_PAUSE_MS)
+        self._looks_at = now + pause_ms
+        await self._clock.sleep(TICK_MS)
+        if pause_ms > TICK_MS:
+            with self._clock.timeout(pause_ms - TICK_MS):
+                await self._sooner.wait()
