--- a/features/load/load.feature
+++ b/features/load/load.feature
@@ -16,6 +16,14 @@
     When load collector d-0 dies
     Then load readings are at most 5 seconds old at every daemon again
 
+  Scenario: the last daemon stops while it still has to serve
+    # The only daemon is told to stop and lingers for its callers. It reads no
+    # load any more; if sharing out replicas among no live daemon failed, the
+    # process would end and cut its callers' requests.
+    Given load of 5 replicas read by 1 daemons
+    When load collector d-0 is told to stop
+    Then load collector d-0 goes on running and reads nothing
+
   Scenario: data centres tell each other what their pools have to do
     Given load of 30 replicas read by 6 daemons
     When load of 4 requests for quote runs at engine-2
--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -112,6 +112,28 @@
     _finish(context)
 
 
+@when("load collector {name} is told to stop")
+def when_stopped(context, name):
+    async def stop(load):
+        await load.fleet.leave(name)
+        await load.fleet.hub.clock.sleep(1_500)
+
+    context.parts.append(stop)
+
+
+@then("load collector {name} goes on running and reads nothing")
+def then_idle(context, name):
+    async def check(load):
+        daemon = load.fleet.daemons[name]
+        before = _reads(daemon)
+        await load.fleet.hub.clock.sleep(5_000)
+        assert _reads(daemon) == before
+        assert load.fleet.listed(name) == set()
+
+    context.parts.append(check)
+    _finish(context)
+
+
 @when("load of {count:d} requests for {model} runs at {replica}")
 def when_busy(context, count, model, replica):
     async def busy(load):
