--- a/cactusdyke/observe/metrics.py
+++ b/cactusdyke/observe/metrics.py
@@ -49,7 +49,7 @@
         )
         self.hedges = prometheus_client.Counter(
             "cactusdyke_hedges",
-            "Hedges by pool: won, lost or refused by the hedge budget.",
+            "Hedges by pool, made or refused by the hedge budget.",
             ("pool", "outcome"),
             registry=registry,
         )
