Assign no replica where no daemon serves

Cause: a daemon that drained while it knew of no other serving one called max() on no names; the collector's task failed and ended the daemon in the middle of its planned stop (exit status 1, requests cut). Seen in the demo, the rolling restart and two scenarios of bookings, which fail without it. Ruled out: connections and streams, whose errors only followed.

--- a/cactusdyke/load/replicas.py
+++ b/cactusdyke/load/replicas.py
@@ -87,6 +87,10 @@
             key=lambda n: xxhash.xxh64_intdigest(
                 f"{replica.server.name} {n}".encode()
             ),
+            # A daemon that stops while it knows of no other serving one finds
+            # nobody here; its collector, and with it the daemon, would fail in
+            # the middle of its planned stop. Nothing is assigned then.
+            default=None,
         )
         == own
     ]
