--- a/cactusdyke/routing/router.py
+++ b/cactusdyke/routing/router.py
@@ -31,6 +31,7 @@
 # A warm cache is worth a load up to this many times the better of two.
 CACHE_LOAD_FACTOR = 2.0
 RING_STEPS = 8
+INDEXES_PER_POOL = 2
 # Attainment always counts a little: the cheapest server is no use when late.
 LEAST_ATTAINMENT_WEIGHT = 0.1
 
@@ -51,7 +52,7 @@
         self._leaving: dict[str, Instant] = {}
         self._short: dict[str, Instant] = {}
         self._refusals: set[str] = set()
-        self._indexes: dict[str, PoolIndex] = {}
+        self._indexes: dict[str, list[PoolIndex]] = {}
 
     @property
     def load(self) -> LoadBook:
@@ -185,11 +186,20 @@
             self._load.ended(server.name)
 
     def _index(self, pool: Pool) -> PoolIndex:
-        index = self._indexes.get(pool.name)
-        if index is None or index.pool is not pool:
-            index = PoolIndex(pool, self._data_centre)
-            self._indexes[pool.name] = index
-        return index
+        known = self._indexes.setdefault(pool.name, [])
+        for index in known:
+            if index.pool is pool:
+                return index
+        for index in known:
+            # A new revision holds equal pools in new objects. Laying each out
+            # again would cost more than all choices until the next revision.
+            if index.pool.backend_servers == pool.backend_servers:
+                index.pool = pool
+                return index
+        known.insert(0, PoolIndex(pool, self._data_centre))
+        # Requests keep the revision that they began with, so two are in use.
+        del known[INDEXES_PER_POOL:]
+        return known[0]
 
     def _better(
         self,
--- a/features/requests/measurements.feature
+++ b/features/requests/measurements.feature
@@ -15,3 +15,7 @@
   Scenario: the overhead of a daemon is measured on real processes
     When the serving case case_overhead runs in its smallest size
     Then each of its rows counts requests or tokens
+
+  Scenario: the cost of a choice is measured at five sizes of a pool
+    When the serving case case_choice_cost runs in its smallest size
+    Then it measured pools of 18, 60, 180, 600 and 1800 replicas
--- a/features/requests/routing.feature
+++ b/features/requests/routing.feature
@@ -24,6 +24,13 @@
     And the same before 1800 engines
     Then no choice looked at more than 40 backend servers
 
+  Scenario: a new revision does not lay an unchanged pool out again
+    # Thousands of changes a day concern other pools. Requests of the revision
+    # before and of the new one come in turn for a while.
+    Given a router before 1800 engines
+    When requests of two revisions with the same pool come in turn
+    Then the pool was laid out once
+
   Scenario: a prefix goes where it is cached until that place is loaded
     Given a router before 10 engines
     When requests of one prefix come one after the other
--- a/features/steps/requests_measurements_steps.py
+++ b/features/steps/requests_measurements_steps.py
@@ -35,3 +35,10 @@
         assert row["requests"] > 0, row
         if "streams" in row["column"]:
             assert row["tokens"] == row["requests"] * 20, row
+
+
+@then("it measured pools of 18, 60, 180, 600 and 1800 replicas")
+def then_sizes(context):
+    sizes = [int(row["column"].split()[0]) for row in context.rows]
+    assert sizes == [18, 60, 180, 600, 1800], sizes
+    assert all(row["choices"] > 0 for row in context.rows)
--- a/features/steps/requests_routing_steps.py
+++ b/features/steps/requests_routing_steps.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import random
+from unittest import mock
 
+import attrs
 from behave import given, then, when
 
 from cactusdyke.clock import Clock
 from cactusdyke.configuration.model import BackendServer, Pool, PoolKind
 from cactusdyke.errors import Failure, FailureKind, Ran
+from cactusdyke.routing import router
 from cactusdyke.routing.messages import LoadReport
 from cactusdyke.routing.router import Router
 
@@ -167,6 +170,21 @@
     assert max(context.looked) <= count, max(context.looked)
 
 
+@when("requests of two revisions with the same pool come in turn")
+def when_two_revisions(context):
+    equal = [attrs.evolve(s) for s in context.pool.backend_servers]
+    pools = (context.pool, _pool(equal))
+    with mock.patch.object(router, "PoolIndex", wraps=router.PoolIndex) as made:
+        for number in range(CHOICES):
+            context.router.choose(pools[number % 2])
+    context.made = made.call_count
+
+
+@then("the pool was laid out once")
+def then_laid_out_once(context):
+    assert context.made == 1, context.made
+
+
 @when("requests of one prefix come one after the other")
 def when_prefix(context):
     context.chosen = {
