--- a/cactusdyke/load/replicas.py
+++ b/cactusdyke/load/replicas.py
@@ -79,6 +79,10 @@
     daemon's end moves only its own replicas, evenly, to the others.
     """
     names = [member.name for member in members]
+    # The last daemon that stops finds no serving member, itself included; to
+    # choose among none would end it while requests are still in flight.
+    if not names:
+        return []
     return [
         replica
         for replica in replicas
@@ -87,10 +91,6 @@
             key=lambda n: xxhash.xxh64_intdigest(
                 f"{replica.server.name} {n}".encode()
             ),
-            # A daemon that stops while it knows of no other serving one finds
-            # nobody here; its collector, and with it the daemon, would fail in
-            # the middle of its planned stop. Nothing is assigned then.
-            default=None,
         )
         == own
     ]
