Keep strangers off the paths between daemons, and honour two settings

Cause: whoever could reach an entry host could post gossip that named himself a daemon, or read the configuration with its token hashes. Read through as a newcomer, the settings also named adapters that nothing looked at, and a linger shorter than the lifetime of addresses would have sent plain callers to a closed port.

Ruled out: a second port for peers (each host would need one more address in every list); tokens by daemon (diskless hosts have nowhere to keep them).

Change: a peer token in the settings, added to requests below /internal/ and asked for there, compared in constant time; an event where none is set. The lifetime of addresses is at most half of the linger. Adapters are looked up by their names.

Conclusion: TLS is what is missing next between hosts.

--- a/cactusdyke/api/addresses.py
+++ b/cactusdyke/api/addresses.py
@@ -18,7 +18,12 @@
 from cactusdyke.limits.subsets import LARGEST_SUBSET, Subsets
 from cactusdyke.membership.members import Members
 from cactusdyke.transport.address_list import LIST_HEADER, AddressList
-from cactusdyke.transport.messages import Request, Response, json_response
+from cactusdyke.transport.messages import (
+    Handler,
+    Request,
+    Response,
+    json_response,
+)
 
 if TYPE_CHECKING:
     import random
@@ -27,9 +32,10 @@
     from cactusdyke.application import Application
     from cactusdyke.configuration.in_force import InForce
     from cactusdyke.limits.fleet import Daemon
-from cactusdyke.transport.messages import Handler
 
-ADDRESS_LIFETIME_MS = 3_000
+ADDRESS_LIFETIME_MS = 3_000.0
+LINGER_PART = 0.5
+"""A list is kept for at most this part of a stopping daemon's linger."""
 
 
 class Addresses:
@@ -43,12 +49,16 @@
         view: FleetView,
         subsets: Subsets,
         rng: random.Random,
+        linger_ms: float,
     ) -> None:
         self._in_force = in_force
         self._limiter = limiter
         self._view = view
         self._subsets = subsets
         self._rng = rng
+        # Who stops serves on while callers hold its address; a list kept for
+        # longer would send them to a closed port.
+        self._lifetime_ms = min(ADDRESS_LIFETIME_MS, linger_ms * LINGER_PART)
 
     async def handle(self, request: Request) -> Response:
         """Says which addresses to use, and for how long."""
@@ -59,8 +69,8 @@
                     {"address": d.address, "data_centre": d.data_centre}
                     for d in daemons
                 ],
-                "list": _address_list(daemons).list_id,
-                "lifetime_ms": ADDRESS_LIFETIME_MS,
+                "list": self._address_list(daemons).list_id,
+                "lifetime_ms": self._lifetime_ms,
             }
         )
 
@@ -81,7 +91,7 @@
         daemons = self._customers_daemons(request)
         if not daemons:
             return {}
-        current = _address_list(daemons)
+        current = self._address_list(daemons)
         held = request.headers.get(LIST_HEADER)
         if held is None:
             is_right = self._view.own_name in {d.name for d in daemons}
@@ -102,12 +112,11 @@
             return serving
         return self._rng.sample(serving, LARGEST_SUBSET)
 
-
-def _address_list(daemons: Sequence[Daemon]) -> AddressList:
-    return AddressList(
-        addresses=tuple(daemon.address for daemon in daemons),
-        lifetime_ms=ADDRESS_LIFETIME_MS,
-    )
+    def _address_list(self, daemons: Sequence[Daemon]) -> AddressList:
+        return AddressList(
+            addresses=tuple(daemon.address for daemon in daemons),
+            lifetime_ms=self._lifetime_ms,
+        )
 
 
 def of_application(app: Application, in_force: InForce) -> Addresses:
@@ -120,4 +129,5 @@
         view=view,
         subsets=Subsets(view=view),
         rng=app.rng,
+        linger_ms=app.settings.linger_ms,
     )
--- a/cactusdyke/application.py
+++ b/cactusdyke/application.py
@@ -10,6 +10,11 @@
 import prometheus_client
 
 from cactusdyke.kernel import Kernel, Service, ServiceType
+from cactusdyke.transport.peer_guard import (
+    INTERNAL_PREFIX,
+    PeerNetwork,
+    guarded,
+)
 from cactusdyke.transport.routes import Routes
 
 if TYPE_CHECKING:
@@ -72,7 +77,11 @@
         self._settings = settings
         self._clock = clock
         self._rng = rng
-        self._network = network
+        self._network = (
+            PeerNetwork(network=network, token=settings.peer_token)
+            if settings.peer_token
+            else network
+        )
         self._object_store = object_store
         self._host_list = host_list
         self._replacements = replacements or {}
@@ -164,6 +173,9 @@
 
     def add_route(self, method: str, path: str, handler: Handler) -> None:
         """Registers the handler of a method and path."""
+        token = self._settings.peer_token
+        if token and path.startswith(INTERNAL_PREFIX):
+            handler = guarded(handler, token=token)
         self._routes.add(method, path, handler)
 
     async def __aenter__(self) -> Self:
--- a/cactusdyke/booking/records.py
+++ b/cactusdyke/booking/records.py
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     from cactusdyke.clock import Clock
-    from cactusdyke.platform.object_store import ObjectStore
+    from cactusdyke.platform.object_store import ObjectStore, StoredObject
 
 WRITE_TRIES = 2
 READ_BACK_AFTER_MS = 400.0
@@ -57,12 +57,7 @@
 
     async def read(self, key: str) -> Result[StoredRecord | None, Failure]:
         """Returns the record, or None where there is none."""
-        stored = await self._object_store.read(key)
-        if isinstance(stored, Err):
-            return stored
-        if stored.ok_value is None:
-            return Ok(None)
-        return decode(stored.ok_value).map(lambda record: record)
+        return _decoded(await self._object_store.read(key))
 
     async def create(
         self, key: str, record: Record
@@ -145,11 +140,20 @@
         stored = await self._object_store.watch(
             key, above_version=above_version, wait_ms=wait_ms
         )
-        if isinstance(stored, Err):
-            return stored
-        if stored.ok_value is None:
-            return Ok(None)
-        return decode(stored.ok_value).map(lambda record: record)
+        return _decoded(stored)
+
+
+def _decoded(
+    stored: Result[StoredObject | None, Failure],
+) -> Result[StoredRecord | None, Failure]:
+    if isinstance(stored, Err):
+        return stored
+    if stored.ok_value is None:
+        return Ok(None)
+    record = decode(stored.ok_value)
+    if isinstance(record, Err):
+        return record
+    return Ok(record.ok_value)
 
 
 def _is_same(stored: Record, wanted: Record) -> bool:
--- a/cactusdyke/daemon.py
+++ b/cactusdyke/daemon.py
@@ -15,9 +15,8 @@
 from cactusdyke.application import Application
 from cactusdyke.clock import SystemClock
 from cactusdyke.observe.traffic import MeteredNetwork, Traffic
+from cactusdyke.platform import adapters
 from cactusdyke.platform.guarded_object_store import GuardedObjectStore
-from cactusdyke.platform.host_list import HttpHostList
-from cactusdyke.platform.http_object_store import HttpObjectStore
 from cactusdyke.transport.asgi import AsgiAdapter
 from cactusdyke.transport.http_network import HttpNetwork
 from cactusdyke.transport.server import HttpServer
@@ -45,13 +44,11 @@
             rng=rng,
             network=network,
             object_store=GuardedObjectStore(
-                store=HttpObjectStore(
-                    address=settings.object_service, network=network
-                ),
+                store=adapters.object_store(settings, network),
                 clock=clock,
                 rng=rng,
             ),
-            host_list=HttpHostList(address=settings.host_list, network=network),
+            host_list=adapters.host_list(settings, network),
             registry=registry,
         )
         app.setup_all()
@@ -71,6 +68,8 @@
                 daemon=settings.name,
                 address=settings.address,
             )
+            if not settings.peer_token:
+                events.log(events.Event.PEERS_UNGUARDED, daemon=settings.name)
             # The handler stays until the end: a second signal, sent by an
             # impatient supervisor, would otherwise kill the process and cut
             # what the first one lets run to its end.
--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -18,6 +18,11 @@
         "",
     )
     DAEMON_STOPPED = (1003, "The daemon has ended with nothing in flight.", "")
+    PEERS_UNGUARDED = (
+        1005,
+        "No peer token is set: anybody may use the paths between daemons.",
+        "Give all daemons of the deployment the same peer_token.",
+    )
     INTERNAL_ERROR = (
         1004,
         "A handler met an error that the code does not expect.",
--- a/cactusdyke/settings.py
+++ b/cactusdyke/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import pathlib
 
 import attrs
@@ -21,12 +22,24 @@
     data_centre: str = attrs.field(metadata=checked(checks.NAME))
 
 
+class ObjectStoreAdapter(enum.StrEnum):
+    """The adapters that can serve the object store."""
+
+    HTTP = "http"
+
+
+class HostListAdapter(enum.StrEnum):
+    """The adapters that can serve the host list."""
+
+    HTTP = "http"
+
+
 @attrs.frozen(kw_only=True)
 class Adapters:
     """Which adapter serves each interface, by name."""
 
-    object_store: str = "http"
-    host_list: str = "http"
+    object_store: ObjectStoreAdapter = ObjectStoreAdapter.HTTP
+    host_list: HostListAdapter = HostListAdapter.HTTP
 
 
 @attrs.frozen(kw_only=True)
@@ -47,6 +60,8 @@
         extensions: Further extensions to load, by module name.
         operator_token_hashes: SHA-256 of bearer tokens that may submit before
             any operator is configured.
+        peer_token: A secret that all daemons of a deployment share; without
+            it anybody may use the paths between daemons.
         linger_ms: How long a stopping daemon goes on serving callers that
             still hold its address.
         log_file: Where events are written; standard error if empty.
@@ -73,6 +88,7 @@
     operator_token_hashes: tuple[str, ...] = attrs.field(
         default=(), metadata=checked(Each(check=checks.TOKEN_HASH))
     )
+    peer_token: str = attrs.field(default="", repr=False)
     linger_ms: float = attrs.field(
         default=5_000.0,
         metadata=checked(Within(low=0, high=600_000, unit="ms")),
--- a/features/support/deployment.py
+++ b/features/support/deployment.py
@@ -19,7 +19,12 @@
 from features.support.hub import Hub
 from standins.base import StandIn
 from standins.engine import Engine
-from standins.fleet import CUSTOMER_TOKEN, OPERATOR_TOKEN, token_hash
+from standins.fleet import (
+    CUSTOMER_TOKEN,
+    OPERATOR_TOKEN,
+    PEER_TOKEN,
+    token_hash,
+)
 from standins.host_list import HostListService
 from standins.object_service import ObjectService
 from standins.plain import PlainServer
@@ -92,6 +97,7 @@
                 "object_service": STORE,
                 "host_list": HOSTS,
                 "linger_ms": self.linger_ms,
+                "peer_token": PEER_TOKEN,
                 "operator_token_hashes": [token_hash(OPERATOR_TOKEN)],
                 "peers": [
                     {
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -25,6 +25,7 @@
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 30.0
 OPERATOR_TOKEN = "operator-token"
+PEER_TOKEN = "peer-token"
 CUSTOMER_TOKEN = "customer-token"
 
 
@@ -181,6 +182,7 @@
             "host_list": host_list,
             "peers": [p for p in peers if p is not peer],
             "operator_token_hashes": [token_hash(OPERATOR_TOKEN)],
+            "peer_token": PEER_TOKEN,
             "linger_ms": linger_ms,
         }
         for peer, port in zip(peers, ports, strict=True)
