Hand a caller's trace on to the backend servers

Cause: read through as a newcomer, the trace of a request ended at the daemon: attempts sent no traceparent, and a booking's attempt had no span at all.

Ruled out: the trace in the call's body, which engines that know W3C headers would not find.

Conclusion: one trace id leads from the caller to the backend server.

--- a/bench/naive/bookings.py
+++ b/bench/naive/bookings.py
@@ -15,6 +15,7 @@
 from cactusdyke.booking.sending import Sender
 from cactusdyke.configuration.model import PlainService
 from cactusdyke.errors import Failure
+from cactusdyke.observe.tracing import Tracing
 from cactusdyke.pipeline.request import RequestContext
 from cactusdyke.routing.backend_client import BackendClient
 from cactusdyke.routing.messages import StageCall
@@ -73,7 +74,12 @@
         clock=app.clock,
         records=records,
         router=router,
-        sender=Sender(clock=app.clock, router=router, client=client),
+        sender=Sender(
+            clock=app.clock,
+            router=router,
+            client=client,
+            tracing=app.service("tracing", Tracing),
+        ),
         asker=Asker(network=app.network),
     )
     app.add_service(
--- a/cactusdyke/booking/__init__.py
+++ b/cactusdyke/booking/__init__.py
@@ -12,6 +12,7 @@
 from cactusdyke.booking.sending import Sender
 from cactusdyke.booking.sweeper import Sweeper
 from cactusdyke.membership.members import Members
+from cactusdyke.observe.tracing import Tracing
 from cactusdyke.routing.backend_client import BackendClient
 from cactusdyke.routing.router import Router
 
@@ -21,6 +22,7 @@
 
 def setup(app: Application) -> ExtensionMetadata:
     """Registers the bookings service and the sweeper of its records."""
+    app.setup_extension("cactusdyke.observe")
     app.setup_extension("cactusdyke.routing")
     app.setup_extension("cactusdyke.membership")
     records = Records(clock=app.clock, object_store=app.object_store)
@@ -33,6 +35,7 @@
             clock=app.clock,
             router=app.service("router", Router),
             client=BackendClient(network=app.network),
+            tracing=app.service("tracing", Tracing),
         ),
         asker=Asker(network=app.network),
     )
--- a/cactusdyke/booking/sending.py
+++ b/cactusdyke/booking/sending.py
@@ -8,11 +8,13 @@
 
 from cactusdyke.booking import answers
 from cactusdyke.errors import Failure, Ran
+from cactusdyke.observe.tracing import traceparent
 from cactusdyke.routing.messages import StageCall
 
 if TYPE_CHECKING:
     from cactusdyke.booking.call import Call
     from cactusdyke.clock import Clock
+    from cactusdyke.observe.tracing import Tracing
     from cactusdyke.routing.backend_client import BackendClient
     from cactusdyke.routing.router import Router
 
@@ -23,9 +25,15 @@
     """Hands calls to backend servers, each on a connection of its own."""
 
     def __init__(
-        self, *, clock: Clock, router: Router, client: BackendClient
+        self,
+        *,
+        clock: Clock,
+        router: Router,
+        client: BackendClient,
+        tracing: Tracing,
     ) -> None:
         self._clock = clock
+        self._tracing = tracing
         self._router = router
         self._client = client
 
@@ -62,6 +70,11 @@
                 answers.unknown(f"{server.name} did not answer in time")
             )
             with (
+                self._tracing.span(
+                    f"attempt {attempt}",
+                    call.context.span,
+                    backend_server=server.name,
+                ) as span,
                 self._clock.timeout(patience_ms),
                 self._router.in_flight(server),
             ):
@@ -70,6 +83,7 @@
                     stage_call,
                     progress_timeout_ms=patience_ms,
                     fresh=True,
+                    traceparent=traceparent(span),
                 )
             if isinstance(answer, Ok):
                 return Ok(answer.ok_value.output)
--- a/cactusdyke/observe/tracing.py
+++ b/cactusdyke/observe/tracing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import contextlib
 import re
 from typing import TYPE_CHECKING, Any
 
@@ -19,7 +20,7 @@
 from cactusdyke.kernel import Service
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterator, Sequence
 
     from opentelemetry.trace import Span, Tracer
 
@@ -74,6 +75,17 @@
             name, context=context, attributes=attributes
         )
 
+    @contextlib.contextmanager
+    def span(
+        self, name: str, parent: Span | None, **attributes: Any
+    ) -> Iterator[Span]:
+        """Gives a span that ends with the block."""
+        span = self.start(name, parent, **attributes)
+        try:
+            yield span
+        finally:
+            span.end()
+
     def find(self, trace_id: str) -> list[dict[str, Any]]:
         """Returns the kept spans of a trace, earliest first."""
         spans = [_plain(span) for span in self._recent.find(trace_id)]
--- a/cactusdyke/pipeline/attempts.py
+++ b/cactusdyke/pipeline/attempts.py
@@ -11,6 +11,7 @@
 from cactusdyke import events
 from cactusdyke.configuration.model import BackendServer
 from cactusdyke.errors import Failure, FailureKind, Ran
+from cactusdyke.observe import tracing
 from cactusdyke.pipeline import timings
 from cactusdyke.pipeline.work import StageWork
 from cactusdyke.routing.messages import StageCall
@@ -37,6 +38,7 @@
         work: The stage that it is for.
         server: Where it was sent.
         call: What was sent.
+        traceparent: Names the attempt's span to the backend server.
         failure: How it failed, None while it has not.
         succeeded: Whether it was answered whole.
         typical_ms: The part of its time that others are held against.
@@ -46,6 +48,7 @@
     work: StageWork
     server: BackendServer
     call: StageCall
+    traceparent: str
     failure: Failure | None = None
     succeeded: bool = False
     typical_ms: float | None = None
@@ -104,7 +107,11 @@
         with self.account(work, server, call) as record:
             with self._clock.timeout(timeout_ms):
                 answer = await self._client.call(
-                    server, call, progress_timeout_ms=timeout_ms, fresh=fresh
+                    server,
+                    call,
+                    progress_timeout_ms=timeout_ms,
+                    fresh=fresh,
+                    traceparent=record.traceparent,
                 )
             match answer:
                 case Ok(value):
@@ -129,7 +136,12 @@
         span = self._tracing.start(
             f"attempt {call.attempt}", work.span, backend_server=server.name
         )
-        record = AttemptRecord(work=work, server=server, call=call)
+        record = AttemptRecord(
+            work=work,
+            server=server,
+            call=call,
+            traceparent=tracing.traceparent(span),
+        )
         began = self._clock.now()
         try:
             with self._router.in_flight(server):
--- a/cactusdyke/pipeline/stream_attempt.py
+++ b/cactusdyke/pipeline/stream_attempt.py
@@ -90,7 +90,11 @@
             self._attempts.account(self._work, self._server, self._call)
         )
         stream = self._attempts.client.stream(
-            self._server, self._call, limit=self._limit, fresh=self._fresh
+            self._server,
+            self._call,
+            limit=self._limit,
+            fresh=self._fresh,
+            traceparent=self._record.traceparent,
         )
         self._parts = await self._stack.enter_async_context(
             contextlib.aclosing(stream)
--- a/cactusdyke/routing/backend_client.py
+++ b/cactusdyke/routing/backend_client.py
@@ -48,6 +48,7 @@
         *,
         progress_timeout_ms: float,
         fresh: bool = False,
+        traceparent: str = "",
     ) -> Result[StageAnswer, Failure]:
         """Makes one attempt and returns its whole answer."""
         options = CallOptions(
@@ -56,7 +57,7 @@
             fresh=fresh,
         )
         answer = await self._network.fetch(
-            server.address, _request(call), options
+            server.address, _request(call, traceparent), options
         )
         if isinstance(answer, Err):
             return answer
@@ -76,6 +77,7 @@
         *,
         limit: ProgressLimit,
         fresh: bool = False,
+        traceparent: str = "",
     ) -> AsyncGenerator[TokenBatch | StreamEnd, None]:
         """Makes one attempt and yields its tokens, then its end mark.
 
@@ -89,7 +91,7 @@
             limit=limit,
         )
         async with self._network.open(
-            server.address, _request(call), options
+            server.address, _request(call, traceparent), options
         ) as opened:
             if isinstance(opened, Err):
                 raise CactusdykeError(opened.err_value)
@@ -160,11 +162,14 @@
         return CactusdykeError(_broken(self._server, detail))
 
 
-def _request(call: StageCall) -> Request:
+def _request(call: StageCall, traceparent: str) -> Request:
+    headers = {"content-type": JSON_TYPE}
+    if traceparent:
+        headers["traceparent"] = traceparent
     return Request(
         method="POST",
         path=RUN_PATH,
-        headers={"content-type": JSON_TYPE},
+        headers=headers,
         body=orjson.dumps(
             {
                 "request_id": call.request_id,
