Begin a request's trace at the client

Cause: the caller's own hop had no span; a caller had to make the header by hand.

Change: a client that is given a tracer makes a span for each call and sends it as the parent of the daemon's.

Conclusion: caller, daemon, stage and attempt are spans of one trace.

--- a/cactusdyke/client.py
+++ b/cactusdyke/client.py
@@ -9,12 +9,14 @@
 
 import attrs
 import orjson
+from opentelemetry import trace
 from result import Err, Ok, Result
 
 from cactusdyke import client_answers
 from cactusdyke.client_tries import Tries, no_address
 from cactusdyke.clock import Clock, SystemClock
 from cactusdyke.errors import CactusdykeError, Failure, FailureKind
+from cactusdyke.observe import tracing
 from cactusdyke.transport import address_list
 from cactusdyke.transport.address_list import AddressList
 from cactusdyke.transport.http_network import HttpNetwork
@@ -25,9 +27,17 @@
 from cactusdyke.transport.network import CallOptions, Network
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Mapping, Sequence
+    from collections.abc import (
+        AsyncGenerator,
+        AsyncIterator,
+        Iterator,
+        Mapping,
+        Sequence,
+    )
     from types import TracebackType
 
+    from opentelemetry.trace import Tracer
+
 CONNECT_TIMEOUT_MS = 1_000.0
 ANSWER_MARGIN_MS = 1_000.0
 DEFAULT_DEADLINE_MS = 6_000.0
@@ -37,7 +47,11 @@
 
 
 class Client:
-    """Calls a deployment; use as an async context manager."""
+    """Calls a deployment; use as an async context manager.
+
+    With a tracer each call is a span of the caller's, and the daemon's spans
+    belong to its trace.
+    """
 
     def __init__(
         self,
@@ -47,12 +61,14 @@
         network: Network | None = None,
         clock: Clock | None = None,
         rng: random.Random | None = None,
+        tracer: Tracer | None = None,
     ) -> None:
         self._seeds = tuple(seeds)
         self._token = token
         self._network = network
         self._clock = clock or SystemClock()
         self._rng = rng or random.Random()
+        self._tracer = tracer
         self._addresses: tuple[str, ...] = ()
         self._list_id = ""
         self._valid_until = 0.0
@@ -107,6 +123,24 @@
         traceparent: str | None = None,
     ) -> Result[dict[str, Any], Failure]:
         """Calls `/v1/pipelines/NAME` or `/v1/services/NAME` for an answer."""
+        with self._traced(f"call {path}", traceparent) as header:
+            return await self._call(
+                path,
+                value,
+                deadline_ms=deadline_ms,
+                idempotency_key=idempotency_key,
+                traceparent=header,
+            )
+
+    async def _call(
+        self,
+        path: str,
+        value: Any,
+        *,
+        deadline_ms: float,
+        idempotency_key: str | None,
+        traceparent: str | None,
+    ) -> Result[dict[str, Any], Failure]:
         tries = Tries(
             clock=self._clock,
             rng=self._rng,
@@ -146,6 +180,22 @@
         Raises:
             CactusdykeError: No answer began, or it broke off.
         """
+        with self._traced(f"stream {pipeline}", traceparent) as header:
+            events = self._stream(
+                pipeline, value, deadline_ms=deadline_ms, traceparent=header
+            )
+            async with contextlib.aclosing(events):
+                async for event in events:
+                    yield event
+
+    async def _stream(
+        self,
+        pipeline: str,
+        value: Any,
+        *,
+        deadline_ms: float,
+        traceparent: str | None,
+    ) -> AsyncGenerator[client_answers.ServerSentEvent, None]:
         tries = Tries(
             clock=self._clock,
             rng=self._rng,
@@ -213,6 +263,19 @@
                 return answer
         return Err(failure)
 
+    @contextlib.contextmanager
+    def _traced(
+        self, name: str, traceparent: str | None
+    ) -> Iterator[str | None]:
+        """Gives the header to send; that of a new span if there is a tracer."""
+        if self._tracer is None:
+            yield traceparent
+            return
+        parent = tracing.parse_traceparent(traceparent)
+        context = trace.set_span_in_context(parent) if parent else None
+        with self._tracer.start_as_current_span(name, context=context) as span:
+            yield tracing.traceparent(span)
+
     async def _shuffled(self) -> list[str]:
         addresses = list(await self.addresses())
         self._rng.shuffle(addresses)
--- a/features/api/bad_input.feature
+++ b/features/api/bad_input.feature
@@ -38,3 +38,7 @@
     When an api caller with a trace runs the pipeline and books
     Then every backend server of the api deployment was told the caller's trace
     And the span it was told is an attempt that the daemon shows
+
+  Scenario: a client with a tracer begins the trace
+    When a client with a tracer calls and streams through the api
+    Then the api's daemon shows its request spans below the client's
--- a/features/steps/api_steps.py
+++ b/features/steps/api_steps.py
@@ -6,7 +6,13 @@
 
 import orjson
 from behave import then, when
+from opentelemetry.sdk.trace import TracerProvider
+from opentelemetry.sdk.trace.export import SimpleSpanProcessor
+from opentelemetry.sdk.trace.export.in_memory_span_exporter import (
+    InMemorySpanExporter,
+)
 
+from cactusdyke.client import Client
 from cactusdyke.transport.messages import Request
 from cactusdyke.transport.network import CallOptions
 from features.support.deployment import Deployment, answers
@@ -184,3 +190,41 @@
     for headers in context.told.values():
         for header in headers:
             assert names[header.split("-")[2]].startswith("attempt"), names
+
+
+@when("a client with a tracer calls and streams through the api")
+def when_client_traces(context):
+    exporter = InMemorySpanExporter()
+    provider = TracerProvider()
+    provider.add_span_processor(SimpleSpanProcessor(exporter))
+
+    async def story(send):
+        client = Client(
+            seeds=["entry-1:1"],
+            token=CUSTOMER_TOKEN,
+            network=context.deployment.hub.network("caller"),
+            clock=context.deployment.hub.clock,
+            tracer=provider.get_tracer("caller"),
+        )
+        async with client:
+            (await client.call(PIPELINE, 1)).unwrap()
+            events = [event async for event in client.stream("summary", 1)]
+        assert events[-1].name == "end"
+        context.pairs = []
+        for span in exporter.get_finished_spans():
+            trace_id = format(span.context.trace_id, "032x")
+            shown = _post(f"/v1/traces/{trace_id}", OPERATOR_TOKEN)
+            answer = await send(**{**shown, "method": "GET"})
+            spans = orjson.loads(answer.body)["spans"]
+            context.pairs.append((span, spans))
+
+    _play(context, story)
+
+
+@then("the api's daemon shows its request spans below the client's")
+def then_below(context):
+    names = [span.name for span, _ in context.pairs]
+    assert names == ["call /v1/pipelines/summary", "stream summary"], names
+    for span, spans in context.pairs:
+        request = next(s for s in spans if s["name"] == "request summary")
+        assert request["parent_id"] == format(span.context.span_id, "016x")
