Bound what misbehaving callers cost a daemon's memory

Cause: the promise that the daemon's memory stays bounded under bad input was kept by design only; no scenario looked at it.

Conclusion: a leak of bodies or unread answers would now be seen.

--- a/features/steps/stops_steps.py
+++ b/features/steps/stops_steps.py
@@ -192,6 +192,7 @@
         engine = context.stop_fleet[name].address
         request_json("POST", engine, "/faults", {"slow_factor": 100.0})
     raw = context.stop_raw = {}
+    before = _memory_bytes(daemon)
     raw["half_head"] = _send(daemon, b"POST /v1/services/x HTTP/1.1\r\nhos")
     raw["half_body"] = _send(daemon, _head(100) + b'{"input')
     cut_off = _send(daemon, _head(100) + b'{"input')
@@ -210,10 +211,17 @@
         for name, connection in raw.items()
         if name != "stalled"
     }
+    context.stop_memory_grown = _memory_bytes(daemon) - before
     daemon.send(signal.SIGTERM)
     context.stop_status = daemon.popen.wait(WAIT_S)
 
 
+def _memory_bytes(process) -> int:
+    status = pathlib.Path(f"/proc/{process.popen.pid}/status").read_text()
+    line = next(x for x in status.splitlines() if x.startswith("VmRSS:"))
+    return int(line.split()[1]) * 1024
+
+
 def _head(length: int, more: str = "", path: str = BOOKING_PATH) -> bytes:
     return (
         f"POST {path} HTTP/1.1\r\nhost: d\r\ncontent-length: {length}\r\n"
@@ -313,6 +321,11 @@
     _until(all_left)
 
 
+@then("the misbehaving callers cost the daemon less than {limit:d} MB")
+def then_memory(context, limit):
+    assert context.stop_memory_grown < limit * 1e6, context.stop_memory_grown
+
+
 @then(
     "the daemon told to stop ended with status {status:d}"
     " despite the stalled reader"
