Show that admission's review refuses the hopeless while nothing moves

Change: a scenario in which no request ends and none arrives; those at the end of the queue are refused before those at its head.

Conclusion: the guard is covered now.

--- a/cactusdyke/kernel.py
+++ b/cactusdyke/kernel.py
@@ -83,10 +83,6 @@
             raise TypeError(f"service {name!r} is not a {kind.__name__}")
         return service
 
-    def has(self, name: str) -> bool:
-        """Returns whether a service of that name is registered."""
-        return name in self._services
-
     async def __aenter__(self) -> Self:
         self._tasks = await self._stack.enter_async_context(
             anyio.create_task_group()
--- a/features/limits/admission.feature
+++ b/features/limits/admission.feature
@@ -59,3 +59,10 @@
     # that keeps everything and sorts at each look.
     When the fair queue and the sorted one are compared over 200 histories
     Then the admission orders never differ
+
+  Scenario: requests that have become hopeless are refused while nothing moves
+    # A backend server hangs, so that no request ends and none arrives. Those
+    # at the end of the queue can't be served in time any more, and must learn
+    # it at once instead of at their own last moment.
+    When the only permit is held for ever and 10 requests wait
+    Then the one at the end is refused 300 ms before the first of them
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -65,7 +65,11 @@
     ended: list[tuple[str, str, float]] = attrs.field(factory=list)
 
     async def request(
-        self, customer: str, pipeline: model.Pipeline, hold: bool = True
+        self,
+        customer: str,
+        pipeline: model.Pipeline,
+        hold: bool = True,
+        hold_ms: float = SERVICE_MS,
     ) -> None:
         context = RequestContext(
             request_id=customer,
@@ -86,7 +90,7 @@
             kind = "served" if permit.is_ok() else "refused"
             self.ended.append((customer, kind, self.clock.now()))
             if permit.is_ok() and hold:
-                await self.clock.sleep(SERVICE_MS)
+                await self.clock.sleep(hold_ms)
 
     def began(self, kind: str) -> list[str]:
         return [name for name, how, _ in self.ended if how == kind]
@@ -379,3 +383,28 @@
 @then("the admission orders never differ")
 def then_never_differ(context):
     assert context.compared >= 100
+
+
+@when("the only permit is held for ever and {count:d} requests wait")
+def when_held(context, count):
+    pipeline = _pipeline("held", "engine")
+
+    async def story(bench):
+        async with anyio.create_task_group() as tasks:
+            holder = bench.request("holder", pipeline, hold_ms=60_000.0)
+            tasks.start_soon(lambda: holder)
+            await bench.clock.sleep(1)
+            for number in range(count):
+                tasks.start_soon(bench.request, f"waiter-{number}", pipeline)
+            await bench.clock.sleep(DEADLINE_MS)
+            tasks.cancel_scope.cancel()
+
+    context.bench = _play(context, story)
+
+
+@then("the one at the end is refused {least:d} ms before the first of them")
+def then_refused_before(context, least):
+    refused = {n: at for n, how, at in context.bench.ended if how == "refused"}
+    assert len(refused) > 1, context.bench.ended
+    ends = list(refused.values())
+    assert max(ends) - min(ends) >= least, refused
