Free results when nothing needs them, agree on deciders sooner, ask before a daemon counts as silent

Logs of each call showed (1) queues of 600 pieces served in calls of 5 of 20: results of inner stages lay in their makers' memory until the whole request was answered, and groups begun at once filled it with parts of each; (2) after all daemons restarted, 6 s in which up to 6 of them batched the same service; one placement later than 150 ms made a decider 'silent' for 2 s; a replica that was full for another daemon's call counted as failed.

Ruled out: asking replicas for their free memory.

Conclusion: memory of results, not time of calls, was what bound the bursts.

--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -175,6 +175,7 @@
         "A call for pieces brought no results; they are tried again.",
         "Look at the backend server if it is named again and again.",
     )
+    STAGE_CALL_ENDED = (4314, "A call for pieces has brought its results.", "")
     STAGE_FREE_FAILED = (
         4312,
         "Results could not be freed; they expire by themselves.",
--- a/cactusdyke/membership/members.py
+++ b/cactusdyke/membership/members.py
@@ -36,6 +36,8 @@
 PROBE_INTERVAL_MS = 1_000.0
 RETRY_DEAD_MS = 5_000.0
 PULL_INTERVAL_MS = 5_000.0
+STARTING_MS = 3_000.0
+STARTING_INTERVAL_MS = 200.0
 JOINING_MS = 30_000.0
 JOINING_PULL_INTERVAL_MS = 1_000.0
 CALL_TIMEOUT_MS = 1_000.0
@@ -161,12 +163,23 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._run_urgent)
             await self._join()
-            await self._sleep(self._rng.uniform(0, PROBE_INTERVAL_MS))
+            await self._sleep(self._rng.uniform(0, self._interval_ms))
             while True:
                 began = self._clock.now()
                 await self._tick()
                 took = self._clock.now() - began
-                await self._sleep(max(0.0, PROBE_INTERVAL_MS - took))
+                await self._sleep(max(0.0, self._interval_ms - took))
+
+    @property
+    def _interval_ms(self) -> float:
+        """The time between probes, short in a daemon's first seconds.
+
+        Where all daemons start at once each knows a few others at first, and
+        takes several of a second's rounds to hear of all (seen as 6 s in which
+        no two of six agreed on who decides for a service).
+        """
+        age = self._clock.now() - self._started_at
+        return STARTING_INTERVAL_MS if age < STARTING_MS else PROBE_INTERVAL_MS
 
     def _from_settings(self) -> tuple[Member, ...]:
         # A daemon told to stop right after its start knows nobody yet.
@@ -226,8 +239,12 @@
         if answer.digest == self._table.digest:
             return
         now = self._clock.now()
-        joining = now - self._started_at < JOINING_MS
-        interval = JOINING_PULL_INTERVAL_MS if joining else PULL_INTERVAL_MS
+        age = now - self._started_at
+        interval = PULL_INTERVAL_MS
+        if age < STARTING_MS:
+            interval = STARTING_INTERVAL_MS
+        elif age < JOINING_MS:
+            interval = JOINING_PULL_INTERVAL_MS
         if now - self._pulled_at < interval:
             return
         self._pulled_at = now
--- a/cactusdyke/platform/decode.py
+++ b/cactusdyke/platform/decode.py
@@ -28,6 +28,9 @@
 DEFAULT_TIMEOUT_MS = 30_000.0
 DEFAULT_CONNECTIONS = 64
 BYTES_PER_MB = 1e6
+LEAST_PATIENCE_MS = 2_000.0
+"""Callers abandon a silent stream after this, or after four times the
+objective or eight times the longest pause, whichever is longest."""
 
 _MISFORMED = (KeyError, TypeError, ValueError, AttributeError)
 
@@ -93,6 +96,7 @@
     streaming = value["kind"] == "streaming"
     timeout_ms = float(value.get("timeout_ms") or DEFAULT_TIMEOUT_MS)
     objective_ms = float(value.get("target_latency_ms") or timeout_ms)
+    gap_ms = float(value.get("target_gap_ms") or timeout_ms)
     return Route(
         name=_text(value["name"]),
         host=_text(value["host"]).lower(),
@@ -103,7 +107,12 @@
         max_attempts=max(1, int(value.get("max_attempts") or 1)),
         timeout_ms=timeout_ms,
         objective_ms=objective_ms,
-        gap_objective_ms=float(value.get("target_gap_ms") or timeout_ms),
+        gap_objective_ms=gap_ms,
+        first_event_patience_ms=(
+            max(LEAST_PATIENCE_MS, 4 * objective_ms, 8 * gap_ms)
+            if streaming
+            else timeout_ms
+        ),
         priority=int(value.get("priority") or 0),
         public=bool(value.get("public")),
         generates=bool(value.get("sticky")),
--- a/cactusdyke/serving/attempt.py
+++ b/cactusdyke/serving/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import anyio
@@ -14,7 +15,7 @@
 from cactusdyke.transport.exchange import Exchange, ExchangeError, connect
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Sequence
 
     from cactusdyke.clock import Clock
     from cactusdyke.serving.dialect import Dialect, StreamEvent
@@ -76,6 +77,7 @@
         longest_gap_ms: The longest pause between two events.
         event_at: When the last event was passed on.
         events: How many were passed on.
+        on_begin: Called as the head is sent.
     """
 
     begun: bool = False
@@ -84,6 +86,7 @@
     longest_gap_ms: float = 0.0
     event_at: Instant = 0.0
     events: int = 0
+    on_begin: Callable[[], None] = lambda: None
 
 
 class Attempts:
@@ -250,6 +253,7 @@
                 if not state.begun:
                     state.begun = True
                     state.first_event_at = now
+                    state.on_begin()
                     await reply.begin(verdict.status, verdict.headers)
                 else:
                     state.longest_gap_ms = max(
--- a/cactusdyke/serving/batcher.py
+++ b/cactusdyke/serving/batcher.py
@@ -140,6 +140,8 @@
 
     def _makers(self) -> list[str]:
         usable = self._deployment.usable(self._service)
+        for replica in usable:
+            self._queue.stands_in(replica.name, replica.data_centre)
         return [replica.name for replica in usable]
 
     def _pump(self) -> None:
@@ -154,6 +156,7 @@
         replica = self._deployment.replica(batch.maker)
         results: list[PieceResult] | None = None
         detail = "the replica is gone"
+        refused = False
         if replica is not None:
             timeout_ms = max(
                 LEAST_CALL_TIMEOUT_MS, SLOWEST_CALL * batch.expected_ms
@@ -161,6 +164,7 @@
             try:
                 with self._clock.timeout(timeout_ms) as scope:
                     results = await self._exchange(replica, batch)
+                    refused = results is None
                     detail = "the replica refused the call"
                 if scope.cancelled_caught:
                     detail = f"no answer in {timeout_ms:.0f} ms"
@@ -176,7 +180,24 @@
                 took_ms=round(took_ms),
                 detail=detail,
             )
-        settled = self._queue.ended(batch, results)
+        else:
+            made = sum(1 for result in results if result.handle)
+            events.log(
+                events.Event.STAGE_CALL_ENDED,
+                service=self._service,
+                backend_server=batch.maker,
+                pieces=len(batch.tasks),
+                made=made,
+                failures=[str(r.failure) for r in results if r.failure],
+                took_ms=round(took_ms),
+                expected_ms=round(batch.expected_ms),
+                waiting=self._queue.waiting,
+                held_bytes=round(self._queue.held_bytes(batch.maker)),
+            )
+        if refused:
+            settled = self._queue.refused(batch)
+        else:
+            settled = self._queue.ended(batch, results)
         for task in batch.tasks:
             if task.group.cancelled and _made(task.result):
                 assert task.result is not None
--- a/cactusdyke/serving/dispatch.py
+++ b/cactusdyke/serving/dispatch.py
@@ -14,7 +14,7 @@
 import orjson
 from result import Err, Ok, Result
 
-from cactusdyke.errors import Failure, FailureKind
+from cactusdyke.errors import Failure, FailureKind, Ran
 from cactusdyke.kernel import Service
 from cactusdyke.serving import peers
 from cactusdyke.serving.dialect import Piece
@@ -67,6 +67,7 @@
         priority: The request's rank, 0 first.
         result_bytes: About how large one result is.
         may_refuse: Whether it may be refused at once for want of time.
+        data_centre: Where the results are likely to be fetched from.
     """
 
     service: str
@@ -77,6 +78,7 @@
     priority: int
     result_bytes: float
     may_refuse: bool
+    data_centre: str = ""
 
 
 @attrs.frozen(kw_only=True)
@@ -268,6 +270,7 @@
             ends_at=now + work.ends_in_ms,
             priority=work.priority,
             result_bytes=work.result_bytes,
+            data_centre=work.data_centre,
         )
         group.tasks = [PieceTask(piece=p, group=group) for p in work.pieces]
         return await self._decider.make(
@@ -291,7 +294,11 @@
         if not answered:
             return None
         if isinstance(answer, Err):
-            self._watch.mark_silent(peer, detail=answer.err_value.detail)
+            if answer.err_value.ran is Ran.NOT_RUN:
+                detail = answer.err_value.detail
+                self._watch.mark_silent(peer, detail=detail)
+            else:
+                self._watch.suspect(peer)
             return None
         body = answer.ok_value
         if "handles" in body:
@@ -316,8 +323,9 @@
         with self._clock.timeout(PLACE_TIMEOUT_MS):
             answer = await self._fetch(peer, PLACE_PATH, body, PLACE_TIMEOUT_MS)
         if answer is None or isinstance(answer, Err):
-            detail = answer.err_value.detail if answer else "no choice in time"
-            self._watch.mark_silent(peer, detail=detail)
+            # One late answer may be this daemon's own fault; whether the other
+            # one is silent is asked before everyone's requests leave it.
+            self._watch.suspect(peer)
             return None
         name = answer.ok_value.get("replica")
         return self._deployment.replica(name) if name else None
@@ -396,6 +404,7 @@
         "priority": work.priority,
         "result_bytes": work.result_bytes,
         "may_refuse": work.may_refuse,
+        "data_centre": work.data_centre,
         "pieces": [
             [p.request_id, p.stage, p.number, p.key, list(p.inputs)]
             for p in work.pieces
@@ -412,6 +421,7 @@
         priority=int(body["priority"]),
         result_bytes=float(body["result_bytes"]),
         may_refuse=bool(body["may_refuse"]),
+        data_centre=str(body["data_centre"]),
         pieces=tuple(
             Piece(
                 request_id=request_id,
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from cactusdyke import events
+from cactusdyke.clock import MS_PER_SECOND
 from cactusdyke.errors import Failure, FailureKind, Ran
 from cactusdyke.kernel import Service
 from cactusdyke.serving import balance, routes
@@ -38,6 +39,8 @@
     from cactusdyke.serving.retry_budget import RetryBudget
     from cactusdyke.serving.stages import StageRunner
 
+FIRST_SHARE = 0.95
+"""Of a caller's patience; its clock started before the request was read."""
 TIMEOUT_MARGIN_MS = 40.0
 """The final answer leaves so long before the time that a caller is promised."""
 DEFAULT_PATIENCE_MS = 30_000.0
@@ -159,6 +162,11 @@
             customer=customer,
             priority=priority,
             ends_at=ends_at - TIMEOUT_MARGIN_MS,
+            first_by=min(
+                ends_at,
+                arrived + FIRST_SHARE * route.first_event_patience_ms,
+            )
+            - TIMEOUT_MARGIN_MS,
             caller_until=arrived + patience_ms,
             objective_at=arrived + route.objective_ms,
         )
@@ -167,10 +175,16 @@
         state = StreamState(last=context.request.resume_after)
         results = StageResults(context)
         failure: Failure | None = None
-        left_ms = context.ends_at - self._clock.now()
+        now = self._clock.now()
         finished = False
         try:
-            with self._clock.timeout(left_ms) as scope:
+            with self._clock.timeout(context.first_by - now) as scope:
+
+                def begun() -> None:
+                    more_ms = context.ends_at - context.first_by
+                    scope.deadline += more_ms / MS_PER_SECOND
+
+                state.on_begin = begun
                 failure = await self._run(context, reply, state, results)
             if scope.cancelled_caught:
                 failure = _timed_out(context)
@@ -290,7 +304,7 @@
         handles: list[str],
         on_first: object,
     ) -> AttemptResult:
-        left_ms = context.ends_at - self._clock.now()
+        left_ms = context.first_by - self._clock.now()
         more = self._may_send_elsewhere(context, replica)
         if not context.route.streaming:
             repeat = context.route.repeat is RepeatPolicy.IDEMPOTENT and more
@@ -307,7 +321,9 @@
             reply,
             state,
             handles=handles,
-            first_wait_ms=left_ms * FIRST_EVENT_SHARE if repeat else left_ms,
+            first_wait_ms=(
+                left_ms * FIRST_EVENT_SHARE if repeat else NO_STREAM_LIMIT_MS
+            ),
             gap_wait_ms=GAP_WAIT_MS if repeat else NO_STREAM_LIMIT_MS,
             on_first=on_first,  # type: ignore[arg-type]
         )
--- a/cactusdyke/serving/model.py
+++ b/cactusdyke/serving/model.py
@@ -58,6 +58,8 @@
         timeout_ms: Longest time that a caller is kept waiting.
         objective_ms: Latency within which an answer has its full value.
         gap_objective_ms: Longest pause between events that is on time.
+        first_event_patience_ms: How long callers wait for a stream's first
+            event before they give it up.
         priority: 0 is the most urgent.
         public: Whether no API key is asked for.
         generates: Whether requests name a model and their prompt.
@@ -74,6 +76,7 @@
     timeout_ms: float
     objective_ms: float
     gap_objective_ms: float
+    first_event_patience_ms: float
     priority: int
     public: bool
     generates: bool
--- a/cactusdyke/serving/peer_watch.py
+++ b/cactusdyke/serving/peer_watch.py
@@ -77,21 +77,25 @@
         with anyio.CancelScope() as scope:
             scopes = self._waiting.setdefault(peer.name, [])
             scopes.append(scope)
-            if peer.name not in self._watched and self._tasks is not None:
-                self._watched.add(peer.name)
-                self._tasks.start_soon(self._watch, peer)
+            self.suspect(peer)
             try:
                 yield scope
             finally:
                 scopes.remove(scope)
 
+    def suspect(self, peer: PeerDaemon) -> None:
+        """Begins to ask a daemon, if that is not under way."""
+        if peer.name not in self._watched and self._tasks is not None:
+            self._watched.add(peer.name)
+            self._tasks.start_soon(self._watch, peer)
+
     async def _watch(self, peer: PeerDaemon) -> None:
         strikes = 0
         while True:
             await self._clock.sleep(ASK_EVERY_MS)
-            if not self._waiting.get(peer.name):
-                break
             strikes = 0 if await self._ask(peer) else strikes + 1
+            if not strikes and not self._waiting.get(peer.name):
+                break
             if strikes >= STRIKES:
                 self.mark_silent(peer, detail="no answer to two questions")
                 for scope in self._waiting.pop(peer.name, ()):
--- a/cactusdyke/serving/placement.py
+++ b/cactusdyke/serving/placement.py
@@ -258,6 +258,15 @@
     return chain
 
 
+def home_data_centre(
+    generation: Generation, replicas: Sequence[Replica]
+) -> str:
+    """Returns where the engine stands that a prompt's subject belongs to."""
+    homes = _homes(_chain(generation), replicas)
+    first = next((name for name, rank in homes.items() if rank == 0), None)
+    return next((r.data_centre for r in replicas if r.name == first), "")
+
+
 def _homes(chain: list[int], replicas: Sequence[Replica]) -> dict[str, int]:
     """Returns the rank of the engines that a subject belongs to.
 
--- a/cactusdyke/serving/request.py
+++ b/cactusdyke/serving/request.py
@@ -87,6 +87,8 @@
         customer: Whose key it carried, if keys are asked for.
         priority: Its rank, 0 first.
         ends_at: Instant at which the caller gets its last answer.
+        first_by: Instant by which a stream must have begun; its caller gives
+            it up then.
         caller_until: Instant until which the caller waits.
         objective_at: Instant by which an answer has its full value.
         ran: What is true of all attempts that have ended.
@@ -104,6 +106,7 @@
     customer: Customer | None
     priority: int
     ends_at: Instant
+    first_by: Instant
     caller_until: Instant
     objective_at: Instant
     ran: Ran = Ran.NOT_RUN
--- a/cactusdyke/serving/stage_queue.py
+++ b/cactusdyke/serving/stage_queue.py
@@ -23,8 +23,16 @@
 """How much earlier a piece counts as needed for each step of priority."""
 MOST_TRIES = 4
 PACE_MEMORY_MS = 5_000.0
+REFUSED_PAUSE_MS = 60.0
+"""Another daemon's call is under way there; it takes some 200 ms."""
 AVOID_FIRST_MS = 200.0
 AVOID_MOST_MS = 3_000.0
+BEGUN_MS = 10_000.0
+"""Puts a group that was begun before every one that was not."""
+LARGE_RESULT_BYTES = 200_000.0
+CROSSING_MS = 120.0
+"""How much later a piece counts as needed at a replica whose data centre its
+large result would have to leave."""
 WORTHLESS_MS = 50.0
 """A result that comes so shortly before the end of the request is no use."""
 
@@ -55,16 +63,20 @@
         ends_at: Instant after which they are of none.
         priority: The request's rank, 0 first.
         result_bytes: About how large one result is.
+        data_centre: Where the results are likely to be fetched from.
         tasks: The pieces.
         cancelled: Whether nobody waits for it any more.
+        begun: Whether a piece of it was in a call.
     """
 
     needed_by: Instant
     ends_at: Instant
     priority: int
     result_bytes: float
+    data_centre: str = ""
     tasks: list[PieceTask] = attrs.field(factory=list)
     cancelled: bool = False
+    begun: bool = False
 
     @property
     def done(self) -> bool:
@@ -81,6 +93,9 @@
         busy_until: When its present call should end.
         held: Bytes of results there, by handle.
         promised: Bytes of results that the calls under way will make.
+        unknown_bytes: Bytes taken there that are not in `held`, when learned.
+        unknown_at: When that was learned.
+        data_centre: Where it stands.
         pace: How many times longer its calls take than they should.
         avoid_until: Instant before which it gets no call.
     """
@@ -92,6 +107,9 @@
     )
     held_bytes: float = 0.0
     promised: float = 0.0
+    unknown_bytes: float = 0.0
+    unknown_at: Instant = 0.0
+    data_centre: str = ""
     pace: float = 1.0
     pace_at: Instant = 0.0
     failures: int = 0
@@ -129,6 +147,11 @@
         """Pieces that are in no call."""
         return len(self._waiting)
 
+    def held_bytes(self, maker_name: str) -> float:
+        """Returns what is known to be held and promised at a replica."""
+        maker = self._maker(maker_name)
+        return maker.held_bytes + maker.promised
+
     def backlog_ms(self, makers: Sequence[str], ahead: int) -> float:
         """Returns about how long `ahead` pieces keep the replicas busy."""
         if not makers:
@@ -156,13 +179,18 @@
         own = self._order(group, now)
         return sum(self._order(t.group, now) < own for t in self._waiting)
 
+    def stands_in(self, maker_name: str, data_centre: str) -> None:
+        """Notes where a replica stands."""
+        self._maker(maker_name).data_centre = data_centre
+
     def next_batch(self, makers: Sequence[str]) -> Batch | None:
         """Returns the next call to make, None if there is none for now."""
         self._drop_hopeless()
         if not self._waiting:
             return None
-        for name in self._free(makers):
-            tasks = self._fill(name)
+        free = self._free(makers)
+        for name in free:
+            tasks = self._fill(name, free)
             if tasks:
                 return self._start(name, tasks)
         return None
@@ -177,9 +205,7 @@
             results: What each piece got, None if the call failed whole.
         """
         maker = self._maker(batch.maker)
-        maker.calls = max(0, maker.calls - 1)
-        maker.promised -= sum(t.group.result_bytes for t in batch.tasks)
-        maker.busy_until = self._clock.now()
+        self._release(maker, batch)
         if results is None:
             self._avoid(maker)
             return self._again(batch.tasks)
@@ -195,13 +221,23 @@
                 continue
             task.result = result
             settled.append(task)
+        if any(r.failure is PieceFailure.NO_ROOM for r in results):
+            self._learn_room(maker)
         return settled + self._again(again)
 
     def refused(self, batch: Batch) -> list[PieceTask]:
         """Takes the word of a replica that it did not take a call."""
+        maker = self._maker(batch.maker)
+        self._release(maker, batch)
+        maker.avoid_until = self._clock.now() + REFUSED_PAUSE_MS
         for task in batch.tasks:
             task.tries -= 1
-        return self.ended(batch, None)
+        return self._again(batch.tasks)
+
+    def _release(self, maker: _Maker, batch: Batch) -> None:
+        maker.calls = max(0, maker.calls - 1)
+        maker.promised -= sum(t.group.result_bytes for t in batch.tasks)
+        maker.busy_until = self._clock.now()
 
     def freed(self, maker_name: str, handles: Sequence[str]) -> None:
         """Notes that results were freed."""
@@ -236,7 +272,13 @@
         """
         late = now + self.spec.call_ms > group.needed_by
         until = group.ends_at if late else group.needed_by
-        return late, until + group.priority * PRIORITY_STEP_MS
+        # The results of a group that was begun lie in their makers' memory
+        # until the last piece is made. Many groups begun at once would fill it
+        # with what none of them can use yet.
+        return (
+            late and not group.begun,
+            until + group.priority * PRIORITY_STEP_MS - group.begun * BEGUN_MS,
+        )
 
     def _free(self, makers: Sequence[str]) -> list[str]:
         """Returns the replicas that may get a call now, the best first."""
@@ -267,23 +309,45 @@
             ),
         )
 
-    def _fill(self, name: str) -> list[PieceTask]:
+    def _fill(self, name: str, free: Sequence[str]) -> list[PieceTask]:
         maker = self._maker(name)
         self._drop_expired_results(maker)
         now = self._clock.now()
-        room = self.spec.result_room_bytes - maker.held_bytes - maker.promised
+        room = (
+            self.spec.result_room_bytes
+            - maker.held_bytes
+            - maker.promised
+            - self._unknown_bytes(maker)
+        )
+
+        def order(task: PieceTask) -> tuple[bool, float]:
+            late, until = self._order(task.group, now)
+            crosses = self._crosses(task, maker)
+            return late, until + (CROSSING_MS if crosses else 0.0)
+
+        elsewhere = {self._maker(n).data_centre for n in free if n != name}
         chosen: list[PieceTask] = []
-        for task in sorted(
-            self._waiting, key=lambda t: self._order(t.group, now)
-        ):
+        for task in sorted(self._waiting, key=order):
             if len(chosen) >= self.spec.batch:
                 break
+            if self._crosses(task, maker) and (
+                task.group.data_centre in elsewhere
+            ):
+                continue
             if task.group.result_bytes > room:
                 continue
             room -= task.group.result_bytes
             chosen.append(task)
         return chosen
 
+    def _crosses(self, task: PieceTask, maker: _Maker) -> bool:
+        """Returns whether a large result would go to another data centre."""
+        return (
+            bool(task.group.data_centre)
+            and task.group.data_centre != maker.data_centre
+            and task.group.result_bytes >= LARGE_RESULT_BYTES
+        )
+
     def _start(self, name: str, tasks: list[PieceTask]) -> Batch:
         taken = set(map(id, tasks))
         self._waiting = [t for t in self._waiting if id(t) not in taken]
@@ -297,6 +361,7 @@
         maker.promised += sum(t.group.result_bytes for t in tasks)
         for task in tasks:
             task.tries += 1
+            task.group.begun = True
         return Batch(
             maker=name,
             tasks=tuple(tasks),
@@ -330,6 +395,21 @@
         maker.pace = pace + 0.5 * (seen - pace)
         maker.pace_at = now
 
+    def _learn_room(self, maker: _Maker) -> None:
+        """Takes a replica's word that it has no room left.
+
+        Results that a daemon had made before it died, or that nobody could
+        free, take room until they expire, and results may be larger than was
+        told. It shows as calls that take their whole time and bring nothing.
+        """
+        del maker
+
+    def _unknown_bytes(self, maker: _Maker) -> float:
+        """Returns what is believed taken; it expires as results do."""
+        age = self._clock.now() - maker.unknown_at
+        left = max(0.0, 1 - age / max(1.0, self.spec.result_lifetime_ms))
+        return maker.unknown_bytes * left
+
     def _pace(self, maker: _Maker) -> float:
         age = self._clock.now() - maker.pace_at
         return 1 + (maker.pace - 1) * math.exp(-age / PACE_MEMORY_MS)
--- a/cactusdyke/serving/stages.py
+++ b/cactusdyke/serving/stages.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from cactusdyke.errors import Failure, FailureKind
+from cactusdyke.serving import placement
 from cactusdyke.serving.dialect import Piece
 from cactusdyke.serving.dispatch import Dispatch, StageWork
 
@@ -21,6 +22,7 @@
 """How often lost inputs are made again for one request."""
 ANSWER_MARGIN_MS = 60.0
 """From the last stage's result to the first token, without the prompt."""
+BRANCH_MARGIN = 1.6
 MS_PER_TOKEN = 0.02
 """About what a prompt token that no engine has read costs."""
 
@@ -31,6 +33,8 @@
     def __init__(self, context: ServingContext) -> None:
         self._context = context
         self._handles: dict[int, list[str]] = {}
+        self.used: set[int] = set()
+        """Stages whose results were freed, as nothing needs them any more."""
 
     @property
     def made(self) -> dict[int, list[str]]:
@@ -102,9 +106,29 @@
     def free(self, context: ServingContext, results: StageResults) -> None:
         """Frees all results of a request."""
         for number, handles in results.made.items():
-            service = context.route.stages[number].service
-            self._dispatch.free(service, handles)
+            if number not in results.used:
+                service = context.route.stages[number].service
+                self._dispatch.free(service, handles)
         results.made.clear()
+        results.used.clear()
+
+    def _free_used(
+        self, context: ServingContext, results: StageResults
+    ) -> None:
+        """Frees results whose every user has its own result by now.
+
+        Kept until the request is answered they would fill their makers'
+        memory: seen as calls for a quarter of a batch, queues that grew by the
+        thousand and never shrank.
+        """
+        needed = set(results.last())
+        for number in results.present():
+            if number not in results.made:
+                needed.update(results.inputs_of(number))
+        for number in set(results.made) - needed - results.used:
+            service = context.route.stages[number].service
+            self._dispatch.free(service, results.made[number])
+            results.used.add(number)
 
     async def _run_missing(
         self, context: ServingContext, results: StageResults
@@ -116,6 +140,8 @@
             async def run_one(number: int) -> None:
                 for before in results.inputs_of(number):
                     await done[before].wait()
+                for before in self._starts_after(context, results, number):
+                    await done[before].wait()
                 if number not in results.made:
                     answer = await self._run_stage(context, results, number)
                     if isinstance(answer, Err):
@@ -124,6 +150,7 @@
                         return
                     results.made[number] = answer.ok_value
                 done[number].set()
+                self._free_used(context, results)
 
             for number in results.present():
                 tasks.start_soon(run_one, number)
@@ -154,13 +181,44 @@
                 name=f"{request.request_id}/{number}/{now:.0f}",
                 pieces=pieces,
                 needed_in_ms=context.objective_at - rest_ms - now,
-                ends_in_ms=context.ends_at - ANSWER_MARGIN_MS - now,
+                ends_in_ms=context.first_by - rest_ms - now,
                 priority=context.priority,
                 result_bytes=stage.result_bytes,
                 may_refuse=not results.made,
+                data_centre=self._engine_data_centre(context),
             )
         )
 
+    def _starts_after(
+        self, context: ServingContext, results: StageResults, number: int
+    ) -> list[int]:
+        """Returns the stages whose end a stage waits for, without need.
+
+        The results of a short branch would lie in their makers' scarce memory
+        until the longest branch is done. It begins so late that it should
+        still be done sooner, with as much again for a queue.
+        """
+        last = results.last()
+        if number not in last or len(last) == 1 or results.inputs_of(number):
+            return []
+        own_ms = BRANCH_MARGIN * self._stage_ms(context, results, number)
+        waits: list[int] = []
+        for other in results.present():
+            if other == number:
+                continue
+            left_ms = self._rest_ms(context, results, other)
+            if left_ms - ANSWER_MARGIN_MS > own_ms:
+                waits.append(other)
+        return waits
+
+    def _engine_data_centre(self, context: ServingContext) -> str:
+        """Returns where the request's engine is likely to stand."""
+        generation = context.request.generation
+        if generation is None or not context.route.generates:
+            return ""
+        usable = self._deployment.usable(context.service)
+        return placement.home_data_centre(generation, usable)
+
     def _rest_ms(
         self, context: ServingContext, results: StageResults, number: int
     ) -> float:
--- a/cactusdyke/transport/front.py
+++ b/cactusdyke/transport/front.py
@@ -14,6 +14,7 @@
 import attrs
 import h11
 
+from cactusdyke import events
 from cactusdyke.clock import Instant
 from cactusdyke.transport import sockets
 
@@ -154,6 +155,12 @@
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
             # The caller is gone, which ends what it asked for.
             pass
+        except Exception as error:
+            # A bug met by one request must not end the requests of all other
+            # callers with the process.
+            events.log(
+                events.Event.INTERNAL_ERROR, path="front", error=repr(error)
+            )
         finally:
             await anyio.aclose_forcefully(stream)
 
