--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -118,6 +118,7 @@
             revision=lambda: self._deployment.version,
         )
         self._view = MemberView(
+            clock=clock,
             members=self._members,
             front_address=self._settings.front.address,
             ready=lambda: self.ready,
--- a/cactusdyke/serving/decider.py
+++ b/cactusdyke/serving/decider.py
@@ -5,13 +5,15 @@
 from typing import TYPE_CHECKING
 
 import anyio
+import attrs
 
 from cactusdyke.kernel import Service
 from cactusdyke.serving.batcher import StageBatcher
 from cactusdyke.serving.placement import EnginePlacer
+from cactusdyke.serving.stage_queue import PieceGroup
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Sequence
+    from collections.abc import Callable, Collection, Sequence
 
     from anyio.abc import TaskGroup
     from result import Result
@@ -22,7 +24,14 @@
     from cactusdyke.serving.dialect import Dialect
     from cactusdyke.serving.model import Replica
     from cactusdyke.serving.request import Generation
-    from cactusdyke.serving.stage_queue import PieceGroup
+
+
+@attrs.define(kw_only=True)
+class _Group:
+    service: str
+    group: PieceGroup
+    scope: anyio.CancelScope
+    pinned: bool
 
 
 class Decider(Service):
@@ -36,7 +45,7 @@
         self._dialect = dialect
         self._batchers: dict[str, StageBatcher] = {}
         self._placers: dict[str, EnginePlacer] = {}
-        self._groups: dict[str, anyio.CancelScope] = {}
+        self._groups: dict[str, _Group] = {}
         self._tasks: TaskGroup | None = None
 
     async def run(self) -> None:
@@ -46,14 +55,22 @@
             await anyio.sleep_forever()
 
     async def make(
-        self, service: str, name: str, group: PieceGroup, *, may_refuse: bool
+        self,
+        service: str,
+        name: str,
+        group: PieceGroup,
+        *,
+        may_refuse: bool,
+        pinned: bool,
     ) -> Result[list[str], Failure] | None:
-        """Makes the results of a group; None if it was cancelled by name."""
+        """Makes the results of a group; None if it has to be made elsewhere."""
         batcher = self._batcher(service)
         if batcher is None:
             return None
         with anyio.CancelScope() as scope:
-            self._groups[name] = scope
+            self._groups[name] = _Group(
+                service=service, group=group, scope=scope, pinned=pinned
+            )
             try:
                 return await batcher.run(group, may_refuse=may_refuse)
             finally:
@@ -62,9 +79,21 @@
 
     def cancel(self, name: str) -> None:
         """Gives up a group that nobody waits for."""
-        scope = self._groups.get(name)
-        if scope is not None:
-            scope.cancel()
+        known = self._groups.get(name)
+        if known is not None:
+            known.scope.cancel()
+
+    def hand_over(self, decides_here: Callable[[str], bool]) -> None:
+        """Gives groups back whose service another daemon decides for by now.
+
+        Two queues for one service fill their calls by halves, and neither
+        knows what the other's results take of the replicas' memory.
+        """
+        for known in tuple(self._groups.values()):
+            if known.pinned or known.group.begun:
+                continue
+            if not decides_here(known.service):
+                known.scope.cancel()
 
     def free(self, service: str, handles: Sequence[str]) -> None:
         """Frees results."""
@@ -92,6 +121,16 @@
             exclude=exclude,
         )
 
+    def locate(self, service: str, generation: Generation) -> Replica | None:
+        """Returns the engine that a request would get now."""
+        configuration = self._deployment.configuration
+        spec = configuration.services.get(service) if configuration else None
+        if spec is None or spec.engine is None:
+            return None
+        return self._placer(service).locate(
+            generation, self._deployment.usable(service), spec.engine
+        )
+
     def started(self, service: str, placement_id: str) -> None:
         """Notes a placed request's first token."""
         self._placer(service).started(placement_id)
--- a/cactusdyke/serving/dispatch.py
+++ b/cactusdyke/serving/dispatch.py
@@ -51,7 +51,9 @@
 NOTES_EVERY_MS = 8.0
 NOTES_TIMEOUT_MS = 500.0
 MOST_NOTES = 2_000
-ELSEWHERE_TRIES = 2
+MOST_TURNS = 4
+"""After so many daemons that gave the work back it is made here."""
+HAND_OVER_EVERY_MS = 200.0
 
 
 @attrs.frozen(kw_only=True)
@@ -116,6 +118,7 @@
     async def run(self) -> None:
         """Sends notes to the daemons that decide."""
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._hand_over)
             while True:
                 await self._noted.wait()
                 await self._clock.sleep(NOTES_EVERY_MS)
@@ -124,17 +127,25 @@
                 for address, lines in notes.items():
                     tasks.start_soon(self._send_notes, address, lines)
 
+    async def _hand_over(self) -> None:
+        while True:
+            await self._clock.sleep(HAND_OVER_EVERY_MS)
+            self._decider.hand_over(lambda name: self._first(name).own)
+
     async def make(self, work: StageWork) -> Result[list[str], Failure]:
         """Makes the results of one stage; returns their handles in order."""
         began = self._clock.now()
-        for peer in self._order(work.service)[:ELSEWHERE_TRIES]:
-            if peer.own:
-                break
-            passed = self._clock.now() - began
-            answer = await self._make_at(peer, _later(work, passed))
+        for turn in range(MOST_TURNS):
+            peer = self._first(work.service)
+            left = _later(work, self._clock.now() - began)
+            if peer.own or turn == MOST_TURNS - 1:
+                pinned = turn == MOST_TURNS - 1
+                answer = await self._decide(left, pinned=pinned)
+            else:
+                answer = await self._make_at(peer, left)
             if answer is not None:
                 return answer
-        return await self._make_here(_later(work, self._clock.now() - began))
+        return Err(_no_service(work))
 
     def free(self, service: str, handles: Sequence[str]) -> None:
         """Frees results at the daemon that keeps count of them."""
@@ -175,6 +186,16 @@
             decider=peer,
         )
 
+    async def locate(self, service: str, generation: Generation) -> str:
+        """Returns the data centre of the engine that a request would get."""
+        peer = self._first(service)
+        replica: Replica | None = None
+        if not peer.own:
+            replica = await self._place_at(peer, service, "", generation, ())
+        if replica is None:
+            replica = self._decider.locate(service, generation)
+        return replica.data_centre if replica else ""
+
     def started(self, placed: Placed) -> None:
         """Tells that a request's first token has come."""
         if placed.decider.own:
@@ -206,7 +227,7 @@
             work = _work_from(value.ok_value)
         except (KeyError, TypeError, ValueError) as error:
             return failure_response(_unreadable(error))
-        answer = await self._decide(work)
+        answer = await self._decide(work, pinned=False)
         if answer is None:
             return failure_response(_cancelled(work))
         if isinstance(answer, Err):
@@ -220,12 +241,16 @@
             return failure_response(value.err_value)
         body = value.ok_value
         try:
-            replica = self._decider.place(
-                body["service"],
-                body["id"],
-                _generation_from(body["generation"]),
-                set(body["exclude"]),
-            )
+            generation = _generation_from(body["generation"])
+            if body["id"]:
+                replica = self._decider.place(
+                    body["service"],
+                    body["id"],
+                    generation,
+                    set(body["exclude"]),
+                )
+            else:
+                replica = self._decider.locate(body["service"], generation)
         except (KeyError, TypeError, ValueError) as error:
             return failure_response(_unreadable(error))
         return json_response({"replica": replica.name if replica else None})
@@ -257,12 +282,8 @@
             case _:
                 raise ValueError(f"a note of the unknown kind {kind}")
 
-    async def _make_here(self, work: StageWork) -> Result[list[str], Failure]:
-        answer = await self._decide(work)
-        return Err(_no_service(work)) if answer is None else answer
-
     async def _decide(
-        self, work: StageWork
+        self, work: StageWork, *, pinned: bool
     ) -> Result[list[str], Failure] | None:
         now = self._clock.now()
         group = PieceGroup(
@@ -274,7 +295,11 @@
         )
         group.tasks = [PieceTask(piece=p, group=group) for p in work.pieces]
         return await self._decider.make(
-            work.service, work.name, group, may_refuse=work.may_refuse
+            work.service,
+            work.name,
+            group,
+            may_refuse=work.may_refuse,
+            pinned=pinned,
         )
 
     async def _make_at(
@@ -352,6 +377,7 @@
                 Failure(
                     kind=FailureKind.BACKEND_FAILED,
                     detail=f"{peer.name} answered {response.status}",
+                    ran=Ran.UNKNOWN,
                 )
             )
         return parse_object(response.body)
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+import anyio
 import attrs
 from result import Err, Ok, Result
 
@@ -51,6 +52,10 @@
 """Whatever a route allows: a request that failed so often fails again."""
 FIRST_EVENT_SHARE = 0.5
 """Of the time left that a first replica may take where another may follow."""
+FETCH_MS = 60.0
+"""Connecting, and an engine's next step, which begins a waiting request."""
+FETCH_BYTES_PER_MS = 250_000.0
+"""A fifth of the links that replicas have: makers serve several at once."""
 GAP_WAIT_MS = 1_500.0
 """Callers abandon a stream after 2 s of silence; another replica has to have
 taken over by then."""
@@ -278,9 +283,12 @@
             self._stages.free(context, results)
 
         try:
-            result = await self._send(
-                context, replica, reply, state, handles, on_first
-            )
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._free_when_fetched, context, results)
+                result = await self._send(
+                    context, replica, reply, state, handles, on_first
+                )
+                tasks.cancel_scope.cancel()
             ended_well = result.verdict is not None and (
                 result.verdict.succeeded
             )
@@ -295,6 +303,27 @@
             if placed is not None:
                 self._dispatch.ended(placed, failed=not ended_well)
 
+    async def _free_when_fetched(
+        self, context: ServingContext, results: StageResults
+    ) -> None:
+        """Frees a request's inputs once its engine must have them.
+
+        An engine fetches them before it reads the prompt, and reading takes
+        longer than fetching. Kept until the first token they hold back other
+        requests' pieces. If the engine had not come to it the request is
+        refused unrun, and they are made again.
+        """
+        if not results.made:
+            return
+        bytes_in_all = sum(
+            len(handles) * context.route.stages[number].result_bytes
+            for number, handles in results.made.items()
+            if number not in results.used
+        )
+        fetch_ms = FETCH_MS + bytes_in_all / FETCH_BYTES_PER_MS
+        await self._clock.sleep(fetch_ms)
+        self._stages.free(context, results)
+
     async def _send(
         self,
         context: ServingContext,
--- a/cactusdyke/serving/member_view.py
+++ b/cactusdyke/serving/member_view.py
@@ -10,9 +10,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from cactusdyke.clock import Clock
     from cactusdyke.membership.member import Member
     from cactusdyke.membership.members import Members
 
+SETTLED_MS = 10_000.0
+"""A daemon that restarts would else take back its services at once, and again
+lose the queues that others hold for them."""
 ATTACHMENT = "front"
 
 
@@ -22,10 +26,13 @@
     def __init__(
         self,
         *,
+        clock: Clock,
         members: Members,
         front_address: str,
         ready: Callable[[], bool],
     ) -> None:
+        self._clock = clock
+        self._started_at = clock.now()
         self._members = members
         self._front_address = front_address
         self._ready = ready
@@ -62,6 +69,7 @@
             front_address=self._front_address,
             data_centre=own.data_centre,
             ready=self._ready() and not leaving,
+            settled=self._settled(),
             own=True,
         )
 
@@ -73,10 +81,18 @@
             front_address=str(told.get("a", "")),
             data_centre=member.data_centre,
             ready=bool(told.get("r")),
+            settled=bool(told.get("s")),
         )
 
     def _tell(self) -> Mapping[str, Any]:
-        return {"a": self._front_address, "r": int(self._ready())}
+        return {
+            "a": self._front_address,
+            "r": int(self._ready()),
+            "s": int(self._settled()),
+        }
+
+    def _settled(self) -> bool:
+        return self._clock.now() - self._started_at > SETTLED_MS
 
     def _hear(self, name: str, value: Mapping[str, Any]) -> None:
         self._told[name] = value
--- a/cactusdyke/serving/peers.py
+++ b/cactusdyke/serving/peers.py
@@ -22,6 +22,7 @@
         front_address: Where callers reach it, empty if not told yet.
         data_centre: Where it stands.
         ready: Whether callers may be sent to it.
+        settled: Whether it has been ready for a while.
         own: Whether it is this daemon.
     """
 
@@ -30,6 +31,7 @@
     front_address: str
     data_centre: str
     ready: bool
+    settled: bool = True
     own: bool = False
 
 
@@ -52,13 +54,15 @@
 
     By rendezvous hashing, so that daemons that see the same members agree
     without a message, and one that comes or goes moves only its own services.
-    A daemon that did not answer lately comes after those that did.
+    A daemon that did not answer lately comes after those that did, and one
+    that has just started after those that have known the queues for long.
     """
     return sorted(
         daemons,
         key=lambda d: (
             d.name in silent,
             not d.ready,
+            not d.settled,
             xxhash.xxh3_64_intdigest(f"{service}@{d.name}".encode()),
         ),
     )
--- a/cactusdyke/serving/placement.py
+++ b/cactusdyke/serving/placement.py
@@ -130,6 +130,22 @@
         self._health.started(best.name)
         return best
 
+    def locate(
+        self,
+        generation: Generation,
+        replicas: Sequence[Replica],
+        spec: EngineSpec,
+    ) -> Replica | None:
+        """Returns the engine that a request would get now, uncounted."""
+        if not replicas:
+            return None
+        chain = _chain(generation)
+        homes = _homes(chain, replicas)
+        return min(
+            replicas,
+            key=lambda r: self._cost(r, generation, chain, homes, spec),
+        )
+
     def started(self, placement_id: str) -> None:
         """Notes a request's first token: its prompt has been read."""
         placement = self._placements.get(placement_id)
@@ -258,15 +274,6 @@
     return chain
 
 
-def home_data_centre(
-    generation: Generation, replicas: Sequence[Replica]
-) -> str:
-    """Returns where the engine stands that a prompt's subject belongs to."""
-    homes = _homes(_chain(generation), replicas)
-    first = next((name for name, rank in homes.items() if rank == 0), None)
-    return next((r.data_centre for r in replicas if r.name == first), "")
-
-
 def _homes(chain: list[int], replicas: Sequence[Replica]) -> dict[str, int]:
     """Returns the rank of the engines that a subject belongs to.
 
--- a/cactusdyke/serving/stage_queue.py
+++ b/cactusdyke/serving/stage_queue.py
@@ -19,10 +19,13 @@
 
     from cactusdyke.serving.model import BatchSpec
 
-PRIORITY_STEP_MS = 150.0
+PRIORITY_STEP_MS = 500.0
 """How much earlier a piece counts as needed for each step of priority."""
 MOST_TRIES = 4
 PACE_MEMORY_MS = 5_000.0
+HOPE_MARGIN = 1.2
+"""Calls are seldom quite full."""
+NO_ROOM_PAUSE_MS = 50.0
 REFUSED_PAUSE_MS = 60.0
 """Another daemon's call is under way there; it takes some 200 ms."""
 AVOID_FIRST_MS = 200.0
@@ -65,6 +68,7 @@
         result_bytes: About how large one result is.
         data_centre: Where the results are likely to be fetched from.
         tasks: The pieces.
+        hopeful: Whether it could be on time when it was queued.
         cancelled: Whether nobody waits for it any more.
         begun: Whether a piece of it was in a call.
     """
@@ -75,6 +79,7 @@
     result_bytes: float
     data_centre: str = ""
     tasks: list[PieceTask] = attrs.field(factory=list)
+    hopeful: bool = True
     cancelled: bool = False
     begun: bool = False
 
@@ -140,6 +145,7 @@
         self._clock = clock
         self.spec = spec
         self._waiting: list[PieceTask] = []
+        self._present = 1
         self._makers: dict[str, _Maker] = {}
 
     @property
@@ -164,8 +170,23 @@
         )
         return busy + calls * full_ms / len(makers)
 
+    def _queue_ms(self, ahead: int) -> float:
+        """Returns about how long `ahead` pieces take all known replicas."""
+        makers = max(1, self._present)
+        return ahead / self.spec.batch * self._full_ms() / makers
+
     def add(self, group: PieceGroup) -> None:
-        """Queues a group's pieces."""
+        """Queues a group's pieces.
+
+        Whether it can still be on time is decided now, by what goes before
+        it. Under overload every piece would otherwise be served just as it
+        becomes late: seen as a queue in which all were late, at full load.
+        """
+        group.hopeful = True
+        ahead = self.ahead_of(group) + len(group.tasks)
+        wait_ms = HOPE_MARGIN * self._queue_ms(ahead)
+        now = self._clock.now()
+        group.hopeful = now + wait_ms + self.spec.call_ms <= group.needed_by
         self._waiting.extend(group.tasks)
 
     def cancel(self, group: PieceGroup) -> None:
@@ -186,6 +207,7 @@
     def next_batch(self, makers: Sequence[str]) -> Batch | None:
         """Returns the next call to make, None if there is none for now."""
         self._drop_hopeless()
+        self._present = len(makers)
         if not self._waiting:
             return None
         free = self._free(makers)
@@ -270,7 +292,7 @@
         Groups that can still be on time come before those that can't: a late
         answer is worth little, and would make the next ones late as well.
         """
-        late = now + self.spec.call_ms > group.needed_by
+        late = not group.hopeful or now + self.spec.call_ms > group.needed_by
         until = group.ends_at if late else group.needed_by
         # The results of a group that was begun lie in their makers' memory
         # until the last piece is made. Many groups begun at once would fill it
@@ -402,7 +424,10 @@
         free, take room until they expire, and results may be larger than was
         told. It shows as calls that take their whole time and bring nothing.
         """
-        del maker
+        free = self.spec.result_room_bytes - maker.held_bytes - maker.promised
+        maker.unknown_bytes = max(0.0, free)
+        maker.unknown_at = self._clock.now()
+        maker.avoid_until = maker.unknown_at + NO_ROOM_PAUSE_MS
 
     def _unknown_bytes(self, maker: _Maker) -> float:
         """Returns what is believed taken; it expires as results do."""
--- a/cactusdyke/serving/stages.py
+++ b/cactusdyke/serving/stages.py
@@ -8,9 +8,9 @@
 from result import Err, Ok, Result
 
 from cactusdyke.errors import Failure, FailureKind
-from cactusdyke.serving import placement
 from cactusdyke.serving.dialect import Piece
 from cactusdyke.serving.dispatch import Dispatch, StageWork
+from cactusdyke.serving.stage_queue import LARGE_RESULT_BYTES
 
 if TYPE_CHECKING:
     from cactusdyke.clock import Clock
@@ -24,6 +24,10 @@
 """From the last stage's result to the first token, without the prompt."""
 BRANCH_MARGIN = 1.6
 MS_PER_TOKEN = 0.02
+WAIT_FACTOR = 1.5
+"""A piece finds its replicas in the middle of a call, half a call on average.
+Pieces served just in time for a shorter way are late at the end of the real
+one, and under overload every one of them."""
 """About what a prompt token that no engine has read costs."""
 
 
@@ -33,6 +37,8 @@
     def __init__(self, context: ServingContext) -> None:
         self._context = context
         self._handles: dict[int, list[str]] = {}
+        self.data_centre = ""
+        """Where the engine stands that is likely to fetch the results."""
         self.used: set[int] = set()
         """Stages whose results were freed, as nothing needs them any more."""
 
@@ -90,6 +96,7 @@
         self, context: ServingContext, results: StageResults
     ) -> Result[list[str], Failure]:
         """Makes what is missing; returns the handles that the request needs."""
+        results.data_centre = await self._engine_data_centre(context, results)
         for _ in range(REMAKES):
             answer = await self._run_missing(context, results)
             if not _lost_inputs(answer):
@@ -185,7 +192,7 @@
                 priority=context.priority,
                 result_bytes=stage.result_bytes,
                 may_refuse=not results.made,
-                data_centre=self._engine_data_centre(context),
+                data_centre=results.data_centre,
             )
         )
 
@@ -211,13 +218,22 @@
                 waits.append(other)
         return waits
 
-    def _engine_data_centre(self, context: ServingContext) -> str:
-        """Returns where the request's engine is likely to stand."""
+    async def _engine_data_centre(
+        self, context: ServingContext, results: StageResults
+    ) -> str:
+        """Returns where the request's engine is likely to stand.
+
+        Asked only where results are so large that carrying them between data
+        centres costs more than the question.
+        """
         generation = context.request.generation
-        if generation is None or not context.route.generates:
+        largest = max(
+            (context.route.stages[n].result_bytes for n in results.last()),
+            default=0.0,
+        )
+        if generation is None or largest < LARGE_RESULT_BYTES:
             return ""
-        usable = self._deployment.usable(context.service)
-        return placement.home_data_centre(generation, usable)
+        return await self._dispatch.locate(context.service, generation)
 
     def _rest_ms(
         self, context: ServingContext, results: StageResults, number: int
@@ -248,7 +264,8 @@
         if spec is None or spec.batching is None:
             return 0.0
         pieces = min(results.count(number), spec.batching.batch)
-        return spec.batching.call_ms + pieces * spec.batching.piece_ms
+        call_ms = spec.batching.call_ms + pieces * spec.batching.piece_ms
+        return WAIT_FACTOR * call_ms
 
 
 def _lost_inputs(answer: Result[None, Failure]) -> bool:
