Test serving and the platform's wire against stand-ins, and mend what the tests found

Cause: the path stood without tests of its own. Written as stories before looking at the code again, they found four faults: - a replica that had lost its address stayed barred after it started anew under its id (it fails without the comparison of births in put_replica); - a replica that was avoided got no request ever again while two others were equally good; - an idempotent request's first attempt was cut at half of its time though no other replica could take over; - the reader of settings and the decoders were right, their stand-in was not: a watch that waits has to hear of a history that is gone.

--- a/cactusdyke/serving/balance.py
+++ b/cactusdyke/serving/balance.py
@@ -16,6 +16,10 @@
 FAILURE_COST = 4.0
 """A failed attempt costs about as much as four that succeed: the attempt,
 the next one, and the retry that it takes from the budget."""
+UNUSED_MS = 2_000.0
+UNUSED_BONUS = 0.3
+"""A replica that got nothing for a while looks so much faster than it is known
+to be: else the one that was best once would get everything for ever."""
 OTHER_DATA_CENTRE = 0.03
 """A small push towards the own data centre: links between them are priced."""
 
@@ -29,6 +33,8 @@
     slots = max(1, replica.slots)
     crowd = 0.3 * load / slots + max(0.0, load + 1 - slots) / slots
     far = OTHER_DATA_CENTRE if replica.data_centre != here else 0.0
+    unused = min(1.0, health.idle_ms(replica.name) / UNUSED_MS)
+    latency *= 1 - UNUSED_BONUS * unused
     failing = FAILURE_COST * health.failure_share(replica.name)
     return latency * (1 + crowd + far) + usual_ms * failing
 
--- a/cactusdyke/serving/deployment.py
+++ b/cactusdyke/serving/deployment.py
@@ -95,8 +95,12 @@
 
     def put_replica(self, replica: Replica) -> None:
         """Takes news of one replica."""
-        if self._replicas.get(replica.name) == replica:
+        known = self._replicas.get(replica.name)
+        if known == replica:
             return
+        if known is not None and known.born != replica.born:
+            # It has started again under its id and knows nothing of before.
+            self._gone.pop(replica.name, None)
         self._replicas[replica.name] = replica
         self._index()
 
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -425,8 +425,12 @@
     def _may_send_elsewhere(
         self, context: ServingContext, replica: Replica
     ) -> bool:
+        """Returns whether another replica could take over from this one."""
         sent_to = {*context.sent_to, replica.name}
-        return len(sent_to) < min(context.route.max_attempts, MOST_SENDS)
+        if len(sent_to) >= min(context.route.max_attempts, MOST_SENDS):
+            return False
+        usable = self._deployment.usable(context.service)
+        return any(other.name not in sent_to for other in usable)
 
     def _candidates(self, context: ServingContext) -> list[Replica]:
         """Returns where the request may be sent now.
--- /dev/null
+++ b/features/platform/state.feature
@@ -0,0 +1,50 @@
+Feature: configuration, discovery, addresses and stops on the platform
+
+  Scenario: a version is in force at once and never goes back
+    When a route is added and then its service changes
+    Then it is served within a second, and an older version changes nothing
+
+  Scenario: a store whose history is gone is listed again
+    # The store is down, a replica comes and one goes, and the history that
+    # would tell of it is dropped before the daemon watches again.
+    When the store forgets its history while a replica comes
+    Then it serves on meanwhile and knows the replica soon after
+
+  Scenario: entries that can't be read hide no others
+    When the list holds entries that can't be read
+    Then they name no replica and the others hold
+
+  Scenario: a daemon that knows nothing says so
+    # It starts in an outage of the store. A 404 for a route that exists would
+    # be taken for final.
+    When a daemon starts while the store is down and nobody else is there
+    Then it is not ready and answers 503 with a time, until the store is back
+
+  Scenario: a daemon the store turns away learns from another one
+    # The store serves some hosts and not others. What the operator changes has
+    # to reach all of them all the same.
+    When a daemon starts while the store is down beside one that knows
+    Then it learns configuration and replicas from it within three seconds
+
+  Scenario: a planned stop sends callers elsewhere and cuts nobody
+    # Callers keep an address for seconds after the answer named it.
+    When one of two daemons is asked to stop
+    Then callers are told of the other one within a second
+    And it serves those that still come, and asks them to leave
+
+  Scenario: settings that can't be used change nothing
+    When a daemon runs as a process and its settings break and mend
+    Then it keeps the settings it had, logs both, and stops in good order
+
+  Scenario: settings without a value are refused with its name
+    Given settings that lack the store's address
+    When they are loaded
+    Then the error names the file and what is missing
+
+  Scenario: configurations of other shapes are read or refused whole
+    When configurations of other shapes are decoded
+    Then what is whole is taken and what is not is refused with a reason
+
+  Scenario: an entry without optional fields is a replica
+    When an entry of a replica without optional fields is decoded
+    Then it is a replica with one slot that drains
--- /dev/null
+++ b/features/serving/decisions.feature
@@ -0,0 +1,84 @@
+Feature: the decisions of serving, without a network
+
+  Scenario: the longest prefix at a slash selects the route
+    # Two routes of a host begin the same way. A request for the longer one
+    # must not reach the other's service, nor one that merely begins alike.
+    When requests are matched against routes of two hosts
+    Then each finds the longest prefix of its own host, or none
+
+  Scenario: a configuration never goes back
+    # A late answer brings an older version after the newer one is in force.
+    # Dropped routes would be served again and removed keys accepted.
+    Given a deployment with version 7 in force
+    When versions 3, 7 and 9 are applied in turn
+    Then only version 9 is put in force
+
+  Scenario: a replica that said it leaves gets no work until it is born anew
+    # The list lags by a second. A replica that answers for another one has
+    # lost its address; whoever goes by the list sends it more.
+    Given a deployment with two replicas of a service
+    When one of them turns out to have another's address
+    Then only the other one may be used
+    And it may be used again once the list tells of a new start under its id
+
+  Scenario: a replica that drains gets no new work
+    # A replica reports that it drains while a request's stages are still
+    # being made for it. The choice of before must not hold.
+    Given a deployment with two replicas of a service
+    When one of them reports that it drains
+    Then only the other one may be used
+
+  Scenario: retries of all daemons keep to the shared allowance
+    # Six daemons each see a failing service. If each spends the whole
+    # allowance it is exceeded sixfold and an outage is multiplied.
+    When six daemons spend retries as fast as they may for a minute
+    Then no window of ten seconds holds more than the allowance
+    And daemons that ignore the others break it
+
+  Scenario: a replica that fails part of its requests loses most of them
+    # It answers its health check and fails four of ten requests. Nothing but
+    # the outcomes shows it. Once it is well it must get its share back.
+    When one of three replicas fails four of ten requests for a while
+    Then it gets less than a tenth of the requests meanwhile
+    And at least a fifth of them soon after it is well
+
+  Scenario: requests of one subject stay on one engine
+    # An engine that has read a subject's long prompt reads it no more.
+    When 300 requests of 30 subjects are placed on five engines
+    Then each subject's part is read by one engine, few by two
+
+  Scenario: a hot subject spreads over the engines
+    # Half of the traffic is suddenly about one thing. Its one engine would
+    # serve it alone while four idle.
+    When 60 requests of one subject are placed on five engines at once
+    Then no engine has more than twice its share of them
+
+  Scenario: a short prompt does not queue behind a long one
+    # A prompt of 50,000 tokens takes a second to read. Counted as one request
+    # it looks like any other.
+    When a prompt of 50000 tokens is placed and then ten short ones
+    Then none of the short ones goes to the long one's engine
+
+  Scenario: an engine that fails requests is left
+    # Its port answers and its requests break off.
+    When an engine fails the first three requests it gets
+    Then the next ten requests go to other engines
+
+  Scenario: a placer that knows nothing sends subjects to where they were
+    # The daemon that decided dies and another one begins without its
+    # knowledge. Every subject would be read again somewhere else.
+    When two placers that know nothing place 40 subjects
+    Then both place at least 30 of them on the same engine
+
+  Scenario: the memory of a placer is bounded by its engines' own
+    # Engines forget what was used least; a placer that does not counts on
+    # prompts that are long gone.
+    When 500 subjects of 20000 tokens are placed on one engine
+    Then the placer believes in no more than the engine's memory
+
+  Scenario: the parts of a request's graph that are left out pass inputs on
+    # A request may leave out a stage. Its followers work on what that stage
+    # would have worked on; given nothing they would make a wrong result.
+    When a graph of four stages runs with its second stage left out
+    Then the third stage works on the first one's results
+    And the request itself needs the results of the last stage alone
--- /dev/null
+++ b/features/steps/platform_state_steps.py
@@ -0,0 +1,307 @@
+"""Steps of configuration, discovery, addresses and stops on the platform."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+
+import anyio
+from behave import given, then, when
+
+from cactusdyke.platform import decode
+from cactusdyke.platform import settings as platform_settings
+from cactusdyke.platform.store import StoreObject
+from features.steps.platform_forwarding_steps import plain_world, play
+from features.support.platform_rig import configuration, route, until
+
+
+@when("a route is added and then its service changes")
+def route_changes(context):
+    async def story(world):
+        await plain_world(world, replicas=("p1",))
+        first = await world.request("/new/a")
+        world.configure(
+            [route("look", "plain"), route("new", "plain")], version=5
+        )
+        began = anyio.current_time()
+        while (await world.request("/new/a"))[0] != 200:
+            assert anyio.current_time() - began < 2
+        context.took = anyio.current_time() - began
+        context.first = first[0]
+        world.configure([route("look", "plain")], version=3)
+        await anyio.sleep(0.3)
+        context.after_older = (await world.request("/new/a"))[0]
+
+    play(story)
+
+
+@then("it is served within a second, and an older version changes nothing")
+def check_route_changes(context):
+    assert context.first == 404
+    assert context.took < 1.0, context.took
+    assert context.after_older == 200
+
+
+@when("the store forgets its history while a replica comes")
+def history_gone(context):
+    async def story(world):
+        await plain_world(world, replicas=("p1",))
+        deployment = world.daemons["d1"]._deployment
+        world.store.faults["down"] = True
+        await anyio.sleep(0.3)
+        await world.add_replica("p9")
+        world.store.remove("servers", "p1")
+        world.store.forget_history()
+        context.during = (await world.request("/look/a"))[0]
+        world.store.faults.clear()
+        await until(
+            lambda: [r.name for r in deployment.usable("plain")] == ["p9"]
+        )
+        context.after = (await world.request("/look/a"))[0]
+
+    play(story)
+
+
+@then("it serves on meanwhile and knows the replica soon after")
+def check_history_gone(context):
+    assert (context.during, context.after) == (200, 200)
+
+
+@when("the list holds entries that can't be read")
+def bad_entries(context):
+    async def story(world):
+        await world.add_replica("p1")
+        for number, spec in enumerate(
+            (
+                None,
+                "text",
+                {"service": "plain"},
+                {"service": 5, "address": "a:1", "state": "ready"},
+                {"service": "plain", "address": "nowhere", "state": "ready"},
+                {"service": "plain", "address": "h:1", "state": "odd"},
+                [1, 2],
+            )
+        ):
+            world.store.put("servers", f"bad{number}", spec)
+        world.configure([route("look", "plain")])
+        await world.start_daemon("d1")
+        deployment = world.daemons["d1"]._deployment
+        context.usable = [r.name for r in deployment.usable("plain")]
+        context.status = (await world.request("/look/a"))[0]
+
+    play(story)
+
+
+@then("they name no replica and the others hold")
+def check_bad_entries(context):
+    assert context.usable == ["p1"]
+    assert context.status == 200
+
+
+@when("a daemon starts while the store is down and nobody else is there")
+def start_alone(context):
+    async def story(world):
+        world.store.faults["down"] = True
+        await world.add_replica("p1")
+        world.configure([route("look", "plain")])
+        daemon = await world.start_daemon("d1", ready=False)
+        ready = daemon._settings.ready.address
+        context.ready = (await world.ask(ready, "/-/ready"))[0]
+        context.answer = await world.request("/look/a")
+        world.store.faults.clear()
+        await until(lambda: daemon.ready)
+        context.later = (await world.request("/look/a"))[0]
+
+    play(story)
+
+
+@then("it is not ready and answers 503 with a time, until the store is back")
+def check_start_alone(context):
+    assert context.ready == 503
+    status, headers, _ = context.answer
+    assert status == 503
+    assert float(headers["retry-after"]) > 0
+    assert context.later == 200
+
+
+@when("a daemon starts while the store is down beside one that knows")
+def start_beside(context):
+    async def story(world):
+        await plain_world(world, replicas=("p1",))
+        world.store.faults["down"] = True
+        seed = world.daemons["d1"]._settings.peer.address
+        began = anyio.current_time()
+        await world.start_daemon("d2", seeds=[seed])
+        context.took = anyio.current_time() - began
+        context.status = (await world.request("/look/a", daemon="d2"))[0]
+
+    play(story)
+
+
+@then("it learns configuration and replicas from it within three seconds")
+def check_start_beside(context):
+    assert context.took < 3.0, context.took
+    assert context.status == 200
+
+
+@when("one of two daemons is asked to stop")
+def stops(context):
+    async def story(world):
+        await plain_world(world, replicas=("p1",))
+        seed = world.daemons["d1"]._settings.peer.address
+        second = await world.start_daemon("d2", seeds=[seed])
+        first = world.daemons["d1"]
+        directory = first._settings.directory.address
+
+        async def told():
+            _, body = await world.ask(directory, "/-/resolve", {"zone": "here"})
+            return sorted(body["addresses"])
+
+        both = sorted(d._settings.front.address for d in world.daemons.values())
+        for _ in range(100):
+            context.before = await told() == both
+            if context.before:
+                break
+            await anyio.sleep(0.05)
+        world.tasks.start_soon(second._stop)
+        began = anyio.current_time()
+        for _ in range(100):
+            if second._settings.front.address not in await told():
+                break
+            await anyio.sleep(0.02)
+        context.took = anyio.current_time() - began
+        ready = second._settings.ready.address
+        context.ready = (await world.ask(ready, "/-/ready"))[0]
+        context.answer = await world.request("/look/a", daemon="d2")
+
+    play(story)
+
+
+@then("callers are told of the other one within a second")
+def check_stops(context):
+    assert context.before
+    assert context.took < 1.0, context.took
+    assert context.ready == 503
+
+
+@then("it serves those that still come, and asks them to leave")
+def check_still_serves(context):
+    status, headers, _ = context.answer
+    assert status == 200
+    assert headers["connection"] == "close"
+
+
+@when("a daemon runs as a process and its settings break and mend")
+def process(context):
+    async def story(world):
+        await world.add_replica("p1")
+        world.configure([route("look", "plain")])
+        path = pathlib.Path(world.folder) / "settings.yaml"
+        text = world.settings_text("d1")
+        path.write_text(text, encoding="utf-8")
+        settings = platform_settings.load(str(path)).unwrap()
+        process = subprocess.Popen(  # noqa: ASYNC220
+            [sys.executable, "-m", "cactusdyke.platform.program"],
+            env={**os.environ, "CACTUSDYKE_CONFIG": str(path)},
+            stdout=subprocess.PIPE,
+        )
+        try:
+            await world.listens(settings.front.address)
+            status = 0
+            for _ in range(100):
+                status, _ = await world.ask(settings.ready.address, "/-/ready")
+                if status == 200:
+                    break
+                await anyio.sleep(0.05)
+            context.ready = status
+            path.write_text("node: [", encoding="utf-8")
+            process.send_signal(signal.SIGHUP)
+            await anyio.sleep(0.3)
+            path.write_text(text, encoding="utf-8")
+            process.send_signal(signal.SIGHUP)
+            await anyio.sleep(0.3)
+            process.send_signal(signal.SIGTERM)
+            output, _ = await anyio.to_thread.run_sync(process.communicate)
+            context.log = output.decode()
+            context.code = process.returncode
+        finally:
+            process.kill()
+
+    play(story)
+
+
+@then("it keeps the settings it had, logs both, and stops in good order")
+def check_process(context):
+    assert context.ready == 200
+    assert context.code == 0, context.log
+    assert "CD2207" in context.log, context.log
+    assert "CD2206" in context.log
+    for number in ("CD1001", "CD1002", "CD1003", "CD2201"):
+        assert number in context.log, number
+
+
+@given("settings that lack the store's address")
+def bad_settings(context):
+    context.settings_text = "node: n\nzone: z\nlisten: {front: '1.2.3.4:5'}\n"
+
+
+@when("they are loaded")
+def load_settings(context):
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "settings.yaml"
+        path.write_text(context.settings_text, encoding="utf-8")
+        context.loaded = platform_settings.load(str(path))
+
+
+@then("the error names the file and what is missing")
+def check_settings(context):
+    failure = context.loaded.unwrap_err()
+    assert "settings.yaml" in failure.detail
+    assert "ready" in failure.detail, failure.detail
+
+
+@when("configurations of other shapes are decoded")
+def other_shapes(context):
+    bare = {"version": 4, "routes": [], "services": []}
+    split = configuration(
+        [
+            {
+                **route("a", "x"),
+                "traffic_split": [
+                    {"service": "plain", "weight": 90},
+                    {"service": "engine", "weight": 10},
+                ],
+            }
+        ]
+    )
+    broken = configuration([{"name": "no host"}])
+    context.decoded = [
+        decode.configuration(spec) for spec in (bare, split, broken, None, 5)
+    ]
+
+
+@then("what is whole is taken and what is not is refused with a reason")
+def check_other_shapes(context):
+    bare, split, *rest = context.decoded
+    assert bare.unwrap().customers == ()
+    assert [t.weight for t in split.unwrap().routes[0].targets] == [90, 10]
+    assert all(one.is_err() for one in rest)
+    assert "kind" in rest[0].unwrap_err().detail
+
+
+@when("an entry of a replica without optional fields is decoded")
+def sparse_entry(context):
+    spec = {"service": "s", "address": "1.2.3.4:80", "state": "draining"}
+    context.replica = decode.replica(
+        StoreObject(name="r", revision=1, spec=spec)
+    ).unwrap()
+
+
+@then("it is a replica with one slot that drains")
+def check_sparse(context):
+    assert context.replica.slots == 1
+    assert context.replica.state.value == "draining"
--- /dev/null
+++ b/features/steps/serving_steps.py
@@ -0,0 +1,419 @@
+"""Steps of serving's decisions: all of them without a network."""
+
+from __future__ import annotations
+
+import collections
+import random
+
+from behave import given, then, when
+
+from cactusdyke.clock import Clock
+from cactusdyke.serving import balance
+from cactusdyke.serving.deployment import Deployment
+from cactusdyke.serving.health import ReplicaHealth
+from cactusdyke.serving.model import (
+    CallerLimits,
+    EngineSpec,
+    RepeatPolicy,
+    Replica,
+    ReplicaState,
+    Route,
+    ServingConfiguration,
+    StageSpec,
+    WeightedService,
+)
+from cactusdyke.serving.placement import EnginePlacer
+from cactusdyke.serving.request import Generation, PromptPart
+from cactusdyke.serving.retry_budget import RetryAllowance, RetryBudget
+from cactusdyke.serving.routes import RouteTable
+from cactusdyke.serving.stages import StageResults
+from features.support import serving_values as values
+
+
+class HandClock(Clock):
+    """A clock that is set by hand."""
+
+    def __init__(self):
+        self.ms = 0.0
+
+    def now(self):
+        return self.ms
+
+    def wall(self):
+        return int(self.ms)
+
+
+def replica(name, service="plain", **changes):
+    fields = {
+        "name": name,
+        "service": service,
+        "address": f"{name}:1",
+        "data_centre": "here",
+        "state": ReplicaState.READY,
+        "slots": 6,
+    }
+    return Replica(**{**fields, **changes})
+
+
+def route(host="h", prefix="/a/", **changes):
+    fields = {
+        "name": f"{host}{prefix}",
+        "host": host,
+        "path_prefix": prefix,
+        "targets": (WeightedService(service="plain", weight=1.0),),
+        "repeat": RepeatPolicy.IDEMPOTENT,
+        "streaming": False,
+        "max_attempts": 2,
+        "timeout_ms": 2_000.0,
+        "objective_ms": 300.0,
+        "gap_objective_ms": 300.0,
+        "first_event_patience_ms": 2_000.0,
+        "priority": 0,
+        "public": True,
+        "generates": False,
+    }
+    return Route(**{**fields, **changes})
+
+
+def configuration(version):
+    return ServingConfiguration(
+        version=version,
+        routes=(),
+        services={},
+        customers=(),
+        limits=CallerLimits(),
+    )
+
+
+@when("requests are matched against routes of two hosts")
+def match_routes(context):
+    table = RouteTable(
+        [
+            route("one", "/a/"),
+            route("one", "/a/b/"),
+            route("two", "/a/b/c/"),
+        ]
+    )
+    asked = {
+        ("one", "/a/b/x"): "one/a/b/",
+        ("one", "/a/b/"): "one/a/b/",
+        ("one", "/a/bc"): "one/a/",
+        ("one", "/a/b"): "one/a/",
+        ("one", "/a"): None,
+        ("one", "/"): None,
+        ("one", ""): None,
+        ("two", "/a/b/x"): None,
+        ("two", "/a/b/c/d/e"): "two/a/b/c/",
+        ("three", "/a/b"): None,
+    }
+    context.found = {
+        key: (found.name if (found := table.find(*key)) else None)
+        for key in asked
+    }
+    context.asked = asked
+
+
+@then("each finds the longest prefix of its own host, or none")
+def check_routes(context):
+    assert context.found == context.asked, context.found
+
+
+@given("a deployment with version 7 in force")
+def deployment_with_version(context):
+    context.deployment = Deployment(clock=HandClock())
+    assert context.deployment.apply(configuration(7), source="test")
+
+
+@when("versions 3, 7 and 9 are applied in turn")
+def apply_versions(context):
+    context.applied = [
+        version
+        for version in (3, 7, 9)
+        if context.deployment.apply(configuration(version), source="test")
+    ]
+
+
+@then("only version 9 is put in force")
+def check_versions(context):
+    assert context.applied == [9], context.applied
+    assert context.deployment.version == 9
+
+
+@given("a deployment with two replicas of a service")
+def deployment_with_replicas(context):
+    context.deployment = Deployment(clock=HandClock())
+    context.first = replica("r1", born=5)
+    context.deployment.replace_replicas([context.first, replica("r2")])
+    assert len(context.deployment.usable("plain")) == 2
+
+
+@when("one of them turns out to have another's address")
+def wrong_address(context):
+    context.deployment.mark_gone(context.first, reason="test")
+
+
+@when("one of them reports that it drains")
+def drains(context):
+    context.deployment.put_replica(
+        replica("r1", born=5, state=ReplicaState.DRAINING)
+    )
+
+
+@then("only the other one may be used")
+def check_other(context):
+    usable = context.deployment.usable("plain")
+    assert [r.name for r in usable] == ["r2"], usable
+    assert not context.deployment.may_use(context.first)
+
+
+@then("it may be used again once the list tells of a new start under its id")
+def check_reborn(context):
+    context.deployment.put_replica(replica("r1", born=9))
+    names = {r.name for r in context.deployment.usable("plain")}
+    assert names == {"r1", "r2"}, names
+
+
+def _spend_retries(believed_daemons):
+    clock = HandClock()
+    allowance = RetryAllowance(ratio=0.2, slack=52, window_ms=10_000)
+    budgets = [
+        RetryBudget(
+            clock=clock,
+            allowance=lambda: allowance,
+            daemons=lambda: believed_daemons,
+        )
+        for _ in range(6)
+    ]
+    firsts, retries = [], []
+    for step in range(6_000):
+        clock.ms = step * 10.0
+        for budget in budgets:
+            if step % 20 == 0:
+                budget.note_first("service")
+                firsts.append(clock.ms)
+            if budget.spend("service"):
+                retries.append(clock.ms)
+    worst = -1e9
+    for end in range(0, 60_001, 250):
+        inside = sum(end - 10_000 < at <= end for at in retries)
+        asked = sum(end - 10_000 < at <= end for at in firsts)
+        worst = max(worst, inside - (0.2 * asked + 52))
+    return worst
+
+
+@when("six daemons spend retries as fast as they may for a minute")
+def spend_retries(context):
+    context.excess = _spend_retries(6)
+    context.naive_excess = _spend_retries(1)
+
+
+@then("no window of ten seconds holds more than the allowance")
+def check_retries(context):
+    assert context.excess <= 0, context.excess
+
+
+@then("daemons that ignore the others break it")
+def check_naive_retries(context):
+    assert context.naive_excess > 0, context.naive_excess
+
+
+@when("one of three replicas fails four of ten requests for a while")
+def grey_replica(context):
+    clock = HandClock()
+    health = ReplicaHealth(clock=clock)
+    rng = random.Random(3)
+    replicas = [replica(name) for name in ("r1", "r2", "r3")]
+
+    def serve(count, failing):
+        chosen = collections.Counter()
+        for _ in range(count):
+            clock.ms += 25.0
+            one = balance.choose(replicas, health, rng=rng, here="here")
+            chosen[one.name] += 1
+            health.started(one.name)
+            health.ended(one.name)
+            if one.name == "r1" and rng.random() < failing:
+                health.failed(one.name)
+            else:
+                health.succeeded(one.name, 90.0 + rng.uniform(-30, 30))
+        return chosen["r1"] / count
+
+    serve(100, 0.0)
+    serve(40, 0.4)
+    context.grey_share = serve(400, 0.4)
+    serve(300, 0.0)
+    context.well_share = serve(400, 0.0)
+
+
+@then("it gets less than a tenth of the requests meanwhile")
+def check_grey(context):
+    assert context.grey_share < 0.1, context.grey_share
+
+
+@then("at least a fifth of them soon after it is well")
+def check_well(context):
+    assert context.well_share > 0.2, context.well_share
+
+
+ENGINE = EngineSpec(slots=64, kv_tokens=600_000)
+
+
+def engines(count):
+    return [replica(f"e{i}", "engine", slots=64) for i in range(count)]
+
+
+def prompt(subject, shared=13_000, own=1_000, request=0):
+    return Generation(
+        model="m",
+        prompt_tokens=shared + own,
+        output_tokens=100,
+        parts=(
+            PromptPart(name=f"s{subject}", tokens=shared),
+            PromptPart(name=f"o{subject}-{request}", tokens=own),
+        ),
+    )
+
+
+@when("300 requests of 30 subjects are placed on five engines")
+def place_subjects(context):
+    clock = HandClock()
+    placer = EnginePlacer(clock=clock)
+    rng = random.Random(1)
+    context.places = collections.defaultdict(set)
+    for number in range(300):
+        clock.ms += 100.0
+        subject = rng.randrange(30)
+        chosen = placer.place(
+            str(number), prompt(subject, request=number), engines(5), ENGINE
+        )
+        context.places[subject].add(chosen.name)
+        clock.ms += 60.0
+        placer.started(str(number))
+        placer.ended(str(number), failed=False)
+
+
+@then("each subject's part is read by one engine, few by two")
+def check_subjects(context):
+    reads = [len(names) for names in context.places.values()]
+    assert sum(reads) <= 30 + 3, reads
+
+
+@when("60 requests of one subject are placed on five engines at once")
+def place_hot(context):
+    placer = EnginePlacer(clock=HandClock())
+    context.chosen = collections.Counter(
+        placer.place(str(n), prompt(0, request=n), engines(5), ENGINE).name
+        for n in range(60)
+    )
+
+
+@then("no engine has more than twice its share of them")
+def check_hot(context):
+    assert max(context.chosen.values()) <= 24, context.chosen
+
+
+@when("a prompt of 50000 tokens is placed and then ten short ones")
+def place_long(context):
+    placer = EnginePlacer(clock=HandClock())
+    context.long = placer.place(
+        "long", prompt(99, shared=0, own=50_000), engines(5), ENGINE
+    )
+    context.short = {
+        placer.place(
+            str(n), prompt(n, shared=300, own=800), engines(5), ENGINE
+        ).name
+        for n in range(10)
+    }
+
+
+@then("none of the short ones goes to the long one's engine")
+def check_long(context):
+    assert context.long.name not in context.short
+
+
+@when("an engine fails the first three requests it gets")
+def engine_fails(context):
+    clock = HandClock()
+    placer = EnginePlacer(clock=clock)
+    for number in range(3):
+        chosen = placer.place(
+            str(number), prompt(7, request=number), engines(5), ENGINE
+        )
+        context.failing = chosen.name
+        placer.ended(str(number), failed=True)
+        if number == 0:
+            context.first_failing = chosen.name
+    context.after = [
+        placer.place(
+            f"n{n}", prompt(7, request=100 + n), engines(5), ENGINE
+        ).name
+        for n in range(10)
+    ]
+
+
+@then("the next ten requests go to other engines")
+def check_engine_fails(context):
+    assert context.first_failing not in context.after, context.after
+
+
+@when("two placers that know nothing place 40 subjects")
+def two_placers(context):
+    context.same = 0
+    for subject in range(40):
+        chosen = []
+        for _ in range(2):
+            placer = EnginePlacer(clock=HandClock())
+            placer.place("x", prompt(1_000), engines(5), ENGINE)
+            chosen.append(
+                placer.place("y", prompt(subject), engines(5), ENGINE).name
+            )
+        homes = EnginePlacer(clock=HandClock())
+        alone = homes.place("z", prompt(subject), engines(5), ENGINE).name
+        context.same += chosen[0] == chosen[1] == alone
+
+
+@then("both place at least 30 of them on the same engine")
+def check_two_placers(context):
+    assert context.same >= 30, context.same
+
+
+@when("500 subjects of 20000 tokens are placed on one engine")
+def fill_engine(context):
+    clock = HandClock()
+    placer = EnginePlacer(clock=clock)
+    for subject in range(500):
+        clock.ms += 1_000.0
+        placer.place(
+            str(subject), prompt(subject, shared=20_000), engines(1), ENGINE
+        )
+        placer.ended(str(subject), failed=False)
+    context.believed = placer._engines["e0"].cached_tokens
+
+
+@then("the placer believes in no more than the engine's memory")
+def check_filled(context):
+    assert 0 < context.believed <= ENGINE.kv_tokens, context.believed
+
+
+@when("a graph of four stages runs with its second stage left out")
+def graph(context):
+    stages = (
+        StageSpec(service="s0"),
+        StageSpec(service="s1", after=(0,)),
+        StageSpec(service="s2", after=(1,)),
+        StageSpec(service="s3", after=(2,)),
+    )
+    context.results = StageResults(
+        values.serving_context(route(stages=stages), pieces=(2, 0, 3, 1))
+    )
+
+
+@then("the third stage works on the first one's results")
+def check_graph(context):
+    assert context.results.inputs_of(2) == [0]
+    assert context.results.present() == [0, 2, 3]
+
+
+@then("the request itself needs the results of the last stage alone")
+def check_graph_end(context):
+    assert context.results.last() == [3]
--- /dev/null
+++ b/features/support/platform_rig.py
@@ -0,0 +1,274 @@
+"""One platform on loopback: its store, replicas, and daemons of ours."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import pathlib
+import random
+import socket
+import tempfile
+
+import anyio
+import yaml
+
+from cactusdyke.clock import EventLoopClock, SystemClock
+from cactusdyke.observe.log_sink import LogSink
+from cactusdyke.platform import settings as platform_settings
+from cactusdyke.platform.program import Daemon
+from cactusdyke.transport.asgi import AsgiAdapter
+from cactusdyke.transport.exchange import ExchangeError, connect
+from cactusdyke.transport.http_network import HttpNetwork
+from cactusdyke.transport.messages import Request
+from cactusdyke.transport.network import CallOptions
+from cactusdyke.transport.server import HttpServer
+from standins.platform_store import PlatformStore
+from standins.replica import PlatformReplica
+
+KEY = "key-of-council"
+HOST = "signals.example"
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def route(name, service, **changes):
+    fields = {
+        "name": name,
+        "host": HOST,
+        "path_prefix": f"/{name}/",
+        "kind": "idempotent",
+        "timeout_ms": 3_000,
+        "target_latency_ms": 500,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        "public": False,
+        "sticky": False,
+        "resumable": False,
+        "target_gap_ms": 300,
+    }
+    return {**fields, **changes}
+
+
+def configuration(routes, version=1, **changes):
+    services = [
+        {"name": "plain", "health_path": "/h", "max_conns": 64},
+        {
+            "name": "engine",
+            "health_path": "/h",
+            "max_conns": 64,
+            "engine": {"capacity": 8, "kv_capacity_tokens": 100_000},
+        },
+        {
+            "name": "stage",
+            "health_path": "/h",
+            "max_conns": 64,
+            "pieces": {
+                "capacity": 1,
+                "queue": 2,
+                "batch": 4,
+                "call_ms": 20,
+                "item_ms": 2,
+                "headroom_mb": 10,
+                "handle_s": 2,
+            },
+        },
+    ]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": services,
+        "limits": {
+            "max_header_bytes": 4_096,
+            "max_body_bytes": 100_000,
+            "header_timeout_ms": 300,
+            "idle_timeout_ms": 5_000,
+        },
+        "tenants": [{"name": "council", "api_keys": [KEY], "priority": 1}],
+        **changes,
+    }
+
+
+class PlatformWorld:
+    """Starts what a story needs and ends it."""
+
+    def __init__(self):
+        self.store = PlatformStore(clock=SystemClock())
+        self.replicas = {}
+        self.daemons = {}
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self):
+        self.tasks = await self._stack.enter_async_context(
+            anyio.create_task_group()
+        )
+        self.network = await self._stack.enter_async_context(HttpNetwork())
+        self.folder = self._stack.enter_context(tempfile.TemporaryDirectory())
+        port = free_port()
+        self.store_address = f"127.0.0.1:{port}"
+        server = HttpServer(
+            host="127.0.0.1",
+            port=port,
+            adapter=AsgiAdapter(
+                handler=self.store.routes.handle, clock=SystemClock()
+            ),
+        )
+        self.tasks.start_soon(server.serve)
+        return self
+
+    async def __aexit__(self, *error):
+        self.tasks.cancel_scope.cancel()
+        return await self._stack.__aexit__(*error)
+
+    async def add_replica(self, name, service="plain"):
+        replica = PlatformReplica(name=name)
+        await self._stack.enter_async_context(replica)
+        self.replicas[name] = replica
+        self.list_replica(name, service)
+        return replica
+
+    def list_replica(self, name, service="plain", **changes):
+        self.store.put(
+            "servers",
+            name,
+            {
+                "service": service,
+                "address": self.replicas[name].address,
+                "zone": "here",
+                "version": "v1",
+                "capacity": 6,
+                "state": "ready",
+                "cold_left_ms": 0,
+                "seq": 1,
+                **changes,
+            },
+        )
+
+    def configure(self, routes, **changes):
+        self.store.put("config", "main", configuration(routes, **changes))
+
+    def settings_text(self, name, seeds=()):
+        ports = [free_port() for _ in range(4)]
+        listen = dict(
+            zip(
+                ("front", "ready", "control", "directory"),
+                (f"127.0.0.1:{port}" for port in ports),
+                strict=True,
+            )
+        )
+        return yaml.safe_dump(
+            {
+                "node": name,
+                "zone": "here",
+                "region": "region",
+                "listen": listen,
+                "port_range": [ports[0], ports[0]],
+                "seed_addrs": list(seeds),
+                "bounds": {"grace_s": 3, "retry_budget_slack": 50},
+                "platform": {"address": self.store_address},
+            }
+        )
+
+    async def start_daemon(self, name, seeds=(), *, ready=True):
+        path = pathlib.Path(self.folder) / f"{name}.yaml"
+        path.write_text(self.settings_text(name, seeds), encoding="utf-8")
+        settings = platform_settings.load(str(path)).unwrap()
+        clock = SystemClock()
+        daemon = Daemon(
+            settings=settings,
+            settings_path=str(path),
+            clock=clock,
+            rng=random.Random(name),
+            network=self.network,
+            sink=LogSink(
+                clock=EventLoopClock(),
+                daemon=name,
+                descriptor=self._open_log(name),
+            ),
+        )
+        self.daemons[name] = daemon
+        self.tasks.start_soon(daemon.run)
+        if ready:
+            await until(lambda: daemon.ready)
+        await self.listens(settings.front.address)
+        return daemon
+
+    def _open_log(self, name):
+        file = (pathlib.Path(self.folder) / f"{name}.log").open("wb")
+        return self._stack.enter_context(file).fileno()
+
+    async def listens(self, address):
+        host, _, port = address.rpartition(":")
+        for _ in range(400):
+            try:
+                async with await anyio.connect_tcp(host, int(port)):
+                    return
+            except OSError:
+                await anyio.sleep(0.01)
+        raise AssertionError(f"nobody listens at {address}")
+
+    async def request(self, path, *, daemon="d1", request_id="r-1", **changes):
+        """Sends a request; returns status, headers and body."""
+        settings = self.daemons[daemon]._settings
+        headers = {
+            "Host": HOST,
+            "X-Attempt-Id": request_id,
+            "X-Deadline-Ms": "2000",
+            "Authorization": f"Bearer {KEY}",
+            **changes.pop("headers", {}),
+        }
+        body = changes.pop("body", b"")
+        method = changes.pop("method", "POST")
+        if method == "POST":
+            headers["Content-Length"] = str(len(body))
+        async with connect(
+            settings.front.address, clock=SystemClock()
+        ) as exchange:
+            await exchange.send(
+                method,
+                path,
+                [(k.encode(), v.encode()) for k, v in headers.items()],
+                body,
+            )
+            head = await exchange.head()
+            got = {k.decode(): v.decode() for k, v in head.headers}
+            try:
+                data = await exchange.whole_body(most=1 << 20)
+            except ExchangeError:
+                data = None
+            return head.status, got, data
+
+    async def raw(self, data, *, daemon="d1", wait_s=2.0):
+        """Sends bytes; returns what comes back until the connection ends."""
+        settings = self.daemons[daemon]._settings
+        stream = await anyio.connect_tcp(
+            settings.front.host, settings.front.port
+        )
+        got = b""
+        async with stream:
+            await stream.send(data)
+            with anyio.move_on_after(wait_s):
+                with contextlib.suppress(
+                    anyio.EndOfStream, anyio.BrokenResourceError
+                ):
+                    while True:
+                        got += await stream.receive()
+        return got
+
+    async def ask(self, address, path, query=None):
+        """Gets a path of a small interface; returns status and JSON."""
+        request = Request(method="GET", path=path, query=query or {})
+        answer = await self.network.fetch(address, request, CallOptions())
+        response = answer.unwrap()
+        return response.status, json.loads(response.body or b"{}")
+
+
+async def until(condition, seconds=5.0):
+    with anyio.move_on_after(seconds):
+        while not condition():
+            await anyio.sleep(0.01)
+    assert condition(), "it did not come to be"
--- /dev/null
+++ b/features/support/serving_values.py
@@ -0,0 +1,39 @@
+"""Values that tests of serving begin with."""
+
+from __future__ import annotations
+
+from cactusdyke.serving.request import ClientRequest, ServingContext
+
+
+def client_request(pieces=(), **changes):
+    fields = {
+        "request_id": "request",
+        "method": "POST",
+        "host": "h",
+        "target": "/a/x",
+        "path": "/a/x",
+        "headers": (),
+        "body": b"",
+        "api_key": "",
+        "patience_ms": 5_000.0,
+        "generation": None,
+        "piece_counts": tuple(pieces),
+        "piece_key": "key",
+        "resume_after": None,
+        "arrived_at": 0.0,
+    }
+    return ClientRequest(**{**fields, **changes})
+
+
+def serving_context(route, pieces=(), **changes):
+    return ServingContext(
+        request=client_request(pieces, **changes),
+        route=route,
+        service=route.targets[0].service,
+        customer=None,
+        priority=route.priority,
+        ends_at=2_000.0,
+        first_by=2_000.0,
+        caller_until=5_000.0,
+        objective_at=300.0,
+    )
--- /dev/null
+++ b/standins/replica.py
@@ -0,0 +1,229 @@
+"""Stands in for a replica of the users' platform, with faults on its wire.
+
+It speaks raw sockets with h11, as the faults that matter are in the bytes: an
+answer of another request, one cut short, bytes behind its end, a silence.
+"""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING, Any, Self
+
+import anyio
+import h11
+import orjson
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+SIGNATURE = b"signed-by-the-replica"
+EVENT = "id: {number}\ndata: token-{number}\n\n"
+
+
+class PlatformReplica:
+    """One replica: its id, its address, what it was sent, and its faults.
+
+    Attributes:
+        runs: Ids of the requests that it ran, in order.
+        heads: The headers of each request, by lower-case name.
+        faults: Names of faults that strike from now on.
+        left: Ids of requests whose connection ended before their answer.
+        events: How many events a stream has.
+        event_ms: Time between events.
+        work_ms: Time to answer.
+        stage_calls: How many pieces each stage call held.
+        freed: Handles that were freed.
+    """
+
+    def __init__(self, *, name: str) -> None:
+        self.name = name
+        self.runs: list[str] = []
+        self.heads: list[dict[str, str]] = []
+        self.bodies: list[bytes] = []
+        self.faults: set[str] = set()
+        self.left: list[str] = []
+        self.events = 5
+        self.event_ms = 5.0
+        self.work_ms = 5.0
+        self.stage_calls: list[int] = []
+        self.freed: list[str] = []
+        self._handles = 0
+        self._stack = contextlib.AsyncExitStack()
+        self.address = ""
+
+    async def __aenter__(self) -> Self:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        self.address = f"127.0.0.1:{port}"
+        self._tasks = await self._stack.enter_async_context(
+            anyio.create_task_group()
+        )
+        self._tasks.start_soon(listener.serve, self._connection)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._tasks.cancel_scope.cancel()
+        await self._stack.__aexit__(kind, error, trace)
+
+    async def _connection(self, stream: Any) -> None:
+        connection = h11.Connection(h11.SERVER)
+        async with stream:
+            with contextlib.suppress(anyio.BrokenResourceError):
+                await self._serve(stream, connection)
+
+    async def _serve(self, stream: Any, connection: h11.Connection) -> None:
+        head: h11.Request | None = None
+        body = b""
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                try:
+                    connection.receive_data(await stream.receive())
+                except anyio.EndOfStream:
+                    return
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                assert head is not None
+                await self._answer(stream, head, body)
+                return
+            else:
+                return
+
+    async def _answer(
+        self, stream: Any, head: h11.Request, body: bytes
+    ) -> None:
+        headers = {
+            name.decode().lower(): value.decode()
+            for name, value in head.headers
+        }
+        path = head.target.decode()
+        self.heads.append(headers)
+        self.bodies.append(body)
+        expected = headers.get("x-expect-replica", self.name)
+        if expected != self.name:
+            await stream.send(_plain(421, b"", {"X-Replica-Id": self.name}))
+            return
+        if path == "/-/stage-run":
+            await self._run_pieces(stream, body)
+        elif path == "/-/stage-free":
+            self.freed += orjson.loads(body)["handles"]
+            await stream.send(_plain(200, b""))
+        else:
+            await self._run(stream, headers, path)
+
+    async def _run_pieces(self, stream: Any, body: bytes) -> None:
+        items = orjson.loads(body)["items"]
+        self.stage_calls.append(len(items))
+        if "full" in self.faults:
+            await stream.send(_plain(503, b"", {"X-Not-Executed": "1"}))
+            return
+        await anyio.sleep(self.work_ms / 1000.0)
+        answers: list[dict[str, str]] = []
+        for _ in items:
+            self._handles += 1
+            answers.append({"handle": f"{self.address}/h{self._handles}"})
+        if "gone" in self.faults:
+            self.faults.discard("gone")
+            answers = [{"reason": "gone"} for _ in items]
+        await stream.send(_plain(200, orjson.dumps({"items": answers})))
+
+    async def _run(
+        self, stream: Any, headers: dict[str, str], path: str
+    ) -> None:
+        request_id = headers.get("x-attempt-id", "")
+        for status, fault in ((503, "full"), (409, "inputs_gone")):
+            if fault in self.faults:
+                if fault == "inputs_gone":
+                    self.faults.discard(fault)
+                answer = {"X-Not-Executed": "1", "X-Attempt-Id": request_id}
+                await stream.send(_plain(status, b"", answer))
+                return
+        self.runs.append(request_id)
+        try:
+            await self._work(stream)
+        except anyio.EndOfStream:
+            self.left.append(request_id)
+            return
+        if "hang" in self.faults:
+            with contextlib.suppress(anyio.EndOfStream):
+                await stream.receive()
+            self.left.append(request_id)
+            return
+        if path.endswith("/stream"):
+            await self._stream(stream, headers, request_id)
+        else:
+            await stream.send(self._whole(request_id))
+
+    async def _work(self, stream: Any) -> None:
+        with anyio.move_on_after(self.work_ms / 1000.0):
+            await stream.receive()
+
+    def _whole(self, request_id: str) -> bytes:
+        body = f"answer to {request_id}".encode()
+        told = "another" if "foreign" in self.faults else request_id
+        status = 500 if "errors" in self.faults else 200
+        headers = {
+            "X-Attempt-Id": told,
+            "X-Response-Stamp": SIGNATURE.decode(),
+            "X-Replica-Load": "3,1,6",
+        }
+        answer = _plain(status, body, headers)
+        if "cut" in self.faults:
+            return answer[:-4]
+        if "unsigned" in self.faults:
+            return answer.replace(b"X-Response-Stamp", b"X-Other")
+        if "not_http" in self.faults:
+            return b"\x00\x01 this is no answer\r\n\r\n"
+        if "extra" in self.faults:
+            return answer + answer
+        if "unframed" in self.faults:
+            return answer.replace(
+                b"Content-Length: " + str(len(body)).encode() + b"\r\n", b""
+            )
+        return answer
+
+    async def _stream(
+        self, stream: Any, headers: dict[str, str], request_id: str
+    ) -> None:
+        first = int(headers.get("last-event-id", "-1")) + 1
+        await stream.send(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            b"Transfer-Encoding: chunked\r\nX-Attempt-Id: "
+            + request_id.encode()
+            + b"\r\nX-Response-Stamp: "
+            + SIGNATURE
+            + b"\r\n\r\n"
+        )
+        for number in range(first, self.events):
+            await anyio.sleep(self.event_ms / 1000.0)
+            if "skip" in self.faults and number == 2:
+                continue
+            data = EVENT.format(number=number).encode()
+            if "break" in self.faults and number == 2:
+                await stream.send(_chunk(data[:7], whole=len(data)))
+                self.faults.discard("break")
+                return
+            await stream.send(_chunk(data))
+        await stream.send(b"0\r\n\r\n")
+
+
+def _plain(
+    status: int, body: bytes, headers: dict[str, str] | None = None
+) -> bytes:
+    lines = [f"HTTP/1.1 {status} Answer"]
+    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def _chunk(data: bytes, *, whole: int | None = None) -> bytes:
+    size = f"{whole or len(data):x}\r\n".encode()
+    return size + data + (b"\r\n" if whole is None else b"")
