--- a/cactusdyke/cmd/main.py
+++ b/cactusdyke/cmd/main.py
@@ -15,6 +15,7 @@
 from cactusdyke.cmd.entry import entry
 from cactusdyke.cmd.events import events
 from cactusdyke.cmd.questionnaire import QuestionnaireCommands
+from cactusdyke.cmd.report import report
 from cactusdyke.cmd.settings import SettingsCommands
 from cactusdyke.cmd.submit import submit
 
@@ -30,6 +31,7 @@
     "call": call,
     "cost": reading.cost,
     "trace": reading.trace,
+    "report": report,
     "events": events,
 }
 
--- /dev/null
+++ b/cactusdyke/report/__init__.py
@@ -0,0 +1,1 @@
+"""Reads daemons' logs and tells where requests lost their worth."""
--- /dev/null
+++ b/features/steps/report_steps.py
@@ -0,0 +1,126 @@
+"""Steps of the report from logs."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+from behave import given, then, when
+
+
+def line(at, daemon, event, **fields):
+    value = {"at": at, "daemon": daemon, "event": event, **fields}
+    return f"  12.5 host {json.dumps(value)}\n"
+
+
+ANSWER = {
+    "route": "plans",
+    "service": "pool",
+    "stages_ms": 300,
+    "first_ms": 800,
+    "outcome": "on_time",
+}
+
+
+@given("logs of two daemons with answers, a refusal and calls of a stage")
+def logs(context):
+    context.folder = tempfile.TemporaryDirectory()
+    folder = pathlib.Path(context.folder.name)
+    one = folder / "one.log"
+    two = folder / "two.log"
+    one.write_text(
+        line(10_000, "d1", "CD4301:request_answered", **ANSWER)
+        + "not a line of ours {\n"
+        + line(
+            13_000,
+            "d1",
+            "CD4302:request_failed",
+            route="plans",
+            service="pool",
+            status=503,
+            detail="no replica of pool can be used",
+        )
+    )
+    call = {"service": "roster", "pieces": 5, "made": 4, "waiting": 7}
+    two.write_text(
+        line(10_500, "d2", "CD4301:request_answered", **ANSWER)
+        + line(
+            13_500,
+            "d2",
+            "CD4314:stage_call_ended",
+            failures=["no_room"],
+            **call,
+        )
+    )
+    context.files = [str(one), str(two)]
+
+
+@given("a file of other text")
+def other_text(context):
+    context.folder = tempfile.TemporaryDirectory()
+    path = pathlib.Path(context.folder.name) / "other.txt"
+    path.write_text("nothing\n{}\n")
+    context.files = [str(path)]
+
+
+def _report(context, *arguments):
+    context.done = subprocess.run(
+        [
+            *(sys.executable, "-m", "cactusdyke.cmd.main", "report"),
+            *context.files,
+            *arguments,
+        ],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+@when("a report is made of them")
+def make(context):
+    _report(context, "--json")
+
+
+@when("a report is made of them with a picture")
+def make_picture(context):
+    context.picture = pathlib.Path(context.folder.name) / "report.png"
+    _report(context, "--plot", str(context.picture))
+
+
+@then("it counts them in their spans of two seconds")
+def check_spans(context):
+    assert context.done.returncode == 0, context.done.stderr
+    spans = json.loads(context.done.stdout)["spans"]
+    assert [span["on_time"] for span in spans] == [2, 0]
+    assert [span["503"] for span in spans] == [0, 1]
+    called = spans[1]["stages: calls/pieces/made/waiting/deciders"]
+    assert called == "roster 1/5/4/7/1"
+
+
+@then("it names the refusal's route and reason")
+def check_reason(context):
+    (reason,) = json.loads(context.done.stdout)["reasons"]
+    assert reason["route"] == "plans"
+    assert reason["reason"] == "no replica of its service can be used"
+
+
+@then("it says how long stages took before the first event")
+def check_parts(context):
+    (part,) = json.loads(context.done.stdout)["parts"]
+    assert part["stages ms"] == 300
+    assert part["then first event ms"] == 500
+
+
+@then("it ends with exit code 2 and says why")
+def check_refused(context):
+    assert context.done.returncode == 2
+    assert "no line of a served request" in context.done.stderr
+
+
+@then("the picture is a PNG")
+def check_picture(context):
+    assert context.done.returncode == 0, context.done.stderr
+    assert context.picture.read_bytes().startswith(b"\x89PNG")
