Refuse what a stopping daemon would cut, count lost daemons in budgets, name the asked replica

(1) A request that comes in the last seconds before SIGKILL was begun and cut. (2) A daemon cut off from all others believed to be alone and would spend the whole slack of the retry budget; six such spend six times as much. (3) The log of a request whose time ran out did not name the replica it was waiting for, nor which stage's queue.

Change: a stopping daemon refuses unrun, with a short time to come back, what usually takes longer than it has; members believed dead, seeds and registered daemons count in the share; CD4302 names the replica asked and CD4315 what became of a stage's pieces.

Ruled out: ending sooner after SIGTERM; callers hold addresses for seconds.

--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -175,6 +175,12 @@
         "A call for pieces brought no results; they are tried again.",
         "Look at the backend server if it is named again and again.",
     )
+    STAGE_GIVEN_UP = (
+        4315,
+        "The pieces of a request's stage were not made, and why; told by the"
+        " daemon that decides for the stage service.",
+        "Look at the calls of the service in the seconds before.",
+    )
     STAGE_CALL_ENDED = (4314, "A call for pieces has brought its results.", "")
     STAGE_FREE_FAILED = (
         4312,
--- a/cactusdyke/membership/members.py
+++ b/cactusdyke/membership/members.py
@@ -90,6 +90,11 @@
         self._table.note_revision(self._settings.name, self._revision())
         return self._table.own
 
+    @property
+    def known_count(self) -> int:
+        """How many daemons are known, this one and dead ones among them."""
+        return 1 + len(self._table.others())
+
     def all(self) -> tuple[Member, ...]:
         """Returns every daemon that is not dead, this one first."""
         others = self._table.others(exclude={MemberState.DEAD})
--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import signal
 import sys
@@ -87,6 +88,7 @@
         self._network = network
         self._sink = sink
         self._draining = False
+        self._stop_at = math.inf
         self._kernel = Kernel()
         self._registry = prometheus_client.CollectorRegistry()
         prometheus_client.ProcessCollector(registry=self._registry)
@@ -122,6 +124,9 @@
             members=self._members,
             front_address=self._settings.front.address,
             ready=lambda: self.ready,
+            least_count=lambda: max(
+                registry.registered_count, len(self._settings.seeds) + 1
+            ),
         )
         followers = [
             follower(
@@ -170,10 +175,11 @@
             ),
             attempts=Attempts(clock=clock, dialect=dialect),
             health=ReplicaHealth(clock=clock),
+            stop_at=lambda: self._stop_at,
             budget=RetryBudget(
                 clock=clock,
                 allowance=lambda: self._settings.retries,
-                daemons=self._view.all_or_suspected,
+                daemons=self._view.believed_count,
             ),
             metrics=metrics,
         )
@@ -288,12 +294,12 @@
         """Serves callers that still hold the address, then ends."""
         began = self._clock.now()
         self._draining = True
+        self._stop_at = began + self._settings.grace_ms - STOP_MARGIN_MS
         events.log(events.Event.DAEMON_DRAINING, daemon=self._settings.node)
         self._front.close_connections()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._kernel.drain)
-            until = began + self._settings.grace_ms - STOP_MARGIN_MS
-            await self._clock.sleep(until - self._clock.now())
+            await self._clock.sleep(self._stop_at - self._clock.now())
             tasks.cancel_scope.cancel()
 
     async def _look_at_settings(self) -> None:
--- a/cactusdyke/platform/registry.py
+++ b/cactusdyke/platform/registry.py
@@ -37,12 +37,19 @@
         self._settings = settings
         self._store = store
         self._clock = clock
+        self._registered = 0
+
+    @property
+    def registered_count(self) -> int:
+        """How many daemons were registered when this one started."""
+        return self._registered
 
     async def read(self) -> Result[tuple[ListedHost, ...], Failure]:
         """Returns the daemons registered; some may be gone."""
         answer = await self._store.list(KIND)
         if isinstance(answer, Err):
             return answer
+        self._registered = len(answer.ok_value.objects)
         return Ok(
             tuple(
                 ListedHost(
--- a/cactusdyke/serving/batcher.py
+++ b/cactusdyke/serving/batcher.py
@@ -70,6 +70,7 @@
         self, group: PieceGroup, *, may_refuse: bool
     ) -> Result[list[str], Failure]:
         """Makes the results of a group; returns their handles in order."""
+        group.queued_at = self._clock.now()
         if may_refuse:
             refusal = self._refusal(group)
             if refusal is not None:
@@ -122,6 +123,7 @@
         left_ms = group.ends_at - self._clock.now()
         if makers and backlog_ms + self._queue.spec.call_ms <= left_ms:
             return None
+        self._log_given_up(group, "refused at once")
         return Failure(
             kind=FailureKind.OVERLOADED,
             detail=f"the stage service {self._service} is busy for longer"
@@ -138,6 +140,7 @@
         if not failures:
             return Ok([t.result.handle for t in group.tasks if t.result])
         self._free_results(group)
+        self._log_given_up(group, str(failures[0]))
         gone = PieceFailure.INPUT_GONE in failures
         return Err(
             Failure(
@@ -152,6 +155,23 @@
             )
         )
 
+    def _log_given_up(self, group: PieceGroup, reason: str) -> None:
+        now = self._clock.now()
+        piece = group.tasks[0].piece
+        events.log(
+            events.Event.STAGE_GIVEN_UP,
+            request_id=piece.request_id,
+            service=self._service,
+            stage=piece.stage,
+            pieces=len(group.tasks),
+            reason=reason,
+            waited_ms=round(now - group.queued_at),
+            left_ms=round(group.ends_at - now),
+            hopeful=group.hopeful,
+            begun=group.begun,
+            waiting=self._queue.waiting,
+        )
+
     def _free_results(self, group: PieceGroup) -> None:
         results = [task.result for task in group.tasks if task.result]
         self.free([result.handle for result in results if result.handle])
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -27,8 +27,9 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
-    from cactusdyke.clock import Clock
+    from cactusdyke.clock import Clock, Instant
     from cactusdyke.serving.attempt import Attempts
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.dialect import Dialect
@@ -48,6 +49,11 @@
 RETRY_AFTER_MS = 300
 UNKNOWN_YET_RETRY_AFTER_MS = 500
 REFUSED_PAUSE_MS = 40.0
+STREAM_MS = 3_000.0
+WHOLE_MS = 700.0
+"""What most streams and whole answers take. A stopping daemon refuses what it
+would have to cut: the caller hears "not run" and has time to go elsewhere."""
+STOPPING_RETRY_AFTER_MS = 50
 MOST_SENDS = 4
 """Whatever a route allows: a request that failed so often fails again."""
 FIRST_EVENT_SHARE = 0.5
@@ -78,6 +84,7 @@
         attempts: Attempts,
         health: ReplicaHealth,
         budget: RetryBudget,
+        stop_at: Callable[[], Instant],
         metrics: ServingMetrics,
     ) -> None:
         self._clock = clock
@@ -90,6 +97,7 @@
         self._attempts = attempts
         self._health = health
         self._budget = budget
+        self._stop_at = stop_at
         self._metrics = metrics
 
     def refusal(self, status: int, reason: str) -> tuple[Headers, bytes]:
@@ -147,6 +155,9 @@
                     detail="the API key is not known",
                 )
             )
+        needs_ms = STREAM_MS if route.streaming else WHOLE_MS
+        if self._clock.now() + needs_ms > self._stop_at():
+            return Err(_stopping())
         return Ok(self._context(request, route, customer))
 
     def _context(
@@ -272,7 +283,7 @@
         if replica is None:
             return _no_replica(context), None
         context.attempts += 1
-        context.in_flight = True
+        context.asking = replica.name
         ended_well = False
         began = self._clock.now()
         self._health.started(replica.name)
@@ -365,7 +376,7 @@
         took_ms: float,
     ) -> None:
         """Takes what an attempt has shown of the request and the replica."""
-        context.in_flight = False
+        context.asking = ""
         context.note(result.ran)
         if result.sent and replica.name not in context.sent_to:
             context.sent_to.append(replica.name)
@@ -522,6 +533,7 @@
                 "service": context.service,
                 "attempts": context.attempts,
                 "replicas": context.sent_to,
+                "asking": context.asking,
                 "stages_ms": round(context.stages_ms),
             }
         route = context.route.name if context else ""
@@ -561,6 +573,14 @@
 }
 
 
+def _stopping() -> Failure:
+    return Failure(
+        kind=FailureKind.STOPPING,
+        detail="this daemon ends before the request could",
+        retry_after_ms=STOPPING_RETRY_AFTER_MS,
+    )
+
+
 def _with_ran(context: ServingContext, failure: Failure) -> Failure:
     """Returns a failure that tells the truth about the whole request."""
     if not context.may_have_run:
@@ -569,7 +589,7 @@
     return Failure(
         kind=FailureKind.OUTCOME_UNKNOWN,
         detail=failure.detail,
-        ran=context.ran if not context.in_flight else Ran.UNKNOWN,
+        ran=Ran.UNKNOWN if context.asking else context.ran,
     )
 
 
--- a/cactusdyke/serving/member_view.py
+++ b/cactusdyke/serving/member_view.py
@@ -30,12 +30,14 @@
         members: Members,
         front_address: str,
         ready: Callable[[], bool],
+        least_count: Callable[[], int],
     ) -> None:
         self._clock = clock
         self._started_at = clock.now()
         self._members = members
         self._front_address = front_address
         self._ready = ready
+        self._least_count = least_count
         self._told: dict[str, Mapping[str, Any]] = {}
         members.attach(ATTACHMENT, self._tell, self._hear)
 
@@ -49,9 +51,9 @@
         ]
         return (self._own(), *others)
 
-    def all_or_suspected(self) -> int:
-        """Returns how many daemons there may be."""
-        return len(self._members.all())
+    def believed_count(self) -> int:
+        """Returns how many daemons there may be, those believed dead too."""
+        return max(self._members.known_count, self._least_count())
 
     def callers_may_use(self) -> list[PeerDaemon]:
         """Returns where callers are sent: ready daemons, or any known."""
--- a/cactusdyke/serving/peers.py
+++ b/cactusdyke/serving/peers.py
@@ -43,8 +43,12 @@
         """Returns every daemon believed alive and not leaving."""
 
     @abc.abstractmethod
-    def all_or_suspected(self) -> int:
-        """Returns how many daemons there may be, for sharing out budgets."""
+    def believed_count(self) -> int:
+        """Returns how many daemons there may be, for sharing out budgets.
+
+        Rather too many than too few: a daemon that is cut off believes the
+        others dead, and each part of a split fleet would spend all there is.
+        """
 
 
 def ranked(
--- a/cactusdyke/serving/request.py
+++ b/cactusdyke/serving/request.py
@@ -92,7 +92,8 @@
         caller_until: Instant until which the caller waits.
         objective_at: Instant by which an answer has its full value.
         ran: What is true of all attempts that have ended.
-        in_flight: Whether an attempt is under way; what it does is unknown.
+        asking: Name of the replica that an attempt is under way at, empty
+            between attempts; what it does is unknown.
         sent_to: Names of the replicas that were sent the request.
         failed_at: Names of those where it did not succeed.
         attempts: Attempts made.
@@ -110,7 +111,7 @@
     caller_until: Instant
     objective_at: Instant
     ran: Ran = Ran.NOT_RUN
-    in_flight: bool = False
+    asking: str = ""
     sent_to: list[str] = attrs.field(factory=list)
     failed_at: list[str] = attrs.field(factory=list)
     attempts: int = 0
@@ -120,7 +121,7 @@
     @property
     def may_have_run(self) -> bool:
         """Whether any attempt ran or may have run, or may run yet."""
-        return self.in_flight or self.ran is not Ran.NOT_RUN
+        return bool(self.asking) or self.ran is not Ran.NOT_RUN
 
     def remaining_ms(self, clock: Clock) -> float:
         """Returns how long the caller still waits, never negative."""
--- a/cactusdyke/serving/stage_queue.py
+++ b/cactusdyke/serving/stage_queue.py
@@ -70,6 +70,7 @@
         data_centre: Where its inputs lie, or its results will be fetched to.
         moved_bytes: What each piece moves that is made elsewhere.
         tasks: The pieces.
+        queued_at: When it was queued.
         hopeful: Whether it could be on time when it was queued.
         cancelled: Whether nobody waits for it any more.
         begun: Whether a piece of it was in a call.
@@ -82,6 +83,7 @@
     data_centre: str = ""
     moved_bytes: float = 0.0
     tasks: list[PieceTask] = attrs.field(factory=list)
+    queued_at: Instant = 0.0
     hopeful: bool = True
     cancelled: bool = False
     begun: bool = False
--- a/features/platform/state.feature
+++ b/features/platform/state.feature
@@ -32,6 +32,12 @@
     Then callers are told of the other one within a second
     And it serves those that still come, and asks them to leave
 
+  Scenario: a stopping daemon begins nothing that it would have to cut
+    # A caller still holds the address and sends a request that takes three
+    # seconds, two before the process ends.
+    When a stream comes to a daemon that has two seconds left
+    Then the caller is told at once that it did not run
+
   Scenario: settings that can't be used change nothing
     When a daemon runs as a process and its settings break and mend
     Then it keeps the settings it had, logs both, and stops in good order
--- a/features/steps/platform_state_steps.py
+++ b/features/steps/platform_state_steps.py
@@ -15,7 +15,11 @@
 from cactusdyke.platform import decode
 from cactusdyke.platform import settings as platform_settings
 from cactusdyke.platform.store import StoreObject
-from features.steps.platform_forwarding_steps import plain_world, play
+from features.steps.platform_forwarding_steps import (
+    STREAM_HEADERS,
+    plain_world,
+    play,
+)
 from features.support.platform_rig import configuration, route, until
 
 
@@ -188,6 +192,32 @@
     assert context.ready == 503
 
 
+@when("a stream comes to a daemon that has two seconds left")
+def late_stream(context):
+    async def story(world):
+        await world.add_replica("e1", "engine")
+        world.configure(
+            [route("talk", "engine", kind="streaming", sticky=True)]
+        )
+        daemon = await world.start_daemon("d1")
+        world.tasks.start_soon(daemon._stop)
+        await until(lambda: daemon._draining)
+        context.answer = await world.request(
+            "/talk/stream", headers=STREAM_HEADERS
+        )
+        context.runs = world.replicas["e1"].runs
+
+    play(story)
+
+
+@then("the caller is told at once that it did not run")
+def check_late_stream(context):
+    status, headers, _ = context.answer
+    assert status == 503, context.answer
+    assert float(headers["retry-after"]) < 0.2
+    assert context.runs == []
+
+
 @then("it serves those that still come, and asks them to leave")
 def check_still_serves(context):
     status, headers, _ = context.answer
