--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -63,6 +63,10 @@
 
 STOP_MARGIN_MS = 700.0
 """Kept of the time between SIGTERM and SIGKILL, for an end in good order."""
+LEAST_LINGER_MS = 3_000.0
+"""Callers are told of other addresses within a second, and most ask again after
+the two seconds that their answer holds."""
+IDLE_LOOK_MS = 50.0
 SETTINGS_LOOK_MS = 2_000.0
 METRICS_PATH = "/metrics"
 MOST_STATE_BYTES = 16 << 20
@@ -299,9 +303,20 @@
         self._front.close_connections()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._kernel.drain)
-            await self._clock.sleep(self._stop_at - self._clock.now())
+            left_ms = self._stop_at - self._clock.now()
+            await self._clock.sleep(min(LEAST_LINGER_MS, left_ms))
+            await self._wait_until_idle()
             tasks.cancel_scope.cancel()
 
+    async def _wait_until_idle(self) -> None:
+        """Returns when nothing is in flight, or the time is over.
+
+        Waiting out the whole time would keep several hosts at once from new
+        work where they are stopped in turn, and all would refuse.
+        """
+        while self._front.in_flight and self._clock.now() < self._stop_at:
+            await self._clock.sleep(IDLE_LOOK_MS)
+
     async def _look_at_settings(self) -> None:
         """Finds settings that change without a signal."""
         known = _content(self._settings_path)
--- a/features/platform/state.feature
+++ b/features/platform/state.feature
@@ -38,6 +38,12 @@
     When a stream comes to a daemon that has two seconds left
     Then the caller is told at once that it did not run
 
+  Scenario: a stopping daemon ends when nothing is in flight
+    # Hosts are stopped in turn, a second apart. If each waits out its eight
+    # seconds all of them are stopping at once, and refuse.
+    When daemons with and without a request are asked to stop
+    Then the idle one ends after three seconds, the other one with its answer
+
   Scenario: settings that can't be used change nothing
     When a daemon runs as a process and its settings break and mend
     Then it keeps the settings it had, logs both, and stops in good order
--- a/features/steps/platform_state_steps.py
+++ b/features/steps/platform_state_steps.py
@@ -192,6 +192,46 @@
     assert context.ready == 503
 
 
+@when("daemons with and without a request are asked to stop")
+def stop_idle(context):
+    async def story(world):
+        world.grace_s = 8
+        await world.add_replica("p1")
+        world.configure([route("look", "plain", timeout_ms=9_000)])
+        await world.start_daemon("d1")
+        await world.start_daemon("d2")
+        world.replicas["p1"].work_ms = 4_500.0
+        context.took = {}
+        context.answers = []
+
+        async def ask():
+            context.answers.append(
+                await world.request(
+                    "/look/a", headers={"X-Deadline-Ms": "9000"}
+                )
+            )
+
+        async def stop(name):
+            began = anyio.current_time()
+            await world.daemons[name]._stop()
+            context.took[name] = anyio.current_time() - began
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask)
+            await until(lambda: world.daemons["d1"]._front.in_flight == 1)
+            tasks.start_soon(stop, "d1")
+            tasks.start_soon(stop, "d2")
+
+    play(story)
+
+
+@then("the idle one ends after three seconds, the other one with its answer")
+def check_stop_idle(context):
+    assert 2.9 < context.took["d2"] < 3.5, context.took
+    assert 4.0 < context.took["d1"] < 6.0, context.took
+    assert context.answers[0][0] == 200
+
+
 @when("a stream comes to a daemon that has two seconds left")
 def late_stream(context):
     async def story(world):
--- a/features/support/platform_rig.py
+++ b/features/support/platform_rig.py
@@ -100,6 +100,7 @@
         self.store = PlatformStore(clock=SystemClock())
         self.replicas = {}
         self.daemons = {}
+        self.grace_s = 3
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self):
@@ -168,7 +169,10 @@
                 "listen": listen,
                 "port_range": [ports[0], ports[0]],
                 "seed_addrs": list(seeds),
-                "bounds": {"grace_s": 3, "retry_budget_slack": 50},
+                "bounds": {
+                    "grace_s": self.grace_s,
+                    "retry_budget_slack": 50,
+                },
                 "platform": {"address": self.store_address},
             }
         )
