Tell backlogs with answers, refuse at arrival what would not come through

Requests passed the first stage and were given up seconds later in the queue of the narrow one, which the daemon that admitted them knew nothing of.

Ruled out: refusing whatever can't be on time. A late answer is worth something to its caller, and at calm it takes nobody's place.

Change: the daemon that decides for a stage tells its backlog with each answer; a request whose way would end after its caller's patience is refused at once, with a time to come back by the backlog, spread by a third. Backlogs and hope go by what was made lately, as memory and not time often binds. Pieces wait for the replica near their inputs for half a call at most.

--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -174,6 +174,7 @@
             dispatch=self._dispatch,
             stages=StageRunner(
                 clock=clock,
+                rng=rng,
                 dispatch=self._dispatch,
                 deployment=self._deployment,
             ),
--- a/cactusdyke/serving/decider.py
+++ b/cactusdyke/serving/decider.py
@@ -10,7 +10,7 @@
 from cactusdyke.kernel import Service
 from cactusdyke.serving.batcher import StageBatcher
 from cactusdyke.serving.placement import EnginePlacer
-from cactusdyke.serving.stage_queue import PieceGroup
+from cactusdyke.serving.stage_queue import Backlog, PieceGroup
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Sequence
@@ -95,6 +95,11 @@
             if not decides_here(known.service):
                 known.scope.cancel()
 
+    def backlog(self, service: str) -> Backlog:
+        """Returns how long pieces of a service wait here."""
+        batcher = self._batchers.get(service)
+        return batcher.queue.backlog() if batcher else Backlog()
+
     def free(self, service: str, handles: Sequence[str]) -> None:
         """Frees results."""
         batcher = self._batcher(service)
--- a/cactusdyke/serving/dispatch.py
+++ b/cactusdyke/serving/dispatch.py
@@ -21,7 +21,7 @@
 from cactusdyke.serving.model import Replica
 from cactusdyke.serving.peers import PeerDaemon
 from cactusdyke.serving.request import Generation, PromptPart
-from cactusdyke.serving.stage_queue import PieceGroup, PieceTask
+from cactusdyke.serving.stage_queue import Backlog, PieceGroup, PieceTask
 from cactusdyke.transport.messages import (
     JSON_TYPE,
     Request,
@@ -35,7 +35,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
 
-    from cactusdyke.clock import Clock
+    from cactusdyke.clock import Clock, Instant
     from cactusdyke.serving.decider import Decider
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.peer_watch import PeerWatch
@@ -51,6 +51,7 @@
 NOTES_EVERY_MS = 8.0
 NOTES_TIMEOUT_MS = 500.0
 MOST_NOTES = 2_000
+BACKLOG_VALUES = 2
 MOST_TURNS = 4
 """After so many daemons that gave the work back it is made here."""
 HAND_OVER_EVERY_MS = 200.0
@@ -117,6 +118,7 @@
         self._decider = decider
         self._deployment = deployment
         self._notes: dict[str, list[Any]] = {}
+        self._backlogs: dict[str, tuple[Backlog, Instant]] = {}
         self._noted = anyio.Event()
 
     async def run(self) -> None:
@@ -151,6 +153,25 @@
                 return answer
         return Err(_no_service(work))
 
+    def backlog(self, service: str) -> Backlog:
+        """Returns how long pieces of a service wait, as last told.
+
+        What was told fades as time passes: the queue has been worked on.
+        """
+        if self._first(service).own:
+            return self._decider.backlog(service)
+        told, at = self._backlogs.get(service, (Backlog(), 0.0))
+        age_ms = self._clock.now() - at
+        return Backlog(
+            hopeful_ms=max(0.0, told.hopeful_ms - age_ms),
+            all_ms=max(0.0, told.all_ms - age_ms),
+        )
+
+    def _told_backlog(self, service: str, value: Any) -> None:
+        if isinstance(value, list) and len(value) == BACKLOG_VALUES:
+            told = Backlog(hopeful_ms=float(value[0]), all_ms=float(value[1]))
+            self._backlogs[service] = (told, self._clock.now())
+
     def free(self, service: str, handles: Sequence[str]) -> None:
         """Frees results at the daemon that keeps count of them."""
         if not handles:
@@ -234,9 +255,15 @@
         answer = await self._decide(work, pinned=False)
         if answer is None:
             return failure_response(_cancelled(work))
+        backlog = self._decider.backlog(work.service)
+        body: dict[str, Any] = {
+            "backlog": [round(backlog.hopeful_ms), round(backlog.all_ms)]
+        }
         if isinstance(answer, Err):
-            return json_response({"failure": _to_wire(answer.err_value)})
-        return json_response({"handles": answer.ok_value})
+            body["failure"] = _to_wire(answer.err_value)
+        else:
+            body["handles"] = answer.ok_value
+        return json_response(body)
 
     async def handle_place(self, request: Request) -> Response:
         """Chooses an engine for another daemon."""
@@ -331,6 +358,7 @@
                 self._watch.suspect(peer)
             return None
         body = answer.ok_value
+        self._told_backlog(work.service, body.get("backlog"))
         if "handles" in body:
             return Ok(list(body["handles"]))
         return Err(_from_wire(body["failure"]))
--- a/cactusdyke/serving/stage_queue.py
+++ b/cactusdyke/serving/stage_queue.py
@@ -33,6 +33,10 @@
 BEGUN_MS = 10_000.0
 """Puts a group that was begun before every one that was not."""
 NEAR_SLACK_MS = 100.0
+NEAR_WAIT_MS = 150.0
+"""Half a call. Its inputs take their makers' memory as long as it waits."""
+RATE_WINDOW_MS = 1_500.0
+"""Some five calls of each replica."""
 LARGE_BYTES = 200_000.0
 CROSSING_MS = 120.0
 """How much later a piece counts as needed at a replica of another data centre
@@ -126,6 +130,19 @@
     avoid_until: Instant = 0.0
 
 
+@attrs.frozen(kw_only=True)
+class Backlog:
+    """How long a group that is queued now would wait, in milliseconds.
+
+    Attributes:
+        hopeful_ms: Behind the groups that can still be on time.
+        all_ms: Behind all groups.
+    """
+
+    hopeful_ms: float = 0.0
+    all_ms: float = 0.0
+
+
 @attrs.frozen(kw_only=True)
 class Batch:
     """What the next call holds.
@@ -151,6 +168,8 @@
         self.spec = spec
         self._waiting: list[PieceTask] = []
         self._names: frozenset[str] = frozenset()
+        self._made: collections.deque[tuple[Instant, int]] = collections.deque()
+        self._busy_since: Instant = math.inf
         self._makers: dict[str, _Maker] = {}
 
     @property
@@ -175,10 +194,32 @@
         )
         return busy + calls * full_ms / len(makers)
 
+    def backlog(self) -> Backlog:
+        """Returns how long a group queued now would wait."""
+        hopeful = sum(
+            not self._is_late(task.group, self._clock.now())
+            for task in self._waiting
+        )
+        return Backlog(
+            hopeful_ms=self._queue_ms(hopeful),
+            all_ms=self._queue_ms(len(self._waiting)),
+        )
+
     def _queue_ms(self, ahead: int) -> float:
-        """Returns about how long `ahead` pieces take all known replicas."""
+        """Returns about how long `ahead` pieces take all known replicas.
+
+        By what they have made lately, where pieces waited all the while:
+        short of memory for results they make less than their calls hold.
+        """
         makers = max(1, len(self._names))
-        return ahead / self.spec.batch * self._full_ms() / makers
+        full_ms = ahead / self.spec.batch * self._full_ms() / makers
+        now = self._clock.now()
+        while self._made and self._made[0][0] < now - RATE_WINDOW_MS:
+            self._made.popleft()
+        if now - self._busy_since < RATE_WINDOW_MS:
+            return full_ms
+        made = sum(count for _, count in self._made)
+        return max(full_ms, ahead * RATE_WINDOW_MS / max(1, made))
 
     def add(self, group: PieceGroup) -> None:
         """Queues a group's pieces.
@@ -192,6 +233,8 @@
         wait_ms = HOPE_MARGIN * self._queue_ms(ahead)
         now = self._clock.now()
         group.hopeful = now + wait_ms + self.spec.call_ms <= group.needed_by
+        if not self._waiting:
+            self._busy_since = now
         self._waiting.extend(group.tasks)
 
     def cancel(self, group: PieceGroup) -> None:
@@ -214,6 +257,7 @@
         self._drop_hopeless()
         self._names = frozenset(makers)
         if not self._waiting:
+            self._busy_since = math.inf
             return None
         free = self._free(makers)
         for name in free:
@@ -237,6 +281,8 @@
             self._avoid(maker)
             return self._again(batch.tasks)
         maker.failures = 0
+        made = sum(1 for result in results if result.handle)
+        self._made.append((self._clock.now(), made))
         self._learn(maker, batch)
         settled: list[PieceTask] = []
         again: list[PieceTask] = []
@@ -297,7 +343,7 @@
         Groups that can still be on time come before those that can't: a late
         answer is worth little, and would make the next ones late as well.
         """
-        late = not group.hopeful or now + self.spec.call_ms > group.needed_by
+        late = self._is_late(group, now)
         until = group.ends_at if late else group.needed_by
         # The results of a group that was begun lie in their makers' memory
         # until the last piece is made. Many groups begun at once would fill it
@@ -307,6 +353,9 @@
             until + group.priority * PRIORITY_STEP_MS - group.begun * BEGUN_MS,
         )
 
+    def _is_late(self, group: PieceGroup, now: Instant) -> bool:
+        return not group.hopeful or now + self.spec.call_ms > group.needed_by
+
     def _free(self, makers: Sequence[str]) -> list[str]:
         """Returns the replicas that may get a call now, the best first."""
         now = self._clock.now()
@@ -386,13 +435,15 @@
         data_centre = task.group.data_centre
         if near[data_centre] > self.spec.batch:
             return False
-        ends = [
+        starts = [
             max(now, maker.busy_until, maker.avoid_until)
-            + self._full_ms() * self._pace(maker)
             for name, maker in self._makers.items()
             if maker.data_centre == data_centre and name in self._names
         ]
-        return bool(ends) and min(ends) + NEAR_SLACK_MS <= task.group.needed_by
+        if not starts or min(starts) > now + NEAR_WAIT_MS:
+            return False
+        end = min(starts) + self._full_ms()
+        return end + NEAR_SLACK_MS <= task.group.needed_by
 
     def _crosses(self, task: PieceTask, maker: _Maker) -> bool:
         """Returns whether much would be moved between data centres."""
--- a/cactusdyke/serving/stages.py
+++ b/cactusdyke/serving/stages.py
@@ -13,11 +13,14 @@
 from cactusdyke.serving.stage_queue import LARGE_BYTES
 
 if TYPE_CHECKING:
+    import random
+
     from cactusdyke.clock import Clock
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.model import StageSpec
     from cactusdyke.serving.request import ServingContext
 
+MOST_RETRY_AFTER_MS = 3_000.0
 REMAKES = 2
 """How often lost inputs are made again for one request."""
 ANSWER_MARGIN_MS = 60.0
@@ -86,9 +89,15 @@
     """Makes the inputs of requests, stages side by side where they can be."""
 
     def __init__(
-        self, *, clock: Clock, dispatch: Dispatch, deployment: Deployment
+        self,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        dispatch: Dispatch,
+        deployment: Deployment,
     ) -> None:
         self._clock = clock
+        self._rng = rng
         self._dispatch = dispatch
         self._deployment = deployment
 
@@ -96,6 +105,9 @@
         self, context: ServingContext, results: StageResults
     ) -> Result[list[str], Failure]:
         """Makes what is missing; returns the handles that the request needs."""
+        refusal = self._refusal(context, results)
+        if refusal is not None:
+            return Err(refusal)
         results.data_centre = await self._engine_data_centre(context, results)
         for _ in range(REMAKES):
             answer = await self._run_missing(context, results)
@@ -110,6 +122,39 @@
             return answer
         return Ok([h for n in results.last() for h in results.made[n]])
 
+    def _refusal(
+        self, context: ServingContext, results: StageResults
+    ) -> Failure | None:
+        """Refuses at once a request that would not come through in time.
+
+        Begun all the same it would take the first stages' time from others,
+        and be given up seconds later in the queue of the narrow one.
+        """
+        if results.made:
+            return None
+        wait_ms = 0.0
+        way_ms = 0.0
+        for number in results.present():
+            service = context.route.stages[number].service
+            backlog = self._dispatch.backlog(service)
+            wait_ms = max(wait_ms, backlog.all_ms)
+            way_ms = max(
+                way_ms,
+                backlog.all_ms
+                + self._stage_ms(context, results, number)
+                + self._rest_ms(context, results, number),
+            )
+        left_ms = context.first_by - self._clock.now()
+        if way_ms <= left_ms:
+            return None
+        spread = self._rng.uniform(0.7, 1.3)
+        return Failure(
+            kind=FailureKind.OVERLOADED,
+            detail=f"stages are busy for {wait_ms:.0f} ms, longer than the"
+            " request can wait",
+            retry_after_ms=int(min(MOST_RETRY_AFTER_MS, wait_ms * spread)),
+        )
+
     def free(self, context: ServingContext, results: StageResults) -> None:
         """Frees all results of a request."""
         for number, handles in results.made.items():
