Test backlogs and refusals at arrival

Added: the backlog told grows while that of hopeful pieces stays bounded; a request that would not come through is refused unrun and begins nothing, one whose caller waits long enough is made. Both fail without the code they are for (tried: without the refusal the first stage is begun).

--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -76,6 +76,14 @@
     When 500 subjects of 20000 tokens are placed on one engine
     Then the placer believes in no more than the engine's memory
 
+  Scenario: a request that would not come through is refused at its arrival
+    # The first stage is free and the second one is seconds behind. Begun, the
+    # request takes the first one's time and is given up in the second's queue.
+    Given stages of which the second is 5 seconds behind
+    When a request comes whose caller waits 2 seconds, and one that waits 9
+    Then the first is refused unrun with a time to come back, and begins nothing
+    And the second is made
+
   Scenario: the parts of a request's graph that are left out pass inputs on
     # A request may leave out a stage. Its followers work on what that stage
     # would have worked on; given nothing they would make a wrong result.
--- a/features/serving/stage_queue.feature
+++ b/features/serving/stage_queue.feature
@@ -65,6 +65,13 @@
     When one replica has shown to be 6 times slower
     Then it gets no call while the other one would be done sooner
 
+  Scenario: what waits without hope does not hide the hopeful
+    # More comes than can be made. Who asks has to know that most would wait
+    # for seconds, and that the few that are begun in time would not.
+    Given a stage queue with calls of 5 pieces and one replica
+    When pieces come twice as fast as calls can hold them
+    Then the backlog told grows, and that of hopeful pieces stays bounded
+
   Scenario: large inputs stay in their data centre while that is in time
     # Sixteen pieces each fetch all results of the stage before. Made in the
     # wrong data centre they carry thirty times what the answers take.
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -6,8 +6,10 @@
 import random
 
 from behave import given, then, when
+from result import Ok
 
 from cactusdyke.clock import Clock
+from cactusdyke.errors import FailureKind, Ran
 from cactusdyke.serving import balance
 from cactusdyke.serving.deployment import Deployment
 from cactusdyke.serving.health import ReplicaHealth
@@ -26,8 +28,10 @@
 from cactusdyke.serving.request import Generation, PromptPart
 from cactusdyke.serving.retry_budget import RetryAllowance, RetryBudget
 from cactusdyke.serving.routes import RouteTable
-from cactusdyke.serving.stages import StageResults
+from cactusdyke.serving.stage_queue import Backlog
+from cactusdyke.serving.stages import StageResults, StageRunner
 from features.support import serving_values as values
+from features.support.virtual import run_virtual
 
 
 class HandClock(Clock):
@@ -395,6 +399,68 @@
     assert 0 < context.believed <= ENGINE.kv_tokens, context.believed
 
 
+class KnownBacklogs:
+    """Stands for the daemons that decide for stages."""
+
+    def __init__(self, **backlogs_ms):
+        self._backlogs_ms = backlogs_ms
+        self.made = []
+
+    def backlog(self, service):
+        ms = self._backlogs_ms.get(service, 0.0)
+        return Backlog(hopeful_ms=0.0, all_ms=ms)
+
+    async def make(self, work):
+        self.made.append(work.service)
+        return Ok([f"{work.service}/{p.number}" for p in work.pieces])
+
+    def free(self, service, handles):
+        pass
+
+
+@given("stages of which the second is 5 seconds behind")
+def behind(context):
+    context.dispatch = KnownBacklogs(narrow=5_000.0)
+    context.runner = StageRunner(
+        clock=HandClock(),
+        rng=random.Random(1),
+        dispatch=context.dispatch,
+        deployment=Deployment(clock=HandClock()),
+    )
+
+
+@when("a request comes whose caller waits 2 seconds, and one that waits 9")
+def two_callers(context):
+    stages = (
+        StageSpec(service="wide"),
+        StageSpec(service="narrow", after=(0,)),
+    )
+
+    def run(first_by):
+        request = values.serving_context(route(stages=stages), pieces=(1, 2))
+        request.first_by = first_by
+        results = StageResults(request)
+        return run_virtual(context.runner.run, request, results)
+
+    context.refused = run(2_000.0)
+    context.begun = list(context.dispatch.made)
+    context.served = run(9_000.0)
+
+
+@then("the first is refused unrun with a time to come back, and begins nothing")
+def check_refused_at_arrival(context):
+    failure = context.refused.unwrap_err()
+    assert failure.kind is FailureKind.OVERLOADED
+    assert failure.ran is Ran.NOT_RUN
+    assert 500 <= failure.retry_after_ms <= 3_000
+    assert context.begun == []
+
+
+@then("the second is made")
+def check_second_made(context):
+    assert context.served.unwrap() == ["narrow/0", "narrow/1"]
+
+
 @when("a graph of four stages runs with its second stage left out")
 def graph(context):
     stages = (
--- a/features/steps/stage_queue_steps.py
+++ b/features/steps/stage_queue_steps.py
@@ -263,7 +263,10 @@
     context.queue.add(group("a", 5, data_centre="at-m1", moved_bytes=MB))
     first = context.queue.next_batch(context.makers)
     assert first.maker == "m1"
-    context.queue.add(group("b", 3, data_centre="at-m1", moved_bytes=MB))
+    context.clock.ms += 150.0
+    context.queue.add(
+        group("b", 3, context.clock.ms, data_centre="at-m1", moved_bytes=MB)
+    )
 
 
 @then("the free replica leaves them alone")
@@ -279,6 +282,26 @@
     assert batch.maker == "m2"
 
 
+@when("pieces come twice as fast as calls can hold them")
+def backlog_grows(context):
+    context.told = []
+    for number in range(20):
+        now = context.clock.ms
+        context.queue.add(group(f"g{number}", 10, now, ends_at=now + 60_000))
+        batch = context.queue.next_batch(context.makers)
+        context.clock.ms += 278.0
+        context.queue.ended(batch, made(batch, number * 10))
+        context.told.append(context.queue.backlog())
+
+
+@then("the backlog told grows, and that of hopeful pieces stays bounded")
+def check_backlog(context):
+    last = context.told[-1]
+    assert last.all_ms > 4_000, last
+    assert last.hopeful_ms < 1_000, last
+    assert context.told[2].all_ms < last.all_ms
+
+
 class ForgetfulQueue(StageQueue):
     """Leaves the pieces of a call in the queue, as a naive one might."""
 
