Test that a holder cut off from the store ends by its own clock

Cause: with holds() in orders/lease.py made always true all 12 scenarios of orders still passed; the guard had no test that needs it.

Ruled out: dropping the guard. A holder that can't renew would go on ordering engines that ignore numbers after the next one has begun.

Change: a scenario in which the holder is cut off and another one takes over; the old one must hold its number no longer. Measured: 13 pass; with holds() always true this one fails and the 12 others pass.

--- a/features/orders/orders.feature
+++ b/features/orders/orders.feature
@@ -49,6 +49,13 @@
     When orders' lease is granted and the answer is lost
     Then orders' lease is held by its writer within 6 seconds under number 1
 
+  Scenario: a holder that is cut off from the store ends by its own clock
+    # It can't renew and hears of no other. Whatever it still orders after its
+    # term would meet the next holder's orders at the same engines.
+    Given orders to engines that ignore numbers
+    When orders' holder is cut off from the store
+    Then orders' old holder holds its number no longer once another one begins
+
   Scenario: a daemon that stops gives the lease back
     Given orders to engines that check numbers
     When orders' holder is told to stop
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -94,6 +94,33 @@
         await fleet.hub.clock.sleep(20)
 
 
+@when("orders' holder is cut off from the store")
+def when_cut_off(context):
+    async def cut(fleet):
+        (holder,) = fleet.holders()
+        keeper, controller = fleet.daemons[holder]
+        number = keeper.held.fencing_number
+        assert keeper.holds(number)
+        assert not keeper.holds(number + 1)
+        fleet.hub.link(holder, "store").cut = True
+        await _until(
+            fleet,
+            lambda: [n for n in fleet.holders() if n != holder],
+            60_000.0,
+        )
+        context.holds_late = keeper.holds(number)
+        context.believers = fleet.most_holders
+
+    context.parts.append(cut)
+    _finish(context)
+
+
+@then("orders' old holder holds its number no longer once another one begins")
+def then_holds_no_longer(context):
+    assert not context.holds_late
+    assert context.believers == 1, context.believers
+
+
 @when("orders are due and the holder pauses just before it sends one")
 def when_pause(context):
     async def pause(fleet):
