Name the next decider to daemons that ask the last one

Cause: in rolling restarts 3 to 5 daemons still batched for one service at a time. For half a second after a decider leaves some had not heard of it; it gave their work back, they asked it again, and after four turns decided for themselves.

Change: a daemon that no longer decides names the one that does, which is then asked for 1.5 s; before deciding alone a daemon insists once. Bad input is tested with requests that are refused for nothing else (with the check for two lengths taken out the old story had still passed, as its request had no id either).

Ruled out: a record of the decider in the store; it would not be faster than gossip.

--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -33,6 +33,7 @@
 from cactusdyke.platform.wire import PlatformDialect
 from cactusdyke.serving.attempt import Attempts
 from cactusdyke.serving.decider import Decider
+from cactusdyke.serving.deciders import Deciders
 from cactusdyke.serving.deployment import Deployment
 from cactusdyke.serving.dispatch import (
     NOTES_PATH,
@@ -159,7 +160,9 @@
         self._dispatch = Dispatch(
             clock=clock,
             network=network,
-            daemons=self._view,
+            deciders=Deciders(
+                clock=clock, daemons=self._view, watch=self._watch
+            ),
             watch=self._watch,
             decider=decider,
             deployment=self._deployment,
--- a/cactusdyke/serving/dispatch.py
+++ b/cactusdyke/serving/dispatch.py
@@ -16,7 +16,7 @@
 
 from cactusdyke.errors import Failure, FailureKind, Ran
 from cactusdyke.kernel import Service
-from cactusdyke.serving import peers
+from cactusdyke.serving.deciders import moved_to_wire
 from cactusdyke.serving.dialect import Piece
 from cactusdyke.serving.model import Replica
 from cactusdyke.serving.peers import PeerDaemon
@@ -37,9 +37,9 @@
 
     from cactusdyke.clock import Clock, Instant
     from cactusdyke.serving.decider import Decider
+    from cactusdyke.serving.deciders import Deciders
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.peer_watch import PeerWatch
-    from cactusdyke.serving.peers import PeerDaemons
     from cactusdyke.transport.network import Network
 
 STAGE_PATH = "/internal/v1/stage-group"
@@ -106,14 +106,14 @@
         *,
         clock: Clock,
         network: Network,
-        daemons: PeerDaemons,
+        deciders: Deciders,
         watch: PeerWatch,
         decider: Decider,
         deployment: Deployment,
     ) -> None:
         self._clock = clock
         self._network = network
-        self._daemons = daemons
+        self._deciders = deciders
         self._watch = watch
         self._decider = decider
         self._deployment = deployment
@@ -136,19 +136,22 @@
     async def _hand_over(self) -> None:
         while True:
             await self._clock.sleep(HAND_OVER_EVERY_MS)
-            self._decider.hand_over(lambda name: self._first(name).own)
+            self._decider.hand_over(
+                lambda name: self._deciders.by_members(name).own
+            )
 
     async def make(self, work: StageWork) -> Result[list[str], Failure]:
         """Makes the results of one stage; returns their handles in order."""
         began = self._clock.now()
         for turn in range(MOST_TURNS):
-            peer = self._first(work.service)
+            peer = self._deciders.first(work.service)
             left = _later(work, self._clock.now() - began)
-            if peer.own or turn == MOST_TURNS - 1:
-                pinned = turn == MOST_TURNS - 1
-                answer = await self._decide(left, pinned=pinned)
+            last = turn == MOST_TURNS - 1
+            if peer.own or last:
+                answer = await self._decide(left, pinned=last)
             else:
-                answer = await self._make_at(peer, left)
+                insists = turn == MOST_TURNS - 2
+                answer = await self._make_at(peer, left, insists=insists)
             if answer is not None:
                 return answer
         return Err(_no_service(work))
@@ -158,7 +161,7 @@
 
         What was told fades as time passes: the queue has been worked on.
         """
-        if self._first(service).own:
+        if self._deciders.first(service).own:
             return self._decider.backlog(service)
         told, at = self._backlogs.get(service, (Backlog(), 0.0))
         age_ms = self._clock.now() - at
@@ -176,7 +179,7 @@
         """Frees results at the daemon that keeps count of them."""
         if not handles:
             return
-        peer = self._first(service)
+        peer = self._deciders.first(service)
         if peer.own:
             self._decider.free(service, handles)
         else:
@@ -190,13 +193,14 @@
         exclude: Collection[str],
     ) -> Placed | None:
         """Chooses an engine for a request."""
-        own = self._own()
-        peer = self._first(service)
+        own = self._deciders.own()
+        peer = self._deciders.first(service)
         replica: Replica | None = None
         if not peer.own:
             replica = await self._place_at(
                 peer, service, placement_id, generation, exclude
             )
+            peer = self._deciders.first(service)
         if replica is None or not self._deployment.may_use(replica):
             peer = own
             replica = self._decider.place(
@@ -213,7 +217,7 @@
 
     async def locate(self, service: str, generation: Generation) -> str:
         """Returns the data centre of the engine that a request would get."""
-        peer = self._first(service)
+        peer = self._deciders.first(service)
         replica: Replica | None = None
         if not peer.own:
             replica = await self._place_at(peer, service, "", generation, ())
@@ -252,8 +256,15 @@
             work = _work_from(value.ok_value)
         except (KeyError, TypeError, ValueError) as error:
             return failure_response(_unreadable(error))
-        answer = await self._decide(work, pinned=False)
+        insists = bool(value.ok_value.get("insists"))
+        moved = self._moved(work.service)
+        if moved and not insists:
+            return json_response({"moved": moved})
+        answer = await self._decide(work, pinned=insists)
         if answer is None:
+            moved = self._moved(work.service)
+            if moved:
+                return json_response({"moved": moved})
             return failure_response(_cancelled(work))
         backlog = self._decider.backlog(work.service)
         body: dict[str, Any] = {
@@ -271,6 +282,9 @@
         if isinstance(value, Err):
             return failure_response(value.err_value)
         body = value.ok_value
+        moved = self._moved(str(body.get("service")))
+        if moved and not body.get("insists"):
+            return json_response({"moved": moved})
         try:
             generation = _generation_from(body["generation"])
             if body["id"]:
@@ -334,15 +348,21 @@
             pinned=pinned,
         )
 
+    def _moved(self, service: str) -> list[str] | None:
+        """Returns who decides for a service if it is not this daemon."""
+        first = self._deciders.by_members(service)
+        return None if first.own else moved_to_wire(first)
+
     async def _make_at(
-        self, peer: PeerDaemon, work: StageWork
+        self, peer: PeerDaemon, work: StageWork, *, insists: bool
     ) -> Result[list[str], Failure] | None:
         """Asks another daemon; None if it has to be asked elsewhere."""
         answered = False
         try:
             with self._watch.waiting_for(peer):
+                body = {**_work_to(work), "insists": insists}
                 answer = await self._fetch(
-                    peer, STAGE_PATH, _work_to(work), work.ends_in_ms
+                    peer, STAGE_PATH, body, work.ends_in_ms
                 )
                 answered = True
         finally:
@@ -358,6 +378,9 @@
                 self._watch.suspect(peer)
             return None
         body = answer.ok_value
+        if "moved" in body:
+            self._deciders.take_moved(work.service, body["moved"])
+            return None
         self._told_backlog(work.service, body.get("backlog"))
         if "handles" in body:
             return Ok(list(body["handles"]))
@@ -371,7 +394,7 @@
         generation: Generation,
         exclude: Collection[str],
     ) -> Replica | None:
-        body = {
+        body: dict[str, Any] = {
             "service": service,
             "id": placement_id,
             "generation": _generation_to(generation),
@@ -380,6 +403,13 @@
         answer: Result[dict[str, Any], Failure] | None = None
         with self._clock.timeout(PLACE_TIMEOUT_MS):
             answer = await self._fetch(peer, PLACE_PATH, body, PLACE_TIMEOUT_MS)
+            if isinstance(answer, Ok) and "moved" in answer.ok_value:
+                self._deciders.take_moved(service, answer.ok_value["moved"])
+                peer = self._deciders.first(service)
+                body["insists"] = True
+                answer = await self._fetch(
+                    peer, PLACE_PATH, body, PLACE_TIMEOUT_MS
+                )
         if answer is None or isinstance(answer, Err):
             # One late answer may be this daemon's own fault; whether the other
             # one is silent is asked before everyone's requests leave it.
@@ -436,15 +466,6 @@
         # and placements are forgotten after a while.
         await self._network.fetch(address, request, options)
 
-    def _order(self, service: str) -> list[PeerDaemon]:
-        return peers.ranked(service, self._daemons.all(), self._watch.silent)
-
-    def _first(self, service: str) -> PeerDaemon:
-        return self._order(service)[0]
-
-    def _own(self) -> PeerDaemon:
-        return next(d for d in self._daemons.all() if d.own)
-
 
 def _later(work: StageWork, passed_ms: float) -> StageWork:
     return attrs.evolve(
--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -76,6 +76,14 @@
     When 500 subjects of 20000 tokens are placed on one engine
     Then the placer believes in no more than the engine's memory
 
+  Scenario: a daemon that no longer decides names the one that does
+    # A decider leaves. For half a second some daemons have not heard of it and
+    # ask it all the same; deciding for themselves they would fill calls alone.
+    Given three daemons of which one decides for a service
+    When it says that another one decides by now
+    Then that one is asked, until gossip has had its time
+    And not if it is silent, and not if it is this daemon itself
+
   Scenario: a request that would not come through is refused at its arrival
     # The first stage is free and the second one is seconds behind. Begun, the
     # request takes the first one's time and is given up in the second's queue.
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -98,7 +98,7 @@
 def when_cut_off(context):
     async def cut(fleet):
         (holder,) = fleet.holders()
-        keeper, controller = fleet.daemons[holder]
+        keeper, _ = fleet.daemons[holder]
         number = keeper.held.fencing_number
         assert keeper.holds(number)
         assert not keeper.holds(number + 1)
--- a/features/steps/platform_forwarding_steps.py
+++ b/features/steps/platform_forwarding_steps.py
@@ -207,18 +207,18 @@
     assert 0.35 < context.took < 0.65, context.took
 
 
+GOOD_HEAD = (
+    f"POST /look/a HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: bad\r\n"
+    f"Authorization: Bearer {KEY}\r\n"
+).encode()
+"""A head that is refused for nothing but what is put behind it."""
+
 BAD = {
-    "two lengths": (
-        b"POST /look/a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
-        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
-    ),
-    "a space in a header's name": (
-        b"POST /look/a HTTP/1.1\r\nHost: h\r\nContent-Length : 3\r\n\r\nabc"
-    ),
-    "an odd chunk": (
-        b"POST /look/a HTTP/1.1\r\nHost: h\r\n"
-        b"Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n"
-    ),
+    "two lengths": GOOD_HEAD
+    + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "a space in a header's name": GOOD_HEAD + b"Content-Length : 3\r\n\r\nabc",
+    "an odd chunk": GOOD_HEAD
+    + b"Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
     "no id": (
         f"POST /look/a HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 0\r\n"
         f"Authorization: Bearer {KEY}\r\n\r\n"
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -11,6 +11,7 @@
 from cactusdyke.clock import Clock
 from cactusdyke.errors import FailureKind, Ran
 from cactusdyke.serving import balance
+from cactusdyke.serving.deciders import Deciders
 from cactusdyke.serving.deployment import Deployment
 from cactusdyke.serving.health import ReplicaHealth
 from cactusdyke.serving.model import (
@@ -24,6 +25,8 @@
     StageSpec,
     WeightedService,
 )
+from cactusdyke.serving.peer_watch import PeerWatch
+from cactusdyke.serving.peers import PeerDaemon, PeerDaemons
 from cactusdyke.serving.placement import EnginePlacer
 from cactusdyke.serving.request import Generation, PromptPart
 from cactusdyke.serving.retry_budget import RetryAllowance, RetryBudget
@@ -399,6 +402,63 @@
     assert 0 < context.believed <= ENGINE.kv_tokens, context.believed
 
 
+class ThreeDaemons(PeerDaemons):
+    """Daemons whose liveness nobody doubts."""
+
+    def all(self):
+        return tuple(
+            PeerDaemon(
+                name=name,
+                address=f"{name}:1",
+                front_address="",
+                data_centre="here",
+                ready=True,
+                own=name == "d1",
+            )
+            for name in ("d1", "d2", "d3")
+        )
+
+    def believed_count(self):
+        return 3
+
+
+@given("three daemons of which one decides for a service")
+def three_daemons(context):
+    context.clock = HandClock()
+    context.watch = PeerWatch(clock=context.clock, network=None)
+    context.deciders = Deciders(
+        clock=context.clock, daemons=ThreeDaemons(), watch=context.watch
+    )
+    context.usual = context.deciders.first("service").name
+
+
+@when("it says that another one decides by now")
+def says_moved(context):
+    context.other = "d3" if context.usual == "d2" else "d2"
+    context.deciders.take_moved(
+        "service", [context.other, f"{context.other}:1", "here"]
+    )
+
+
+@then("that one is asked, until gossip has had its time")
+def check_moved(context):
+    assert context.deciders.first("service").name == context.other
+    assert context.deciders.by_members("service").name == context.usual
+    context.clock.ms += 1_600.0
+    assert context.deciders.first("service").name == context.usual
+
+
+@then("not if it is silent, and not if it is this daemon itself")
+def check_not_moved(context):
+    says_moved(context)
+    peer = context.deciders.first("service")
+    context.watch.mark_silent(peer, detail="test")
+    assert context.deciders.first("service").name != context.other
+    context.deciders.take_moved("service", ["d1", "d1:1", "here"])
+    by_members = context.deciders.by_members("service").name
+    assert context.deciders.first("service").name == by_members
+
+
 class KnownBacklogs:
     """Stands for the daemons that decide for stages."""
 
