Large hosts decide first, watches wait longer in a large fleet

Ruled out: shards of a stage service. One queue fills calls best, and a host of one core carries it.

Change: daemons tell the class of their host's processor and link, and the largest decide first; watches wait 2 s up to 15 daemons and as many times longer as there are more, up to 10 s; every connection between daemons and to the store has keep-alive probes, which find a silent one in 4 s.

Platform 45 and silent_connections 3 scenarios pass.

--- a/cactusdyke/platform/follow.py
+++ b/cactusdyke/platform/follow.py
@@ -15,7 +15,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from cactusdyke.clock import Clock, Instant
     from cactusdyke.errors import Failure
@@ -29,6 +29,8 @@
 """A watch that a cut has silenced is found out after this and a margin, which
 is within the time that a healed host has to catch up. A call a daemon and
 kind in each such time is what it costs."""
+DAEMONS_A_WAIT = 15
+MOST_WAITS = 5.0
 RETRY_MS = 250.0
 
 
@@ -43,12 +45,14 @@
         clock: Clock,
         rng: random.Random,
         deployment: Deployment,
+        daemons: Callable[[], int],
     ) -> None:
         self._kind = kind
         self._store = store
         self._clock = clock
         self._rng = rng
         self._deployment = deployment
+        self._daemons = daemons
         self._objects: dict[str, StoreObject] = {}
         self._revision = 0
         self._listed = False
@@ -67,8 +71,9 @@
 
     @property
     def silent_ms(self) -> float:
-        """How long ago the store last answered."""
-        return self._clock.now() - self._heard_at
+        """How long ago the store last answered, but for longer watches."""
+        longer_ms = self._wait_ms - WAIT_MS
+        return self._clock.now() - self._heard_at - longer_ms
 
     def to_wire(self) -> Any:
         """Returns the objects for another daemon."""
@@ -104,7 +109,7 @@
         if not self._listed:
             return await self._list()
         answer = await self._store.watch(
-            self._kind, revision=self._revision, wait_ms=WAIT_MS
+            self._kind, revision=self._revision, wait_ms=self._wait_ms
         )
         if isinstance(answer, Err):
             return answer.err_value
@@ -117,6 +122,16 @@
         self._revision = max(self._revision, answer.ok_value.revision)
         return None
 
+    @property
+    def _wait_ms(self) -> float:
+        """How long a watch waits, longer in a large fleet.
+
+        The store's rates grow more slowly than the fleet. Where watches wait
+        longer the probes of their connections find a silent one.
+        """
+        share = self._daemons() / DAEMONS_A_WAIT
+        return WAIT_MS * min(MOST_WAITS, max(1.0, share))
+
     async def _list(self) -> Failure | None:
         answer = await self._store.list(self._kind)
         if isinstance(answer, Err):
--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -46,6 +46,7 @@
 from cactusdyke.serving.measures import ServingMetrics
 from cactusdyke.serving.member_view import MemberView
 from cactusdyke.serving.peer_watch import ALIVE_PATH, PeerWatch
+from cactusdyke.serving.peers import size_class
 from cactusdyke.serving.retry_budget import RetryBudget
 from cactusdyke.serving.stages import StageRunner
 from cactusdyke.serving.state_exchange import STATE_PATH, StateExchange
@@ -128,6 +129,9 @@
             clock=clock,
             members=self._members,
             front_address=self._settings.front.address,
+            size=size_class(
+                cores=self._settings.cores, link_mbps=self._settings.link_mbps
+            ),
             ready=lambda: self.ready,
             least_count=lambda: max(
                 registry.registered_count, len(self._settings.seeds) + 1
@@ -140,6 +144,7 @@
                 clock=clock,
                 rng=rng,
                 deployment=self._deployment,
+                daemons=self._view.believed_count,
             )
             for kind, follower in (
                 (CONFIGURATION_KIND, ConfigurationFollower),
--- a/cactusdyke/platform/settings.py
+++ b/cactusdyke/platform/settings.py
@@ -49,6 +49,8 @@
         address_ttl_ms: Longest time that callers may keep an address.
         retries: What all daemons may spend on retries, by service.
         memory_mb: Memory at which the process is killed.
+        cores: The host's processor, in cores.
+        link_mbps: The host's own link.
     """
 
     node: str
@@ -64,6 +66,8 @@
     address_ttl_ms: float
     retries: RetryAllowance
     memory_mb: float
+    cores: float
+    link_mbps: float
 
     def product_settings(self) -> Settings:
         """Returns the settings of the product's own daemon."""
@@ -134,6 +138,9 @@
             window_ms=float(bounds.get("budget_window_s", 10)) * 1000.0,
         ),
         memory_mb=float(limits.get("memory_mb", 256)),
+        cores=float(limits.get("cpu_share", 1))
+        * float(limits.get("cpu_cores", 1)),
+        link_mbps=float(limits.get("link_mbps", 1_000)),
     )
 
 
--- a/cactusdyke/serving/member_view.py
+++ b/cactusdyke/serving/member_view.py
@@ -29,6 +29,7 @@
         clock: Clock,
         members: Members,
         front_address: str,
+        size: int,
         ready: Callable[[], bool],
         least_count: Callable[[], int],
     ) -> None:
@@ -36,6 +37,7 @@
         self._started_at = clock.now()
         self._members = members
         self._front_address = front_address
+        self._size = size
         self._ready = ready
         self._least_count = least_count
         self._told: dict[str, Mapping[str, Any]] = {}
@@ -72,6 +74,7 @@
             data_centre=own.data_centre,
             ready=self._ready() and not leaving,
             settled=self._settled(),
+            size=self._size,
             own=True,
         )
 
@@ -84,6 +87,7 @@
             data_centre=member.data_centre,
             ready=bool(told.get("r")),
             settled=bool(told.get("s")),
+            size=int(told.get("w", 0)),
         )
 
     def _tell(self) -> Mapping[str, Any]:
@@ -91,6 +95,7 @@
             "a": self._front_address,
             "r": int(self._ready()),
             "s": int(self._settled()),
+            "w": self._size,
         }
 
     def _settled(self) -> bool:
--- a/cactusdyke/serving/peers.py
+++ b/cactusdyke/serving/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -23,6 +24,7 @@
         data_centre: Where it stands.
         ready: Whether callers may be sent to it.
         settled: Whether it has been ready for a while.
+        size: The class of its host's processor and link, larger for more.
         own: Whether it is this daemon.
     """
 
@@ -32,6 +34,7 @@
     data_centre: str
     ready: bool
     settled: bool = True
+    size: int = 0
     own: bool = False
 
 
@@ -51,6 +54,21 @@
         """
 
 
+USEFUL_CORES = 1.0
+USEFUL_LINK_MBPS = 50.0
+"""What the busiest decider of the users' large site was seen to need, doubled;
+hosts above both are alike, and share the services between them."""
+
+
+def size_class(*, cores: float, link_mbps: float) -> int:
+    """Returns the class of a host: a step for each halving below what helps."""
+    share = min(1.0, cores / USEFUL_CORES, link_mbps / USEFUL_LINK_MBPS)
+    return math.floor(math.log2(max(share, MOST_SMALL)) + 0.5)
+
+
+MOST_SMALL = 1 / 64
+
+
 def ranked(
     service: str, daemons: Iterable[PeerDaemon], silent: Mapping[str, float]
 ) -> list[PeerDaemon]:
@@ -60,6 +78,7 @@
     without a message, and one that comes or goes moves only its own services.
     A daemon that did not answer lately comes after those that did, and one
     that has just started after those that have known the queues for long.
+    Large hosts come first: the batches of all pass through the decider's link.
     """
     return sorted(
         daemons,
@@ -67,6 +86,7 @@
             d.name in silent,
             not d.ready,
             not d.settled,
+            -d.size,
             xxhash.xxh3_64_intdigest(f"{service}@{d.name}".encode()),
         ),
     )
--- a/cactusdyke/transport/bounded_stream.py
+++ b/cactusdyke/transport/bounded_stream.py
@@ -10,6 +10,7 @@
 import httpcore
 
 from cactusdyke.clock import MS_PER_SECOND, Clock, Instant
+from cactusdyke.transport.sockets import guard_against_silence
 from cactusdyke.transport.watchdog import Watchdog, Watched
 
 if TYPE_CHECKING:
@@ -56,6 +57,7 @@
             raise httpcore.ConnectTimeout(str(error)) from error
         except OSError as error:
             raise httpcore.ConnectError(str(error)) from error
+        guard_against_silence(stream)
         return _BoundedStream(stream, self, self._watchdog, self._clock)
 
     async def sleep(self, seconds: float) -> None:
--- a/cactusdyke/transport/sockets.py
+++ b/cactusdyke/transport/sockets.py
@@ -19,6 +19,15 @@
 KEEP_ALIVE_PROBES = 2
 
 
+AGAINST_SILENCE = (
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
+)
+
+
 def guard_against_silence(stream: SocketStream) -> None:
     """Makes the kernel end a connection that has gone silent.
 
@@ -27,15 +36,8 @@
     bytes then end it after UNACKNOWLEDGED_MS, an idle one by its probes.
     """
     raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    raw.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
-    )
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
-    raw.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S
-    )
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+    for level, option, value in AGAINST_SILENCE:
+        raw.setsockopt(level, option, value)
 
 
 def reset_on_close(stream: SocketStream) -> None:
