Split dispatch, forwarder and stage queue; test three guards that nothing missed

Cause: three files had grown to 540 to 630 lines with several jobs each, and taking guards out one by one showed three that no scenario needed: events cut at a stream's orderly end, results freed once nothing needs them, pieces made with their inputs.

Change: dispatch_messages (what travels), outcomes (the failures that requests end with), request_log (lines and counts), stage_makers (the account of one replica). Scenarios for the three guards; each fails without its guard.

Ruled out: splitting the retry loop from the forwarder; it reads best in one piece.

--- a/cactusdyke/serving/dispatch.py
+++ b/cactusdyke/serving/dispatch.py
@@ -17,10 +17,18 @@
 from cactusdyke.errors import Failure, FailureKind, Ran
 from cactusdyke.kernel import Service
 from cactusdyke.serving.deciders import moved_to_wire
-from cactusdyke.serving.dialect import Piece
+from cactusdyke.serving.dispatch_messages import (
+    StageWork,
+    failure_from,
+    failure_to,
+    generation_from,
+    generation_to,
+    unreadable,
+    work_from,
+    work_to,
+)
 from cactusdyke.serving.model import Replica
 from cactusdyke.serving.peers import PeerDaemon
-from cactusdyke.serving.request import Generation, PromptPart
 from cactusdyke.serving.stage_queue import Backlog, PieceGroup, PieceTask
 from cactusdyke.transport.messages import (
     JSON_TYPE,
@@ -40,6 +48,7 @@
     from cactusdyke.serving.deciders import Deciders
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.peer_watch import PeerWatch
+    from cactusdyke.serving.request import Generation
     from cactusdyke.transport.network import Network
 
 STAGE_PATH = "/internal/v1/stage-group"
@@ -57,37 +66,6 @@
 HAND_OVER_EVERY_MS = 200.0
 
 
-@attrs.frozen(kw_only=True)
-class StageWork:
-    """The pieces of one stage of one request.
-
-    Attributes:
-        service: The stage's service.
-        name: Names the work among all.
-        pieces: The pieces.
-        needed_in_ms: Until when results are of full value.
-        ends_in_ms: Until when they are of any.
-        priority: The request's rank, 0 first.
-        result_bytes: About how large one result is.
-        may_refuse: Whether it may be refused at once for want of time.
-        moved_bytes: What each piece moves that is made elsewhere than its
-            inputs lie, or its result is fetched.
-        data_centre: Where the results are likely to be fetched, for pieces
-            without inputs.
-    """
-
-    service: str
-    name: str
-    pieces: tuple[Piece, ...]
-    needed_in_ms: float
-    ends_in_ms: float
-    priority: int
-    result_bytes: float
-    may_refuse: bool
-    moved_bytes: float = 0.0
-    data_centre: str = ""
-
-
 @attrs.frozen(kw_only=True)
 class Placed:
     """An engine that was chosen, and by whom."""
@@ -253,9 +231,9 @@
         if isinstance(value, Err):
             return failure_response(value.err_value)
         try:
-            work = _work_from(value.ok_value)
+            work = work_from(value.ok_value)
         except (KeyError, TypeError, ValueError) as error:
-            return failure_response(_unreadable(error))
+            return failure_response(unreadable(error))
         insists = bool(value.ok_value.get("insists"))
         moved = self._moved(work.service)
         if moved and not insists:
@@ -271,7 +249,7 @@
             "backlog": [round(backlog.hopeful_ms), round(backlog.all_ms)]
         }
         if isinstance(answer, Err):
-            body["failure"] = _to_wire(answer.err_value)
+            body["failure"] = failure_to(answer.err_value)
         else:
             body["handles"] = answer.ok_value
         return json_response(body)
@@ -286,7 +264,7 @@
         if moved and not body.get("insists"):
             return json_response({"moved": moved})
         try:
-            generation = _generation_from(body["generation"])
+            generation = generation_from(body["generation"])
             if body["id"]:
                 replica = self._decider.place(
                     body["service"],
@@ -297,7 +275,7 @@
             else:
                 replica = self._decider.locate(body["service"], generation)
         except (KeyError, TypeError, ValueError) as error:
-            return failure_response(_unreadable(error))
+            return failure_response(unreadable(error))
         return json_response({"replica": replica.name if replica else None})
 
     async def handle_notes(self, request: Request) -> Response:
@@ -309,7 +287,7 @@
             for kind, service, subject, *rest in value.ok_value["notes"]:
                 self._take_note(kind, service, subject, rest)
         except (KeyError, TypeError, ValueError) as error:
-            return failure_response(_unreadable(error))
+            return failure_response(unreadable(error))
         return json_response({})
 
     def _take_note(
@@ -360,7 +338,7 @@
         answered = False
         try:
             with self._watch.waiting_for(peer):
-                body = {**_work_to(work), "insists": insists}
+                body = {**work_to(work), "insists": insists}
                 answer = await self._fetch(
                     peer, STAGE_PATH, body, work.ends_in_ms
                 )
@@ -384,7 +362,7 @@
         self._told_backlog(work.service, body.get("backlog"))
         if "handles" in body:
             return Ok(list(body["handles"]))
-        return Err(_from_wire(body["failure"]))
+        return Err(failure_from(body["failure"]))
 
     async def _place_at(
         self,
@@ -397,7 +375,7 @@
         body: dict[str, Any] = {
             "service": service,
             "id": placement_id,
-            "generation": _generation_to(generation),
+            "generation": generation_to(generation),
             "exclude": list(exclude),
         }
         answer: Result[dict[str, Any], Failure] | None = None
@@ -475,89 +453,6 @@
     )
 
 
-def _work_to(work: StageWork) -> dict[str, Any]:
-    return {
-        "service": work.service,
-        "name": work.name,
-        "needed_in_ms": round(work.needed_in_ms),
-        "ends_in_ms": round(work.ends_in_ms),
-        "priority": work.priority,
-        "result_bytes": work.result_bytes,
-        "may_refuse": work.may_refuse,
-        "moved_bytes": work.moved_bytes,
-        "data_centre": work.data_centre,
-        "pieces": [
-            [p.request_id, p.stage, p.number, p.key, list(p.inputs)]
-            for p in work.pieces
-        ],
-    }
-
-
-def _work_from(body: dict[str, Any]) -> StageWork:
-    return StageWork(
-        service=body["service"],
-        name=body["name"],
-        needed_in_ms=float(body["needed_in_ms"]),
-        ends_in_ms=float(body["ends_in_ms"]),
-        priority=int(body["priority"]),
-        result_bytes=float(body["result_bytes"]),
-        may_refuse=bool(body["may_refuse"]),
-        moved_bytes=float(body["moved_bytes"]),
-        data_centre=str(body["data_centre"]),
-        pieces=tuple(
-            Piece(
-                request_id=request_id,
-                stage=stage,
-                number=number,
-                key=key,
-                inputs=tuple(inputs),
-            )
-            for request_id, stage, number, key, inputs in body["pieces"]
-        ),
-    )
-
-
-def _generation_to(generation: Generation) -> list[Any]:
-    return [
-        generation.model,
-        generation.prompt_tokens,
-        generation.output_tokens,
-        [[part.name, part.tokens] for part in generation.parts],
-    ]
-
-
-def _generation_from(value: list[Any]) -> Generation:
-    model, prompt_tokens, output_tokens, parts = value
-    return Generation(
-        model=model,
-        prompt_tokens=int(prompt_tokens),
-        output_tokens=int(output_tokens),
-        parts=tuple(
-            PromptPart(name=name, tokens=int(tokens)) for name, tokens in parts
-        ),
-    )
-
-
-def _to_wire(failure: Failure) -> list[Any]:
-    return [failure.kind.code, failure.detail, failure.retry_after_ms]
-
-
-def _from_wire(value: list[Any]) -> Failure:
-    code, detail, retry_after_ms = value
-    return Failure(
-        kind=FailureKind[str(code).upper()],
-        detail=str(detail),
-        retry_after_ms=retry_after_ms,
-    )
-
-
-def _unreadable(error: Exception) -> Failure:
-    return Failure(
-        kind=FailureKind.BAD_REQUEST,
-        detail=f"The message can't be read: {error!r}",
-    )
-
-
 def _cancelled(work: StageWork) -> Failure:
     return Failure(
         kind=FailureKind.NO_BACKEND_SERVER,
--- /dev/null
+++ b/cactusdyke/serving/dispatch_messages.py
@@ -0,0 +1,140 @@
+"""What daemons say to each other of stages and placements, as JSON."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+from cactusdyke.errors import Failure, FailureKind
+from cactusdyke.serving.dialect import Piece
+from cactusdyke.serving.request import Generation, PromptPart
+
+
+@attrs.frozen(kw_only=True)
+class StageWork:
+    """The pieces of one stage of one request.
+
+    Attributes:
+        service: The stage's service.
+        name: Names the work among all.
+        pieces: The pieces.
+        needed_in_ms: Until when results are of full value.
+        ends_in_ms: Until when they are of any.
+        priority: The request's rank, 0 first.
+        result_bytes: About how large one result is.
+        may_refuse: Whether it may be refused at once for want of time.
+        moved_bytes: What each piece moves that is made elsewhere than its
+            inputs lie, or its result is fetched.
+        data_centre: Where the results are likely to be fetched, for pieces
+            without inputs.
+    """
+
+    service: str
+    name: str
+    pieces: tuple[Piece, ...]
+    needed_in_ms: float
+    ends_in_ms: float
+    priority: int
+    result_bytes: float
+    may_refuse: bool
+    moved_bytes: float = 0.0
+    data_centre: str = ""
+
+
+def work_to(work: StageWork) -> dict[str, Any]:
+    """Returns work as it travels."""
+    return {
+        "service": work.service,
+        "name": work.name,
+        "needed_in_ms": round(work.needed_in_ms),
+        "ends_in_ms": round(work.ends_in_ms),
+        "priority": work.priority,
+        "result_bytes": work.result_bytes,
+        "may_refuse": work.may_refuse,
+        "moved_bytes": work.moved_bytes,
+        "data_centre": work.data_centre,
+        "pieces": [
+            [p.request_id, p.stage, p.number, p.key, list(p.inputs)]
+            for p in work.pieces
+        ],
+    }
+
+
+def work_from(body: dict[str, Any]) -> StageWork:
+    """Reads work.
+
+    Raises:
+        KeyError, TypeError, ValueError: The message is of no known form.
+    """
+    return StageWork(
+        service=body["service"],
+        name=body["name"],
+        needed_in_ms=float(body["needed_in_ms"]),
+        ends_in_ms=float(body["ends_in_ms"]),
+        priority=int(body["priority"]),
+        result_bytes=float(body["result_bytes"]),
+        may_refuse=bool(body["may_refuse"]),
+        moved_bytes=float(body["moved_bytes"]),
+        data_centre=str(body["data_centre"]),
+        pieces=tuple(
+            Piece(
+                request_id=request_id,
+                stage=stage,
+                number=number,
+                key=key,
+                inputs=tuple(inputs),
+            )
+            for request_id, stage, number, key, inputs in body["pieces"]
+        ),
+    )
+
+
+def generation_to(generation: Generation) -> list[Any]:
+    """Returns what a request asks of an engine, as it travels."""
+    return [
+        generation.model,
+        generation.prompt_tokens,
+        generation.output_tokens,
+        [[part.name, part.tokens] for part in generation.parts],
+    ]
+
+
+def generation_from(value: list[Any]) -> Generation:
+    """Reads what a request asks of an engine.
+
+    Raises:
+        TypeError, ValueError: The value is of no known form.
+    """
+    model, prompt_tokens, output_tokens, parts = value
+    return Generation(
+        model=model,
+        prompt_tokens=int(prompt_tokens),
+        output_tokens=int(output_tokens),
+        parts=tuple(
+            PromptPart(name=name, tokens=int(tokens)) for name, tokens in parts
+        ),
+    )
+
+
+def failure_to(failure: Failure) -> list[Any]:
+    """Returns a failure as it travels."""
+    return [failure.kind.code, failure.detail, failure.retry_after_ms]
+
+
+def failure_from(value: list[Any]) -> Failure:
+    """Reads a failure."""
+    code, detail, retry_after_ms = value
+    return Failure(
+        kind=FailureKind[str(code).upper()],
+        detail=str(detail),
+        retry_after_ms=retry_after_ms,
+    )
+
+
+def unreadable(error: Exception) -> Failure:
+    """Returns the failure of a message that can't be read."""
+    return Failure(
+        kind=FailureKind.BAD_REQUEST,
+        detail=f"The message can't be read: {error!r}",
+    )
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -5,17 +5,17 @@
 from typing import TYPE_CHECKING
 
 import anyio
-import attrs
 from result import Err, Ok, Result
 
 from cactusdyke import events
 from cactusdyke.clock import MS_PER_SECOND
 from cactusdyke.errors import Failure, FailureKind, Ran
 from cactusdyke.kernel import Service
-from cactusdyke.serving import balance, routes
+from cactusdyke.serving import balance, outcomes, routes
 from cactusdyke.serving.attempt import AttemptResult, StreamState
 from cactusdyke.serving.model import RepeatPolicy
 from cactusdyke.serving.request import ServingContext
+from cactusdyke.serving.request_log import RequestLog
 from cactusdyke.serving.stages import StageResults
 from cactusdyke.transport.front import (
     BrokenOffError,
@@ -46,14 +46,11 @@
 TIMEOUT_MARGIN_MS = 40.0
 """The final answer leaves so long before the time that a caller is promised."""
 DEFAULT_PATIENCE_MS = 30_000.0
-RETRY_AFTER_MS = 300
-UNKNOWN_YET_RETRY_AFTER_MS = 500
 REFUSED_PAUSE_MS = 40.0
 STREAM_MS = 3_000.0
 WHOLE_MS = 700.0
 """What most streams and whole answers take. A stopping daemon refuses what it
 would have to cut: the caller hears "not run" and has time to go elsewhere."""
-STOPPING_RETRY_AFTER_MS = 50
 MOST_SENDS = 4
 """Whatever a route allows: a request that failed so often fails again."""
 FIRST_EVENT_SHARE = 0.5
@@ -99,10 +96,15 @@
         self._budget = budget
         self._stop_at = stop_at
         self._metrics = metrics
+        self._log = RequestLog(
+            clock=clock, deployment=deployment, metrics=metrics
+        )
 
     def refusal(self, status: int, reason: str) -> tuple[Headers, bytes]:
         """Returns headers and body that refuse what could not be read."""
-        failure = Failure(kind=_UNREAD.get(status, _BAD), detail=reason)
+        failure = Failure(
+            kind=outcomes.UNREAD.get(status, outcomes.BAD), detail=reason
+        )
         events.log(
             events.Event.REQUEST_FAILED,
             request_id="",
@@ -124,7 +126,7 @@
             case Ok(context):
                 await self._serve(context, reply)
             case Err(failure):
-                self._log_failure(failure, client_request.request_id, None)
+                self._log.failed(failure, client_request.request_id, None)
                 await self._fail(failure, client_request.request_id, reply)
 
     def _admit(self, request: ClientRequest) -> Result[ServingContext, Failure]:
@@ -135,7 +137,7 @@
                 Failure(
                     kind=FailureKind.UNCONFIRMED,
                     detail="no configuration is known here yet",
-                    retry_after_ms=UNKNOWN_YET_RETRY_AFTER_MS,
+                    retry_after_ms=outcomes.UNKNOWN_YET_RETRY_AFTER_MS,
                 )
             )
         route = self._deployment.routes.find(request.host, request.path)
@@ -157,7 +159,7 @@
             )
         needs_ms = STREAM_MS if route.streaming else WHOLE_MS
         if self._clock.now() + needs_ms > self._stop_at():
-            return Err(_stopping())
+            return Err(outcomes.stopping())
         return Ok(self._context(request, route, customer))
 
     def _context(
@@ -203,16 +205,16 @@
                 state.on_begin = begun
                 failure = await self._run(context, reply, state, results)
             if scope.cancelled_caught:
-                failure = _timed_out(context)
+                failure = outcomes.timed_out(context)
             finished = True
         finally:
             self._stages.free(context, results)
             if not finished:
-                self._log_left(context, state)
+                self._log.left(context, state)
         if failure is None:
-            self._log_answered(context, state)
+            self._log.answered(context, state)
             return
-        self._log_failure(failure, context.request.request_id, context)
+        self._log.failed(failure, context.request.request_id, context)
         if state.begun:
             raise BrokenOffError
         await self._fail(failure, context.request.request_id, reply)
@@ -230,7 +232,7 @@
         while True:
             handles = await self._make_inputs(context, results)
             if isinstance(handles, Err):
-                return _with_ran(context, handles.err_value)
+                return outcomes.with_ran(context, handles.err_value)
             failure, result = await self._attempt(
                 context, reply, state, results, handles.ok_value
             )
@@ -246,7 +248,7 @@
                 break
         if last is not None and not state.begun:
             return await self._deliver(context, last, reply)
-        return _given_up(context, result)
+        return outcomes.given_up(context, result)
 
     async def _make_inputs(
         self, context: ServingContext, results: StageResults
@@ -281,7 +283,7 @@
         if replica is None:
             replica = self._balance(context)
         if replica is None:
-            return _no_replica(context), None
+            return outcomes.no_replica(context), None
         context.attempts += 1
         context.asking = replica.name
         ended_well = False
@@ -489,141 +491,3 @@
             failure, request_id
         )
         await reply.whole(status, headers, body)
-
-    def _log_answered(
-        self, context: ServingContext, state: StreamState
-    ) -> None:
-        now = self._clock.now()
-        arrived = context.request.arrived_at
-        took_ms = now - arrived
-        first_ms = (state.first_event_at or now) - arrived
-        on_time = first_ms <= context.route.objective_ms and (
-            state.longest_gap_ms <= context.route.gap_objective_ms
-            or not context.route.streaming
-        )
-        outcome = "on_time" if on_time else "late"
-        self._metrics.ended(context.route.name, outcome, first_ms)
-        events.log(
-            events.Event.REQUEST_ANSWERED,
-            request_id=context.request.request_id,
-            route=context.route.name,
-            service=context.service,
-            version=self._deployment.version,
-            outcome=outcome,
-            attempts=context.attempts,
-            replicas=context.sent_to,
-            stages_ms=round(context.stages_ms),
-            first_ms=round(first_ms),
-            gap_ms=round(state.longest_gap_ms),
-            took_ms=round(took_ms),
-        )
-
-    def _log_failure(
-        self,
-        failure: Failure,
-        request_id: str,
-        context: ServingContext | None,
-    ) -> None:
-        took_ms = 0.0
-        fields: dict[str, object] = {}
-        if context is not None:
-            took_ms = self._clock.now() - context.request.arrived_at
-            fields = {
-                "route": context.route.name,
-                "service": context.service,
-                "attempts": context.attempts,
-                "replicas": context.sent_to,
-                "asking": context.asking,
-                "stages_ms": round(context.stages_ms),
-            }
-        route = context.route.name if context else ""
-        self._metrics.ended(route, failure.kind.code, took_ms)
-        events.log(
-            events.Event.REQUEST_FAILED,
-            request_id=request_id,
-            status=failure.kind.status,
-            kind=failure.kind.code,
-            ran=str(failure.ran),
-            retry_after_ms=failure.retry_after_ms,
-            version=self._deployment.version,
-            took_ms=round(took_ms),
-            detail=failure.detail,
-            **fields,
-        )
-
-    def _log_left(self, context: ServingContext, state: StreamState) -> None:
-        took_ms = self._clock.now() - context.request.arrived_at
-        self._metrics.ended(context.route.name, "caller_left", took_ms)
-        events.log(
-            events.Event.REQUEST_LEFT,
-            request_id=context.request.request_id,
-            route=context.route.name,
-            events=state.events,
-            attempts=context.attempts,
-            stages_ms=round(context.stages_ms),
-            took_ms=round(took_ms),
-        )
-
-
-_BAD = FailureKind.BAD_REQUEST
-_UNREAD = {
-    408: FailureKind.TIMED_OUT,
-    413: FailureKind.TOO_LARGE,
-    431: FailureKind.HEADERS_TOO_LARGE,
-}
-
-
-def _stopping() -> Failure:
-    return Failure(
-        kind=FailureKind.STOPPING,
-        detail="this daemon ends before the request could",
-        retry_after_ms=STOPPING_RETRY_AFTER_MS,
-    )
-
-
-def _with_ran(context: ServingContext, failure: Failure) -> Failure:
-    """Returns a failure that tells the truth about the whole request."""
-    if not context.may_have_run:
-        retry_after_ms = failure.retry_after_ms or RETRY_AFTER_MS
-        return attrs.evolve(failure, retry_after_ms=retry_after_ms)
-    return Failure(
-        kind=FailureKind.OUTCOME_UNKNOWN,
-        detail=failure.detail,
-        ran=Ran.UNKNOWN if context.asking else context.ran,
-    )
-
-
-def _timed_out(context: ServingContext) -> Failure:
-    if context.may_have_run:
-        return Failure(
-            kind=FailureKind.DEADLINE,
-            detail="no answer within the time that the request has",
-            ran=Ran.UNKNOWN,
-        )
-    return Failure(
-        kind=FailureKind.OVERLOADED,
-        detail="the request could not be begun within the time that it has",
-        retry_after_ms=RETRY_AFTER_MS,
-    )
-
-
-def _no_replica(context: ServingContext) -> Failure:
-    return _with_ran(
-        context,
-        Failure(
-            kind=FailureKind.NO_BACKEND_SERVER,
-            detail=f"no replica of {context.service} can be used",
-            retry_after_ms=UNKNOWN_YET_RETRY_AFTER_MS,
-        ),
-    )
-
-
-def _given_up(context: ServingContext, result: AttemptResult) -> Failure:
-    return _with_ran(
-        context,
-        Failure(
-            kind=FailureKind.NO_BACKEND_SERVER,
-            detail=result.detail,
-            retry_after_ms=RETRY_AFTER_MS,
-        ),
-    )
--- /dev/null
+++ b/cactusdyke/serving/request_log.py
@@ -0,0 +1,105 @@
+"""Logs and counts how requests end, a line each."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cactusdyke import events
+
+if TYPE_CHECKING:
+    from cactusdyke.clock import Clock
+    from cactusdyke.errors import Failure
+    from cactusdyke.serving.attempt import StreamState
+    from cactusdyke.serving.deployment import Deployment
+    from cactusdyke.serving.measures import ServingMetrics
+    from cactusdyke.serving.request import ServingContext
+
+
+class RequestLog:
+    """Tells of each request what decided how it ended."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        deployment: Deployment,
+        metrics: ServingMetrics,
+    ) -> None:
+        self._clock = clock
+        self._deployment = deployment
+        self._metrics = metrics
+
+    def answered(self, context: ServingContext, state: StreamState) -> None:
+        """Logs and counts a request that was answered by a replica."""
+        now = self._clock.now()
+        arrived = context.request.arrived_at
+        took_ms = now - arrived
+        first_ms = (state.first_event_at or now) - arrived
+        on_time = first_ms <= context.route.objective_ms and (
+            state.longest_gap_ms <= context.route.gap_objective_ms
+            or not context.route.streaming
+        )
+        outcome = "on_time" if on_time else "late"
+        self._metrics.ended(context.route.name, outcome, first_ms)
+        events.log(
+            events.Event.REQUEST_ANSWERED,
+            request_id=context.request.request_id,
+            route=context.route.name,
+            service=context.service,
+            version=self._deployment.version,
+            outcome=outcome,
+            attempts=context.attempts,
+            replicas=context.sent_to,
+            stages_ms=round(context.stages_ms),
+            first_ms=round(first_ms),
+            gap_ms=round(state.longest_gap_ms),
+            took_ms=round(took_ms),
+        )
+
+    def failed(
+        self,
+        failure: Failure,
+        request_id: str,
+        context: ServingContext | None,
+    ) -> None:
+        """Logs and counts a request that ended with a failure of ours."""
+        took_ms = 0.0
+        fields: dict[str, object] = {}
+        if context is not None:
+            took_ms = self._clock.now() - context.request.arrived_at
+            fields = {
+                "route": context.route.name,
+                "service": context.service,
+                "attempts": context.attempts,
+                "replicas": context.sent_to,
+                "asking": context.asking,
+                "stages_ms": round(context.stages_ms),
+            }
+        route = context.route.name if context else ""
+        self._metrics.ended(route, failure.kind.code, took_ms)
+        events.log(
+            events.Event.REQUEST_FAILED,
+            request_id=request_id,
+            status=failure.kind.status,
+            kind=failure.kind.code,
+            ran=str(failure.ran),
+            retry_after_ms=failure.retry_after_ms,
+            version=self._deployment.version,
+            took_ms=round(took_ms),
+            detail=failure.detail,
+            **fields,
+        )
+
+    def left(self, context: ServingContext, state: StreamState) -> None:
+        """Logs and counts a request whose caller left."""
+        took_ms = self._clock.now() - context.request.arrived_at
+        self._metrics.ended(context.route.name, "caller_left", took_ms)
+        events.log(
+            events.Event.REQUEST_LEFT,
+            request_id=context.request.request_id,
+            route=context.route.name,
+            events=state.events,
+            attempts=context.attempts,
+            stages_ms=round(context.stages_ms),
+            took_ms=round(took_ms),
+        )
--- a/cactusdyke/serving/stage_queue.py
+++ b/cactusdyke/serving/stage_queue.py
@@ -13,6 +13,7 @@
 
 from cactusdyke.clock import Clock, Instant
 from cactusdyke.serving.dialect import Piece, PieceFailure, PieceResult
+from cactusdyke.serving.stage_makers import Maker
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -22,14 +23,10 @@
 PRIORITY_STEP_MS = 500.0
 """How much earlier a piece counts as needed for each step of priority."""
 MOST_TRIES = 4
-PACE_MEMORY_MS = 5_000.0
 HOPE_MARGIN = 1.2
 """Calls are seldom quite full."""
-NO_ROOM_PAUSE_MS = 50.0
 REFUSED_PAUSE_MS = 60.0
 """Another daemon's call is under way there; it takes some 200 ms."""
-AVOID_FIRST_MS = 200.0
-AVOID_MOST_MS = 3_000.0
 BEGUN_MS = 10_000.0
 """Puts a group that was begun before every one that was not."""
 NEAR_SLACK_MS = 100.0
@@ -98,38 +95,6 @@
         return all(task.result is not None for task in self.tasks)
 
 
-@attrs.define(kw_only=True)
-class _Maker:
-    """What is known of one replica.
-
-    Attributes:
-        calls: Calls under way there.
-        busy_until: When its present call should end.
-        held: Bytes of results there, by handle.
-        promised: Bytes of results that the calls under way will make.
-        unknown_bytes: Bytes taken there that are not in `held`, when learned.
-        unknown_at: When that was learned.
-        data_centre: Where it stands.
-        pace: How many times longer its calls take than they should.
-        avoid_until: Instant before which it gets no call.
-    """
-
-    calls: int = 0
-    busy_until: Instant = 0.0
-    held: collections.OrderedDict[str, tuple[float, Instant]] = attrs.field(
-        factory=collections.OrderedDict
-    )
-    held_bytes: float = 0.0
-    promised: float = 0.0
-    unknown_bytes: float = 0.0
-    unknown_at: Instant = 0.0
-    data_centre: str = ""
-    pace: float = 1.0
-    pace_at: Instant = 0.0
-    failures: int = 0
-    avoid_until: Instant = 0.0
-
-
 @attrs.frozen(kw_only=True)
 class Backlog:
     """How long a group that is queued now would wait, in milliseconds.
@@ -170,7 +135,7 @@
         self._names: frozenset[str] = frozenset()
         self._made: collections.deque[tuple[Instant, int]] = collections.deque()
         self._busy_since: Instant = math.inf
-        self._makers: dict[str, _Maker] = {}
+        self._makers: dict[str, Maker] = {}
 
     @property
     def waiting(self) -> int:
@@ -276,9 +241,9 @@
             results: What each piece got, None if the call failed whole.
         """
         maker = self._maker(batch.maker)
-        self._release(maker, batch)
+        maker.end_call(_bytes_of(batch), self._clock.now())
         if results is None:
-            self._avoid(maker)
+            maker.avoid(self._clock.now())
             return self._again(batch.tasks)
         maker.failures = 0
         made = sum(1 for result in results if result.handle)
@@ -288,36 +253,31 @@
         again: list[PieceTask] = []
         for task, result in zip(batch.tasks, results, strict=True):
             if result.handle:
-                self._hold(maker, result.handle, task.group.result_bytes)
+                until = self._clock.now() + self.spec.result_lifetime_ms
+                maker.hold(result.handle, task.group.result_bytes, until)
             if result.failure in {PieceFailure.FAILED, PieceFailure.NO_ROOM}:
                 again.append(task)
                 continue
             task.result = result
             settled.append(task)
         if any(r.failure is PieceFailure.NO_ROOM for r in results):
-            self._learn_room(maker)
+            maker.learn_full(self.spec, self._clock.now())
         return settled + self._again(again)
 
     def refused(self, batch: Batch) -> list[PieceTask]:
         """Takes the word of a replica that it did not take a call."""
         maker = self._maker(batch.maker)
-        self._release(maker, batch)
+        maker.end_call(_bytes_of(batch), self._clock.now())
         maker.avoid_until = self._clock.now() + REFUSED_PAUSE_MS
         for task in batch.tasks:
             task.tries -= 1
         return self._again(batch.tasks)
 
-    def _release(self, maker: _Maker, batch: Batch) -> None:
-        maker.calls = max(0, maker.calls - 1)
-        maker.promised -= sum(t.group.result_bytes for t in batch.tasks)
-        maker.busy_until = self._clock.now()
-
     def freed(self, maker_name: str, handles: Sequence[str]) -> None:
         """Notes that results were freed."""
         maker = self._maker(maker_name)
         for handle in handles:
-            size, _ = maker.held.pop(handle, (0.0, 0.0))
-            maker.held_bytes -= size
+            maker.free(handle)
 
     def expire(self) -> list[PieceTask]:
         """Returns pieces whose time has run out while they waited."""
@@ -362,7 +322,7 @@
         known = [(name, self._maker(name)) for name in makers]
         ends = {
             name: max(now, maker.busy_until, maker.avoid_until)
-            + self._full_ms() * self._pace(maker)
+            + self._full_ms() * maker.pace_now(self._clock.now())
             for name, maker in known
         }
         free = []
@@ -380,21 +340,15 @@
         return sorted(
             free,
             key=lambda n: (
-                round(self._pace(self._makers[n]), 1),
+                round(self._makers[n].pace_now(self._clock.now()), 1),
                 self._makers[n].held_bytes,
             ),
         )
 
     def _fill(self, name: str, free: Sequence[str]) -> list[PieceTask]:
         maker = self._maker(name)
-        self._drop_expired_results(maker)
         now = self._clock.now()
-        room = (
-            self.spec.result_room_bytes
-            - maker.held_bytes
-            - maker.promised
-            - self._unknown_bytes(maker)
-        )
+        room = maker.room(self.spec, now)
 
         def order(task: PieceTask) -> tuple[bool, float]:
             late, until = self._order(task.group, now)
@@ -445,7 +399,7 @@
         end = min(starts) + self._full_ms()
         return end + NEAR_SLACK_MS <= task.group.needed_by
 
-    def _crosses(self, task: PieceTask, maker: _Maker) -> bool:
+    def _crosses(self, task: PieceTask, maker: Maker) -> bool:
         """Returns whether much would be moved between data centres."""
         return (
             bool(task.group.data_centre)
@@ -460,7 +414,7 @@
         now = self._clock.now()
         expected_ms = (
             self.spec.call_ms + len(tasks) * self.spec.piece_ms
-        ) * self._pace(maker)
+        ) * maker.pace_now(self._clock.now())
         maker.calls += 1
         maker.busy_until = now + expected_ms
         maker.promised += sum(t.group.result_bytes for t in tasks)
@@ -487,57 +441,18 @@
                 self._waiting.append(task)
         return given_up
 
-    def _avoid(self, maker: _Maker) -> None:
-        pause = min(AVOID_MOST_MS, AVOID_FIRST_MS * 2**maker.failures)
-        maker.failures += 1
-        maker.avoid_until = self._clock.now() + pause
-
-    def _learn(self, maker: _Maker, batch: Batch) -> None:
+    def _learn(self, maker: Maker, batch: Batch) -> None:
         now = self._clock.now()
         usual = self.spec.call_ms + len(batch.tasks) * self.spec.piece_ms
         seen = max(0.5, (now - batch.started_at) / usual)
-        pace = self._pace(maker)
-        maker.pace = pace + 0.5 * (seen - pace)
-        maker.pace_at = now
-
-    def _learn_room(self, maker: _Maker) -> None:
-        """Takes a replica's word that it has no room left.
-
-        Results that a daemon had made before it died, or that nobody could
-        free, take room until they expire, and results may be larger than was
-        told. It shows as calls that take their whole time and bring nothing.
-        """
-        free = self.spec.result_room_bytes - maker.held_bytes - maker.promised
-        maker.unknown_bytes = max(0.0, free)
-        maker.unknown_at = self._clock.now()
-        maker.avoid_until = maker.unknown_at + NO_ROOM_PAUSE_MS
-
-    def _unknown_bytes(self, maker: _Maker) -> float:
-        """Returns what is believed taken; it expires as results do."""
-        age = self._clock.now() - maker.unknown_at
-        left = max(0.0, 1 - age / max(1.0, self.spec.result_lifetime_ms))
-        return maker.unknown_bytes * left
-
-    def _pace(self, maker: _Maker) -> float:
-        age = self._clock.now() - maker.pace_at
-        return 1 + (maker.pace - 1) * math.exp(-age / PACE_MEMORY_MS)
-
-    def _hold(self, maker: _Maker, handle: str, size: float) -> None:
-        until = self._clock.now() + self.spec.result_lifetime_ms
-        maker.held[handle] = (size, until)
-        maker.held_bytes += size
-
-    def _drop_expired_results(self, maker: _Maker) -> None:
-        now = self._clock.now()
-        while maker.held:
-            handle, (size, until) = next(iter(maker.held.items()))
-            if until > now:
-                return
-            del maker.held[handle]
-            maker.held_bytes -= size
+        maker.learn_pace(seen, now)
 
     def _full_ms(self) -> float:
         return self.spec.call_ms + self.spec.batch * self.spec.piece_ms
 
-    def _maker(self, name: str) -> _Maker:
-        return self._makers.setdefault(name, _Maker())
+    def _maker(self, name: str) -> Maker:
+        return self._makers.setdefault(name, Maker())
+
+
+def _bytes_of(batch: Batch) -> float:
+    return sum(task.group.result_bytes for task in batch.tasks)
--- a/cactusdyke/serving/stages.py
+++ b/cactusdyke/serving/stages.py
@@ -9,7 +9,7 @@
 
 from cactusdyke.errors import Failure, FailureKind
 from cactusdyke.serving.dialect import Piece
-from cactusdyke.serving.dispatch import Dispatch, StageWork
+from cactusdyke.serving.dispatch_messages import StageWork
 from cactusdyke.serving.stage_queue import LARGE_BYTES
 
 if TYPE_CHECKING:
@@ -17,6 +17,7 @@
 
     from cactusdyke.clock import Clock
     from cactusdyke.serving.deployment import Deployment
+    from cactusdyke.serving.dispatch import Dispatch
     from cactusdyke.serving.model import StageSpec
     from cactusdyke.serving.request import ServingContext
 
--- a/features/platform/forwarding.feature
+++ b/features/platform/forwarding.feature
@@ -97,9 +97,10 @@
     Then the caller sees that its stream was cut, and it ran once
 
     Examples:
-      | fault |
-      | break |
-      | skip  |
+      | fault      |
+      | break      |
+      | skip       |
+      | half_event |
 
   Scenario: pieces of several requests share calls and leave nothing behind
     When four requests with stages come at once
--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -84,6 +84,19 @@
     Then that one is asked, until gossip has had its time
     And not if it is silent, and not if it is this daemon itself
 
+  Scenario: results are freed once nothing needs them
+    # Results of the first stage lay in their makers' memory until the request
+    # was answered, and the first stage could make no more of them.
+    Given stages of which none is behind
+    When a request runs through both of them
+    Then the first one's results are freed, and not the ones the request needs
+
+  Scenario: pieces are made where most of their inputs lie
+    # Each piece fetches all results of the stage before, between data centres
+    # if its replica stands elsewhere.
+    When pieces with two inputs here and one there are queued
+    Then they belong here
+
   Scenario: a request that would not come through is refused at its arrival
     # The first stage is free and the second one is seconds behind. Begun, the
     # request takes the first one's time and is given up in the second's queue.
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -5,16 +5,21 @@
 import collections
 import random
 
+import anyio
 from behave import given, then, when
 from result import Ok
 
 from cactusdyke.clock import Clock
 from cactusdyke.errors import FailureKind, Ran
+from cactusdyke.platform.wire import PlatformDialect
 from cactusdyke.serving import balance
+from cactusdyke.serving.batcher import StageBatcher
 from cactusdyke.serving.deciders import Deciders
 from cactusdyke.serving.deployment import Deployment
+from cactusdyke.serving.dialect import Piece
 from cactusdyke.serving.health import ReplicaHealth
 from cactusdyke.serving.model import (
+    BatchSpec,
     CallerLimits,
     EngineSpec,
     RepeatPolicy,
@@ -31,7 +36,7 @@
 from cactusdyke.serving.request import Generation, PromptPart
 from cactusdyke.serving.retry_budget import RetryAllowance, RetryBudget
 from cactusdyke.serving.routes import RouteTable
-from cactusdyke.serving.stage_queue import Backlog
+from cactusdyke.serving.stage_queue import Backlog, PieceGroup, PieceTask
 from cactusdyke.serving.stages import StageResults, StageRunner
 from features.support import serving_values as values
 from features.support.virtual import run_virtual
@@ -465,6 +470,7 @@
     def __init__(self, **backlogs_ms):
         self._backlogs_ms = backlogs_ms
         self.made = []
+        self.freed = []
 
     def backlog(self, service):
         ms = self._backlogs_ms.get(service, 0.0)
@@ -475,12 +481,81 @@
         return Ok([f"{work.service}/{p.number}" for p in work.pieces])
 
     def free(self, service, handles):
-        pass
+        self.freed += handles
+
+
+@given("stages of which none is behind")
+def not_behind(context):
+    _stages(context)
+
+
+@when("a request runs through both of them")
+def run_through(context):
+    context.handles = _run_stages(context, first_by=9_000.0).unwrap()
+
+
+@then("the first one's results are freed, and not the ones the request needs")
+def check_freed(context):
+    assert context.dispatch.freed == ["wide/0"], context.dispatch.freed
+    assert context.handles == ["narrow/0", "narrow/1"]
+
+
+@when("pieces with two inputs here and one there are queued")
+def queue_pieces(context):
+    deployment = Deployment(clock=HandClock())
+    deployment.replace_replicas(
+        [
+            replica("r1", address="1.1.1.1:1", data_centre="here"),
+            replica("r2", address="2.2.2.2:2", data_centre="there"),
+        ]
+    )
+
+    def batcher(tasks):
+        return StageBatcher(
+            service="plain",
+            spec=BatchSpec(
+                concurrent_calls=1,
+                waiting_calls=0,
+                batch=4,
+                call_ms=100.0,
+                piece_ms=1.0,
+                result_room_bytes=1e9,
+                result_lifetime_ms=4_000.0,
+            ),
+            clock=HandClock(),
+            deployment=deployment,
+            dialect=PlatformDialect(),
+            tasks=tasks,
+        )
+
+    inputs = ("2.2.2.2:2/a", "1.1.1.1:1/b", "1.1.1.1:1/c")
+    context.group = PieceGroup(
+        needed_by=500.0, ends_at=900.0, priority=0, result_bytes=1.0
+    )
+    piece = Piece(request_id="r", stage=1, number=0, inputs=inputs)
+    context.group.tasks = [PieceTask(piece=piece, group=context.group)]
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            with anyio.move_on_after(1):
+                await batcher(tasks).run(context.group, may_refuse=True)
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run)
+
+
+@then("they belong here")
+def check_belong(context):
+    assert context.group.data_centre == "here"
 
 
 @given("stages of which the second is 5 seconds behind")
 def behind(context):
-    context.dispatch = KnownBacklogs(narrow=5_000.0)
+    _stages(context, narrow=5_000.0)
+
+
+def _stages(context, **backlogs_ms):
+    context.dispatch = KnownBacklogs(**backlogs_ms)
     context.runner = StageRunner(
         clock=HandClock(),
         rng=random.Random(1),
@@ -491,20 +566,20 @@
 
 @when("a request comes whose caller waits 2 seconds, and one that waits 9")
 def two_callers(context):
+    context.refused = _run_stages(context, first_by=2_000.0)
+    context.begun = list(context.dispatch.made)
+    context.served = _run_stages(context, first_by=9_000.0)
+
+
+def _run_stages(context, *, first_by):
     stages = (
         StageSpec(service="wide"),
         StageSpec(service="narrow", after=(0,)),
     )
-
-    def run(first_by):
-        request = values.serving_context(route(stages=stages), pieces=(1, 2))
-        request.first_by = first_by
-        results = StageResults(request)
-        return run_virtual(context.runner.run, request, results)
-
-    context.refused = run(2_000.0)
-    context.begun = list(context.dispatch.made)
-    context.served = run(9_000.0)
+    request = values.serving_context(route(stages=stages), pieces=(1, 2))
+    request.first_by = first_by
+    results = StageResults(request)
+    return run_virtual(context.runner.run, request, results)
 
 
 @then("the first is refused unrun with a time to come back, and begins nothing")
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -212,6 +212,8 @@
                 self.faults.discard("break")
                 return
             await stream.send(_chunk(data))
+        if "half_event" in self.faults:
+            await stream.send(_chunk(b"id: 99\ndata: to"))
         await stream.send(b"0\r\n\r\n")
 
 
