Test bounded logs, silence, handing over and held bodies; keep the count of lost lines

Cause: guards of a daemon's life had no test: bounded log lines, the share of retries of a daemon that is cut off, a silent decider, queues handed over, bodies in memory.

--- a/cactusdyke/observe/log_sink.py
+++ b/cactusdyke/observe/log_sink.py
@@ -69,9 +69,7 @@
 
     def flush(self) -> None:
         """Writes as much as the reader takes now."""
-        if self._lost:
-            lost, self._lost = self._lost, 0
-            self._put({"event": _dropped(), "kind": "full", "lines": lost})
+        self._tell_lost()
         while self._waiting:
             data = b"".join(self._waiting)
             try:
@@ -85,6 +83,12 @@
                 self._waiting.append(rest)
                 return
 
+    def _tell_lost(self) -> None:
+        """Says how many lines were lost, once there is room to say it."""
+        if self._lost and self._waiting_bytes < MOST_WAITING_BYTES // 2:
+            lost, self._lost = self._lost, 0
+            self._put({"event": _dropped(), "kind": "full", "lines": lost})
+
     def _filled(self, kind: str) -> _Bucket:
         now = self._clock.now()
         bucket = self._buckets.setdefault(kind, _Bucket(at=now))
--- /dev/null
+++ b/features/serving/daemon.feature
@@ -0,0 +1,42 @@
+Feature: what keeps a daemon and its peers alive under load
+
+  Scenario: a storm of one kind of line is bounded and counted
+    # A replica fails every request and each failure is a line. Writing them
+    # all would cost more than the requests.
+    Given a log sink on a pipe that is read
+    When 3000 lines of one kind come at once, and one more a second later
+    Then about 1000 of them are written and the rest is counted
+
+  Scenario: a log reader that stops reading costs lines, and no time
+    # The collector hangs and the pipe fills. A daemon that waits for it serves
+    # nobody.
+    Given a log sink on a pipe that nobody reads
+    When 4 MB of lines come
+    Then the sink comes back at once and holds a megabyte at most
+    And once the pipe is read it tells how many lines were lost
+
+  Scenario: a daemon that is cut off does not spend the others' retries
+    # It believes the others dead. Were it to count itself alone, six such
+    # daemons would spend six times what is allowed.
+    Given a daemon that believes five others dead
+    Then it still shares the retries with them
+
+  Scenario: a decider that goes silent is left within a second
+    # It is frozen with pieces in its queue, and its connections stay open. The
+    # requests that wait for it must not wait until their end.
+    Given a daemon that waits for another one to make pieces
+    When the other one stops answering questions
+    Then the wait ends within 1200 ms and the next decider is asked
+
+  Scenario: a queue whose service another daemon decides for is handed over
+    # The decider is leaving. What it has not begun goes to the next one, what
+    # it has begun stays.
+    Given a decider with one group begun and one that waits
+    When another daemon decides for the service
+    Then the waiting group is given back and the begun one goes on
+
+  Scenario: bodies that wait are bounded over all connections
+    # Many callers send four megabytes each and none is done. The host has 300.
+    Given a front that holds nearly all bodies it may
+    When another body of a megabyte comes
+    Then it is read only after one of the others is answered
--- /dev/null
+++ b/features/steps/daemon_steps.py
@@ -0,0 +1,309 @@
+"""Steps of what keeps a daemon alive: logs, budgets, silence, memory."""
+
+from __future__ import annotations
+
+import json
+import os
+import time
+
+import anyio
+from behave import given, then, when
+from result import Err, Ok
+
+from cactusdyke.clock import EventLoopClock
+from cactusdyke.errors import Failure, FailureKind, Ran
+from cactusdyke.observe.log_sink import LogSink
+from cactusdyke.serving.decider import Decider
+from cactusdyke.serving.deployment import Deployment
+from cactusdyke.serving.dialect import Piece
+from cactusdyke.serving.member_view import MemberView
+from cactusdyke.serving.model import (
+    BatchSpec,
+    CallerLimits,
+    ServiceSpec,
+    ServingConfiguration,
+)
+from cactusdyke.serving.peer_watch import ALIVE_PATH, PeerWatch
+from cactusdyke.serving.peers import PeerDaemon
+from cactusdyke.serving.stage_queue import PieceGroup, PieceTask
+from cactusdyke.transport.front import MOST_BODY_BYTES_IN_ALL, Front
+from cactusdyke.transport.messages import json_response
+from features.steps.serving_steps import HandClock
+from features.support.virtual import run_virtual
+
+
+def _sink(context):
+    context.clock = HandClock()
+    context.read_end, write_end = os.pipe()
+    os.set_blocking(context.read_end, False)
+    context.sink = LogSink(
+        clock=context.clock, daemon="d1", descriptor=write_end
+    )
+
+
+def _lines(context):
+    data = b""
+    while True:
+        context.sink.flush()
+        try:
+            part = os.read(context.read_end, 1 << 20)
+        except BlockingIOError:
+            return [json.loads(line) for line in data.splitlines()]
+        data += part
+
+
+@given("a log sink on a pipe that is read")
+@given("a log sink on a pipe that nobody reads")
+def given_sink(context):
+    _sink(context)
+
+
+@when("3000 lines of one kind come at once, and one more a second later")
+def storm(context):
+    for number in range(3_000):
+        context.sink({"message_type": "CD4001:attempt_failed", "n": number})
+    context.clock.ms += 1_000.0
+    context.sink({"message_type": "CD4001:attempt_failed", "n": 3_000})
+    context.lines = _lines(context)
+
+
+@then("about 1000 of them are written and the rest is counted")
+def check_storm(context):
+    written = [x for x in context.lines if x["event"].startswith("CD4001")]
+    dropped = [x for x in context.lines if x["event"].startswith("CD1006")]
+    assert 1_000 <= len(written) <= 1_002, len(written)
+    assert sum(x["lines"] for x in dropped) == 3_001 - len(written)
+
+
+@when("4 MB of lines come")
+def flood(context):
+    began = time.monotonic()
+    for number in range(4_000):
+        context.clock.ms += 10.0
+        context.sink({"message_type": f"CD{number % 50}:x", "t": "x" * 1_000})
+        if number % 10 == 0:
+            context.sink.flush()
+    context.took = time.monotonic() - began
+
+
+@then("the sink comes back at once and holds a megabyte at most")
+def check_flood(context):
+    assert context.took < 2.0, context.took
+    assert context.sink._waiting_bytes <= 1 << 20
+
+
+@then("once the pipe is read it tells how many lines were lost")
+def check_lost(context):
+    lines = _lines(context)
+    lost = sum(x["lines"] for x in lines if x["event"].startswith("CD1006"))
+    kept = sum(not x["event"].startswith("CD1006") for x in lines)
+    assert lost > 2_000, lost
+    assert lost + kept == 4_000
+
+
+class CutOffMembers:
+    """Membership of a daemon that believes five others dead."""
+
+    known_count = 6
+
+    def attach(self, key, provider, reader):
+        pass
+
+
+@given("a daemon that believes five others dead")
+def cut_off(context):
+    context.view = MemberView(
+        clock=HandClock(),
+        members=CutOffMembers(),
+        front_address="a:1",
+        size=0,
+        ready=lambda: True,
+        least_count=lambda: 4,
+    )
+
+
+@then("it still shares the retries with them")
+def check_cut_off(context):
+    assert context.view.believed_count() == 6
+
+
+class SilentNetwork:
+    """Answers questions until it is told not to."""
+
+    def __init__(self):
+        self.silent = False
+
+    async def fetch(self, address, request, options):
+        assert request.path == ALIVE_PATH
+        if not self.silent:
+            return Ok(json_response({}))
+        await anyio.sleep(options.progress_timeout_ms / 1_000)
+        return Err(
+            Failure(
+                kind=FailureKind.CONNECTION_LOST,
+                detail="silent",
+                ran=Ran.UNKNOWN,
+            )
+        )
+
+
+PEER = PeerDaemon(
+    name="d2",
+    address="d2:1",
+    front_address="",
+    data_centre="here",
+    ready=True,
+)
+
+
+@given("a daemon that waits for another one to make pieces")
+def waiting(context):
+    context.network = SilentNetwork()
+
+
+@when("the other one stops answering questions")
+def silent(context):
+    async def run():
+        watch = PeerWatch(clock=EventLoopClock(), network=context.network)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watch.run)
+            await anyio.sleep(0.01)
+            context.ended = False
+            with watch.waiting_for(PEER) as scope:
+                await anyio.sleep(2.0)
+                context.waited_while_well = not scope.cancel_called
+                context.network.silent = True
+                began = anyio.current_time()
+                await anyio.sleep(10.0)
+            context.took_ms = (anyio.current_time() - began) * 1_000
+            context.silent = dict(watch.silent)
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run)
+
+
+@then("the wait ends within 1200 ms and the next decider is asked")
+def check_silent(context):
+    assert context.waited_while_well
+    assert context.took_ms < 1_200, context.took_ms
+    assert "d2" in context.silent
+
+
+def _decider_world():
+    deployment = Deployment(clock=EventLoopClock())
+    spec = ServiceSpec(
+        name="stage",
+        max_connections=10,
+        batching=BatchSpec(
+            concurrent_calls=1,
+            waiting_calls=0,
+            batch=4,
+            call_ms=100.0,
+            piece_ms=1.0,
+            result_room_bytes=1e9,
+            result_lifetime_ms=4_000.0,
+        ),
+    )
+    deployment.apply(
+        ServingConfiguration(
+            version=1,
+            routes=(),
+            services={"stage": spec},
+            customers=(),
+            limits=CallerLimits(),
+        ),
+        source="test",
+    )
+    return deployment
+
+
+def _group(name):
+    group = PieceGroup(
+        needed_by=5_000.0, ends_at=9_000.0, priority=0, result_bytes=1.0
+    )
+    piece = Piece(request_id=name, stage=0, number=0, key="k")
+    group.tasks = [PieceTask(piece=piece, group=group)]
+    return group
+
+
+@given("a decider with one group begun and one that waits")
+def two_groups(context):
+    context.begun, context.waits = _group("begun"), _group("waits")
+
+
+@when("another daemon decides for the service")
+def another_decides(context):
+    async def run():
+        deployment = _decider_world()
+        decider = Decider(
+            clock=EventLoopClock(), deployment=deployment, dialect=None
+        )
+        context.given_back = []
+
+        async def make(group):
+            name = group.tasks[0].piece.request_id
+            answer = await decider.make(
+                "stage", name, group, may_refuse=False, pinned=False
+            )
+            if answer is None:
+                context.given_back.append(name)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(decider.run)
+            await anyio.sleep(0.01)
+            tasks.start_soon(make, context.begun)
+            tasks.start_soon(make, context.waits)
+            await anyio.sleep(0.01)
+            context.begun.begun = True
+            decider.hand_over(lambda service: True)
+            await anyio.sleep(0.01)
+            context.kept = list(context.given_back)
+            decider.hand_over(lambda service: False)
+            await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run)
+
+
+@then("the waiting group is given back and the begun one goes on")
+def check_handed_over(context):
+    assert context.kept == []
+    assert context.given_back == ["waits"], context.given_back
+
+
+@given("a front that holds nearly all bodies it may")
+def full_front(context):
+    context.front = Front(
+        host="127.0.0.1",
+        port=0,
+        handler=None,
+        clock=EventLoopClock(),
+        limits=lambda: None,
+    )
+
+
+@when("another body of a megabyte comes")
+def another_body(context):
+    async def run():
+        front = context.front
+        await front.reserve(MOST_BODY_BYTES_IN_ALL - 1_000)
+        context.read = []
+
+        async def read():
+            await front.reserve(1_000_000)
+            context.read.append(anyio.current_time())
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(read)
+            await anyio.sleep(1)
+            context.early = bool(context.read)
+            front.release(2_000_000)
+            await anyio.sleep(1)
+
+    run_virtual(run)
+
+
+@then("it is read only after one of the others is answered")
+def check_body(context):
+    assert not context.early
+    assert len(context.read) == 1
