Drop what nothing uses, forget replicas that are gone

Change: they are gone; replicas that left the list and have nothing in flight are forgotten with each change of the list.

Ruled out: keeping the hint that a replica closes for later; it is told by replicas that stay as well and would have to be weighed first.

--- a/cactusdyke/platform/wire.py
+++ b/cactusdyke/platform/wire.py
@@ -176,7 +176,6 @@
             ],
             events=content_type.startswith(b"text/event-stream"),
             load=_load(head.get(b"x-replica-load")),
-            leaving=(head.get(b"connection") or b"").lower() == b"close",
         )
 
     def event_reader(self) -> EventReader:
--- a/cactusdyke/serving/deployment.py
+++ b/cactusdyke/serving/deployment.py
@@ -109,6 +109,11 @@
         if self._replicas.pop(name, None) is not None:
             self._index()
 
+    @property
+    def replica_names(self) -> set[str]:
+        """The names of all replicas known."""
+        return set(self._replicas)
+
     def replica(self, name: str) -> Replica | None:
         """Returns a replica by name."""
         return self._replicas.get(name)
--- a/cactusdyke/serving/dialect.py
+++ b/cactusdyke/serving/dialect.py
@@ -66,7 +66,6 @@
         headers: What is passed on to the caller.
         events: Whether the body is a series of events.
         load: The replica's load, if told.
-        leaving: Whether the replica closes because it may be leaving.
     """
 
     kind: AnswerKind
@@ -74,7 +73,6 @@
     headers: Headers
     events: bool
     load: ReplicaLoad | None
-    leaving: bool
 
     @property
     def succeeded(self) -> bool:
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -93,6 +93,7 @@
         self._stages = stages
         self._attempts = attempts
         self._health = health
+        deployment.on_change(lambda: health.forget(deployment.replica_names))
         self._budget = budget
         self._stop_at = stop_at
         self._metrics = metrics
--- a/cactusdyke/serving/placement.py
+++ b/cactusdyke/serving/placement.py
@@ -83,12 +83,6 @@
         self._placements: dict[str, Placement] = {}
         self._ms_per_token = FIRST_MS_PER_TOKEN
 
-    @property
-    def unread_ms(self) -> float:
-        """Prompt work waiting on all engines, in milliseconds of one."""
-        unread = sum(engine.unread_tokens for engine in self._engines.values())
-        return unread * self._ms_per_token
-
     def place(
         self,
         placement_id: str,
--- a/cactusdyke/transport/sockets.py
+++ b/cactusdyke/transport/sockets.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import select
 import socket
 import struct
 from typing import TYPE_CHECKING
@@ -48,11 +47,3 @@
     """
     raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-
-
-def is_readable(stream: SocketStream) -> bool:
-    """Returns whether bytes, or the end, wait on an idle connection."""
-    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    poll = select.poll()
-    poll.register(raw.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
