--- a/cactusdyke/observe/log_sink.py
+++ b/cactusdyke/observe/log_sink.py
@@ -99,7 +99,12 @@
 
     def _put(self, fields: dict[str, Any]) -> None:
         line = orjson.dumps(
-            {"at": self._clock.wall(), "daemon": self._daemon, **fields},
+            {"at": self._clock.wall(), "daemon": self._daemon}
+            | {
+                key: value
+                for key, value in fields.items()
+                if key not in {"at", "daemon"}
+            },
             default=str,
             option=orjson.OPT_APPEND_NEWLINE,
         )
--- a/cactusdyke/serving/peer_watch.py
+++ b/cactusdyke/serving/peer_watch.py
@@ -55,9 +55,7 @@
     def mark_silent(self, peer: PeerDaemon, *, detail: str) -> None:
         """Avoids a daemon for a while."""
         if peer.name not in self.silent:
-            events.log(
-                events.Event.PEER_SILENT, daemon=peer.name, detail=detail
-            )
+            events.log(events.Event.PEER_SILENT, peer=peer.name, detail=detail)
         self._silent[peer.name] = self._clock.now() + SILENT_MS
 
     async def run(self) -> None:
--- a/cactusdyke/serving/state_exchange.py
+++ b/cactusdyke/serving/state_exchange.py
@@ -147,7 +147,7 @@
         events.log(
             events.Event.SERVING_PEER_NEWER,
             state=state.name,
-            daemon=peer.name,
+            peer=peer.name,
             before=before,
             revision=state.revision,
             silent_ms=round(state.silent_ms),
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -61,7 +61,13 @@
 @when("3000 lines of one kind come at once, and one more a second later")
 def storm(context):
     for number in range(3_000):
-        context.sink({"message_type": "CD4001:attempt_failed", "n": number})
+        context.sink(
+            {
+                "message_type": "CD4001:attempt_failed",
+                "n": number,
+                "daemon": "another",
+            }
+        )
     context.clock.ms += 1_000.0
     context.sink({"message_type": "CD4001:attempt_failed", "n": 3_000})
     context.lines = _lines(context)
@@ -72,6 +78,7 @@
     written = [x for x in context.lines if x["event"].startswith("CD4001")]
     dropped = [x for x in context.lines if x["event"].startswith("CD1006")]
     assert 1_000 <= len(written) <= 1_002, len(written)
+    assert {x["daemon"] for x in context.lines} == {"d1"}
     assert sum(x["lines"] for x in dropped) == 3_001 - len(written)
 
 
