Let routes decide among customers of equal priority

All customers have a priority, nearly all the same one, and it took the place of the route's, so a digest with three stages to go waited behind questions that can wait.

Ruled out: adding the two up; a customer's priority has to go before its route's.

Change: a request's rank is the customer's priority first, then the route's.

--- a/cactusdyke/serving/deployment.py
+++ b/cactusdyke/serving/deployment.py
@@ -13,7 +13,12 @@
     from collections.abc import Callable, Iterable
 
     from cactusdyke.clock import Clock, Instant
-    from cactusdyke.serving.model import Customer, Replica, ServingConfiguration
+    from cactusdyke.serving.model import (
+        Customer,
+        Replica,
+        Route,
+        ServingConfiguration,
+    )
 
 
 class Deployment(Service):
@@ -33,6 +38,7 @@
         self._replicas_known = False
         self._gone: dict[str, Instant] = {}
         self._customers: dict[str, Customer] = {}
+        self._route_ranks = 1
         self._hooks: list[Callable[[], None]] = []
 
     @property
@@ -54,6 +60,16 @@
         """Returns the customer that holds a key."""
         return self._customers.get(api_key) if api_key else None
 
+    def rank(self, route: Route, customer: Customer | None) -> int:
+        """Returns where a request stands among all, 0 first.
+
+        A customer's priority goes before its route's; among customers of one
+        priority the route's decides.
+        """
+        if customer is None or customer.priority is None:
+            return route.priority
+        return customer.priority * self._route_ranks + route.priority
+
     @property
     def ready(self) -> bool:
         """Whether a configuration and a list of replicas are known."""
@@ -72,6 +88,8 @@
         before = self.version
         self._configuration = configuration
         self._table = RouteTable(configuration.routes)
+        priorities = [route.priority for route in configuration.routes]
+        self._route_ranks = 1 + max(priorities, default=0)
         self._customers = {
             key: customer
             for customer in configuration.customers
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -170,16 +170,13 @@
         patience_ms = request.patience_ms or min(
             DEFAULT_PATIENCE_MS, route.timeout_ms
         )
-        priority = route.priority
-        if customer is not None and customer.priority is not None:
-            priority = customer.priority
         ends_at = arrived + min(patience_ms, route.timeout_ms)
         return ServingContext(
             request=request,
             route=route,
             service=routes.split(route, self._rng),
             customer=customer,
-            priority=priority,
+            priority=self._deployment.rank(route, customer),
             ends_at=ends_at - TIMEOUT_MARGIN_MS,
             first_by=min(
                 ends_at,
--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -21,6 +21,13 @@
     Then only the other one may be used
     And it may be used again once the list tells of a new start under its id
 
+  Scenario: a customer's priority goes before its route's
+    # All customers have the same priority. Taken alone it puts a digest that a
+    # crew waits for in the road behind a question that can wait.
+    Given a deployment with routes of priority 0 and 2
+    When customers of priority 0, 1 and of none ask on both
+    Then customers come first, routes decide among equals, and alone without
+
   Scenario: a replica that drains gets no new work
     # A replica reports that it drains while a request's stages are still
     # being made for it. The choice of before must not hold.
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -6,6 +6,7 @@
 import random
 
 import anyio
+import attrs
 from behave import given, then, when
 from result import Ok
 
@@ -21,6 +22,7 @@
 from cactusdyke.serving.model import (
     BatchSpec,
     CallerLimits,
+    Customer,
     EngineSpec,
     RepeatPolicy,
     Replica,
@@ -151,6 +153,37 @@
     assert context.deployment.version == 9
 
 
+@given("a deployment with routes of priority 0 and 2")
+def two_routes(context):
+    context.deployment = Deployment(clock=HandClock())
+    context.routes = [route("a", priority=0), route("b", priority=2)]
+    context.deployment.apply(
+        attrs.evolve(configuration(1), routes=tuple(context.routes)),
+        source="test",
+    )
+
+
+@when("customers of priority 0, 1 and of none ask on both")
+def ranks(context):
+    def rank(priority, one):
+        customer = Customer(name="c", api_keys=frozenset(), priority=priority)
+        return context.deployment.rank(one, customer)
+
+    context.ranks = {
+        (priority, one.priority): rank(priority, one)
+        for priority in (0, 1, None)
+        for one in context.routes
+    }
+
+
+@then("customers come first, routes decide among equals, and alone without")
+def check_ranks(context):
+    ranks = context.ranks
+    assert ranks[0, 0] < ranks[0, 2] < ranks[1, 0] < ranks[1, 2], ranks
+    assert ranks[None, 0] < ranks[None, 2]
+    assert context.deployment.rank(context.routes[1], None) == 2
+
+
 @given("a deployment with two replicas of a service")
 def deployment_with_replicas(context):
     context.deployment = Deployment(clock=HandClock())
