--- a/features/platform/forwarding.feature
+++ b/features/platform/forwarding.feature
@@ -41,6 +41,12 @@
     When every replica says that it is full
     Then the caller is told that it did not run and when to come back
 
+  Scenario: a request runs as often as its route allows and no more
+    # All replicas fail what they run. Each further try is load on a service
+    # that is failing, and over what the operator allows.
+    When every replica fails what it runs
+    Then the request ran twice and the caller has the replica's own failure
+
   Scenario: a reused address is found out by the first request
     # A replica is gone and its address another's before the list says so.
     When a replica's address belongs to another one by now
--- a/features/steps/platform_forwarding_steps.py
+++ b/features/steps/platform_forwarding_steps.py
@@ -134,6 +134,26 @@
     assert context.runs == []
 
 
+@when("every replica fails what it runs")
+def all_fail(context):
+    async def story(world):
+        await plain_world(world, replicas=("p1", "p2", "p3"))
+        for replica in world.replicas.values():
+            replica.faults.add("errors")
+        context.answer = await world.request("/look/a")
+        context.runs = runs(world)
+
+    play(story)
+
+
+@then("the request ran twice and the caller has the replica's own failure")
+def check_all_fail(context):
+    status, headers, body = context.answer
+    assert (status, body) == (500, b"answer to r-1"), context.answer
+    assert headers["x-response-stamp"] == SIGNATURE.decode()
+    assert len(context.runs) == 2, context.runs
+
+
 @when("a replica's address belongs to another one by now")
 def moved(context):
     async def story(world):
