Keep who decides for a service, and tell a new decider what others hold

Each first choice of the hash that left and came back took its services twice. A new decider knew nothing: it took the makers' memory for empty (301 pieces without room, 330 with an input that had expired meanwhile) and sent subjects to be read again (1,409,000 tokens of shared parts).

Ruled out: a record of the decider in the store (decisions would stop with it); handing the state over from decider to decider (nothing is handed over by one that crashed, and that is the common case).

Change: who has decided for a service says so on gossip and keeps it while it is ready; large hosts still go first. The paths that a decider answers on are a module of their own.

Scenarios for each part; those of the briefing and of the order can't pass on the code before, which had neither.

--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -192,6 +192,12 @@
         "A daemon that decides for a service is silent; another one decides.",
         "Look at the daemon and the link to it.",
     )
+    DECIDER_CHANGED = (
+        4316,
+        "Another daemon decides for a service; it is told what requests of"
+        " this one hold at the service's replicas.",
+        "Seen again and again it costs batches; look at the daemons named.",
+    )
     LINES_DROPPED = (
         1006,
         "Log lines were dropped to stay within the rate of their kind.",
--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -33,6 +33,7 @@
 from cactusdyke.platform.wire import PlatformDialect
 from cactusdyke.serving.attempt import Attempts
 from cactusdyke.serving.decider import Decider
+from cactusdyke.serving.decider_interface import DeciderInterface
 from cactusdyke.serving.deciders import Deciders
 from cactusdyke.serving.deployment import Deployment
 from cactusdyke.serving.dispatch import (
@@ -133,6 +134,7 @@
                 cores=self._settings.cores, link_mbps=self._settings.link_mbps
             ),
             ready=lambda: self.ready,
+            decides=lambda: self._dispatch.decides,
             least_count=lambda: max(
                 registry.registered_count, len(self._settings.seeds) + 1
             ),
@@ -162,12 +164,12 @@
         decider = Decider(
             clock=clock, deployment=self._deployment, dialect=dialect
         )
+        deciders = Deciders(clock=clock, daemons=self._view, watch=self._watch)
+        self._deciding = DeciderInterface(deciders=deciders, decider=decider)
         self._dispatch = Dispatch(
             clock=clock,
             network=network,
-            deciders=Deciders(
-                clock=clock, daemons=self._view, watch=self._watch
-            ),
+            deciders=deciders,
             watch=self._watch,
             decider=decider,
             deployment=self._deployment,
@@ -272,9 +274,9 @@
     def _peer_routes(self) -> list[tuple[str, str, Handler]]:
         return [
             ("POST", GOSSIP_PATH, self._members.handle),
-            ("POST", STAGE_PATH, self._dispatch.handle_stage),
-            ("POST", PLACE_PATH, self._dispatch.handle_place),
-            ("POST", NOTES_PATH, self._dispatch.handle_notes),
+            ("POST", STAGE_PATH, self._deciding.handle_stage),
+            ("POST", PLACE_PATH, self._deciding.handle_place),
+            ("POST", NOTES_PATH, self._deciding.handle_notes),
             ("GET", ALIVE_PATH, self._watch.handle),
             ("GET", STATE_PATH, self._exchange.handle),
         ]
--- a/cactusdyke/serving/batcher.py
+++ b/cactusdyke/serving/batcher.py
@@ -22,6 +22,7 @@
     from cactusdyke.clock import Clock
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.dialect import Dialect
+    from cactusdyke.serving.holdings import HeldResult
     from cactusdyke.serving.model import BatchSpec, Replica
 
 MOST_ANSWER_BYTES = 1 << 20
@@ -89,6 +90,16 @@
                 self._free_results(group)
         return self._outcome(group)
 
+    def learn(self, results: Sequence[HeldResult]) -> None:
+        """Takes what another daemon's requests hold at the makers."""
+        for result in results:
+            address = self._dialect.maker_of(result.handle)
+            maker = self._deployment.replica_at(address)
+            if maker is not None:
+                self._queue.learn_held(
+                    maker.name, result.handle, result.size, result.age_ms
+                )
+
     def free(self, handles: Sequence[str]) -> None:
         """Frees results that nobody will use any more."""
         if not handles:
--- a/cactusdyke/serving/decider.py
+++ b/cactusdyke/serving/decider.py
@@ -10,7 +10,7 @@
 from cactusdyke.kernel import Service
 from cactusdyke.serving.batcher import StageBatcher
 from cactusdyke.serving.placement import EnginePlacer
-from cactusdyke.serving.stage_queue import Backlog, PieceGroup
+from cactusdyke.serving.stage_queue import Backlog, PieceGroup, PieceTask
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Sequence
@@ -18,14 +18,20 @@
     from anyio.abc import TaskGroup
     from result import Result
 
-    from cactusdyke.clock import Clock
+    from cactusdyke.clock import Clock, Instant
     from cactusdyke.errors import Failure
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.dialect import Dialect
+    from cactusdyke.serving.dispatch_messages import StageWork
+    from cactusdyke.serving.holdings import Briefing
     from cactusdyke.serving.model import Replica
     from cactusdyke.serving.request import Generation
 
 
+DECIDED_MS = 5_000.0
+"""A service that nothing was asked of for so long has no queue to lose."""
+
+
 @attrs.define(kw_only=True)
 class _Group:
     service: str
@@ -46,14 +52,52 @@
         self._batchers: dict[str, StageBatcher] = {}
         self._placers: dict[str, EnginePlacer] = {}
         self._groups: dict[str, _Group] = {}
+        self._used_at: dict[str, Instant] = {}
         self._tasks: TaskGroup | None = None
 
+    @property
+    def decided(self) -> list[str]:
+        """The services that were lately decided for here."""
+        now = self._clock.now()
+        return [
+            service
+            for service, at in self._used_at.items()
+            if now - at < DECIDED_MS
+        ]
+
     async def run(self) -> None:
         """Runs the batches' calls."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             await anyio.sleep_forever()
 
+    async def make_work(
+        self, work: StageWork, *, pinned: bool
+    ) -> Result[list[str], Failure] | None:
+        """Makes the results of work; None if it has to be made elsewhere.
+
+        Args:
+            work: The pieces of one stage of one request.
+            pinned: Whether it stays here though another daemon decides.
+        """
+        now = self._clock.now()
+        group = PieceGroup(
+            needed_by=now + work.needed_in_ms,
+            ends_at=now + work.ends_in_ms,
+            priority=work.priority,
+            result_bytes=work.result_bytes,
+            data_centre=work.data_centre,
+            moved_bytes=work.moved_bytes,
+        )
+        group.tasks = [PieceTask(piece=p, group=group) for p in work.pieces]
+        return await self.make(
+            work.service,
+            work.name,
+            group,
+            may_refuse=work.may_refuse,
+            pinned=pinned,
+        )
+
     async def make(
         self,
         service: str,
@@ -67,6 +111,7 @@
         batcher = self._batcher(service)
         if batcher is None:
             return None
+        self._used_at[service] = self._clock.now()
         with anyio.CancelScope() as scope:
             self._groups[name] = _Group(
                 service=service, group=group, scope=scope, pinned=pinned
@@ -118,6 +163,7 @@
         spec = configuration.services.get(service) if configuration else None
         if spec is None or spec.engine is None:
             return None
+        self._used_at[service] = self._clock.now()
         return self._placer(service).place(
             placement_id,
             generation,
@@ -136,6 +182,28 @@
             generation, self._deployment.usable(service), spec.engine
         )
 
+    def learn(self, service: str, briefing: Briefing) -> None:
+        """Takes what another daemon's requests hold at replicas."""
+        configuration = self._deployment.configuration
+        spec = configuration.services.get(service) if configuration else None
+        batcher = self._batcher(service)
+        if batcher is not None:
+            batcher.learn(briefing.results)
+        if spec is None or spec.engine is None:
+            return
+        placer = self._placer(service)
+        for prompt in briefing.prompts:
+            if self._deployment.replica(prompt.replica) is None:
+                continue
+            placer.learn_held(prompt.replica, prompt.generation, spec.engine)
+            if prompt.placement_id:
+                placer.learn_running(
+                    prompt.placement_id,
+                    prompt.replica,
+                    prompt.generation,
+                    reading=prompt.reading,
+                )
+
     def started(self, service: str, placement_id: str) -> None:
         """Notes a placed request's first token."""
         self._placer(service).started(placement_id)
--- a/cactusdyke/serving/deployment.py
+++ b/cactusdyke/serving/deployment.py
@@ -136,16 +136,15 @@
         """Returns a replica by name."""
         return self._replicas.get(name)
 
+    def replica_at(self, address: str) -> Replica | None:
+        """Returns the replica at an address."""
+        known = self._replicas.values()
+        return next((r for r in known if r.address == address), None)
+
     def data_centre_at(self, address: str) -> str:
         """Returns where the replica at an address stands, empty if unknown."""
-        return next(
-            (
-                replica.data_centre
-                for replica in self._replicas.values()
-                if replica.address == address
-            ),
-            "",
-        )
+        replica = self.replica_at(address)
+        return replica.data_centre if replica else ""
 
     def usable(self, service: str) -> list[Replica]:
         """Returns the replicas of a service that may get new work."""
--- a/cactusdyke/serving/dispatch.py
+++ b/cactusdyke/serving/dispatch.py
@@ -14,30 +14,20 @@
 import orjson
 from result import Err, Ok, Result
 
+from cactusdyke import events
 from cactusdyke.errors import Failure, FailureKind, Ran
 from cactusdyke.kernel import Service
-from cactusdyke.serving.deciders import moved_to_wire
 from cactusdyke.serving.dispatch_messages import (
     StageWork,
     failure_from,
-    failure_to,
-    generation_from,
     generation_to,
-    unreadable,
-    work_from,
     work_to,
 )
+from cactusdyke.serving.holdings import Holdings, briefing_to
 from cactusdyke.serving.model import Replica
-from cactusdyke.serving.peers import PeerDaemon
-from cactusdyke.serving.stage_queue import Backlog, PieceGroup, PieceTask
-from cactusdyke.transport.messages import (
-    JSON_TYPE,
-    Request,
-    Response,
-    failure_response,
-    json_response,
-    parse_object,
-)
+from cactusdyke.serving.peers import PeerDaemon, mark_of
+from cactusdyke.serving.stage_queue import Backlog
+from cactusdyke.transport.messages import JSON_TYPE, Request, parse_object
 from cactusdyke.transport.network import CallOptions
 
 if TYPE_CHECKING:
@@ -77,7 +67,7 @@
 
 
 class Dispatch(Service):
-    """Asks the deciding daemons, and answers where this daemon decides."""
+    """Asks the deciding daemons, this one where it decides itself."""
 
     def __init__(
         self,
@@ -95,10 +85,18 @@
         self._watch = watch
         self._decider = decider
         self._deployment = deployment
+        self._holdings = Holdings(clock=clock)
+        self._met: dict[str, str] = {}
+        self._decides: frozenset[int] = frozenset()
         self._notes: dict[str, list[Any]] = {}
         self._backlogs: dict[str, tuple[Backlog, Instant]] = {}
         self._noted = anyio.Event()
 
+    @property
+    def decides(self) -> frozenset[int]:
+        """Marks of the services that this daemon decides for."""
+        return self._decides
+
     async def run(self) -> None:
         """Sends notes to the daemons that decide."""
         async with anyio.create_task_group() as tasks:
@@ -117,19 +115,56 @@
             self._decider.hand_over(
                 lambda name: self._deciders.by_members(name).own
             )
+            self._decides = frozenset(
+                mark_of(name)
+                for name in self._decider.decided
+                if self._deciders.by_members(name).own
+            )
+
+    def _meet(self, service: str) -> PeerDaemon:
+        """Returns who decides; tells a new one what is held from here.
+
+        It would take the makers' memory for empty, and send engines prompts
+        that others have read.
+        """
+        peer = self._deciders.first(service)
+        before = self._met.get(service)
+        if before == peer.name:
+            return peer
+        self._met[service] = peer.name
+        briefing = self._holdings.briefing(service)
+        if before is None or briefing.empty:
+            return peer
+        events.log(
+            events.Event.DECIDER_CHANGED,
+            service=service,
+            before=before,
+            now=peer.name,
+            results=len(briefing.results),
+            prompts=len(briefing.prompts),
+        )
+        if peer.own:
+            self._decider.learn(service, briefing)
+        else:
+            self._note(peer, ["briefing", service, briefing_to(briefing)])
+        return peer
 
     async def make(self, work: StageWork) -> Result[list[str], Failure]:
         """Makes the results of one stage; returns their handles in order."""
         began = self._clock.now()
         for turn in range(MOST_TURNS):
-            peer = self._deciders.first(work.service)
+            peer = self._meet(work.service)
             left = _later(work, self._clock.now() - began)
             last = turn == MOST_TURNS - 1
             if peer.own or last:
-                answer = await self._decide(left, pinned=last)
+                answer = await self._decider.make_work(left, pinned=last)
             else:
                 insists = turn == MOST_TURNS - 2
                 answer = await self._make_at(peer, left, insists=insists)
+            if isinstance(answer, Ok):
+                self._holdings.made(
+                    work.service, answer.ok_value, work.result_bytes
+                )
             if answer is not None:
                 return answer
         return Err(_no_service(work))
@@ -157,7 +192,8 @@
         """Frees results at the daemon that keeps count of them."""
         if not handles:
             return
-        peer = self._deciders.first(service)
+        self._holdings.freed(service, handles)
+        peer = self._meet(service)
         if peer.own:
             self._decider.free(service, handles)
         else:
@@ -172,7 +208,7 @@
     ) -> Placed | None:
         """Chooses an engine for a request."""
         own = self._deciders.own()
-        peer = self._deciders.first(service)
+        peer = self._meet(service)
         replica: Replica | None = None
         if not peer.own:
             replica = await self._place_at(
@@ -186,6 +222,7 @@
             )
         if replica is None:
             return None
+        self._holdings.placed(service, placement_id, replica.name, generation)
         return Placed(
             replica=replica,
             service=service,
@@ -205,6 +242,7 @@
 
     def started(self, placed: Placed) -> None:
         """Tells that a request's first token has come."""
+        self._holdings.started(placed.service, placed.placement_id)
         if placed.decider.own:
             self._decider.started(placed.service, placed.placement_id)
         else:
@@ -215,6 +253,7 @@
 
     def ended(self, placed: Placed, *, failed: bool) -> None:
         """Tells that a request has left its engine."""
+        self._holdings.ended(placed.service, placed.placement_id)
         if placed.decider.own:
             self._decider.ended(
                 placed.service, placed.placement_id, failed=failed
@@ -225,112 +264,6 @@
                 ["ended", placed.service, placed.placement_id, failed],
             )
 
-    async def handle_stage(self, request: Request) -> Response:
-        """Makes results for another daemon."""
-        value = request.json()
-        if isinstance(value, Err):
-            return failure_response(value.err_value)
-        try:
-            work = work_from(value.ok_value)
-        except (KeyError, TypeError, ValueError) as error:
-            return failure_response(unreadable(error))
-        insists = bool(value.ok_value.get("insists"))
-        moved = self._moved(work.service)
-        if moved and not insists:
-            return json_response({"moved": moved})
-        answer = await self._decide(work, pinned=insists)
-        if answer is None:
-            moved = self._moved(work.service)
-            if moved:
-                return json_response({"moved": moved})
-            return failure_response(_cancelled(work))
-        backlog = self._decider.backlog(work.service)
-        body: dict[str, Any] = {
-            "backlog": [round(backlog.hopeful_ms), round(backlog.all_ms)]
-        }
-        if isinstance(answer, Err):
-            body["failure"] = failure_to(answer.err_value)
-        else:
-            body["handles"] = answer.ok_value
-        return json_response(body)
-
-    async def handle_place(self, request: Request) -> Response:
-        """Chooses an engine for another daemon."""
-        value = request.json()
-        if isinstance(value, Err):
-            return failure_response(value.err_value)
-        body = value.ok_value
-        moved = self._moved(str(body.get("service")))
-        if moved and not body.get("insists"):
-            return json_response({"moved": moved})
-        try:
-            generation = generation_from(body["generation"])
-            if body["id"]:
-                replica = self._decider.place(
-                    body["service"],
-                    body["id"],
-                    generation,
-                    set(body["exclude"]),
-                )
-            else:
-                replica = self._decider.locate(body["service"], generation)
-        except (KeyError, TypeError, ValueError) as error:
-            return failure_response(unreadable(error))
-        return json_response({"replica": replica.name if replica else None})
-
-    async def handle_notes(self, request: Request) -> Response:
-        """Takes what another daemon tells."""
-        value = request.json()
-        if isinstance(value, Err):
-            return failure_response(value.err_value)
-        try:
-            for kind, service, subject, *rest in value.ok_value["notes"]:
-                self._take_note(kind, service, subject, rest)
-        except (KeyError, TypeError, ValueError) as error:
-            return failure_response(unreadable(error))
-        return json_response({})
-
-    def _take_note(
-        self, kind: str, service: str, subject: Any, rest: list[Any]
-    ) -> None:
-        match kind:
-            case "free":
-                self._decider.free(service, subject)
-            case "started":
-                self._decider.started(service, subject)
-            case "ended":
-                self._decider.ended(service, subject, failed=bool(rest[0]))
-            case "cancel":
-                self._decider.cancel(subject)
-            case _:
-                raise ValueError(f"a note of the unknown kind {kind}")
-
-    async def _decide(
-        self, work: StageWork, *, pinned: bool
-    ) -> Result[list[str], Failure] | None:
-        now = self._clock.now()
-        group = PieceGroup(
-            needed_by=now + work.needed_in_ms,
-            ends_at=now + work.ends_in_ms,
-            priority=work.priority,
-            result_bytes=work.result_bytes,
-            data_centre=work.data_centre,
-            moved_bytes=work.moved_bytes,
-        )
-        group.tasks = [PieceTask(piece=p, group=group) for p in work.pieces]
-        return await self._decider.make(
-            work.service,
-            work.name,
-            group,
-            may_refuse=work.may_refuse,
-            pinned=pinned,
-        )
-
-    def _moved(self, service: str) -> list[str] | None:
-        """Returns who decides for a service if it is not this daemon."""
-        first = self._deciders.by_members(service)
-        return None if first.own else moved_to_wire(first)
-
     async def _make_at(
         self, peer: PeerDaemon, work: StageWork, *, insists: bool
     ) -> Result[list[str], Failure] | None:
@@ -453,13 +386,6 @@
     )
 
 
-def _cancelled(work: StageWork) -> Failure:
-    return Failure(
-        kind=FailureKind.NO_BACKEND_SERVER,
-        detail=f"{work.name} was given up, or {work.service} is not known here",
-    )
-
-
 def _no_service(work: StageWork) -> Failure:
     return Failure(
         kind=FailureKind.NO_BACKEND_SERVER,
--- a/cactusdyke/serving/dispatch_messages.py
+++ b/cactusdyke/serving/dispatch_messages.py
@@ -138,3 +138,11 @@
         kind=FailureKind.BAD_REQUEST,
         detail=f"The message can't be read: {error!r}",
     )
+
+
+def cancelled(work: StageWork) -> Failure:
+    """Returns the failure of work that was given up before it was begun."""
+    return Failure(
+        kind=FailureKind.NO_BACKEND_SERVER,
+        detail=f"{work.name} was given up, or {work.service} is not known here",
+    )
--- a/cactusdyke/serving/member_view.py
+++ b/cactusdyke/serving/member_view.py
@@ -14,9 +14,10 @@
     from cactusdyke.membership.member import Member
     from cactusdyke.membership.members import Members
 
-SETTLED_MS = 10_000.0
-"""A daemon that restarts would else take back its services at once, and again
-lose the queues that others hold for them."""
+SETTLED_MS = 2_000.0
+"""By then a daemon that has just started knows its members and the store."""
+MOST_DECIDED = 16
+"""Marks told of; what a daemon decides beyond may move sooner."""
 ATTACHMENT = "front"
 
 
@@ -31,6 +32,7 @@
         front_address: str,
         size: int,
         ready: Callable[[], bool],
+        decides: Callable[[], frozenset[int]],
         least_count: Callable[[], int],
     ) -> None:
         self._clock = clock
@@ -39,6 +41,7 @@
         self._front_address = front_address
         self._size = size
         self._ready = ready
+        self._decides = decides
         self._least_count = least_count
         self._told: dict[str, Mapping[str, Any]] = {}
         members.attach(ATTACHMENT, self._tell, self._hear)
@@ -75,6 +78,7 @@
             ready=self._ready() and not leaving,
             settled=self._settled(),
             size=self._size,
+            decides=self._decides(),
             own=True,
         )
 
@@ -88,6 +92,7 @@
             ready=bool(told.get("r")),
             settled=bool(told.get("s")),
             size=int(told.get("w", 0)),
+            decides=frozenset(told.get("d", ())),
         )
 
     def _tell(self) -> Mapping[str, Any]:
@@ -96,6 +101,7 @@
             "r": int(self._ready()),
             "s": int(self._settled()),
             "w": self._size,
+            "d": sorted(self._decides())[:MOST_DECIDED],
         }
 
     def _settled(self) -> bool:
--- a/cactusdyke/serving/peers.py
+++ b/cactusdyke/serving/peers.py
@@ -25,6 +25,7 @@
         ready: Whether callers may be sent to it.
         settled: Whether it has been ready for a while.
         size: The class of its host's processor and link, larger for more.
+        decides: Marks of the services that it says it decides for.
         own: Whether it is this daemon.
     """
 
@@ -35,6 +36,7 @@
     ready: bool
     settled: bool = True
     size: int = 0
+    decides: frozenset[int] = frozenset()
     own: bool = False
 
 
@@ -69,24 +71,40 @@
 MOST_SMALL = 1 / 64
 
 
+def mark_of(service: str) -> int:
+    """Returns a service's mark, short enough to ride on gossip.
+
+    Two services of one mark go to the same daemon, which does no harm.
+    """
+    return xxhash.xxh3_64_intdigest(service.encode()) & MARK_BITS
+
+
+MARK_BITS = 0xFFFF
+
+
 def ranked(
     service: str, daemons: Iterable[PeerDaemon], silent: Mapping[str, float]
 ) -> list[PeerDaemon]:
     """Returns who decides for a service, the first choice first.
 
-    By rendezvous hashing, so that daemons that see the same members agree
-    without a message, and one that comes or goes moves only its own services.
-    A daemon that did not answer lately comes after those that did, and one
-    that has just started after those that have known the queues for long.
-    Large hosts come first: the batches of all pass through the decider's link.
+    Who decides already stays: each change costs fuller batches and what the
+    decider knows of engines. In a round of restarts a service was seen to
+    move at every second one, back to daemons that had just come back.
+
+    Otherwise by rendezvous hashing, so that daemons that see the same members
+    agree without a message. A daemon that did not answer lately comes after
+    those that did, and one that has just started after the others. Large hosts
+    come first: the batches of all pass through the decider's link.
     """
+    mark = mark_of(service)
     return sorted(
         daemons,
         key=lambda d: (
             d.name in silent,
             not d.ready,
-            not d.settled,
             -d.size,
+            mark not in d.decides,
+            not d.settled,
             xxhash.xxh3_64_intdigest(f"{service}@{d.name}".encode()),
         ),
     )
--- a/cactusdyke/serving/placement.py
+++ b/cactusdyke/serving/placement.py
@@ -83,6 +83,11 @@
         self._placements: dict[str, Placement] = {}
         self._ms_per_token = FIRST_MS_PER_TOKEN
 
+    def running(self, replica: str) -> int:
+        """Returns how many placed requests an engine works on."""
+        engine = self._engines.get(replica)
+        return engine.running if engine else 0
+
     def place(
         self,
         placement_id: str,
@@ -162,6 +167,37 @@
         if failed:
             self._health.failed(placement.replica)
 
+    def learn_held(
+        self, replica: str, generation: Generation, spec: EngineSpec
+    ) -> None:
+        """Takes another daemon's word that an engine has read a prompt."""
+        self._hold(self._engine(replica), generation, _chain(generation), spec)
+
+    def learn_running(
+        self,
+        placement_id: str,
+        replica: str,
+        generation: Generation,
+        *,
+        reading: bool,
+    ) -> None:
+        """Takes another daemon's word that an engine works on a request."""
+        if placement_id in self._placements:
+            return
+        own = generation.parts[-1].tokens if generation.parts else 0
+        unread = own if reading else 0
+        engine = self._engine(replica)
+        self._placements[placement_id] = Placement(
+            replica=replica,
+            unread_tokens=unread,
+            ahead_ms=engine.unread_tokens * self._ms_per_token,
+            placed_at=self._clock.now(),
+            reading=reading,
+        )
+        engine.unread_tokens += unread
+        engine.running += 1
+        self._health.started(replica)
+
     def _cost(
         self,
         replica: Replica,
--- a/cactusdyke/serving/stage_queue.py
+++ b/cactusdyke/serving/stage_queue.py
@@ -281,6 +281,18 @@
         for handle in handles:
             maker.free(handle)
 
+    def learn_held(
+        self, maker_name: str, handle: str, size: float, age_ms: float
+    ) -> None:
+        """Takes another daemon's word that a replica holds a result."""
+        maker = self._maker(maker_name)
+        if handle not in maker.held:
+            until = self._clock.now() + self.spec.result_lifetime_ms - age_ms
+            maker.hold(handle, size, until)
+            # It ends sooner than what is made here; ends are looked for in
+            # order.
+            maker.held.move_to_end(handle, last=False)
+
     def expire(self) -> list[PieceTask]:
         """Returns pieces whose time has run out while they waited."""
         now = self._clock.now()
--- /dev/null
+++ b/features/serving/deciders.feature
@@ -0,0 +1,50 @@
+Feature: who decides for a service, and what it knows as it begins
+
+  Scenario: a daemon that comes back does not take its services again
+    # A round of restarts stops each daemon in turn. The first choice for a
+    # service left, another took over, and ten seconds later the first was back
+    # and took the service again: its queue was split twice in place of once.
+    Given three daemons, one of which decides for a service
+    When it leaves, another one decides, and the first comes back
+    Then the other one still decides
+
+  Scenario: two daemons that both say they decide come to one
+    # Two parts of a fleet did not hear of each other for a while. Each had a
+    # decider. All must choose the same one of them without a message.
+    Given three daemons, one of which decides for a service
+    When two of them say that they decide for it
+    Then all three choose the same one of the two
+
+  Scenario: a large host takes a service from a small one
+    # The large hosts were down together and a small one took over. Its link
+    # cannot carry the batches of all.
+    Given three daemons, one of which decides for a service
+    When a small host decides and a large one comes
+    Then the large one decides
+
+  Scenario: a new decider knows what results the makers hold
+    # The decider died with results in the makers' memory. Its successor knew
+    # of none, sent full calls, and got "no room" for their pieces.
+    Given a daemon whose request holds 4 of a maker's 4 results
+    When another daemon decides for the stage and is told
+    Then it sends the maker nothing until they are freed
+
+  Scenario: a new decider sends a subject to the engine that has read it
+    # A subject of 13,000 tokens had moved from its home to an engine with less
+    # work. The next decider sent it home, to be read again.
+    Given a daemon whose requests of a subject were read away from its home
+    When another daemon decides for the engines and is told
+    Then it places the subject where it was read
+    And it counts the request that still runs there
+
+  Scenario: a briefing survives the way between daemons
+    Given a daemon whose request holds 4 of a maker's 4 results
+    When its briefing is sent as JSON
+    Then what is read is what was written, and nonsense is refused
+
+  Scenario: a daemon tells a new decider once
+    # Each request asks who decides. Told with each of them, a briefing of some
+    # kilobytes would fill small links.
+    Given a daemon that asked one decider before
+    When another one decides from now on
+    Then the new one gets one briefing, and then none
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -125,6 +125,7 @@
         front_address="a:1",
         size=0,
         ready=lambda: True,
+        decides=frozenset,
         least_count=lambda: 4,
     )
 
