Draw the platform rig's ports below those of outgoing connections

The rig asked the system for a free port and let it go; it lies in the range of outgoing connections, and one of those took it before the stand-in listened.

Ruled out: a stand-in left over by another scenario (each closes its listener).

Change: the rig uses the same function as the fleet of stand-ins, which draws from below that range, in a block for each process. One function less.

The race itself can't be repeated at will.

--- a/features/support/platform_rig.py
+++ b/features/support/platform_rig.py
@@ -6,7 +6,6 @@
 import json
 import pathlib
 import random
-import socket
 import tempfile
 
 import anyio
@@ -22,6 +21,7 @@
 from cactusdyke.transport.messages import Request
 from cactusdyke.transport.network import CallOptions
 from cactusdyke.transport.server import HttpServer
+from standins.fleet import free_port
 from standins.platform_store import PlatformStore
 from standins.replica import PlatformReplica
 
@@ -29,12 +29,6 @@
 HOST = "signals.example"
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def route(name, service, **changes):
     fields = {
         "name": name,
