--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -192,6 +192,11 @@
         "A daemon that decides for a service is silent; another one decides.",
         "Look at the daemon and the link to it.",
     )
+    METRICS_NOT_SERVED = (
+        1007,
+        "The port for metrics can't be listened on; all else goes on.",
+        "Give another port in the deploy file, in both places.",
+    )
     DECIDER_CHANGED = (
         4316,
         "Another daemon decides for a service; it is told what requests of"
--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -29,6 +29,7 @@
     ReplicaFollower,
 )
 from cactusdyke.platform.registry import DaemonRegistry
+from cactusdyke.platform.settings import Endpoint
 from cactusdyke.platform.store import StoreClient
 from cactusdyke.platform.wire import PlatformDialect
 from cactusdyke.serving.attempt import Attempts
@@ -60,7 +61,7 @@
 
 if TYPE_CHECKING:
     from cactusdyke.clock import Clock
-    from cactusdyke.platform.settings import Endpoint, PlatformSettings
+    from cactusdyke.platform.settings import PlatformSettings
     from cactusdyke.transport.messages import Handler
     from cactusdyke.transport.network import Network
 
@@ -87,8 +88,10 @@
         rng: random.Random,
         network: Network,
         sink: LogSink,
+        metrics_port: int = 0,
     ) -> None:
         self._settings = settings
+        self._metrics_port = metrics_port
         self._settings_path = settings_path
         self._clock = clock
         self._rng = rng
@@ -228,16 +231,10 @@
         ) as signals:
             async with self._kernel, anyio.create_task_group() as tasks:
                 for endpoint, routes in self._interfaces():
-                    server = HttpServer(
-                        host=endpoint.host,
-                        port=endpoint.port,
-                        adapter=AsgiAdapter(
-                            handler=routes.handle,
-                            clock=self._clock,
-                            max_body_bytes=MOST_STATE_BYTES,
-                        ),
-                    )
-                    tasks.start_soon(server.serve)
+                    tasks.start_soon(self._server(endpoint, routes).serve)
+                metrics = self._metrics_server()
+                if metrics is not None:
+                    tasks.start_soon(metrics.serve)
                 tasks.start_soon(self._front.serve)
                 tasks.start_soon(self._look_at_settings)
                 events.log(
@@ -271,6 +268,42 @@
             (self._settings.ready, ready),
         ]
 
+    def _metrics_server(self) -> HttpServer | None:
+        """Returns the listener for metrics, None if its port is taken.
+
+        Its port stands in the deploy file, while the platform draws all others
+        each time: one of them may be the same. Callers are worth more.
+        """
+        if not self._metrics_port:
+            return None
+        routes = Routes()
+        routes.add("GET", METRICS_PATH, self._metrics)
+        try:
+            return self._server(
+                Endpoint(
+                    host=self._settings.front.host, port=self._metrics_port
+                ),
+                routes,
+            )
+        except OSError as error:
+            events.log(
+                events.Event.METRICS_NOT_SERVED,
+                port=self._metrics_port,
+                detail=str(error),
+            )
+            return None
+
+    def _server(self, endpoint: Endpoint, routes: Routes) -> HttpServer:
+        return HttpServer(
+            host=endpoint.host,
+            port=endpoint.port,
+            adapter=AsgiAdapter(
+                handler=routes.handle,
+                clock=self._clock,
+                max_body_bytes=MOST_STATE_BYTES,
+            ),
+        )
+
     def _peer_routes(self) -> list[tuple[str, str, Handler]]:
         return [
             ("POST", GOSSIP_PATH, self._members.handle),
@@ -359,8 +392,17 @@
         return b""
 
 
-async def run(settings: PlatformSettings, settings_path: str) -> None:
-    """Runs one daemon until a planned stop has ended."""
+async def run(
+    settings: PlatformSettings, settings_path: str, metrics_port: int
+) -> None:
+    """Runs one daemon until a planned stop has ended.
+
+    Args:
+        settings: What the platform says of it.
+        settings_path: The file they were read from.
+        metrics_port: Where its metrics are asked for, 0 for nowhere but on
+            the port between daemons.
+    """
     clock = SystemClock()
     sink = LogSink(
         clock=clock, daemon=settings.node, descriptor=sys.stdout.fileno()
@@ -374,6 +416,7 @@
             rng=random.SystemRandom(),
             network=network,
             sink=sink,
+            metrics_port=metrics_port,
         ).run()
 
 
@@ -384,7 +427,11 @@
     if isinstance(loaded, Err):
         print(loaded.err_value.message, file=sys.stderr)
         return 2
-    anyio.run(run, loaded.ok_value, path, backend="asyncio")
+    port = platform_settings.metrics_port()
+    if isinstance(port, Err):
+        print(port.err_value.message, file=sys.stderr)
+        return 2
+    anyio.run(run, loaded.ok_value, path, port.ok_value, backend="asyncio")
     return 0
 
 
--- a/cactusdyke/platform/settings.py
+++ b/cactusdyke/platform/settings.py
@@ -14,6 +14,8 @@
 from cactusdyke.serving.retry_budget import RetryAllowance
 from cactusdyke.settings import Peer, Settings
 
+METRICS_VARIABLE = "CACTUSDYKE_METRICS_PORT"
+MOST_PORT = 65_535
 PATH_VARIABLE = "CACTUSDYKE_CONFIG"
 
 
@@ -92,6 +94,16 @@
     return os.environ.get(PATH_VARIABLE, "/etc/cactusdyke/settings.yaml")
 
 
+def metrics_port() -> Result[int, Failure]:
+    """Returns where metrics are served, as the deploy file says; 0 if not."""
+    text = os.environ.get(METRICS_VARIABLE, "0")
+    if text.isdecimal() and int(text) <= MOST_PORT:
+        return Ok(int(text))
+    return Err(
+        _bad(f"{METRICS_VARIABLE} is {text!r}; give a port, 1 to {MOST_PORT}")
+    )
+
+
 def load(file_path: str) -> Result[PlatformSettings, Failure]:
     """Reads and checks the settings file."""
     try:
--- a/features/platform/state.feature
+++ b/features/platform/state.feature
@@ -60,3 +60,20 @@
   Scenario: an entry without optional fields is a replica
     When an entry of a replica without optional fields is decoded
     Then it is a replica with one slot that drains
+
+  Scenario: metrics are told on the port of the deploy file
+    # The platform draws all other ports each day. Named after one of them, the
+    # metrics were not where operators asked for them.
+    When two daemons on one address are given the same port for metrics
+    Then the first tells its metrics there
+    And the second says that it can't, and serves all the same
+
+  Scenario Outline: a metrics port of <text> is <outcome>
+    When the metrics port is given as <text>
+    Then it is <outcome>
+
+    Examples:
+      | text   | outcome |
+      | 9464   | taken   |
+      | http   | refused |
+      | 70000  | refused |
--- a/features/steps/platform_state_steps.py
+++ b/features/steps/platform_state_steps.py
@@ -10,17 +10,21 @@
 import tempfile
 
 import anyio
+import eliot
 from behave import given, then, when
 
 from cactusdyke.platform import decode
 from cactusdyke.platform import settings as platform_settings
 from cactusdyke.platform.store import StoreObject
+from cactusdyke.transport.messages import Request
+from cactusdyke.transport.network import CallOptions
 from features.steps.platform_forwarding_steps import (
     STREAM_HEADERS,
     plain_world,
     play,
 )
 from features.support.platform_rig import configuration, route, until
+from standins.fleet import free_port
 
 
 @when("a route is added and then its service changes")
@@ -375,3 +379,60 @@
 def check_sparse(context):
     assert context.replica.slots == 1
     assert context.replica.state.value == "draining"
+
+
+@when("two daemons on one address are given the same port for metrics")
+def same_metrics_port(context):
+    async def story(world):
+        await world.add_replica("p1")
+        world.configure([route("look", "plain")])
+        port = free_port()
+        await world.start_daemon("d1", metrics_port=port)
+        await world.start_daemon("d2", metrics_port=port)
+        request = Request(method="GET", path="/metrics")
+        answer = await world.network.fetch(
+            f"127.0.0.1:{port}", request, CallOptions()
+        )
+        context.metrics = (answer.unwrap().status, answer.unwrap().body)
+        context.answer = await world.request("/look/x", daemon="d2")
+
+    seen = []
+    eliot.add_destinations(seen.append)
+    try:
+        play(story)
+    finally:
+        eliot.remove_destination(seen.append)
+    context.log = str(seen)
+
+
+@then("the first tells its metrics there")
+def check_metrics(context):
+    status, body = context.metrics
+    assert status == 200
+    assert b"cactusdyke_" in body, body[:200]
+
+
+@then("the second says that it can't, and serves all the same")
+def check_metrics_taken(context):
+    assert "CD1007" in context.log, context.log
+    assert context.answer[0] == 200, context.answer
+
+
+@when("the metrics port is given as {text}")
+def metrics_given(context, text):
+    os.environ[platform_settings.METRICS_VARIABLE] = text
+    try:
+        context.port = platform_settings.metrics_port()
+    finally:
+        del os.environ[platform_settings.METRICS_VARIABLE]
+
+
+@then("it is taken")
+def check_port_taken(context):
+    assert context.port.unwrap() == 9464
+
+
+@then("it is refused")
+def check_port_refused(context):
+    failure = context.port.unwrap_err()
+    assert platform_settings.METRICS_VARIABLE in failure.message, failure
--- a/features/support/platform_rig.py
+++ b/features/support/platform_rig.py
@@ -171,7 +171,7 @@
             }
         )
 
-    async def start_daemon(self, name, seeds=(), *, ready=True):
+    async def start_daemon(self, name, seeds=(), *, ready=True, metrics_port=0):
         path = pathlib.Path(self.folder) / f"{name}.yaml"
         path.write_text(self.settings_text(name, seeds), encoding="utf-8")
         settings = platform_settings.load(str(path)).unwrap()
@@ -187,6 +187,7 @@
                 daemon=name,
                 descriptor=self._open_log(name),
             ),
+            metrics_port=metrics_port,
         )
         self.daemons[name] = daemon
         self.tasks.start_soon(daemon.run)
