Trace requests on the serving path, and log what crosses data centres

Change: a span for each request, each attempt and, at the daemon that decides, each group of pieces. The trace is named by the request's id, which daemons tell each other anyway, so no header is added. A daemon keeps the last 2,000 spans and tells them by request id on the port between daemons. Calls and answers log about how many bytes they fetched from other data centres.

--- a/cactusdyke/observe/tracing.py
+++ b/cactusdyke/observe/tracing.py
@@ -7,6 +7,7 @@
 import re
 from typing import TYPE_CHECKING, Any
 
+import xxhash
 from opentelemetry import trace
 from opentelemetry.sdk.resources import Resource
 from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
@@ -25,6 +26,7 @@
     from opentelemetry.trace import Span, Tracer
 
 KEPT_SPANS = 20_000
+SPAN_BITS = (1 << 64) - 1
 _TRACEPARENT = re.compile(r"00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})")
 
 
@@ -52,10 +54,15 @@
 
 
 class Tracing(Service):
-    """Makes spans and answers for those of late."""
+    """Makes spans and answers for those of late.
 
-    def __init__(self, *, daemon: str) -> None:
-        self._recent = _RecentSpans(KEPT_SPANS)
+    Args:
+        daemon: Names the daemon in each span.
+        kept: How many of the last spans are kept; about 1.5 KB each.
+    """
+
+    def __init__(self, *, daemon: str, kept: int = KEPT_SPANS) -> None:
+        self._recent = _RecentSpans(kept)
         provider = TracerProvider(
             resource=Resource.create({"service.name": daemon})
         )
@@ -86,6 +93,16 @@
         finally:
             span.end()
 
+    def of_request(
+        self, name: str, request_id: str, **attributes: Any
+    ) -> contextlib.AbstractContextManager[Span]:
+        """Gives a span of the trace that a request's id names.
+
+        Daemons that work for one request tell each other its id and nothing
+        else; the spans of all come together by it.
+        """
+        return self.span(name, request_span(request_id), **attributes)
+
     def find(self, trace_id: str) -> list[dict[str, Any]]:
         """Returns the kept spans of a trace, earliest first."""
         spans = [_plain(span) for span in self._recent.find(trace_id)]
@@ -106,6 +123,18 @@
     return NonRecordingSpan(context) if context.is_valid else None
 
 
+def request_span(request_id: str) -> Span:
+    """Returns the root that all spans of a request hang from."""
+    digest = xxhash.xxh3_128_intdigest(request_id.encode())
+    context = SpanContext(
+        trace_id=digest or 1,
+        span_id=digest & SPAN_BITS or 1,
+        is_remote=True,
+        trace_flags=TraceFlags(TraceFlags.SAMPLED),
+    )
+    return NonRecordingSpan(context)
+
+
 def traceparent(span: Span) -> str:
     """Returns the W3C traceparent header that names a span."""
     context = span.get_span_context()
--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -20,6 +20,7 @@
 from cactusdyke.membership.exchange import GOSSIP_PATH
 from cactusdyke.membership.members import Members
 from cactusdyke.observe.log_sink import LogSink
+from cactusdyke.observe.tracing import Tracing, request_span, trace_id
 from cactusdyke.platform import settings as platform_settings
 from cactusdyke.platform.addresses import READY_PATH, RESOLVE_PATH, Addresses
 from cactusdyke.platform.follow import (
@@ -55,7 +56,7 @@
 from cactusdyke.transport.asgi import AsgiAdapter
 from cactusdyke.transport.front import Front, Limits
 from cactusdyke.transport.http_network import HttpNetwork
-from cactusdyke.transport.messages import Request, Response
+from cactusdyke.transport.messages import Request, Response, json_response
 from cactusdyke.transport.routes import Routes
 from cactusdyke.transport.server import HttpServer
 
@@ -73,6 +74,9 @@
 IDLE_LOOK_MS = 50.0
 SETTINGS_LOOK_MS = 2_000.0
 METRICS_PATH = "/metrics"
+SPANS_PATH = "/internal/v1/spans"
+KEPT_SPANS = 2_000
+"""Some minutes of a busy daemon, in 3 MB of the 200 that a small host has."""
 MOST_STATE_BYTES = 16 << 20
 
 
@@ -164,8 +168,12 @@
             states=followers,
         )
         self._watch = PeerWatch(clock=clock, network=network)
+        self._tracing = Tracing(daemon=self._settings.node, kept=KEPT_SPANS)
         decider = Decider(
-            clock=clock, deployment=self._deployment, dialect=dialect
+            clock=clock,
+            deployment=self._deployment,
+            dialect=dialect,
+            tracing=self._tracing,
         )
         deciders = Deciders(clock=clock, daemons=self._view, watch=self._watch)
         self._deciding = DeciderInterface(deciders=deciders, decider=decider)
@@ -200,6 +208,7 @@
                 daemons=self._view.believed_count,
             ),
             metrics=metrics,
+            tracing=self._tracing,
         )
         self._front = Front(
             host=self._settings.front.host,
@@ -210,6 +219,7 @@
         )
         services: dict[str, Service] = {
             "log_sink": self._sink,
+            "tracing": self._tracing,
             "deployment": self._deployment,
             "registry": registry,
             "membership": self._members,
@@ -312,8 +322,14 @@
             ("POST", NOTES_PATH, self._deciding.handle_notes),
             ("GET", ALIVE_PATH, self._watch.handle),
             ("GET", STATE_PATH, self._exchange.handle),
+            ("GET", SPANS_PATH, self._spans),
         ]
 
+    async def _spans(self, request: Request) -> Response:
+        """Tells the spans of this daemon for a request's id."""
+        span = request_span(request.query.get("request_id", ""))
+        return json_response({"spans": self._tracing.find(trace_id(span))})
+
     async def _metrics(self, request: Request) -> Response:
         del request
         return Response(
--- a/cactusdyke/serving/batcher.py
+++ b/cactusdyke/serving/batcher.py
@@ -242,6 +242,7 @@
                 expected_ms=round(batch.expected_ms),
                 waiting=self._queue.waiting,
                 held_bytes=round(self._queue.held_bytes(batch.maker)),
+                crossed_bytes=round(self._crossed_bytes(batch)),
             )
         if refused:
             settled = self._queue.refused(batch)
@@ -254,6 +255,22 @@
         self._settle([task.group for task in settled])
         self._pump()
 
+    def _crossed_bytes(self, batch: Batch) -> float:
+        """Returns about what a call fetched from other data centres."""
+        maker = self._deployment.replica(batch.maker)
+        if maker is None:
+            return 0.0
+        crossed = 0.0
+        for task in batch.tasks:
+            inputs = task.piece.inputs
+            far = sum(
+                self._deployment.data_centre_at(self._dialect.maker_of(handle))
+                != maker.data_centre
+                for handle in inputs
+            )
+            crossed += far * task.group.moved_bytes / max(1, len(inputs))
+        return crossed
+
     async def _exchange(
         self, replica: Replica, batch: Batch
     ) -> list[PieceResult] | None:
--- a/cactusdyke/serving/decider.py
+++ b/cactusdyke/serving/decider.py
@@ -20,6 +20,7 @@
 
     from cactusdyke.clock import Clock, Instant
     from cactusdyke.errors import Failure
+    from cactusdyke.observe.tracing import Tracing
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.dialect import Dialect
     from cactusdyke.serving.dispatch_messages import StageWork
@@ -44,11 +45,17 @@
     """The batchers and placers of this daemon, made when first needed."""
 
     def __init__(
-        self, *, clock: Clock, deployment: Deployment, dialect: Dialect
+        self,
+        *,
+        clock: Clock,
+        deployment: Deployment,
+        dialect: Dialect,
+        tracing: Tracing,
     ) -> None:
         self._clock = clock
         self._deployment = deployment
         self._dialect = dialect
+        self._tracing = tracing
         self._batchers: dict[str, StageBatcher] = {}
         self._placers: dict[str, EnginePlacer] = {}
         self._groups: dict[str, _Group] = {}
@@ -90,13 +97,19 @@
             moved_bytes=work.moved_bytes,
         )
         group.tasks = [PieceTask(piece=p, group=group) for p in work.pieces]
-        return await self.make(
-            work.service,
-            work.name,
-            group,
-            may_refuse=work.may_refuse,
-            pinned=pinned,
-        )
+        with self._tracing.of_request(
+            "pieces",
+            work.pieces[0].request_id,
+            service=work.service,
+            pieces=len(work.pieces),
+        ):
+            return await self.make(
+                work.service,
+                work.name,
+                group,
+                may_refuse=work.may_refuse,
+                pinned=pinned,
+            )
 
     async def make(
         self,
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -30,6 +30,7 @@
     from collections.abc import Callable
 
     from cactusdyke.clock import Clock, Instant
+    from cactusdyke.observe.tracing import Tracing
     from cactusdyke.serving.attempt import Attempts
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.dialect import Dialect
@@ -83,6 +84,7 @@
         budget: RetryBudget,
         stop_at: Callable[[], Instant],
         metrics: ServingMetrics,
+        tracing: Tracing,
     ) -> None:
         self._clock = clock
         self._rng = rng
@@ -97,6 +99,7 @@
         self._budget = budget
         self._stop_at = stop_at
         self._metrics = metrics
+        self._tracing = tracing
         self._log = RequestLog(
             clock=clock, deployment=deployment, metrics=metrics
         )
@@ -125,7 +128,12 @@
         client_request = decoded.ok_value
         match self._admit(client_request):
             case Ok(context):
-                await self._serve(context, reply)
+                with self._tracing.of_request(
+                    "request",
+                    client_request.request_id,
+                    route=context.route.name,
+                ):
+                    await self._serve(context, reply)
             case Err(failure):
                 self._log.failed(failure, client_request.request_id, None)
                 await self._fail(failure, client_request.request_id, reply)
@@ -284,6 +292,9 @@
             return outcomes.no_replica(context), None
         context.attempts += 1
         context.asking = replica.name
+        context.crossed_bytes += self._stages.crossing_bytes(
+            context, results, replica.data_centre
+        )
         ended_well = False
         began = self._clock.now()
         self._health.started(replica.name)
@@ -296,9 +307,15 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._free_when_fetched, context, results)
-                result = await self._send(
-                    context, replica, reply, state, handles, on_first
-                )
+                with self._tracing.of_request(
+                    "attempt",
+                    context.request.request_id,
+                    backend_server=replica.name,
+                ) as span:
+                    result = await self._send(
+                        context, replica, reply, state, handles, on_first
+                    )
+                    span.set_attribute("detail", result.detail)
                 tasks.cancel_scope.cancel()
             ended_well = result.verdict is not None and (
                 result.verdict.succeeded
--- a/cactusdyke/serving/request.py
+++ b/cactusdyke/serving/request.py
@@ -99,6 +99,8 @@
         attempts: Attempts made.
         runs: Attempts that ran or may have run.
         stages_ms: How long its stages took.
+        crossed_bytes: About what engines fetched for it from other data
+            centres.
     """
 
     request: ClientRequest
@@ -117,6 +119,7 @@
     attempts: int = 0
     runs: int = 0
     stages_ms: float = 0.0
+    crossed_bytes: float = 0.0
 
     @property
     def may_have_run(self) -> bool:
--- a/cactusdyke/serving/request_log.py
+++ b/cactusdyke/serving/request_log.py
@@ -53,6 +53,7 @@
             stages_ms=round(context.stages_ms),
             first_ms=round(first_ms),
             gap_ms=round(state.longest_gap_ms),
+            crossed_bytes=round(context.crossed_bytes),
             took_ms=round(took_ms),
         )
 
--- a/cactusdyke/serving/stages.py
+++ b/cactusdyke/serving/stages.py
@@ -156,6 +156,17 @@
             retry_after_ms=int(min(MOST_RETRY_AFTER_MS, wait_ms * spread)),
         )
 
+    def crossing_bytes(
+        self, context: ServingContext, results: StageResults, data_centre: str
+    ) -> float:
+        """Returns about what is fetched from elsewhere to a data centre."""
+        return sum(
+            context.route.stages[number].result_bytes
+            for number in results.last()
+            for handle in results.made.get(number, ())
+            if self._dispatch.data_centre_of(handle) != data_centre
+        )
+
     def free(self, context: ServingContext, results: StageResults) -> None:
         """Frees all results of a request."""
         for number, handles in results.made.items():
@@ -304,13 +315,7 @@
         ]
         if later:
             return max(later)
-        generation = context.request.generation
-        own = (
-            generation.parts[-1].tokens
-            if generation and (generation.parts)
-            else 0
-        )
-        return ANSWER_MARGIN_MS + own * MS_PER_TOKEN
+        return ANSWER_MARGIN_MS + _reading_ms(context)
 
     def _stage_ms(
         self, context: ServingContext, results: StageResults, number: int
@@ -325,6 +330,14 @@
         return WAIT_FACTOR * call_ms
 
 
+def _reading_ms(context: ServingContext) -> float:
+    """Returns about how long an engine reads what is the request's own."""
+    generation = context.request.generation
+    if generation is None or not generation.parts:
+        return 0.0
+    return generation.parts[-1].tokens * MS_PER_TOKEN
+
+
 def _lost_inputs(answer: Result[None, Failure]) -> bool:
     return isinstance(answer, Err) and (
         answer.err_value.kind is FailureKind.STAGE_INPUT_GONE
--- a/features/platform/forwarding.feature
+++ b/features/platform/forwarding.feature
@@ -113,6 +113,13 @@
     Then all are answered, their pieces share calls and all results are freed
     And each engine request names the results of its own last stage
 
+  Scenario: the hops of a request are found by its id
+    # A crew's answer came late. Its id is all that the council has; each
+    # daemon that worked for it tells what it did, and how long it took.
+    When a request with stages has been answered
+    Then its spans name the request, its pieces and its attempt
+    And another request's id names none of them
+
   Scenario Outline: results that are <lost> are made again
     # A maker restarts and its results are gone, before the next stage or
     # before the engine fetched them.
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -13,6 +13,7 @@
 from cactusdyke.clock import EventLoopClock
 from cactusdyke.errors import Failure, FailureKind, Ran
 from cactusdyke.observe.log_sink import LogSink
+from cactusdyke.observe.tracing import Tracing
 from cactusdyke.serving.decider import Decider
 from cactusdyke.serving.deployment import Deployment
 from cactusdyke.serving.dialect import Piece
@@ -244,7 +245,10 @@
     async def run():
         deployment = _decider_world()
         decider = Decider(
-            clock=EventLoopClock(), deployment=deployment, dialect=None
+            clock=EventLoopClock(),
+            deployment=deployment,
+            dialect=None,
+            tracing=Tracing(daemon="d1"),
         )
         context.given_back = []
 
--- a/features/steps/platform_forwarding_steps.py
+++ b/features/steps/platform_forwarding_steps.py
@@ -441,3 +441,39 @@
     assert context.answer[0] == 200, context.answer
     assert context.answer[2].count(b"id: ") == 5
     assert context.runs == ["r-1"]
+
+
+@when("a request with stages has been answered")
+def answered_with_stages(context):
+    async def story(world):
+        await stage_world(world)
+        context.answer = await staged(world, "r-1")
+        address = world.daemons["d1"]._settings.peer.address
+        context.spans = {
+            name: (
+                await world.ask(
+                    address, "/internal/v1/spans", {"request_id": name}
+                )
+            )[1]["spans"]
+            for name in ("r-1", "r-2")
+        }
+
+    play(story)
+
+
+@then("its spans name the request, its pieces and its attempt")
+def check_spans(context):
+    assert context.answer[0] == 200
+    names = [span["name"] for span in context.spans["r-1"]]
+    assert sorted(set(names)) == ["attempt", "pieces", "request"], names
+    assert names.count("pieces") == 2, names
+    whole = next(s for s in context.spans["r-1"] if s["name"] == "request")
+    assert all(
+        span["duration_ms"] <= whole["duration_ms"] + 1
+        for span in context.spans["r-1"]
+    )
+
+
+@then("another request's id names none of them")
+def check_no_spans(context):
+    assert context.spans["r-2"] == []
