--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -34,6 +34,7 @@
 from cactusdyke.platform.store import StoreClient
 from cactusdyke.platform.wire import PlatformDialect
 from cactusdyke.serving.attempt import Attempts
+from cactusdyke.serving.connection_share import ConnectionShare
 from cactusdyke.serving.decider import Decider
 from cactusdyke.serving.decider_interface import DeciderInterface
 from cactusdyke.serving.deciders import Deciders
@@ -186,6 +187,7 @@
             deployment=self._deployment,
         )
         metrics = ServingMetrics(self._registry)
+        health = ReplicaHealth(clock=clock)
         forwarder = Forwarder(
             clock=clock,
             rng=rng,
@@ -200,7 +202,12 @@
                 deployment=self._deployment,
             ),
             attempts=Attempts(clock=clock, dialect=dialect),
-            health=ReplicaHealth(clock=clock),
+            health=health,
+            connections=ConnectionShare(
+                deployment=self._deployment,
+                health=health,
+                daemons=self._view.believed_count,
+            ),
             stop_at=lambda: self._stop_at,
             budget=RetryBudget(
                 clock=clock,
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -32,6 +32,7 @@
     from cactusdyke.clock import Clock, Instant
     from cactusdyke.observe.tracing import Tracing
     from cactusdyke.serving.attempt import Attempts
+    from cactusdyke.serving.connection_share import ConnectionShare
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.dialect import Dialect
     from cactusdyke.serving.dispatch import Dispatch, Placed
@@ -82,6 +83,7 @@
         attempts: Attempts,
         health: ReplicaHealth,
         budget: RetryBudget,
+        connections: ConnectionShare,
         stop_at: Callable[[], Instant],
         metrics: ServingMetrics,
         tracing: Tracing,
@@ -97,6 +99,7 @@
         self._health = health
         deployment.on_change(lambda: health.forget(deployment.replica_names))
         self._budget = budget
+        self._connections = connections
         self._stop_at = stop_at
         self._metrics = metrics
         self._tracing = tracing
@@ -466,7 +469,11 @@
         Once it was sent to as many replicas as its route allows, only those
         among them remain.
         """
-        usable = self._deployment.usable(context.service)
+        usable = [
+            replica
+            for replica in self._deployment.usable(context.service)
+            if self._connections.has_room(replica)
+        ]
         if len(context.sent_to) < context.route.max_attempts:
             return usable
         return [r for r in usable if r.name in context.sent_to]
--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -118,3 +118,12 @@
     When a graph of four stages runs with its second stage left out
     Then the third stage works on the first one's results
     And the request itself needs the results of the last stage alone
+
+  Scenario: a replica gets no more connections than this daemon's share
+    # A booking desk stalls. Its replicas accept 96 connections from all callers
+    # and reset what comes beyond: crews were told that the outcome of a booking
+    # was unknown, though nothing had run.
+    Given a replica that accepts 96 connections from six daemons
+    When twelve requests are under way there from one daemon
+    Then another one fits, and none after it until one has ended
+    And a daemon that knows no limit, or of no other daemon, still sends one
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -15,6 +15,7 @@
 from cactusdyke.platform.wire import PlatformDialect
 from cactusdyke.serving import balance
 from cactusdyke.serving.batcher import StageBatcher
+from cactusdyke.serving.connection_share import ConnectionShare
 from cactusdyke.serving.deciders import Deciders
 from cactusdyke.serving.deployment import Deployment
 from cactusdyke.serving.dialect import Piece
@@ -28,6 +29,7 @@
     Replica,
     ReplicaState,
     Route,
+    ServiceSpec,
     ServingConfiguration,
     StageSpec,
     WeightedService,
@@ -651,3 +653,59 @@
 @then("the request itself needs the results of the last stage alone")
 def check_graph_end(context):
     assert context.results.last() == [3]
+
+
+def _desk(max_connections):
+    deployment = Deployment(clock=HandClock())
+    desk = ServiceSpec(name="desk", max_connections=max_connections)
+    deployment.apply(
+        ServingConfiguration(
+            version=1,
+            routes=(),
+            services={"desk": desk},
+            customers=(),
+            limits=CallerLimits(),
+        ),
+        source="test",
+    )
+    return deployment
+
+
+@given("a replica that accepts 96 connections from six daemons")
+def bounded_replica(context):
+    context.health = ReplicaHealth(clock=HandClock())
+    context.share = ConnectionShare(
+        deployment=_desk(96), health=context.health, daemons=lambda: 6
+    )
+    context.bounded = replica("r1", "desk")
+
+
+@when("twelve requests are under way there from one daemon")
+def twelve_under_way(context):
+    for _ in range(12):
+        context.health.started("r1")
+
+
+@then("another one fits, and none after it until one has ended")
+def check_bound(context):
+    assert context.share.has_room(context.bounded)
+    context.health.started("r1")
+    assert not context.share.has_room(context.bounded)
+    context.health.ended("r1")
+    assert context.share.has_room(context.bounded)
+
+
+@then("a daemon that knows no limit, or of no other daemon, still sends one")
+def check_least(context):
+    crowd = ConnectionShare(
+        deployment=_desk(3),
+        health=ReplicaHealth(clock=HandClock()),
+        daemons=lambda: 75,
+    )
+    assert crowd.has_room(context.bounded)
+    unknown = ConnectionShare(
+        deployment=Deployment(clock=HandClock()),
+        health=context.health,
+        daemons=lambda: 6,
+    )
+    assert unknown.has_room(context.bounded)
