Look this daemon's own name up once for a list of members

Change: the name is taken once a list. No behaviour changes.

What remains are messages between daemons, some 20 a request; not measured again.

--- a/cactusdyke/serving/member_view.py
+++ b/cactusdyke/serving/member_view.py
@@ -66,11 +66,11 @@
         return self._known
 
     def _now(self) -> tuple[PeerDaemon, ...]:
+        own_name = self._members.own.name
         others = [
             self._daemon(member)
             for member in self._members.serving()
-            if member.name != self._members.own.name
-            and member.name in (self._told)
+            if member.name != own_name and member.name in self._told
         ]
         return (self._own(), *others)
 
