--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 import signal
 import sys
@@ -51,6 +50,7 @@
 from cactusdyke.serving.member_view import MemberView
 from cactusdyke.serving.peer_watch import ALIVE_PATH, PeerWatch
 from cactusdyke.serving.peers import size_class
+from cactusdyke.serving.planned_stop import PlannedStop
 from cactusdyke.serving.retry_budget import RetryBudget
 from cactusdyke.serving.stages import StageRunner
 from cactusdyke.serving.state_exchange import STATE_PATH, StateExchange
@@ -67,12 +67,6 @@
     from cactusdyke.transport.messages import Handler
     from cactusdyke.transport.network import Network
 
-STOP_MARGIN_MS = 700.0
-"""Kept of the time between SIGTERM and SIGKILL, for an end in good order."""
-LEAST_LINGER_MS = 3_000.0
-"""Callers are told of other addresses within a second, and most ask again after
-the two seconds that their answer holds."""
-IDLE_LOOK_MS = 50.0
 SETTINGS_LOOK_MS = 2_000.0
 METRICS_PATH = "/metrics"
 SPANS_PATH = "/internal/v1/spans"
@@ -102,8 +96,11 @@
         self._rng = rng
         self._network = network
         self._sink = sink
-        self._draining = False
-        self._stop_at = math.inf
+        self._stopping = PlannedStop(
+            clock=clock,
+            daemon=settings.node,
+            grace_ms=lambda: self._settings.grace_ms,
+        )
         self._kernel = Kernel()
         self._registry = prometheus_client.CollectorRegistry()
         prometheus_client.ProcessCollector(registry=self._registry)
@@ -112,7 +109,7 @@
     @property
     def ready(self) -> bool:
         """Whether callers may be sent here."""
-        return self._deployment.ready and not self._draining
+        return self._deployment.ready and not self._stopping.begun
 
     def _build(self) -> None:
         clock, rng, network = self._clock, self._rng, self._network
@@ -208,7 +205,7 @@
                 health=health,
                 daemons=self._view.believed_count,
             ),
-            stop_at=lambda: self._stop_at,
+            stop_at=lambda: self._stopping.ends_at,
             budget=RetryBudget(
                 clock=clock,
                 allowance=lambda: self._settings.retries,
@@ -264,7 +261,7 @@
                         self._reload("SIGHUP")
                     else:
                         break
-                await self._stop()
+                await self.stop()
                 tasks.cancel_scope.cancel()
         events.log(events.Event.DAEMON_STOPPED, daemon=self._settings.node)
         self._sink.flush()
@@ -361,28 +358,9 @@
             idle_timeout_ms=limits.idle_timeout_ms,
         )
 
-    async def _stop(self) -> None:
-        """Serves callers that still hold the address, then ends."""
-        began = self._clock.now()
-        self._draining = True
-        self._stop_at = began + self._settings.grace_ms - STOP_MARGIN_MS
-        events.log(events.Event.DAEMON_DRAINING, daemon=self._settings.node)
-        self._front.close_connections()
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._kernel.drain)
-            left_ms = self._stop_at - self._clock.now()
-            await self._clock.sleep(min(LEAST_LINGER_MS, left_ms))
-            await self._wait_until_idle()
-            tasks.cancel_scope.cancel()
-
-    async def _wait_until_idle(self) -> None:
-        """Returns when nothing is in flight, or the time is over.
-
-        Waiting out the whole time would keep several hosts at once from new
-        work where they are stopped in turn, and all would refuse.
-        """
-        while self._front.in_flight and self._clock.now() < self._stop_at:
-            await self._clock.sleep(IDLE_LOOK_MS)
+    async def stop(self) -> None:
+        """Serves callers that still hold the address, then returns."""
+        await self._stopping.run(self._front, self._kernel.drain)
 
     async def _look_at_settings(self) -> None:
         """Finds settings that change without a signal."""
--- /dev/null
+++ b/cactusdyke/serving/planned_stop.py
@@ -0,0 +1,70 @@
+"""A planned stop: no new callers, an end to what is under way, then the end."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import anyio
+
+from cactusdyke import events
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from cactusdyke.clock import Clock, Instant
+    from cactusdyke.transport.front import Front
+
+STOP_MARGIN_MS = 700.0
+"""Kept of the time between SIGTERM and SIGKILL, for an end in good order."""
+LEAST_LINGER_MS = 3_000.0
+"""Callers are told of other addresses within a second, and most ask again after
+the two seconds that their answer holds."""
+IDLE_LOOK_MS = 50.0
+
+
+class PlannedStop:
+    """Serves callers that still hold the address, then lets the daemon end."""
+
+    def __init__(
+        self, *, clock: Clock, daemon: str, grace_ms: Callable[[], float]
+    ) -> None:
+        self._clock = clock
+        self._daemon = daemon
+        self._grace_ms = grace_ms
+        self._ends_at: Instant = math.inf
+
+    @property
+    def begun(self) -> bool:
+        """Whether the daemon was asked to stop."""
+        return self._ends_at < math.inf
+
+    @property
+    def ends_at(self) -> Instant:
+        """Instant by which the daemon will have ended."""
+        return self._ends_at
+
+    async def run(
+        self, front: Front, drain: Callable[[], Coroutine[None, None, None]]
+    ) -> None:
+        """Returns when nothing is in flight, or the time is over.
+
+        Args:
+            front: Where callers are answered; it goes on.
+            drain: Tells all services that the daemon leaves.
+        """
+        self._ends_at = self._clock.now() + self._grace_ms() - STOP_MARGIN_MS
+        events.log(events.Event.DAEMON_DRAINING, daemon=self._daemon)
+        front.close_connections()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(drain)
+            left_ms = self._ends_at - self._clock.now()
+            await self._clock.sleep(min(LEAST_LINGER_MS, left_ms))
+            await self._wait_until_idle(front)
+            tasks.cancel_scope.cancel()
+
+    async def _wait_until_idle(self, front: Front) -> None:
+        # Waiting out the whole time would keep several hosts at once from new
+        # work where they are stopped in turn, and all would refuse.
+        while front.in_flight and self._clock.now() < self._ends_at:
+            await self._clock.sleep(IDLE_LOOK_MS)
--- a/features/steps/platform_state_steps.py
+++ b/features/steps/platform_state_steps.py
@@ -175,7 +175,7 @@
             if context.before:
                 break
             await anyio.sleep(0.05)
-        world.tasks.start_soon(second._stop)
+        world.tasks.start_soon(second.stop)
         began = anyio.current_time()
         for _ in range(100):
             if second._settings.front.address not in await told():
@@ -217,7 +217,7 @@
 
         async def stop(name):
             began = anyio.current_time()
-            await world.daemons[name]._stop()
+            await world.daemons[name].stop()
             context.took[name] = anyio.current_time() - began
 
         async with anyio.create_task_group() as tasks:
@@ -244,8 +244,8 @@
             [route("talk", "engine", kind="streaming", sticky=True)]
         )
         daemon = await world.start_daemon("d1")
-        world.tasks.start_soon(daemon._stop)
-        await until(lambda: daemon._draining)
+        world.tasks.start_soon(daemon.stop)
+        await until(lambda: daemon._stopping.begun)
         context.answer = await world.request(
             "/talk/stream", headers=STREAM_HEADERS
         )
