Write a stream's events whole before an attempt may be ended

As it woke, the time to wait for the next event was over, and events were there to be read. They were counted as passed on; the cancellation hit the write behind it; the stream was resumed at another replica behind events that the caller never got.

Ruled out: the replicas (each sent all its events), the check of event numbers (the numbers read were in order).

Change: from counting an event to having written it nothing ends the attempt; the writes have a time-out of their own, as before.

--- a/cactusdyke/serving/attempt.py
+++ b/cactusdyke/serving/attempt.py
@@ -250,18 +250,23 @@
                 wait.deadline = (
                     anyio.current_time() + gap_wait_ms / MS_PER_SECOND
                 )
-                if not state.begun:
-                    state.begun = True
-                    state.first_event_at = now
-                    state.on_begin()
-                    await reply.begin(verdict.status, verdict.headers)
-                else:
-                    state.longest_gap_ms = max(
-                        state.longest_gap_ms, now - state.event_at
-                    )
-                state.event_at = now
-                state.events += len(events)
-                await reply.part(b"".join(event.data for event in events))
+                # A frozen daemon wakes with events to read and the time for
+                # them over. Ended between counting them as passed on and
+                # writing them, the attempt was resumed behind them: seen as a
+                # stream that lacked one. Writes have a time of their own.
+                with anyio.CancelScope(shield=True):
+                    if not state.begun:
+                        state.begun = True
+                        state.first_event_at = now
+                        state.on_begin()
+                        await reply.begin(verdict.status, verdict.headers)
+                    else:
+                        state.longest_gap_ms = max(
+                            state.longest_gap_ms, now - state.event_at
+                        )
+                    state.event_at = now
+                    state.events += len(events)
+                    await reply.part(b"".join(event.data for event in events))
         if reader.rest.strip():
             raise ExchangeError(
                 "the stream ended within an event", sent=exchange.sent
--- a/features/serving/daemon.feature
+++ b/features/serving/daemon.feature
@@ -40,3 +40,11 @@
     Given a front that holds nearly all bodies it may
     When another body of a megabyte comes
     Then it is read only after one of the others is answered
+
+  Scenario: a stream whose time is over as its events are read loses none
+    # A host freezes for four seconds in mid-stream. As it wakes events wait to be
+    # read, and the time to wait for them is over. They counted as passed on, were
+    # not written, and the stream went on elsewhere behind them.
+    Given a stream of which an event is read after its time is over
+    When the attempt is ended for it
+    Then all events that count as passed on were written
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -7,6 +7,7 @@
 import time
 
 import anyio
+import anyio.lowlevel
 from behave import given, then, when
 from result import Err, Ok
 
@@ -14,9 +15,11 @@
 from cactusdyke.errors import Failure, FailureKind, Ran
 from cactusdyke.observe.log_sink import LogSink
 from cactusdyke.observe.tracing import Tracing
+from cactusdyke.platform.wire import PlatformDialect
+from cactusdyke.serving.attempt import Attempts, StreamState
 from cactusdyke.serving.decider import Decider
 from cactusdyke.serving.deployment import Deployment
-from cactusdyke.serving.dialect import Piece
+from cactusdyke.serving.dialect import AnswerKind, AnswerVerdict, Piece
 from cactusdyke.serving.member_view import MemberView
 from cactusdyke.serving.model import (
     BatchSpec,
@@ -319,3 +322,76 @@
 def check_body(context):
     assert not context.early
     assert len(context.read) == 1
+
+
+class LateBody:
+    """An answer whose second event comes while the daemon was frozen."""
+
+    sent = True
+
+    def __init__(self, wait):
+        self._wait = wait
+
+    async def body(self):
+        yield b"id: 1\ndata: a\n\n"
+        # As it wakes the timer fires first, then the bytes are read.
+        self._wait.cancel()
+        yield b"id: 2\ndata: b\n\n"
+
+
+class WrittenReply:
+    """Keeps what a caller got; each write may be cancelled."""
+
+    def __init__(self):
+        self.data = b""
+
+    async def begin(self, status, headers):
+        del status, headers
+        await anyio.lowlevel.checkpoint()
+
+    async def part(self, data):
+        await anyio.lowlevel.checkpoint()
+        self.data += data
+
+    async def end(self):
+        await anyio.lowlevel.checkpoint()
+
+
+@given("a stream of which an event is read after its time is over")
+def late_event(context):
+    context.reply = WrittenReply()
+    context.state = StreamState()
+
+
+@when("the attempt is ended for it")
+def ended_for_it(context):
+    async def run():
+        attempts = Attempts(clock=EventLoopClock(), dialect=PlatformDialect())
+        verdict = AnswerVerdict(
+            kind=AnswerKind.ANSWER,
+            status=200,
+            headers=[],
+            events=True,
+            load=None,
+        )
+        with anyio.CancelScope() as wait:
+            await attempts._pass_on(
+                LateBody(wait),
+                verdict,
+                context.reply,
+                context.state,
+                wait=wait,
+                gap_wait_ms=1_000.0,
+                on_first=lambda: None,
+            )
+
+    run_virtual(run)
+
+
+@then("all events that count as passed on were written")
+def all_written(context):
+    written = context.reply.data.count(b"id: ")
+    assert context.state.last == written == context.state.events, (
+        context.state,
+        context.reply.data,
+    )
