Test that a daemon says that it decides only after a second

With the second taken out all scenarios of deciders passed, the state machine among them: disagreement ends either way, only later. The new scenario fails without it.

Guards tried by taking them out: this one, the count of a result told twice (a scenario errs, as it should), and the bound on connections in the forwarder, which no scenario misses yet; the bound's own class has its test. No product change.

--- a/features/serving/deciders.feature
+++ b/features/serving/deciders.feature
@@ -72,3 +72,10 @@
     When the decider machine runs 40 examples
     Then no example breaks what must hold
     And it is broken where the hash alone decides, and where each prefers itself
+
+  Scenario: a daemon says that it decides after a second of it
+    # As a decider left, each daemon that took it for itself first said so at once,
+    # and a service went back and forth thirteen times in two seconds.
+    Given a daemon that is asked to decide for a service
+    When it looks again every 200 ms
+    Then it says nothing for the first second, and that it decides after it
--- a/features/steps/deciders_steps.py
+++ b/features/steps/deciders_steps.py
@@ -43,6 +43,7 @@
 from features.support.decider_machine import (
     ByHashMachine,
     DeciderMachine,
+    Node,
     OwnFirstMachine,
 )
 from features.support.virtual import run_virtual
@@ -473,3 +474,25 @@
 def naive_broken(context):
     assert "lost it to" in machine_fails(ByHashMachine, 40)
     assert "they ask" in machine_fails(OwnFirstMachine, 40)
+
+
+@given("a daemon that is asked to decide for a service")
+def asked_to_decide(context):
+    context.clock = HandClock()
+    context.node = Node("d1", context.clock, None)
+
+
+@when("it looks again every 200 ms")
+def looks_again(context):
+    context.told_at = {}
+    for _ in range(8):
+        context.node.decided.update([SERVICE])
+        context.told_at[context.clock.ms] = context.node.decided.marks
+        context.clock.ms += 200.0
+
+
+@then("it says nothing for the first second, and that it decides after it")
+def says_after_a_second(context):
+    for at, marks in context.told_at.items():
+        said = marks == frozenset({mark_of(SERVICE)})
+        assert said == (at >= 1_000.0), (at, marks)
