Freeze the booking's owner only once the plain service has the call

The scenario of an owner frozen in mid-call had failed once with "waited in vain" after 60 s. Cause: the step took the record's in_progress for "the call is made". The record says so before the call is handed over (maker.py promises no more: the daemon may be paused for any time between the mark and the send), and a SIGSTOP between the two leaves the service waited for without a call until SIGCONT, which comes after the wait.

Shown on a scratch copy with 300 ms slept between mark and send: the old step failed with "waited in vain", the new one passed. Ruled out: the product saying in_progress too early, since nobody may claim a dispatching record either way.

Change: the step also waits for the service's count of calls. The killed owner uses the same step.

--- a/features/steps/stops_steps.py
+++ b/features/steps/stops_steps.py
@@ -127,6 +127,9 @@
     thread.start()
     path = "/v1/requests/stopped-1"
     _until(lambda: _state(context, path) == "in_progress")
+    # The record says so before the call is handed over: a daemon stopped
+    # between the two never made it, and its service was waited for in vain.
+    _until(lambda: _plain_stats(context)["counts"].get("calls"))
     return thread
 
 
