Say in reports what was lost and why, who crossed, what was for nothing

Cause: the table of what binds on the further site was made by hand from logs; the report told counts by span only.

Change: requests' lines say how long each stage and the engine took, the objective and the results that were made for them; `cactusdyke report` adds tables of losses by span, route and cause (a late answer's cause is the part that took most beyond its route's usual time), of bytes between data centres by who fetched them, of results made for requests that were not answered, of pieces not made, and counts changes of deciders. A scenario with each of them.

--- a/cactusdyke/cmd/report.py
+++ b/cactusdyke/cmd/report.py
@@ -9,9 +9,12 @@
 from cactusdyke.cmd.action import Action
 from cactusdyke.report import plot as plotting
 from cactusdyke.report import reading
+from cactusdyke.report.losses import Losses, find_losses
 from cactusdyke.report.summary import Span, Summary, summarize
 
 MOST_REASONS = 20
+MS_PER_SECOND = 1_000
+BYTES_PER_MB = 1_000_000
 
 
 def report(
@@ -31,12 +34,24 @@
             output.usage("name log files, or - for standard input")
         if not isinstance(seconds, int | float) or seconds <= 0:
             output.usage("--seconds takes a length above 0")
-        summary = summarize(_lines(files), span_ms=int(seconds * 1_000))
+        lines = _lines(files)
+        span_ms = int(seconds * 1_000)
+        summary = summarize(lines, span_ms=span_ms)
         if not summary.spans:
             output.usage("the files hold no line of a served request")
         if plot:
             plotting.draw(summary, plot)
-        _show(summary, as_json=json)
+        tables = {
+            **_summary_tables(summary),
+            **_loss_tables(find_losses(lines, span_ms=span_ms)),
+        }
+        if json:
+            output.show_json(tables)
+            return
+        for name, rows in tables.items():
+            print(f"{name}:")
+            output.show_table(rows)
+            print()
 
     return Action(work=work)
 
@@ -55,8 +70,7 @@
     return sorted(lines, key=lambda line: line.at_ms)
 
 
-def _show(summary: Summary, *, as_json: bool) -> None:
-    spans = [_span_row(span) for span in summary.spans]
+def _summary_tables(summary: Summary) -> dict[str, list[dict[str, Any]]]:
     reasons = [
         {"requests": count, "route": route, "status": status, "reason": reason}
         for (route, status, reason), count in summary.reasons.most_common(
@@ -72,21 +86,55 @@
         }
         for route, (stages, rest, count) in sorted(summary.slow_parts.items())
     ]
-    if as_json:
-        output.show_json({"spans": spans, "reasons": reasons, "parts": parts})
-        return
-    for rows in (spans, reasons, parts):
-        output.show_table(rows)
-        print()
+    return {
+        "spans": [_span_row(span) for span in summary.spans],
+        "reasons": reasons,
+        "parts": parts,
+    }
+
+
+def _loss_tables(losses: Losses) -> dict[str, list[dict[str, Any]]]:
+    lost = [
+        {
+            "from s": loss.begins_ms / MS_PER_SECOND,
+            "route": loss.route,
+            "outcome": loss.outcome,
+            "requests": count,
+            "cause": loss.cause,
+        }
+        for loss, count in sorted(
+            losses.counts.items(),
+            key=lambda item: (item[0].begins_ms, -item[1]),
+        )
+    ]
+    crossed = [
+        {"fetched by": name, "MB": round(size / BYTES_PER_MB, 1)}
+        for name, size in losses.crossed_bytes.most_common()
+        if size
+    ]
+    wasted = [
+        {"results": count, "service": service, "route": route, "request": how}
+        for (service, route, how), count in losses.wasted_results.most_common()
+    ]
+    not_made = [
+        {"pieces": count, "service": service, "why": why}
+        for (service, why), count in losses.not_made.most_common()
+    ]
+    return {
+        "lost": lost,
+        "crossed": crossed,
+        "wasted": wasted,
+        "not made": not_made,
+    }
 
 
 def _span_row(span: Span) -> dict[str, Any]:
     row: dict[str, Any] = {"from s": span.begins_ms / 1_000}
     for name in ("on_time", "late", "left", "503", "502", "504"):
         row[name] = span.outcomes[name]
-    row["stages: calls/pieces/made/waiting/deciders"] = "  ".join(
+    row["stages: calls/pieces/made/waiting/deciders (changed)"] = "  ".join(
         f"{name} {t.calls}/{t.pieces}/{t.made}/{t.most_waiting}"
-        f"/{len(t.deciders)}"
+        f"/{len(t.deciders)} ({t.deciders_changed})"
         for name, t in sorted(span.stages.items())
     )
     return row
--- a/cactusdyke/report/summary.py
+++ b/cactusdyke/report/summary.py
@@ -28,6 +28,7 @@
     failed_calls: int = 0
     most_waiting: int = 0
     deciders: set[str] = attrs.field(factory=set)
+    deciders_changed: int = 0
 
 
 @attrs.define(kw_only=True)
@@ -95,6 +96,7 @@
         Event.REQUEST_LEFT,
         Event.STAGE_CALL_ENDED,
         Event.STAGE_CALL_FAILED,
+        Event.DECIDER_CHANGED,
     )
 }
 
@@ -117,6 +119,9 @@
     if line.code == Event.STAGE_CALL_FAILED.code:
         totals.failed_calls += 1
         return
+    if line.code == Event.DECIDER_CHANGED.code:
+        totals.deciders_changed += 1
+        return
     totals.calls += 1
     totals.pieces += int(fields["pieces"])
     totals.made += int(fields["made"])
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -303,6 +303,7 @@
         )
         ended_well = False
         began = self._clock.now()
+        context.engine_asked_at = began
         self._health.started(replica.name)
 
         def on_first() -> None:
--- a/cactusdyke/serving/request.py
+++ b/cactusdyke/serving/request.py
@@ -98,7 +98,11 @@
         failed_at: Names of those where it did not succeed.
         attempts: Attempts made.
         runs: Attempts that ran or may have run.
-        stages_ms: How long its stages took.
+        stages_ms: How long its stages took, over all attempts.
+        stage_ms: How long each stage took, by its number; a stage that was
+            made again counts with both.
+        results_made: Results that were made for it, by stage.
+        engine_asked_at: When its last attempt began.
         crossed_bytes: About what engines fetched for it from other data
             centres.
     """
@@ -119,6 +123,9 @@
     attempts: int = 0
     runs: int = 0
     stages_ms: float = 0.0
+    stage_ms: dict[int, float] = attrs.field(factory=dict)
+    results_made: dict[int, int] = attrs.field(factory=dict)
+    engine_asked_at: Instant = 0.0
     crossed_bytes: float = 0.0
 
     @property
@@ -130,6 +137,11 @@
         """Returns how long the caller still waits, never negative."""
         return max(0.0, self.caller_until - clock.now())
 
+    def note_stage(self, number: int, took_ms: float, made: int) -> None:
+        """Notes how long a stage took and how many results it brought."""
+        self.stage_ms[number] = self.stage_ms.get(number, 0.0) + took_ms
+        self.results_made[number] = self.results_made.get(number, 0) + made
+
     def note(self, ran: Ran) -> None:
         """Notes how one attempt ended; the worst of all stays.
 
--- a/cactusdyke/serving/request_log.py
+++ b/cactusdyke/serving/request_log.py
@@ -7,7 +7,7 @@
 from cactusdyke import events
 
 if TYPE_CHECKING:
-    from cactusdyke.clock import Clock
+    from cactusdyke.clock import Clock, Instant
     from cactusdyke.errors import Failure
     from cactusdyke.serving.attempt import StreamState
     from cactusdyke.serving.deployment import Deployment
@@ -51,6 +51,8 @@
             attempts=context.attempts,
             replicas=context.sent_to,
             stages_ms=round(context.stages_ms),
+            parts_ms=_parts_ms(context, state.first_event_at or now),
+            objective_ms=round(context.route.objective_ms),
             first_ms=round(first_ms),
             gap_ms=round(state.longest_gap_ms),
             crossed_bytes=round(context.crossed_bytes),
@@ -75,6 +77,8 @@
                 "replicas": context.sent_to,
                 "asking": context.asking,
                 "stages_ms": round(context.stages_ms),
+                "parts_ms": _parts_ms(context, 0.0),
+                "results_made": _results_made(context),
             }
         route = context.route.name if context else ""
         self._metrics.ended(route, failure.kind.code, took_ms)
@@ -102,5 +106,32 @@
             events=state.events,
             attempts=context.attempts,
             stages_ms=round(context.stages_ms),
+            parts_ms=_parts_ms(context, 0.0),
+            results_made=_results_made(context),
             took_ms=round(took_ms),
         )
+
+
+def _parts_ms(context: ServingContext, first_at: Instant) -> dict[str, int]:
+    """Returns how long each part of a request's way took, by service.
+
+    Args:
+        context: The request.
+        first_at: When its first event, or whole answer, came; 0 if none did.
+    """
+    parts: dict[str, int] = {}
+    for number, took_ms in context.stage_ms.items():
+        name = f"{number} {context.route.stages[number].service}"
+        parts[name] = round(took_ms)
+    if first_at and context.engine_asked_at:
+        parts[context.service] = round(first_at - context.engine_asked_at)
+    return parts
+
+
+def _results_made(context: ServingContext) -> dict[str, int]:
+    """Returns how many results were made for a request, by service."""
+    made: dict[str, int] = {}
+    for number, count in context.results_made.items():
+        service = context.route.stages[number].service
+        made[service] = made.get(service, 0) + count
+    return made
--- a/cactusdyke/serving/stages.py
+++ b/cactusdyke/serving/stages.py
@@ -239,7 +239,7 @@
         )
         now = self._clock.now()
         rest_ms = self._rest_ms(context, results, number)
-        return await self._dispatch.make(
+        answer = await self._dispatch.make(
             StageWork(
                 service=stage.service,
                 name=f"{request.request_id}/{number}/{now:.0f}",
@@ -253,6 +253,9 @@
                 data_centre="" if before else results.data_centre,
             )
         )
+        made = len(answer.ok_value) if isinstance(answer, Ok) else 0
+        context.note_stage(number, self._clock.now() - now, made)
+        return answer
 
     def _starts_after(
         self, context: ServingContext, results: StageResults, number: int
--- a/features/report/report.feature
+++ b/features/report/report.feature
@@ -9,6 +9,14 @@
     And it names the refusal's route and reason
     And it says how long stages took before the first event
 
+  Scenario: a report says what was lost, why, and what was made for nothing
+    # One stage is slow for a minute. Answers come late, a caller leaves, another
+    # is refused, and results that were made for them lie about unused.
+    Given logs of a minute in which a stage was slow and a decider changed
+    When a report is made of them
+    Then it says of each span what was lost and which part took the time
+    And it says who fetched across data centres and what was made for nothing
+
   Scenario: files without such lines are refused
     Given a file of other text
     When a report is made of them
--- a/features/steps/report_steps.py
+++ b/features/steps/report_steps.py
@@ -58,6 +58,95 @@
     context.files = [str(one), str(two)]
 
 
+USUAL = {"0 roster": 250, "pool": 300}
+
+
+def _answer(at, daemon, parts, **changes):
+    fields = {
+        **ANSWER,
+        "parts_ms": parts,
+        "objective_ms": 1_000,
+        "crossed_bytes": 1_500_000,
+        **changes,
+    }
+    return line(at, daemon, "CD4301:request_answered", **fields)
+
+
+@given("logs of a minute in which a stage was slow and a decider changed")
+def slow_minute(context):
+    context.folder = tempfile.TemporaryDirectory()
+    path = pathlib.Path(context.folder.name) / "one.log"
+    slow = {**USUAL, "0 roster": 900}
+    late = {"outcome": "late", "first_ms": 1_300}
+    path.write_text(
+        _answer(10_000, "d1", USUAL)
+        + _answer(10_100, "d1", USUAL)
+        + _answer(12_100, "d1", slow, **late)
+        + _answer(12_200, "d1", USUAL, outcome="late", first_ms=800)
+        + line(
+            12_300,
+            "d1",
+            "CD4303:request_left",
+            route="plans",
+            events=0,
+            attempts=0,
+            results_made={"roster": 3},
+        )
+        + line(
+            12_400,
+            "d1",
+            "CD4302:request_failed",
+            route="plans",
+            service="pool",
+            status=503,
+            detail="stages are busy for 950 ms",
+            results_made={"roster": 2},
+        )
+        + line(12_500, "d1", "CD4316:decider_changed", service="roster")
+        + line(
+            12_600,
+            "d2",
+            "CD4314:stage_call_ended",
+            service="roster",
+            pieces=5,
+            made=4,
+            waiting=7,
+            failures=["no_room"],
+            crossed_bytes=2_000_000,
+        )
+    )
+    context.files = [str(path)]
+
+
+@then("it says of each span what was lost and which part took the time")
+def check_losses(context):
+    report = json.loads(context.done.stdout)
+    lost = {(x["outcome"], x["cause"]): x["requests"] for x in report["lost"]}
+    assert lost == {
+        ("late", "long in 0 roster"): 1,
+        ("late", "a long pause between events"): 1,
+        ("left", "waiting for stages"): 1,
+        ("refused", "stages are busy for # ms"): 1,
+    }, lost
+    assert {x["from s"] for x in report["lost"]} == {2.0}
+    (span,) = [x for x in report["spans"] if x["from s"] == 2.0]
+    name = "stages: calls/pieces/made/waiting/deciders (changed)"
+    assert span[name] == "roster 1/5/4/7/1 (1)"
+
+
+@then("it says who fetched across data centres and what was made for nothing")
+def check_waste(context):
+    report = json.loads(context.done.stdout)
+    crossed = {x["fetched by"]: x["MB"] for x in report["crossed"]}
+    assert crossed == {"engines for plans": 6.0, "calls of roster": 2.0}
+    wasted = {
+        (x["service"], x["request"]): x["results"] for x in report["wasted"]
+    }
+    assert wasted == {("roster", "left"): 3, ("roster", "refused"): 2}
+    (not_made,) = report["not made"]
+    assert not_made == {"pieces": 1, "service": "roster", "why": "no_room"}
+
+
 @given("a file of other text")
 def other_text(context):
     context.folder = tempfile.TemporaryDirectory()
@@ -96,8 +185,8 @@
     spans = json.loads(context.done.stdout)["spans"]
     assert [span["on_time"] for span in spans] == [2, 0]
     assert [span["503"] for span in spans] == [0, 1]
-    called = spans[1]["stages: calls/pieces/made/waiting/deciders"]
-    assert called == "roster 1/5/4/7/1"
+    called = spans[1]["stages: calls/pieces/made/waiting/deciders (changed)"]
+    assert called == "roster 1/5/4/7/1 (0)"
 
 
 @then("it names the refusal's route and reason")
