--- a/cactusdyke/report/losses.py
+++ b/cactusdyke/report/losses.py
@@ -1,4 +1,4 @@
-"""What was lost and why, what crossed data centres, and what was for nothing."""
+"""What was lost and why, what crossed data centres, what was in vain."""
 
 from __future__ import annotations
 
--- a/cactusdyke/serving/batcher.py
+++ b/cactusdyke/serving/batcher.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import collections
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeAlias
 
 import anyio
 from result import Err, Ok, Result
@@ -11,11 +11,12 @@
 from cactusdyke import events
 from cactusdyke.errors import Failure, FailureKind
 from cactusdyke.serving.dialect import PieceFailure, PieceResult
+from cactusdyke.serving.dispatch_messages import StageMade
 from cactusdyke.serving.stage_queue import Batch, PieceGroup, StageQueue
 from cactusdyke.transport.exchange import ExchangeError, connect
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from anyio.abc import TaskGroup
 
@@ -25,12 +26,18 @@
     from cactusdyke.serving.holdings import HeldResult
     from cactusdyke.serving.model import BatchSpec, Replica
 
+FreeInputs: TypeAlias = "Callable[[str, Sequence[str]], bool]"
+"""Frees results of a service early, where that is worth it; says whether."""
 MOST_ANSWER_BYTES = 1 << 20
 SLOWEST_CALL = 4.0
 """Times its expected length after which a call counts as lost."""
 LEAST_CALL_TIMEOUT_MS = 900.0
 FREE_TIMEOUT_MS = 500.0
 FREE_EVERY_MS = 15.0
+FETCH_MS = 40.0
+"""Connecting and reading the call, with room for a slow moment."""
+FETCH_BYTES_PER_MS = 250_000.0
+"""A fifth of the links that replicas have: makers serve several at once."""
 TICK_MS = 50.0
 """How often what can't be in time any more is looked for."""
 
@@ -47,7 +54,9 @@
         deployment: Deployment,
         dialect: Dialect,
         tasks: TaskGroup,
+        free_inputs: FreeInputs,
     ) -> None:
+        self._free_inputs = free_inputs
         self._service = service
         self._clock = clock
         self._deployment = deployment
@@ -69,8 +78,8 @@
 
     async def run(
         self, group: PieceGroup, *, may_refuse: bool
-    ) -> Result[list[str], Failure]:
-        """Makes the results of a group; returns their handles in order."""
+    ) -> Result[StageMade, Failure]:
+        """Makes the results of a group."""
         group.queued_at = self._clock.now()
         if may_refuse:
             refusal = self._refusal(group)
@@ -142,14 +151,21 @@
             retry_after_ms=int(min(backlog_ms, 3_000.0)),
         )
 
-    def _outcome(self, group: PieceGroup) -> Result[list[str], Failure]:
+    def _outcome(self, group: PieceGroup) -> Result[StageMade, Failure]:
         failures = [
             task.result.failure
             for task in group.tasks
             if task.result is not None and task.result.failure is not None
         ]
         if not failures:
-            return Ok([t.result.handle for t in group.tasks if t.result])
+            return Ok(
+                StageMade(
+                    handles=tuple(
+                        t.result.handle for t in group.tasks if t.result
+                    ),
+                    inputs_freed=group.inputs_freed,
+                )
+            )
         self._free_results(group)
         self._log_given_up(group, str(failures[0]))
         gone = PieceFailure.INPUT_GONE in failures
@@ -219,6 +235,7 @@
                     detail = f"no answer in {timeout_ms:.0f} ms"
             except ExchangeError as error:
                 detail = str(error)
+        batch.ended = True
         took_ms = self._clock.now() - batch.started_at
         if results is None:
             events.log(
@@ -255,6 +272,32 @@
         self._settle([task.group for task in settled])
         self._pump()
 
+    async def _free_when_fetched(self, batch: Batch) -> None:
+        """Frees what a call works on as soon as it must have fetched it.
+
+        A call fetches its inputs at its begin and works on them for some
+        hundred milliseconds. Kept to its end they take their makers' memory,
+        which is what binds: calls of the stage before were two thirds full
+        with others' pieces waiting.
+        """
+        moved = sum(
+            task.group.moved_bytes for task in batch.tasks if task.piece.inputs
+        )
+        if not moved:
+            return
+        await self._clock.sleep(FETCH_MS + moved / FETCH_BYTES_PER_MS)
+        if batch.ended:
+            return
+        for task in batch.tasks:
+            task.fetched = True
+        for group in {id(t.group): t.group for t in batch.tasks}.values():
+            if group.fetched and not group.inputs_freed:
+                freed = [
+                    self._free_inputs(inputs.service, inputs.handles)
+                    for inputs in group.last_use_of
+                ]
+                group.inputs_freed = any(freed)
+
     def _crossed_bytes(self, batch: Batch) -> float:
         """Returns about what a call fetched from other data centres."""
         maker = self._deployment.replica(batch.maker)
@@ -282,6 +325,7 @@
             await exchange.send(
                 call.method, call.target, call.headers, call.body
             )
+            self._tasks.start_soon(self._free_when_fetched, batch)
             head = await exchange.head()
             body = await exchange.whole_body(most=MOST_ANSWER_BYTES)
         if head.status == 421:
--- a/cactusdyke/serving/decider.py
+++ b/cactusdyke/serving/decider.py
@@ -21,14 +21,20 @@
     from cactusdyke.clock import Clock, Instant
     from cactusdyke.errors import Failure
     from cactusdyke.observe.tracing import Tracing
+    from cactusdyke.serving.batcher import FreeInputs
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.dialect import Dialect
-    from cactusdyke.serving.dispatch_messages import StageWork
+    from cactusdyke.serving.dispatch_messages import StageMade, StageWork
     from cactusdyke.serving.holdings import Briefing
     from cactusdyke.serving.model import Replica
     from cactusdyke.serving.request import Generation
 
 
+def _keep(service: str, handles: Sequence[str]) -> bool:
+    del service, handles
+    return False
+
+
 DECIDED_MS = 5_000.0
 """A service that nothing was asked of for so long has no queue to lose."""
 
@@ -61,6 +67,11 @@
         self._groups: dict[str, _Group] = {}
         self._used_at: dict[str, Instant] = {}
         self._tasks: TaskGroup | None = None
+        self._free_inputs: FreeInputs = _keep
+
+    def free_inputs_by(self, free: FreeInputs) -> None:
+        """Has inputs freed by `free`, which may reach another decider."""
+        self._free_inputs = free
 
     @property
     def decided(self) -> list[str]:
@@ -80,7 +91,7 @@
 
     async def make_work(
         self, work: StageWork, *, pinned: bool
-    ) -> Result[list[str], Failure] | None:
+    ) -> Result[StageMade, Failure] | None:
         """Makes the results of work; None if it has to be made elsewhere.
 
         Args:
@@ -95,6 +106,7 @@
             result_bytes=work.result_bytes,
             data_centre=work.data_centre,
             moved_bytes=work.moved_bytes,
+            last_use_of=work.last_use_of,
         )
         group.tasks = [PieceTask(piece=p, group=group) for p in work.pieces]
         with self._tracing.of_request(
@@ -119,7 +131,7 @@
         *,
         may_refuse: bool,
         pinned: bool,
-    ) -> Result[list[str], Failure] | None:
+    ) -> Result[StageMade, Failure] | None:
         """Makes the results of a group; None if it has to be made elsewhere."""
         batcher = self._batcher(service)
         if batcher is None:
@@ -250,6 +262,7 @@
                 deployment=self._deployment,
                 dialect=self._dialect,
                 tasks=self._tasks,
+                free_inputs=self._free_inputs,
             )
         batcher.update(spec.batching)
         return batcher
--- a/cactusdyke/serving/decider_interface.py
+++ b/cactusdyke/serving/decider_interface.py
@@ -60,7 +60,8 @@
         if isinstance(answer, Err):
             body["failure"] = failure_to(answer.err_value)
         else:
-            body["handles"] = answer.ok_value
+            body["handles"] = answer.ok_value.handles
+            body["inputs_freed"] = answer.ok_value.inputs_freed
         return json_response(body)
 
     async def handle_place(self, request: Request) -> Response:
--- a/cactusdyke/serving/deciders.py
+++ b/cactusdyke/serving/deciders.py
@@ -33,8 +33,14 @@
         self._ranked_of: tuple[PeerDaemon, ...] = ()
         self._ranked_without: frozenset[str] = frozenset()
         self._firsts: dict[str, PeerDaemon] = {}
+        self._changed_at: Instant = clock.now()
         self._moved: dict[str, tuple[PeerDaemon, Instant]] = {}
 
+    @property
+    def stable_ms(self) -> float:
+        """How long ago a daemon last came or left."""
+        return self._clock.now() - self._changed_at
+
     def first(self, service: str) -> PeerDaemon:
         """Returns the daemon to ask."""
         moved, until = self._moved.get(service, (None, 0.0))
@@ -48,6 +54,8 @@
         daemons = self._daemons.all()
         silent = frozenset(self._watch.silent)
         if daemons is not self._ranked_of or silent != self._ranked_without:
+            if {d.name for d in daemons} != {d.name for d in self._ranked_of}:
+                self._changed_at = self._clock.now()
             self._ranked_of = daemons
             self._ranked_without = silent
             self._firsts.clear()
--- a/cactusdyke/serving/dispatch.py
+++ b/cactusdyke/serving/dispatch.py
@@ -19,6 +19,7 @@
 from cactusdyke.kernel import Service
 from cactusdyke.serving.decided import DecidedServices
 from cactusdyke.serving.dispatch_messages import (
+    StageMade,
     StageWork,
     failure_from,
     generation_to,
@@ -55,6 +56,8 @@
 MOST_TURNS = 4
 """After so many daemons that gave the work back it is made here."""
 HAND_OVER_EVERY_MS = 200.0
+EARLY_FREE_BACKLOG_MS = 200.0
+EARLY_FREE_STABLE_MS = 3_000.0
 
 
 @attrs.frozen(kw_only=True)
@@ -92,6 +95,7 @@
         self._notes: dict[str, list[Any]] = {}
         self._backlogs: dict[str, tuple[Backlog, Instant]] = {}
         self._noted = anyio.Event()
+        decider.free_inputs_by(self._free_early)
 
     @property
     def decides(self) -> frozenset[int]:
@@ -146,8 +150,8 @@
             self._note(peer, ["briefing", service, briefing_to(briefing)])
         return peer
 
-    async def make(self, work: StageWork) -> Result[list[str], Failure]:
-        """Makes the results of one stage; returns their handles in order."""
+    async def make(self, work: StageWork) -> Result[StageMade, Failure]:
+        """Makes the results of one stage."""
         began = self._clock.now()
         for turn in range(MOST_TURNS):
             peer = self._meet(work.service)
@@ -160,7 +164,7 @@
                 answer = await self._make_at(peer, left, insists=insists)
             if isinstance(answer, Ok):
                 self._holdings.made(
-                    work.service, answer.ok_value, work.result_bytes
+                    work.service, answer.ok_value.handles, work.result_bytes
                 )
             if answer is not None:
                 return answer
@@ -196,6 +200,15 @@
         else:
             self._note(peer, ["free", service, list(handles)])
 
+    def _free_early(self, service: str, handles: Sequence[str]) -> bool:
+        """Frees inputs that calls have fetched, if that helps anybody."""
+        if self.backlog(service).all_ms < EARLY_FREE_BACKLOG_MS:
+            return False
+        if not self._deciders.stable_ms >= EARLY_FREE_STABLE_MS:
+            return False
+        self.free(service, handles)
+        return True
+
     async def place(
         self,
         service: str,
@@ -267,7 +280,7 @@
 
     async def _make_at(
         self, peer: PeerDaemon, work: StageWork, *, insists: bool
-    ) -> Result[list[str], Failure] | None:
+    ) -> Result[StageMade, Failure] | None:
         """Asks another daemon; None if it has to be asked elsewhere."""
         answered = False
         try:
@@ -295,7 +308,12 @@
             return None
         self._told_backlog(work.service, body.get("backlog"))
         if "handles" in body:
-            return Ok(list(body["handles"]))
+            return Ok(
+                StageMade(
+                    handles=tuple(body["handles"]),
+                    inputs_freed=bool(body.get("inputs_freed")),
+                )
+            )
         return Err(failure_from(body["failure"]))
 
     async def _place_at(
--- a/cactusdyke/serving/dispatch_messages.py
+++ b/cactusdyke/serving/dispatch_messages.py
@@ -11,6 +11,27 @@
 from cactusdyke.serving.request import Generation, PromptPart
 
 
+@attrs.frozen(kw_only=True)
+class StageInputs:
+    """Results of one service that only the pieces they go with still need."""
+
+    service: str
+    handles: tuple[str, ...]
+
+
+@attrs.frozen(kw_only=True)
+class StageMade:
+    """What became of work.
+
+    Attributes:
+        handles: The results, in the order of the pieces.
+        inputs_freed: Whether the inputs that went with it were freed.
+    """
+
+    handles: tuple[str, ...]
+    inputs_freed: bool = False
+
+
 @attrs.frozen(kw_only=True)
 class StageWork:
     """The pieces of one stage of one request.
@@ -28,6 +49,7 @@
             inputs lie, or its result is fetched.
         data_centre: Where the results are likely to be fetched, for pieces
             without inputs.
+        last_use_of: Inputs to free as soon as the pieces have fetched them.
     """
 
     service: str
@@ -40,6 +62,7 @@
     may_refuse: bool
     moved_bytes: float = 0.0
     data_centre: str = ""
+    last_use_of: tuple[StageInputs, ...] = ()
 
 
 def work_to(work: StageWork) -> dict[str, Any]:
@@ -54,6 +77,7 @@
         "may_refuse": work.may_refuse,
         "moved_bytes": work.moved_bytes,
         "data_centre": work.data_centre,
+        "last_use_of": [[i.service, list(i.handles)] for i in work.last_use_of],
         "pieces": [
             [p.request_id, p.stage, p.number, p.key, list(p.inputs)]
             for p in work.pieces
@@ -77,6 +101,10 @@
         may_refuse=bool(body["may_refuse"]),
         moved_bytes=float(body["moved_bytes"]),
         data_centre=str(body["data_centre"]),
+        last_use_of=tuple(
+            StageInputs(service=str(service), handles=tuple(handles))
+            for service, handles in body["last_use_of"]
+        ),
         pieces=tuple(
             Piece(
                 request_id=request_id,
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -15,6 +15,7 @@
 from cactusdyke.serving.attempt import AttemptResult, StreamState
 from cactusdyke.serving.durations import RouteDurations
 from cactusdyke.serving.model import RepeatPolicy
+from cactusdyke.serving.patience import CallerPatience
 from cactusdyke.serving.request import ServingContext
 from cactusdyke.serving.request_log import RequestLog
 from cactusdyke.serving.stages import StageResults
@@ -101,6 +102,7 @@
         self._metrics = metrics
         self._tracing = tracing
         self._durations = RouteDurations()
+        self._patience = CallerPatience()
         self._log = RequestLog(
             clock=clock, deployment=deployment, metrics=metrics
         )
@@ -183,6 +185,7 @@
             DEFAULT_PATIENCE_MS, route.timeout_ms
         )
         ends_at = arrived + min(patience_ms, route.timeout_ms)
+        waited_ms = self._patience.waited_ms(route, patience_ms)
         return ServingContext(
             request=request,
             route=route,
@@ -196,7 +199,8 @@
             )
             - TIMEOUT_MARGIN_MS,
             caller_until=arrived + patience_ms,
-            objective_at=arrived + route.objective_ms,
+            objective_at=arrived + route.objective_ms - waited_ms,
+            waited_ms=waited_ms,
         )
 
     async def _serve(self, context: ServingContext, reply: Reply) -> None:
--- a/cactusdyke/serving/request.py
+++ b/cactusdyke/serving/request.py
@@ -90,7 +90,9 @@
         first_by: Instant by which a stream must have begun; its caller gives
             it up then.
         caller_until: Instant until which the caller waits.
-        objective_at: Instant by which an answer has its full value.
+        objective_at: Instant by which an answer has its full value; past for
+            a caller that has been trying for longer.
+        waited_ms: About how long the caller had been trying before.
         ran: What is true of all attempts that have ended.
         asking: Name of the replica that an attempt is under way at, empty
             between attempts; what it does is unknown.
@@ -116,6 +118,7 @@
     first_by: Instant
     caller_until: Instant
     objective_at: Instant
+    waited_ms: float = 0.0
     ran: Ran = Ran.NOT_RUN
     asking: str = ""
     sent_to: list[str] = attrs.field(factory=list)
--- a/cactusdyke/serving/request_log.py
+++ b/cactusdyke/serving/request_log.py
@@ -52,6 +52,7 @@
             replicas=context.sent_to,
             stages_ms=round(context.stages_ms),
             parts_ms=_parts_ms(context, state.first_event_at or now),
+            waited_ms=round(context.waited_ms),
             objective_ms=round(context.route.objective_ms),
             first_ms=round(first_ms),
             gap_ms=round(state.longest_gap_ms),
@@ -78,6 +79,7 @@
                 "asking": context.asking,
                 "stages_ms": round(context.stages_ms),
                 "parts_ms": _parts_ms(context, 0.0),
+                "waited_ms": round(context.waited_ms),
                 "results_made": _results_made(context),
             }
         route = context.route.name if context else ""
--- a/cactusdyke/serving/stage_queue.py
+++ b/cactusdyke/serving/stage_queue.py
@@ -13,6 +13,7 @@
 
 from cactusdyke.clock import Clock, Instant
 from cactusdyke.serving.dialect import Piece, PieceFailure, PieceResult
+from cactusdyke.serving.dispatch_messages import StageInputs
 from cactusdyke.serving.stage_makers import Maker
 
 if TYPE_CHECKING:
@@ -50,12 +51,14 @@
         piece: The piece.
         group: The request's stage that it belongs to.
         tries: Calls that it was in.
+        fetched: Whether a call that it is in must have fetched its inputs.
         result: Its result, once there is one.
     """
 
     piece: Piece
     group: PieceGroup
     tries: int = 0
+    fetched: bool = False
     result: PieceResult | None = None
 
 
@@ -75,6 +78,8 @@
         hopeful: Whether it could be on time when it was queued.
         cancelled: Whether nobody waits for it any more.
         begun: Whether a piece of it was in a call.
+        last_use_of: Inputs that nothing else needs.
+        inputs_freed: Whether they were freed.
     """
 
     needed_by: Instant
@@ -88,12 +93,19 @@
     hopeful: bool = True
     cancelled: bool = False
     begun: bool = False
+    last_use_of: tuple[StageInputs, ...] = ()
+    inputs_freed: bool = False
 
     @property
     def done(self) -> bool:
         """Whether every piece has a result or a failure."""
         return all(task.result is not None for task in self.tasks)
 
+    @property
+    def fetched(self) -> bool:
+        """Whether every piece must have fetched its inputs."""
+        return all(task.fetched for task in self.tasks)
+
 
 @attrs.frozen(kw_only=True)
 class Backlog:
@@ -108,7 +120,7 @@
     all_ms: float = 0.0
 
 
-@attrs.frozen(kw_only=True)
+@attrs.define(kw_only=True, eq=False)
 class Batch:
     """What the next call holds.
 
@@ -119,6 +131,7 @@
         started_at: When it was made up.
         room_bytes: The room for its results that the maker was believed to
             have.
+        ended: Whether the call has ended, however it did.
     """
 
     maker: str
@@ -126,6 +139,7 @@
     expected_ms: float
     started_at: Instant
     room_bytes: float
+    ended: bool = False
 
 
 class StageQueue:
--- a/cactusdyke/serving/stages.py
+++ b/cactusdyke/serving/stages.py
@@ -9,11 +9,16 @@
 
 from cactusdyke.errors import Failure, FailureKind
 from cactusdyke.serving.dialect import Piece
-from cactusdyke.serving.dispatch_messages import StageWork
+from cactusdyke.serving.dispatch_messages import (
+    StageInputs,
+    StageMade,
+    StageWork,
+)
 from cactusdyke.serving.stage_queue import LARGE_BYTES
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Sequence
 
     from cactusdyke.clock import Clock
     from cactusdyke.serving.deployment import Deployment
@@ -207,12 +212,17 @@
                 for before in self._starts_after(context, results, number):
                     await done[before].wait()
                 if number not in results.made:
-                    answer = await self._run_stage(context, results, number)
+                    last_uses = self._last_uses(results, number)
+                    answer = await self._run_stage(
+                        context, results, number, last_uses
+                    )
                     if isinstance(answer, Err):
                         failures.append(answer.err_value)
                         tasks.cancel_scope.cancel()
                         return
-                    results.made[number] = answer.ok_value
+                    results.made[number] = list(answer.ok_value.handles)
+                    if answer.ok_value.inputs_freed:
+                        results.used.update(last_uses)
                 done[number].set()
                 self._free_used(context, results)
 
@@ -221,8 +231,12 @@
         return Err(failures[0]) if failures else Ok(None)
 
     async def _run_stage(
-        self, context: ServingContext, results: StageResults, number: int
-    ) -> Result[list[str], Failure]:
+        self,
+        context: ServingContext,
+        results: StageResults,
+        number: int,
+        last_uses: Sequence[int],
+    ) -> Result[StageMade, Failure]:
         request = context.request
         stage = context.route.stages[number]
         before = results.inputs_of(number)
@@ -251,12 +265,31 @@
                 may_refuse=not results.made,
                 moved_bytes=self._moved_bytes(context, results, number),
                 data_centre="" if before else results.data_centre,
+                last_use_of=tuple(
+                    StageInputs(
+                        service=context.route.stages[n].service,
+                        handles=tuple(results.made[n]),
+                    )
+                    for n in last_uses
+                ),
             )
         )
-        made = len(answer.ok_value) if isinstance(answer, Ok) else 0
+        made = len(answer.ok_value.handles) if isinstance(answer, Ok) else 0
         context.note_stage(number, self._clock.now() - now, made)
         return answer
 
+    def _last_uses(self, results: StageResults, number: int) -> list[int]:
+        """Returns the stages whose results only a stage still needs."""
+        needed = set(results.last())
+        for other in results.present():
+            if other != number and other not in results.made:
+                needed.update(results.inputs_of(other))
+        return [
+            n
+            for n in results.inputs_of(number)
+            if n not in needed and n not in results.used
+        ]
+
     def _starts_after(
         self, context: ServingContext, results: StageResults, number: int
     ) -> list[int]:
