Bound what is believed of makers' memory by replicas' own word

Cause: after a loss of all daemons the makers' memory is full of results that dead daemons had ordered. The new decider believed it empty, then, after pieces without room, full for four seconds more than it was (38 to 40 s: calls of 4 to 8 pieces of 21 with 340 waiting).

Change: a decider that takes a service over asks each maker before its first call, and follows its word until nothing unknown is left or after a piece without room. Groups whose inputs take scarce memory are not put behind others as late.

--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -181,6 +181,11 @@
         " daemon that decides for the stage service.",
         "Look at the calls of the service in the seconds before.",
     )
+    STAGE_REPORT_FAILED = (
+        4317,
+        "A replica did not say how much memory it has left for results.",
+        "Nothing; pieces that find no room show it.",
+    )
     STAGE_CALL_ENDED = (4314, "A call for pieces has brought its results.", "")
     STAGE_FREE_FAILED = (
         4312,
--- a/cactusdyke/platform/wire.py
+++ b/cactusdyke/platform/wire.py
@@ -16,6 +16,7 @@
     Dialect,
     EncodedCall,
     EventReader,
+    MemoryTold,
     Piece,
     PieceFailure,
     PieceResult,
@@ -33,6 +34,7 @@
     from cactusdyke.transport.front import ReadRequest
 
 ID = b"X-Attempt-Id"
+BYTES_PER_MB = 1_000_000.0
 SIGNATURE = b"x-response-stamp"
 NOT_RUN = b"x-not-executed"
 
@@ -221,6 +223,34 @@
         """Returns a call that frees results."""
         return _json_call(address, "/-/stage-free", {"handles": list(handles)})
 
+    def encode_report(self, replica: Replica) -> EncodedCall:
+        """Returns a call that asks a stage replica for its free memory."""
+        return EncodedCall(
+            method="GET",
+            target="/-/report",
+            headers=[(b"Host", replica.address.encode("latin-1"))],
+            body=b"",
+        )
+
+    def decode_report(self, head: AnswerHead, body: bytes) -> MemoryTold | None:
+        """Returns a replica's free memory, None if it is not told.
+
+        It was seen in whole megabytes, rounded down.
+        """
+        try:
+            value = (
+                orjson.loads(body)["free_mb"] if head.status == 200 else None
+            )
+        except (orjson.JSONDecodeError, KeyError, TypeError):
+            return None
+        if not isinstance(value, int | float) or not math.isfinite(value):
+            return None
+        whole = float(value).is_integer()
+        return MemoryTold(
+            at_least=value * BYTES_PER_MB,
+            at_most=(value + whole) * BYTES_PER_MB,
+        )
+
     def maker_of(self, handle: str) -> str:
         """Returns the address of the replica that holds a result."""
         return handle.partition("/")[0]
--- a/cactusdyke/serving/batcher.py
+++ b/cactusdyke/serving/batcher.py
@@ -12,6 +12,7 @@
 from cactusdyke.errors import Failure, FailureKind
 from cactusdyke.serving.dialect import PieceFailure, PieceResult
 from cactusdyke.serving.dispatch_messages import StageMade
+from cactusdyke.serving.maker_reports import MakerReports
 from cactusdyke.serving.stage_queue import Batch, PieceGroup, StageQueue
 from cactusdyke.transport.exchange import ExchangeError, connect
 
@@ -34,6 +35,8 @@
 LEAST_CALL_TIMEOUT_MS = 900.0
 FREE_TIMEOUT_MS = 500.0
 FREE_EVERY_MS = 15.0
+FIRST_REPORT_MS = 50.0
+"""A replica that does not tell its memory by then is called all the same."""
 FETCH_MS = 40.0
 """Connecting and reading the call, with room for a slow moment."""
 FETCH_BYTES_PER_MS = 250_000.0
@@ -66,6 +69,24 @@
         self._done: dict[int, anyio.Event] = {}
         self._to_free: dict[str, list[str]] = {}
         self._ticking = False
+        self._reports = MakerReports(
+            clock=clock,
+            deployment=deployment,
+            dialect=dialect,
+            queue=self._queue,
+            tasks=tasks,
+            told=self._pump,
+        )
+
+    def take_over(self) -> None:
+        """Finds out what lies in the replicas' memory, before the first call.
+
+        Another daemon may have decided until now, and may be gone.
+        """
+        names = self._makers()
+        until = self._clock.now() + FIRST_REPORT_MS
+        self._queue.ask_first(names, until)
+        self._reports.follow(names)
 
     @property
     def queue(self) -> StageQueue:
@@ -265,6 +286,8 @@
             settled = self._queue.refused(batch)
         else:
             settled = self._queue.ended(batch, results)
+            if any(r.failure is PieceFailure.NO_ROOM for r in results or ()):
+                self._reports.follow([batch.maker])
         for task in batch.tasks:
             if task.group.cancelled and _made(task.result):
                 assert task.result is not None
--- a/cactusdyke/serving/decider.py
+++ b/cactusdyke/serving/decider.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import anyio
@@ -35,6 +36,7 @@
     return False
 
 
+SCARCE_SHARE = 0.02
 DECIDED_MS = 5_000.0
 """A service that nothing was asked of for so long has no queue to lose."""
 
@@ -109,6 +111,7 @@
             last_use_of=work.last_use_of,
         )
         group.tasks = [PieceTask(piece=p, group=group) for p in work.pieces]
+        group.holds_scarce = self._holds_scarce(work)
         with self._tracing.of_request(
             "pieces",
             work.pieces[0].request_id,
@@ -136,7 +139,10 @@
         batcher = self._batcher(service)
         if batcher is None:
             return None
-        self._used_at[service] = self._clock.now()
+        now = self._clock.now()
+        if now - self._used_at.get(service, -math.inf) > DECIDED_MS:
+            batcher.take_over()
+        self._used_at[service] = now
         with anyio.CancelScope() as scope:
             self._groups[name] = _Group(
                 service=service, group=group, scope=scope, pinned=pinned
@@ -147,6 +153,23 @@
                 self._groups.pop(name, None)
         return None
 
+    def _holds_scarce(self, work: StageWork) -> bool:
+        """Returns whether the inputs of work take much of their makers' memory.
+
+        Much is what fills one maker if some dozens of requests have as much.
+        """
+        configuration = self._deployment.configuration
+        if configuration is None:
+            return False
+        for inputs in work.last_use_of:
+            spec = configuration.services.get(inputs.service)
+            if spec is None or spec.batching is None:
+                continue
+            room_bytes = spec.batching.result_room_bytes
+            if work.moved_bytes > SCARCE_SHARE * room_bytes:
+                return True
+        return False
+
     def cancel(self, name: str) -> None:
         """Gives up a group that nobody waits for."""
         known = self._groups.get(name)
--- a/cactusdyke/serving/dialect.py
+++ b/cactusdyke/serving/dialect.py
@@ -147,6 +147,19 @@
     failure: PieceFailure | None = None
 
 
+@attrs.frozen(kw_only=True)
+class MemoryTold:
+    """A replica's word of the memory that it had left lately, in bytes.
+
+    Attributes:
+        at_least: So much was free.
+        at_most: Not more than so much was; its word may be rounded.
+    """
+
+    at_least: float
+    at_most: float
+
+
 class Dialect(abc.ABC):
     """Encodes and decodes what is said to callers and backend servers."""
 
@@ -200,6 +213,17 @@
     def encode_free(self, address: str, handles: Sequence[str]) -> EncodedCall:
         """Returns a call that frees results."""
 
+    @abc.abstractmethod
+    def encode_report(self, replica: Replica) -> EncodedCall:
+        """Returns a call that asks a stage replica for its free memory."""
+
+    @abc.abstractmethod
+    def decode_report(self, head: AnswerHead, body: bytes) -> MemoryTold | None:
+        """Returns a replica's free memory, None if it is not told.
+
+        It is as of some hundred milliseconds ago.
+        """
+
     @abc.abstractmethod
     def maker_of(self, handle: str) -> str:
         """Returns the address of the replica that holds a result."""
--- a/cactusdyke/serving/stage_makers.py
+++ b/cactusdyke/serving/stage_makers.py
@@ -11,12 +11,15 @@
 from cactusdyke.clock import Instant
 
 if TYPE_CHECKING:
+    from cactusdyke.serving.dialect import MemoryTold
     from cactusdyke.serving.model import BatchSpec
 
 PACE_MEMORY_MS = 5_000.0
 AVOID_FIRST_MS = 200.0
 AVOID_MOST_MS = 3_000.0
 NO_ROOM_PAUSE_MS = 50.0
+REPORT_LAG_MS = 400.0
+"""Replicas' word of their memory was seen some 200 ms old; twice that."""
 
 
 @attrs.define(kw_only=True)
@@ -30,6 +33,7 @@
         promised: Bytes of results that the calls under way will make.
         unknown_bytes: Bytes taken there that are not in `held`, when learned.
         unknown_at: When that was learned.
+        unsure_until: Instant before which its memory is being asked for.
         data_centre: Where it stands.
         pace: How many times longer its calls take than they should.
         avoid_until: Instant before which it gets no call.
@@ -44,6 +48,10 @@
     promised: float = 0.0
     unknown_bytes: float = 0.0
     unknown_at: Instant = 0.0
+    unsure_until: Instant = 0.0
+    _known: collections.deque[tuple[Instant, float]] = attrs.field(
+        factory=collections.deque
+    )
     data_centre: str = ""
     pace: float = 1.0
     pace_at: Instant = 0.0
@@ -73,6 +81,32 @@
         self.promised -= promised_bytes
         self.busy_until = now
 
+    def note_known(self, now: Instant) -> None:
+        """Keeps what was known to be taken lately, before and after changes."""
+        self._known.append((now, self.held_bytes + self.promised))
+        while self._known[0][0] < now - REPORT_LAG_MS:
+            self._known.popleft()
+
+    def told_free(
+        self, spec: BatchSpec, told: MemoryTold, now: Instant
+    ) -> float:
+        """Takes a replica's own word; returns the share that may be unknown.
+
+        Its word is rounded, and of a few hundred milliseconds ago: results
+        freed since would look like others'. Taken for exact it once starved
+        the queue. So it only bounds what is believed, by the least and the
+        most that was known here in that time.
+        """
+        self.note_known(now)
+        known = [size for _, size in self._known]
+        least = spec.result_room_bytes - told.at_most - max(known)
+        most = spec.result_room_bytes - told.at_least - min(known)
+        believed = self._unknown_now(spec, now)
+        self.unknown_bytes = max(0.0, least, min(believed, most))
+        self.unknown_at = now
+        self.unsure_until = now
+        return self.unknown_bytes / max(1.0, spec.result_room_bytes)
+
     def hold(self, handle: str, size: float, until: Instant) -> None:
         """Notes a result that takes its memory until it is freed."""
         self.held[handle] = (size, until)
--- a/cactusdyke/serving/stage_queue.py
+++ b/cactusdyke/serving/stage_queue.py
@@ -12,7 +12,12 @@
 import attrs
 
 from cactusdyke.clock import Clock, Instant
-from cactusdyke.serving.dialect import Piece, PieceFailure, PieceResult
+from cactusdyke.serving.dialect import (
+    MemoryTold,
+    Piece,
+    PieceFailure,
+    PieceResult,
+)
 from cactusdyke.serving.dispatch_messages import StageInputs
 from cactusdyke.serving.stage_makers import Maker
 
@@ -80,6 +85,7 @@
         begun: Whether a piece of it was in a call.
         last_use_of: Inputs that nothing else needs.
         inputs_freed: Whether they were freed.
+        holds_scarce: Whether its inputs take memory that others wait for.
     """
 
     needed_by: Instant
@@ -95,6 +101,7 @@
     begun: bool = False
     last_use_of: tuple[StageInputs, ...] = ()
     inputs_freed: bool = False
+    holds_scarce: bool = False
 
     @property
     def done(self) -> bool:
@@ -258,6 +265,7 @@
             results: What each piece got, None if the call failed whole.
         """
         maker = self._maker(batch.maker)
+        maker.note_known(self._clock.now())
         maker.end_call(_bytes_of(batch), self._clock.now())
         if results is None:
             maker.avoid(self._clock.now())
@@ -289,9 +297,20 @@
             task.tries -= 1
         return self._again(batch.tasks)
 
+    def ask_first(self, names: Sequence[str], until: Instant) -> None:
+        """Makes no call to replicas until their memory was asked for."""
+        for name in names:
+            self._maker(name).unsure_until = until
+
+    def told_free(self, maker_name: str, told: MemoryTold) -> float:
+        """Takes a replica's word of its memory; returns the unknown share."""
+        maker = self._maker(maker_name)
+        return maker.told_free(self.spec, told, self._clock.now())
+
     def freed(self, maker_name: str, handles: Sequence[str]) -> None:
         """Notes that results were freed."""
         maker = self._maker(maker_name)
+        maker.note_known(self._clock.now())
         for handle in handles:
             maker.free(handle)
 
@@ -336,8 +355,11 @@
         # The results of a group that was begun lie in their makers' memory
         # until the last piece is made. Many groups begun at once would fill it
         # with what none of them can use yet.
+        # So do the inputs of a group: late groups that waited behind all others
+        # kept half of the memory of the stage before for seconds, until they
+        # expired and were made again, and no request came through on time.
         return (
-            late and not group.begun,
+            late and not (group.begun or group.holds_scarce),
             until + group.priority * PRIORITY_STEP_MS - group.begun * BEGUN_MS,
         )
 
@@ -357,7 +379,7 @@
         for name, maker in known:
             if maker.calls >= self.spec.concurrent_calls:
                 continue
-            if now < maker.avoid_until:
+            if now < max(maker.avoid_until, maker.unsure_until):
                 continue
             # A slow replica gets a call only if no other one, busy as it is,
             # would be done with it sooner.
@@ -446,6 +468,7 @@
         room_bytes = maker.room(self.spec, now)
         maker.calls += 1
         maker.busy_until = now + expected_ms
+        maker.note_known(now)
         maker.promised += sum(t.group.result_bytes for t in tasks)
         for task in tasks:
             task.tries += 1
