Greet the daemons that there were as soon as a daemon serves

Cause: after all daemons had started together, 3 to 9 of nine decided for one stage service for half a second to a second: they met one another one by one in rounds of probes (members that know one another a second late).

Change: a daemon that becomes ready probes up to 16 registered or configured addresses at once.

--- a/cactusdyke/membership/members.py
+++ b/cactusdyke/membership/members.py
@@ -44,6 +44,8 @@
 URGENT_FANOUT = 3
 URGENT_INTERVAL_MS = 500.0
 LEAVE_FANOUT = 6
+GREETED = 16
+"""Where there are more, those greeted pass it on with their next messages."""
 
 
 class Members(Service, Directory):
@@ -82,6 +84,8 @@
         self._started_at: Instant = clock.now()
         self._pulled_at: Instant = -PULL_INTERVAL_MS
         self._urgent = anyio.Event()
+        self._joined = anyio.Event()
+        self._serves = anyio.Event()
 
     @property
     def own(self) -> Member:
@@ -162,10 +166,15 @@
         self.leave()
         await self._tell(self._rounds.some(LEAVE_FANOUT))
 
+    def announce_start(self) -> None:
+        """Has many daemons told at once that this one serves."""
+        self._serves.set()
+
     async def run(self) -> None:
         """Probes, retries, pulls and hurries until it is cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._run_urgent)
+            tasks.start_soon(self._greet)
             tasks.start_soon(self._run_retries)
             await self._join()
             await self._sleep(self._rng.uniform(0, self._interval_ms))
@@ -215,6 +224,29 @@
         if not isinstance(listed, Err):
             self._seeds |= {host.address for host in listed.ok_value}
         self._seeds.discard(self._settings.address)
+        self._joined.set()
+
+    async def _greet(self) -> None:
+        """Probes the daemons that there were, as soon as this one serves.
+
+        After a loss of power all daemons come back within a second. Met one
+        by one in the rounds of probes, they knew each other another second
+        later; until then up to nine of nine decided for one service.
+        """
+        await self._serves.wait()
+        await self._joined.wait()
+        addresses = sorted(self._seeds)
+        self._rng.shuffle(addresses)
+        async with anyio.create_task_group() as tasks:
+            for address in addresses[:GREETED]:
+                tasks.start_soon(self._greet_one, address)
+
+    async def _greet_one(self, address: str) -> None:
+        answer = await self._exchange.send(
+            GossipKind.PROBE, address, timeout_ms=CALL_TIMEOUT_MS
+        )
+        if not isinstance(answer, Err):
+            await self._pull(answer.ok_value)
 
     async def _run_retries(self) -> None:
         while True:
--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -158,6 +158,7 @@
                 (REPLICAS_KIND, ReplicaFollower),
             )
         ]
+        self._deployment.on_change(self._announce_when_ready)
         self._exchange = StateExchange(
             clock=clock,
             rng=rng,
@@ -238,6 +239,10 @@
         for name, service in services.items():
             self._kernel.add(name, service)
 
+    def _announce_when_ready(self) -> None:
+        if self.ready:
+            self._members.announce_start()
+
     async def run(self) -> None:
         """Serves until a planned stop has ended."""
         with anyio.open_signal_receiver(
