Choose the engine of an unknown subject by where its inputs lie

Pieces were made near the home of a subject that no engine had read, half of them elsewhere after all, and the home was chosen whatever lay where.

Change: placing weighs 20 ms a megabyte that an engine would fetch from elsewhere; a subject known nowhere has no place to wait for, and the rest of its pieces is made where the first was.

--- a/cactusdyke/serving/decider.py
+++ b/cactusdyke/serving/decider.py
@@ -14,7 +14,7 @@
 from cactusdyke.serving.stage_queue import Backlog, PieceGroup, PieceTask
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Sequence
+    from collections.abc import Callable, Collection, Mapping, Sequence
 
     from anyio.abc import TaskGroup
     from result import Result
@@ -205,6 +205,7 @@
         placement_id: str,
         generation: Generation,
         exclude: Collection[str],
+        inputs: Mapping[str, float],
     ) -> Replica | None:
         """Chooses an engine."""
         configuration = self._deployment.configuration
@@ -218,6 +219,7 @@
             self._deployment.usable(service),
             spec.engine,
             exclude=exclude,
+            inputs=inputs,
         )
 
     def locate(self, service: str, generation: Generation) -> Replica | None:
--- a/cactusdyke/serving/decider_interface.py
+++ b/cactusdyke/serving/decider_interface.py
@@ -81,10 +81,11 @@
                     body["id"],
                     generation,
                     set(body["exclude"]),
+                    {str(k): float(v) for k, v in body["inputs"].items()},
                 )
             else:
                 replica = self._decider.locate(body["service"], generation)
-        except (KeyError, TypeError, ValueError) as error:
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
             return failure_response(unreadable(error))
         return json_response({"replica": replica.name if replica else None})
 
--- a/cactusdyke/serving/dispatch.py
+++ b/cactusdyke/serving/dispatch.py
@@ -33,7 +33,7 @@
 from cactusdyke.transport.network import CallOptions
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Sequence
+    from collections.abc import Collection, Mapping, Sequence
 
     from cactusdyke.clock import Clock, Instant
     from cactusdyke.serving.decider import Decider
@@ -215,20 +215,29 @@
         placement_id: str,
         generation: Generation,
         exclude: Collection[str],
+        inputs: Mapping[str, float],
     ) -> Placed | None:
-        """Chooses an engine for a request."""
+        """Chooses an engine for a request.
+
+        Args:
+            service: The engines' service.
+            placement_id: Names the attempt in `started` and `ended`.
+            generation: What the request asks for.
+            exclude: Names of engines that failed the request.
+            inputs: Bytes of stages' results to fetch, by data centre.
+        """
         own = self._deciders.own()
         peer = self._meet(service)
         replica: Replica | None = None
         if not peer.own:
             replica = await self._place_at(
-                peer, service, placement_id, generation, exclude
+                peer, service, placement_id, generation, exclude, inputs
             )
             peer = self._deciders.first(service)
         if replica is None or not self._deployment.may_use(replica):
             peer = own
             replica = self._decider.place(
-                service, placement_id, generation, exclude
+                service, placement_id, generation, exclude, inputs
             )
         if replica is None:
             return None
@@ -241,12 +250,17 @@
         )
 
     async def locate(self, service: str, generation: Generation) -> str:
-        """Returns the data centre of the engine that a request would get."""
+        """Returns the data centre of the engine that knows a subject.
+
+        Empty if none does, or the one that does has too much work.
+        """
         peer = self._deciders.first(service)
         replica: Replica | None = None
         if not peer.own:
-            replica = await self._place_at(peer, service, "", generation, ())
-        if replica is None:
+            replica = await self._place_at(
+                peer, service, "", generation, (), {}
+            )
+        else:
             replica = self._decider.locate(service, generation)
         return replica.data_centre if replica else ""
 
@@ -323,12 +337,14 @@
         placement_id: str,
         generation: Generation,
         exclude: Collection[str],
+        inputs: Mapping[str, float],
     ) -> Replica | None:
         body: dict[str, Any] = {
             "service": service,
             "id": placement_id,
             "generation": generation_to(generation),
             "exclude": list(exclude),
+            "inputs": {dc: round(size) for dc, size in inputs.items()},
         }
         answer: Result[dict[str, Any], Failure] | None = None
         with self._clock.timeout(PLACE_TIMEOUT_MS):
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -288,10 +288,15 @@
     ) -> tuple[Failure | None, AttemptResult | None]:
         placed: Placed | None = None
         generation = context.request.generation
+        inputs = self._stages.inputs_by_data_centre(context, results)
         placement_id = f"{context.request.request_id}/{context.attempts}"
         if generation is not None and context.route.generates:
             placed = await self._dispatch.place(
-                context.service, placement_id, generation, self._avoid(context)
+                context.service,
+                placement_id,
+                generation,
+                self._avoid(context),
+                inputs,
             )
             replica = placed.replica if placed else None
         else:
@@ -302,8 +307,10 @@
             return outcomes.no_replica(context), None
         context.attempts += 1
         context.asking = replica.name
-        context.crossed_bytes += self._stages.crossing_bytes(
-            context, results, replica.data_centre
+        context.crossed_bytes += sum(
+            size
+            for data_centre, size in inputs.items()
+            if data_centre != replica.data_centre
         )
         ended_well = False
         began = self._clock.now()
--- a/cactusdyke/serving/placement.py
+++ b/cactusdyke/serving/placement.py
@@ -8,6 +8,7 @@
 
 import collections
 import math
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 import attrs
@@ -17,7 +18,7 @@
 from cactusdyke.serving.health import ReplicaHealth
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Sequence
+    from collections.abc import Collection, Mapping, Sequence
 
     from cactusdyke.clock import Clock
     from cactusdyke.serving.model import EngineSpec, Replica
@@ -35,6 +36,10 @@
 HOME_STEP_MS = 25.0
 """What a subject known nowhere pays for an engine that is not its home."""
 HOMES = 3
+CROSSING_MS_PER_MB = 20.0
+"""What a megabyte of results costs that an engine fetches from another data
+centre: as much as reading 300 prompt tokens, which is how they are priced."""
+BYTES_PER_MB = 1_000_000.0
 RUNNING_MS = 1.0
 """What each running request adds to a prompt's chunks, about."""
 FULL_MS = 2_000.0
@@ -96,6 +101,7 @@
         spec: EngineSpec,
         *,
         exclude: Collection[str] = (),
+        inputs: Mapping[str, float] = MappingProxyType({}),
     ) -> Replica | None:
         """Chooses an engine and counts the request there.
 
@@ -105,6 +111,7 @@
             replicas: The engines that may be used.
             spec: What each of them can hold.
             exclude: Names of engines that failed this request.
+            inputs: Bytes of stages' results to fetch, by data centre.
         """
         self._forget(replicas)
         usable = [r for r in replicas if r.name not in exclude]
@@ -112,9 +119,16 @@
             return None
         chain = _chain(generation)
         homes = _homes(chain, usable)
-        best = min(
-            usable, key=lambda r: self._cost(r, generation, chain, homes, spec)
-        )
+        all_bytes = sum(inputs.values())
+
+        def cost(replica: Replica) -> float:
+            far_bytes = all_bytes - inputs.get(replica.data_centre, 0.0)
+            return (
+                self._cost(replica, generation, chain, homes, spec)
+                + far_bytes / BYTES_PER_MB * CROSSING_MS_PER_MB
+            )
+
+        best = min(usable, key=cost)
         engine = self._engine(best.name)
         unread = self._unread(engine, generation, chain)
         self._placements[placement_id] = Placement(
@@ -135,15 +149,21 @@
         replicas: Sequence[Replica],
         spec: EngineSpec,
     ) -> Replica | None:
-        """Returns the engine that a request would get now, uncounted."""
+        """Returns the engine that a request would get now, uncounted.
+
+        None where its subject is known nowhere: the engine is chosen by where
+        the results of its stages lie then.
+        """
         if not replicas:
             return None
         chain = _chain(generation)
         homes = _homes(chain, replicas)
-        return min(
+        best = min(
             replicas,
             key=lambda r: self._cost(r, generation, chain, homes, spec),
         )
+        subject = chain[-2] if len(chain) > 1 else None
+        return best if subject in self._engine(best.name).cached else None
 
     def started(self, placement_id: str) -> None:
         """Notes a request's first token: its prompt has been read."""
--- a/cactusdyke/serving/stage_queue.py
+++ b/cactusdyke/serving/stage_queue.py
@@ -473,6 +473,9 @@
         for task in tasks:
             task.tries += 1
             task.group.begun = True
+            if not task.group.data_centre:
+                # Whoever fetches the results fetches all of them.
+                task.group.data_centre = maker.data_centre
         return Batch(
             maker=name,
             tasks=tuple(tasks),
--- a/cactusdyke/serving/stages.py
+++ b/cactusdyke/serving/stages.py
@@ -161,16 +161,17 @@
             retry_after_ms=int(min(MOST_RETRY_AFTER_MS, wait_ms * spread)),
         )
 
-    def crossing_bytes(
-        self, context: ServingContext, results: StageResults, data_centre: str
-    ) -> float:
-        """Returns about what is fetched from elsewhere to a data centre."""
-        return sum(
-            context.route.stages[number].result_bytes
-            for number in results.last()
-            for handle in results.made.get(number, ())
-            if self._dispatch.data_centre_of(handle) != data_centre
-        )
+    def inputs_by_data_centre(
+        self, context: ServingContext, results: StageResults
+    ) -> dict[str, float]:
+        """Returns where the bytes lie that a request's engine will fetch."""
+        found: dict[str, float] = {}
+        for number in results.last():
+            size = context.route.stages[number].result_bytes
+            for handle in results.made.get(number, ()):
+                where = self._dispatch.data_centre_of(handle)
+                found[where] = found.get(where, 0.0) + size
+        return found
 
     def free(self, context: ServingContext, results: StageResults) -> None:
         """Frees all results of a request."""
