Wait a whole call for the near replica while the queue is short

Change: while less than half of what one round of calls holds is waiting, pieces wait for the near replica as long as a full call; under more load 150 ms as before, since their inputs hold memory meanwhile.

--- a/cactusdyke/serving/stage_queue.py
+++ b/cactusdyke/serving/stage_queue.py
@@ -444,7 +444,9 @@
             for name, maker in self._makers.items()
             if maker.data_centre == data_centre and name in self._names
         ]
-        if not starts or min(starts) > now + NEAR_WAIT_MS:
+        calm = 2 * len(self._waiting) <= self.spec.batch * len(self._names)
+        wait_ms = self._full_ms() if calm else NEAR_WAIT_MS
+        if not starts or min(starts) > now + wait_ms:
             return False
         end = min(starts) + self._full_ms()
         return end + NEAR_SLACK_MS <= task.group.needed_by
