--- a/cactusdyke/serving/decider.py
+++ b/cactusdyke/serving/decider.py
@@ -31,12 +31,8 @@
     from cactusdyke.serving.request import Generation
 
 
-def _keep(service: str, handles: Sequence[str]) -> bool:
-    del service, handles
-    return False
-
-
 SCARCE_SHARE = 0.02
+"""Of a maker's memory: fifty requests that hold as much fill it."""
 DECIDED_MS = 5_000.0
 """A service that nothing was asked of for so long has no queue to lose."""
 
@@ -156,7 +152,7 @@
     def _holds_scarce(self, work: StageWork) -> bool:
         """Returns whether the inputs of work take much of their makers' memory.
 
-        Much is what fills one maker if some dozens of requests have as much.
+        Late requests that wait with such inputs starve the stage before them.
         """
         configuration = self._deployment.configuration
         if configuration is None:
@@ -291,3 +287,9 @@
             )
         batcher.update(spec.batching)
         return batcher
+
+
+def _keep(service: str, handles: Sequence[str]) -> bool:
+    """Frees nothing early, as long as nobody says how."""
+    del service, handles
+    return False
--- a/cactusdyke/serving/dispatch.py
+++ b/cactusdyke/serving/dispatch.py
@@ -57,7 +57,11 @@
 """After so many daemons that gave the work back it is made here."""
 HAND_OVER_EVERY_MS = 200.0
 EARLY_FREE_BACKLOG_MS = 200.0
+"""About a call: with less waiting for it the memory is not what binds."""
 EARLY_FREE_STABLE_MS = 3_000.0
+"""By then all agree on who decides. While two did, calls waited behind the
+other's at the replicas and found their inputs freed, 1,700 pieces in a day of
+rolling stops."""
 
 
 @attrs.frozen(kw_only=True)
@@ -201,10 +205,14 @@
             self._note(peer, ["free", service, list(handles)])
 
     def _free_early(self, service: str, handles: Sequence[str]) -> bool:
-        """Frees inputs that calls have fetched, if that helps anybody."""
+        """Frees inputs that calls have fetched, if that helps anybody.
+
+        It costs the requests of which a piece fails afterwards, 2 in 100, all
+        their results; where memory binds it makes calls a third fuller.
+        """
         if self.backlog(service).all_ms < EARLY_FREE_BACKLOG_MS:
             return False
-        if not self._deciders.stable_ms >= EARLY_FREE_STABLE_MS:
+        if self._deciders.stable_ms < EARLY_FREE_STABLE_MS:
             return False
         self.free(service, handles)
         return True
--- a/features/steps/deciders_steps.py
+++ b/features/steps/deciders_steps.py
@@ -185,8 +185,8 @@
 @given("a daemon whose requests of a subject were read away from its home")
 def read_away(context):
     context.clock = HandClock()
-    usual = EnginePlacer(clock=context.clock).locate(
-        _prompt("x"), _engines(), ENGINE
+    usual = EnginePlacer(clock=context.clock).place(
+        "p", _prompt("x"), _engines(), ENGINE
     )
     context.away = next(e for e in _engines() if e.name != usual.name).name
     context.holdings = Holdings(clock=context.clock)
@@ -322,6 +322,9 @@
     def hand_over(self, decides_here):
         del decides_here
 
+    def free_inputs_by(self, free):
+        del free
+
 
 def _work(name):
     return StageWork(
--- a/features/steps/platform_forwarding_steps.py
+++ b/features/steps/platform_forwarding_steps.py
@@ -400,6 +400,7 @@
             for number in range(4):
                 tasks.start_soon(one, number)
         context.calls = world.replicas["s1"].stage_calls
+        context.reports = world.replicas["s1"].reports
         await until(lambda: len(world.replicas["s1"].freed) == 12)
         context.freed = world.replicas["s1"].freed
         context.inputs = [
@@ -415,6 +416,8 @@
     assert sum(context.calls) == 12
     assert len(context.calls) <= 7, context.calls
     assert len(set(context.freed)) == 12
+    # Asked at taking over until two answers in a row say nothing new.
+    assert 1 <= context.reports <= 3, context.reports
 
 
 @then("each engine request names the results of its own last stage")
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -19,6 +19,7 @@
 from cactusdyke.serving.deciders import Deciders
 from cactusdyke.serving.deployment import Deployment
 from cactusdyke.serving.dialect import Piece
+from cactusdyke.serving.dispatch_messages import StageMade
 from cactusdyke.serving.health import ReplicaHealth
 from cactusdyke.serving.model import (
     BatchSpec,
@@ -513,7 +514,8 @@
 
     async def make(self, work):
         self.made.append(work.service)
-        return Ok([f"{work.service}/{p.number}" for p in work.pieces])
+        handles = tuple(f"{work.service}/{p.number}" for p in work.pieces)
+        return Ok(StageMade(handles=handles))
 
     def free(self, service, handles):
         self.freed += handles
@@ -561,6 +563,7 @@
             deployment=deployment,
             dialect=PlatformDialect(),
             tasks=tasks,
+            free_inputs=lambda service, handles: False,
         )
 
     inputs = ("2.2.2.2:2/a", "1.1.1.1:1/b", "1.1.1.1:1/c")
--- a/features/steps/stops_steps.py
+++ b/features/steps/stops_steps.py
@@ -129,7 +129,7 @@
     _until(lambda: _state(context, path) == "in_progress")
     # The record says so before the call is handed over: a daemon stopped
     # between the two never made it, and its service was waited for in vain.
-    _until(lambda: _plain_stats(context)["counts"].get("calls"))
+    _until(lambda: _plain_stats(context)["received"].get("/v1/run"))
     return thread
 
 
--- a/features/support/member_fleet.py
+++ b/features/support/member_fleet.py
@@ -50,7 +50,9 @@
         seed: int = 0,
         skew_ms: int = 0,
         equip: Any = None,
+        hosts: HostList | None = None,
     ) -> None:
+        self.hosts = hosts or NoHosts()
         self.hub = Hub()
         self.kind = kind
         self.rng = random.Random(seed)
@@ -110,7 +112,7 @@
             rng=rng,
             client=client,
             traffic=traffic,
-            host_list=NoHosts(),
+            host_list=self.hosts,
             revision=lambda: daemon.revision,
         )
         daemon = Daemon(
--- a/standins/base.py
+++ b/standins/base.py
@@ -22,7 +22,7 @@
     """A fake outside system whose faults are switched over HTTP.
 
     `POST /faults` takes an object of fault names and values, `GET /stats`
-    gives what was counted. Faults that all stand-ins know: `down` (answers
+    gives what was counted, and requests by path as they came in. Faults that all stand-ins know: `down` (answers
     503), `delay_ms` (answers late), `lose_answers` (how many of the next
     answers never come, although the work was done).
     """
@@ -31,6 +31,7 @@
         self.clock = clock
         self.faults: dict[str, Any] = {}
         self.counts: collections.Counter[str] = collections.Counter()
+        self.received: collections.Counter[str] = collections.Counter()
         self.routes = Routes()
         self.routes.add("POST", "/faults", self._set_faults)
         self.routes.add("GET", "/stats", self._stats)
@@ -41,6 +42,7 @@
         async def faulty(request: Request) -> Response:
             if self.faults.get("down"):
                 return json_response({"error": "down"}, status=503)
+            self.received[path] += 1
             if delay := self.faults.get("delay_ms"):
                 await self.clock.sleep(delay)
             response = await handler(request)
@@ -53,7 +55,7 @@
 
     def stats(self) -> dict[str, Any]:
         """Returns what was counted."""
-        return {"counts": dict(self.counts)}
+        return {"counts": dict(self.counts), "received": dict(self.received)}
 
     async def _set_faults(self, request: Request) -> Response:
         self.faults.update(request.json().unwrap())
--- a/standins/plain.py
+++ b/standins/plain.py
@@ -46,7 +46,7 @@
     def stats(self) -> dict[str, Any]:
         """Returns executions by request id and by idempotency key."""
         return {
-            "counts": dict(self.counts),
+            **super().stats(),
             "executions": self.executions,
             "executions_by_key": self.executions_by_key,
         }
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -33,6 +33,8 @@
         work_ms: Time to answer.
         stage_calls: How many pieces each stage call held.
         freed: Handles that were freed.
+        free_mb: What it says of its memory for results.
+        reports: How often it was asked for it.
     """
 
     def __init__(self, *, name: str) -> None:
@@ -47,6 +49,8 @@
         self.work_ms = 5.0
         self.stage_calls: list[int] = []
         self.freed: list[str] = []
+        self.free_mb = 10
+        self.reports = 0
         self._handles = 0
         self._stack = contextlib.AsyncExitStack()
         self.address = ""
@@ -113,6 +117,10 @@
             return
         if path == "/-/stage-run":
             await self._run_pieces(stream, body)
+        elif path == "/-/report":
+            self.reports += 1
+            told = {"queued": 0, "active": 0, "free_mb": self.free_mb}
+            await stream.send(_plain(200, orjson.dumps(told)))
         elif path == "/-/stage-free":
             self.freed += orjson.loads(body)["handles"]
             await stream.send(_plain(200, b""))
