--- a/standins/base.py
+++ b/standins/base.py
@@ -22,9 +22,10 @@
     """A fake outside system whose faults are switched over HTTP.
 
     `POST /faults` takes an object of fault names and values, `GET /stats`
-    gives what was counted, and requests by path as they came in. Faults that all stand-ins know: `down` (answers
-    503), `delay_ms` (answers late), `lose_answers` (how many of the next
-    answers never come, although the work was done).
+    gives what was counted, and requests by path as they came in. Faults that
+    all stand-ins know: `down` (answers 503), `delay_ms` (answers late),
+    `lose_answers` (how many of the next answers never come, although the work
+    was done).
     """
 
     def __init__(self, *, clock: Clock) -> None:
