Tell requests that the end of a daemon cut from callers that left

Cause: when a planned stop's time is over the daemon cancels what is in flight. Such a request was logged as CD4303, "a caller left", and the daemon's last line said "nothing in flight" whatever it had cut. In the incident under work (a whole request that got no answer from a stopping daemon) neither line could tell a cut from a caller's leaving, nor what the request waited for.

Change: CD4304 for a request that the daemon's end cut, counted as "cut"; it and the other lines of unfinished and failed requests name the replica that is asked, or the services whose stages are being made. CD1003 says how many requests were in flight. `cactusdyke report` adds them up apart.

--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -17,7 +17,11 @@
         "A planned stop has begun; the daemon serves until callers moved.",
         "",
     )
-    DAEMON_STOPPED = (1003, "The daemon has ended with nothing in flight.", "")
+    DAEMON_STOPPED = (
+        1003,
+        "The daemon has ended; `in_flight` requests were cut by it.",
+        "Follow the requests of CD4304 just before, if there are any.",
+    )
     PEERS_UNGUARDED = (
         1005,
         "No peer token is set: anybody may use the paths between daemons.",
@@ -167,7 +171,7 @@
     REQUEST_LEFT = (4303, "A caller left before its answer.", "")
     REQUEST_CUT = (
         4304,
-        "An answer had begun and could not be finished.",
+        "A request was cut, as this daemon ended.",
         "Follow the request id through the events before.",
     )
     STAGE_CALL_FAILED = (
--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -217,8 +217,13 @@
                     else:
                         break
                 await self.stop()
+                in_flight = self._front.in_flight
                 tasks.cancel_scope.cancel()
-        events.log(events.Event.DAEMON_STOPPED, daemon=self._settings.node)
+        events.log(
+            events.Event.DAEMON_STOPPED,
+            daemon=self._settings.node,
+            in_flight=in_flight,
+        )
         self._sink.flush()
 
     def _interfaces(self) -> list[tuple[Endpoint, Routes]]:
--- a/cactusdyke/report/losses.py
+++ b/cactusdyke/report/losses.py
@@ -27,7 +27,7 @@
     Attributes:
         begins_ms: The span's begin, milliseconds from the first line.
         route: The route.
-        outcome: late, refused, failed or left.
+        outcome: late, refused, failed, left or cut.
         cause: What took the time, or what ended it.
     """
 
@@ -87,9 +87,12 @@
 
 _ANSWERED = Event.REQUEST_ANSWERED.code
 _FAILED = Event.REQUEST_FAILED.code
-_LEFT = Event.REQUEST_LEFT.code
+_UNFINISHED = {
+    Event.REQUEST_LEFT.code: "left",
+    Event.REQUEST_CUT.code: "cut",
+}
 _CALL = Event.STAGE_CALL_ENDED.code
-_CODES = {_ANSWERED, _FAILED, _LEFT, _CALL}
+_CODES = {_ANSWERED, _FAILED, _CALL, *_UNFINISHED}
 _REFUSED = {408, 421, 429, 503}
 
 
@@ -127,8 +130,8 @@
         refused = int(fields.get("status", 0)) in _REFUSED
         outcome = "refused" if refused else "failed"
         cause = _without_names(fields)
-    elif line.code == _LEFT:
-        outcome, cause = "left", _where_left(fields)
+    elif line.code in _UNFINISHED:
+        outcome, cause = _UNFINISHED[line.code], _where_unfinished(fields)
     else:
         return None
     return Loss(begins_ms=begins_ms, route=route, outcome=outcome, cause=cause)
@@ -151,7 +154,7 @@
     return "every part a little"
 
 
-def _where_left(fields: dict[str, Any]) -> str:
+def _where_unfinished(fields: dict[str, Any]) -> str:
     if fields.get("events"):
         return "in mid-stream"
     if fields.get("attempts"):
--- a/cactusdyke/report/summary.py
+++ b/cactusdyke/report/summary.py
@@ -94,6 +94,7 @@
         Event.REQUEST_ANSWERED,
         Event.REQUEST_FAILED,
         Event.REQUEST_LEFT,
+        Event.REQUEST_CUT,
         Event.STAGE_CALL_ENDED,
         Event.STAGE_CALL_FAILED,
         Event.DECIDER_CHANGED,
@@ -109,6 +110,8 @@
         span.outcomes[str(fields.get("status"))] += 1
     elif line.code == Event.REQUEST_LEFT.code:
         span.outcomes["left"] += 1
+    elif line.code == Event.REQUEST_CUT.code:
+        span.outcomes["cut"] += 1
     else:
         _count_call(span, line)
 
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -224,7 +224,7 @@
         finally:
             self._stages.free(context, results)
             if not finished:
-                self._log.left(context, state)
+                self._log_unfinished(context, state)
         if failure is None:
             took_ms = self._clock.now() - context.request.arrived_at
             self._durations.note(context.route, took_ms)
@@ -235,6 +235,14 @@
             raise BrokenOffError
         await self._fail(failure, context.request.request_id, reply)
 
+    def _log_unfinished(
+        self, context: ServingContext, state: StreamState
+    ) -> None:
+        if self._clock.now() >= self._stop_at():
+            self._log.cut(context, state)
+        else:
+            self._log.left(context, state)
+
     async def _run(
         self,
         context: ServingContext,
--- a/cactusdyke/serving/request.py
+++ b/cactusdyke/serving/request.py
@@ -103,6 +103,7 @@
         stages_ms: How long its stages took, over all attempts.
         stage_ms: How long each stage took, by its number; a stage that was
             made again counts with both.
+        pending_stages: Numbers of the stages that are being made.
         results_made: Results that were made for it, by stage.
         engine_asked_at: When its last attempt began.
         crossed_bytes: About what engines fetched for it from other data
@@ -127,6 +128,7 @@
     runs: int = 0
     stages_ms: float = 0.0
     stage_ms: dict[int, float] = attrs.field(factory=dict)
+    pending_stages: set[int] = attrs.field(factory=set)
     results_made: dict[int, int] = attrs.field(factory=dict)
     engine_asked_at: Instant = 0.0
     crossed_bytes: float = 0.0
@@ -136,12 +138,23 @@
         """Whether any attempt ran or may have run, or may run yet."""
         return bool(self.asking) or self.ran is not Ran.NOT_RUN
 
+    @property
+    def waiting_for(self) -> list[str]:
+        """The replica that is asked, or the services that make its stages."""
+        if self.asking:
+            return [self.asking]
+        stages = self.route.stages
+        return [
+            stages[number].service for number in sorted(self.pending_stages)
+        ]
+
     def remaining_ms(self, clock: Clock) -> float:
         """Returns how long the caller still waits, never negative."""
         return max(0.0, self.caller_until - clock.now())
 
     def note_stage(self, number: int, took_ms: float, made: int) -> None:
         """Notes how long a stage took and how many results it brought."""
+        self.pending_stages.discard(number)
         self.stage_ms[number] = self.stage_ms.get(number, 0.0) + took_ms
         self.results_made[number] = self.results_made.get(number, 0) + made
 
--- a/cactusdyke/serving/request_log.py
+++ b/cactusdyke/serving/request_log.py
@@ -76,7 +76,7 @@
                 "service": context.service,
                 "attempts": context.attempts,
                 "replicas": context.sent_to,
-                "asking": context.asking,
+                "waiting_for": context.waiting_for,
                 "stages_ms": round(context.stages_ms),
                 "parts_ms": _parts_ms(context, 0.0),
                 "waited_ms": round(context.waited_ms),
@@ -99,14 +99,30 @@
 
     def left(self, context: ServingContext, state: StreamState) -> None:
         """Logs and counts a request whose caller left."""
+        self._unfinished(
+            events.Event.REQUEST_LEFT, "caller_left", context, state
+        )
+
+    def cut(self, context: ServingContext, state: StreamState) -> None:
+        """Logs and counts a request that the end of this daemon cut."""
+        self._unfinished(events.Event.REQUEST_CUT, "cut", context, state)
+
+    def _unfinished(
+        self,
+        event: events.Event,
+        outcome: str,
+        context: ServingContext,
+        state: StreamState,
+    ) -> None:
         took_ms = self._clock.now() - context.request.arrived_at
-        self._metrics.ended(context.route.name, "caller_left", took_ms)
+        self._metrics.ended(context.route.name, outcome, took_ms)
         events.log(
-            events.Event.REQUEST_LEFT,
+            event,
             request_id=context.request.request_id,
             route=context.route.name,
             events=state.events,
             attempts=context.attempts,
+            waiting_for=context.waiting_for,
             stages_ms=round(context.stages_ms),
             parts_ms=_parts_ms(context, 0.0),
             results_made=_results_made(context),
--- a/cactusdyke/serving/stages.py
+++ b/cactusdyke/serving/stages.py
@@ -346,6 +346,7 @@
         )
         now = self._clock.now()
         rest_ms = self._rest_ms(context, results, number)
+        context.pending_stages.add(number)
         answer = await self._dispatch.make(
             StageWork(
                 service=stage.service,
--- a/features/steps/platform_state_steps.py
+++ b/features/steps/platform_state_steps.py
@@ -5,8 +5,6 @@
 import os
 import pathlib
 import signal
-import subprocess
-import sys
 import tempfile
 
 import anyio
@@ -310,43 +308,21 @@
     async def story(world):
         await world.add_replica("p1")
         world.configure([route("look", "plain")])
-        path = pathlib.Path(world.folder) / "settings.yaml"
-        text = world.settings_text("d1")
-        path.write_text(text, encoding="utf-8")
-        settings = platform_settings.load(str(path)).unwrap()
-        process = subprocess.Popen(  # noqa: ASYNC220
-            [sys.executable, "-m", "cactusdyke.platform.program"],
-            env={**os.environ, "CACTUSDYKE_CONFIG": str(path)},
-            stdout=subprocess.PIPE,
-        )
-        try:
-            await world.listens(settings.front.address)
-            status = 0
-            for _ in range(100):
-                status, _ = await world.ask(settings.ready.address, "/-/ready")
-                if status == 200:
-                    break
-                await anyio.sleep(0.05)
-            context.ready = status
-            path.write_text("node: [", encoding="utf-8")
-            process.send_signal(signal.SIGHUP)
-            await anyio.sleep(0.3)
-            path.write_text(text, encoding="utf-8")
-            process.send_signal(signal.SIGHUP)
+        process = await world.start_process("d1")
+        text = process.settings_path.read_text(encoding="utf-8")
+        for content in ("node: [", text):
+            process.settings_path.write_text(content, encoding="utf-8")
+            process.signal(signal.SIGHUP)
             await anyio.sleep(0.3)
-            process.send_signal(signal.SIGTERM)
-            output, _ = await anyio.to_thread.run_sync(process.communicate)
-            context.log = output.decode()
-            context.code = process.returncode
-        finally:
-            process.kill()
+        await process.stop()
+        context.log = process.log
+        context.code = process.code
 
     play(story)
 
 
 @then("it keeps the settings it had, logs both, and stops in good order")
 def check_process(context):
-    assert context.ready == 200
     assert context.code == 0, context.log
     assert "CD2207" in context.log, context.log
     assert "CD2206" in context.log
--- a/features/steps/report_steps.py
+++ b/features/steps/report_steps.py
@@ -92,6 +92,14 @@
             attempts=0,
             results_made={"roster": 3},
         )
+        + line(
+            12_350,
+            "d1",
+            "CD4304:request_cut",
+            route="plans",
+            events=4,
+            attempts=1,
+        )
         + line(
             12_400,
             "d1",
@@ -126,6 +134,7 @@
         ("late", "long in 0 roster"): 1,
         ("late", "a long pause between events"): 1,
         ("left", "waiting for stages"): 1,
+        ("cut", "in mid-stream"): 1,
         ("refused", "stages are busy for # ms"): 1,
     }, lost
     assert {x["from s"] for x in report["lost"]} == {2.0}
--- a/features/support/platform_rig.py
+++ b/features/support/platform_rig.py
@@ -4,8 +4,12 @@
 
 import contextlib
 import json
+import os
 import pathlib
 import random
+import signal
+import subprocess
+import sys
 import tempfile
 
 import anyio
@@ -87,6 +91,47 @@
     }
 
 
+class DaemonProcess:
+    """A daemon that runs as a process of its own.
+
+    Attributes:
+        settings_path: The file that it reads.
+        code: Its exit status, once it has ended.
+        log: What it wrote, once it has ended.
+    """
+
+    def __init__(self, *, settings_path):
+        self.settings_path = settings_path
+        self.code = None
+        self.log = ""
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", "cactusdyke.platform.program"],
+            env={**os.environ, "CACTUSDYKE_CONFIG": str(settings_path)},
+            stdout=subprocess.PIPE,
+        )
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *error):
+        self._process.kill()
+        self._process.communicate()
+
+    def signal(self, number):
+        self._process.send_signal(number)
+
+    async def end(self):
+        """Waits until the process has ended by itself."""
+        output, _ = await anyio.to_thread.run_sync(self._process.communicate)
+        self.log = output.decode()
+        self.code = self._process.returncode
+
+    async def stop(self):
+        """Asks the daemon to stop; returns once it has ended."""
+        self.signal(signal.SIGTERM)
+        await self.end()
+
+
 class PlatformWorld:
     """Starts what a story needs and ends it."""
 
@@ -94,6 +139,7 @@
         self.store = PlatformStore(clock=SystemClock())
         self.replicas = {}
         self.daemons = {}
+        self.settings = {}
         self.grace_s = 3
         self._stack = contextlib.AsyncExitStack()
 
@@ -172,9 +218,8 @@
         )
 
     async def start_daemon(self, name, seeds=(), *, ready=True, metrics_port=0):
-        path = pathlib.Path(self.folder) / f"{name}.yaml"
-        path.write_text(self.settings_text(name, seeds), encoding="utf-8")
-        settings = platform_settings.load(str(path)).unwrap()
+        path = self._write_settings(name, seeds)
+        settings = self.settings[name]
         clock = SystemClock()
         daemon = Daemon(
             settings=settings,
@@ -196,6 +241,25 @@
         await self.listens(settings.front.address)
         return daemon
 
+    async def start_process(self, name):
+        """Starts a daemon as a process, and waits until it is ready."""
+        path = self._write_settings(name, ())
+        process = DaemonProcess(settings_path=path)
+        self._stack.enter_context(process)
+        settings = self.settings[name]
+        await self.listens(settings.front.address)
+        for _ in range(100):
+            if (await self.ask(settings.ready.address, "/-/ready"))[0] == 200:
+                return process
+            await anyio.sleep(0.05)
+        raise AssertionError(f"{name} did not become ready")
+
+    def _write_settings(self, name, seeds):
+        path = pathlib.Path(self.folder) / f"{name}.yaml"
+        path.write_text(self.settings_text(name, seeds), encoding="utf-8")
+        self.settings[name] = platform_settings.load(str(path)).unwrap()
+        return path
+
     def _open_log(self, name):
         file = (pathlib.Path(self.folder) / f"{name}.log").open("wb")
         return self._stack.enter_context(file).fileno()
@@ -212,7 +276,7 @@
 
     async def request(self, path, *, daemon="d1", request_id="r-1", **changes):
         """Sends a request; returns status, headers and body."""
-        settings = self.daemons[daemon]._settings
+        settings = self.settings[daemon]
         headers = {
             "Host": HOST,
             "X-Attempt-Id": request_id,
@@ -243,7 +307,7 @@
 
     async def raw(self, data, *, daemon="d1", wait_s=2.0):
         """Sends bytes; returns what comes back until the connection ends."""
-        settings = self.daemons[daemon]._settings
+        settings = self.settings[daemon]
         stream = await anyio.connect_tcp(
             settings.front.host, settings.front.port
         )
