Show with failing scenarios that a planned stop leaves requests unanswered

What callers see: a daemon that was asked to stop has read a request whole; as its time to stop is over the connection closes with neither an answer nor a refusal. Five scenarios, each with a daemon as a process and a real SIGTERM, show it on the code as it is: a request that waits for its stages, read after the signal (the incident) and before it; a booking that its replica holds; a body that is still arriving when nothing else is in flight, and one that arrives until the end.

--- a/features/platform/stops.feature
+++ b/features/platform/stops.feature
@@ -1,5 +1,36 @@
 Feature: a planned stop ends no request that was accepted without an answer
 
+  Scenario: a request that waits for its stages is answered before its daemon ends
+    # Seen: a daemon that had been asked to stop read a caller's whole request
+    # three seconds later. Four seconds after that the process was gone, and
+    # the caller's connection closed with neither an answer nor a refusal.
+    When a daemon is asked to stop and reads a request that its stages hold up
+    Then the caller is told before the end that it did not run
+    And nothing was cut by the daemon's end
+
+  Scenario: a request that came before the stop waits for its stages
+    # Guards against bounding only what comes after the signal.
+    When a daemon is asked to stop under a request that its stages hold up
+    Then the caller is told before the end that it did not run
+    And nothing was cut by the daemon's end
+
+  Scenario: a booking that its replica still holds at the daemon's end
+    # Guards against a caller that learns nothing, or a false "not run".
+    When a daemon is asked to stop while a replica holds a booking for longer
+    Then the caller is told before the end that its outcome is unknown
+    And nothing was cut by the daemon's end
+
+  Scenario: a body that arrives while nothing else is in flight
+    # Guards against a stop that takes a half-read request for an idle
+    # connection.
+    When the body of a request arrives over the moment at which a stop is idle
+    Then the caller has the replica's answer
+
+  Scenario: a body that does not end before its daemon
+    # Guards against a connection that is closed in the caller's face.
+    When a daemon is asked to stop under a body that goes on for longer
+    Then the caller is told before the end that it did not run
+
   Scenario: a stream that outlasts its daemon's stop is logged as cut
     # Guards against logs that name the caller as the one who left.
     When a daemon is asked to stop under a stream that lasts longer
--- a/features/steps/platform_stops_steps.py
+++ b/features/steps/platform_stops_steps.py
@@ -7,8 +7,18 @@
 import anyio
 from behave import then, when
 
-from features.steps.platform_forwarding_steps import STREAM_HEADERS, play
-from features.support.platform_rig import route, until
+from cactusdyke.transport.exchange import ExchangeError
+from features.steps.platform_forwarding_steps import (
+    STAGE_HEADERS,
+    STREAM_HEADERS,
+    play,
+    runs,
+)
+from features.support.platform_rig import HOST, KEY, route, until
+
+LONG_MS = 20_000
+HELD_UP_MS = 10_000.0
+"""Longer than any stop of these stories."""
 
 
 def logged(process, code):
@@ -17,6 +27,211 @@
     return [line for line in lines if line["event"].startswith(code)]
 
 
+async def ask(context, world, path, **changes):
+    """Notes what a caller gets, and when; None for a connection that closed."""
+    try:
+        context.answer = await world.request(path, **changes)
+    except ExchangeError:
+        context.answer = None
+    context.answered_at = anyio.current_time()
+
+
+async def stop(context, world, process):
+    """Stops a daemon; notes when it had ended, and what it logged."""
+    context.asked_at = anyio.current_time()
+    await process.stop()
+    context.ended_at = anyio.current_time()
+    context.cut = logged(process, "CD4304")
+    context.ended = logged(process, "CD1003")
+    context.runs = runs(world)
+
+
+async def held_up_world(world):
+    """Starts a daemon whose stage replica takes its time."""
+    world.grace_s = 4
+    await world.add_replica("e1", "engine")
+    stage = await world.add_replica("s1", "stage")
+    stage.work_ms = HELD_UP_MS
+    world.configure(
+        [
+            route(
+                "talk",
+                "engine",
+                kind="streaming",
+                timeout_ms=LONG_MS,
+                target_latency_ms=2_000,
+                stages=[{"service": "stage", "after": [], "bytes": 1_000}],
+            )
+        ]
+    )
+    return await world.start_process("d1")
+
+
+async def ask_staged(context, world):
+    headers = {**STAGE_HEADERS, "X-Pieces": "1", "X-Deadline-Ms": str(LONG_MS)}
+    await ask(context, world, "/talk/stream", headers=headers)
+
+
+@when("a daemon is asked to stop and reads a request that its stages hold up")
+def held_up_after_signal(context):
+    async def story(world):
+        process = await held_up_world(world)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(stop, context, world, process)
+            await anyio.sleep(0.3)
+            await ask_staged(context, world)
+
+    play(story)
+
+
+@when("a daemon is asked to stop under a request that its stages hold up")
+def held_up_before_signal(context):
+    async def story(world):
+        process = await held_up_world(world)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask_staged, context, world)
+            await until(lambda: bool(world.replicas["s1"].stage_calls))
+            await stop(context, world, process)
+
+    play(story)
+
+
+@then("the caller is told before the end that it did not run")
+def check_refused(context):
+    assert context.answer is not None, "closed without an answer"
+    status, headers, _ = context.answer
+    assert status == 503, context.answer
+    assert 0 < float(headers["retry-after"]) < 1
+    assert context.runs == []
+    assert context.answered_at < context.ended_at
+
+
+@then("nothing was cut by the daemon's end")
+def check_nothing_cut(context):
+    assert context.cut == []
+    assert [line["in_flight"] for line in context.ended] == [0]
+
+
+@when("a daemon is asked to stop while a replica holds a booking for longer")
+def held_booking(context):
+    async def story(world):
+        world.grace_s = 4
+        replica = await world.add_replica("p1")
+        replica.faults.add("hang")
+        world.configure(
+            [
+                route(
+                    "look",
+                    "plain",
+                    kind="non_idempotent",
+                    timeout_ms=LONG_MS,
+                )
+            ]
+        )
+        process = await world.start_process("d1")
+        headers = {"X-Deadline-Ms": str(LONG_MS)}
+        async with anyio.create_task_group() as tasks:
+
+            async def book():
+                await ask(context, world, "/look/a", headers=headers)
+
+            tasks.start_soon(book)
+            await until(lambda: bool(replica.runs))
+            await stop(context, world, process)
+
+    play(story)
+
+
+@then("the caller is told before the end that its outcome is unknown")
+def check_unknown(context):
+    assert context.answer is not None, "closed without an answer"
+    status, headers, _ = context.answer
+    assert status in {502, 504}, context.answer
+    assert "retry-after" not in headers
+    assert context.runs == ["r-1"]
+    assert context.answered_at < context.ended_at
+
+
+def head_of_body(length):
+    """Returns the head of a request whose body has that length."""
+    return (
+        f"POST /look/a HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: r-1\r\n"
+        f"X-Deadline-Ms: {LONG_MS}\r\nAuthorization: Bearer {KEY}\r\n"
+        f"Content-Length: {length}\r\n\r\n"
+    ).encode()
+
+
+async def send_body(context, world, *, parts, every_s):
+    """Sends a body a byte at a time; notes the answer that comes."""
+    settings = world.settings["d1"]
+    got = b""
+    stream = await anyio.connect_tcp(settings.front.host, settings.front.port)
+    async with stream, anyio.create_task_group() as tasks:
+
+        async def send():
+            await stream.send(head_of_body(parts))
+            for _ in range(parts):
+                await anyio.sleep(every_s)
+                await stream.send(b"x")
+
+        tasks.start_soon(send)
+        try:
+            while not got.endswith(b"\n") and b"answer to" not in got:
+                got += await stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            pass
+        context.answered_at = anyio.current_time()
+        tasks.cancel_scope.cancel()
+    context.got = got
+
+
+@when("the body of a request arrives over the moment at which a stop is idle")
+def body_over_idle(context):
+    async def story(world):
+        world.grace_s = 8
+        await world.add_replica("p1")
+        world.configure([route("look", "plain", timeout_ms=LONG_MS)])
+        process = await world.start_process("d1")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(stop, context, world, process)
+            await anyio.sleep(2.5)
+            await send_body(context, world, parts=5, every_s=0.3)
+
+    play(story)
+
+
+@then("the caller has the replica's answer")
+def check_body_served(context):
+    assert context.got.startswith(b"HTTP/1.1 200 "), context.got
+    assert context.got.endswith(b"answer to r-1"), context.got
+    assert context.runs == ["r-1"]
+
+
+@when("a daemon is asked to stop under a body that goes on for longer")
+def body_over_end(context):
+    async def story(world):
+        world.grace_s = 4
+        await world.add_replica("p1")
+        world.configure([route("look", "plain", timeout_ms=LONG_MS)])
+        process = await world.start_process("d1")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(stop, context, world, process)
+            await send_body(context, world, parts=100, every_s=0.2)
+        context.answer = refusal(context.got)
+
+    play(story)
+
+
+def refusal(got):
+    """Returns status, headers and body of an answer, None if there is none."""
+    head, _, body = got.partition(b"\r\n\r\n")
+    status, *lines = head.decode().split("\r\n")
+    if not status:
+        return None
+    headers = dict(line.lower().split(": ", 1) for line in lines)
+    return int(status.split()[1]), headers, body
+
+
 @when("a daemon is asked to stop under a stream that lasts longer")
 def stop_under_stream(context):
     async def story(world):
@@ -25,21 +240,19 @@
         engine.events = 100
         engine.event_ms = 100.0
         world.configure(
-            [route("talk", "engine", kind="streaming", timeout_ms=20_000)]
+            [route("talk", "engine", kind="streaming", timeout_ms=LONG_MS)]
         )
         process = await world.start_process("d1")
         async with anyio.create_task_group() as tasks:
 
-            async def ask():
-                context.answer = await world.request(
-                    "/talk/stream", headers=STREAM_HEADERS
+            async def stream():
+                await ask(
+                    context, world, "/talk/stream", headers=STREAM_HEADERS
                 )
 
-            tasks.start_soon(ask)
+            tasks.start_soon(stream)
             await until(lambda: bool(engine.runs))
-            await process.stop()
-        context.cut = logged(process, "CD4304")
-        context.ended = logged(process, "CD1003")
+            await stop(context, world, process)
 
     play(story)
 
