Answer what waits before a stopping daemon ends

What callers saw: a request that a stopping daemon had read whole got neither an answer nor a refusal; its connection closed as the daemon ended.

Cause: only arrival looked at the stop. A request that had been let in waited for its stages, its replica or its next attempt until its own deadline, seconds behind the daemon's end, and the end cancelled it without a word. Requests that came before the signal were not looked at by anything.

Ruled out: a crash and SIGKILL (the close is 7.34 s after the signal, the end that the code of that time gave itself, 7.3 s); a replica still at work (it was never asked). The code of that time, with a stage that takes ten seconds and the record's times, closes the connection 7.352 s after the signal.

Change: while a daemon stops, it ends each request in flight in time and answers it: one that was not handed over is refused as not run as soon as an attempt of its route would no longer end (by the route's last attempts); one that a replica holds is told 250 ms before the end that its outcome is unknown. A stream that has begun goes on to the end. So whatever a request waits for, its wait is bounded by the daemon's.

--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -163,7 +163,7 @@
             daemons=self._view,
             data_centre=self._settings.zone,
             allowance=lambda: self._settings.retries,
-            stop_at=lambda: self._stopping.ends_at,
+            stop_at=lambda: self._stopping.answers_by,
             announce=self._members.announce,
             metrics=metrics,
             tracing=self._tracing,
@@ -317,7 +317,11 @@
 
     async def stop(self) -> None:
         """Serves callers that still hold the address, then returns."""
-        await self._stopping.run(self._front, self._kernel.drain)
+        await self._stopping.run(
+            self._front,
+            drain=self._kernel.drain,
+            end_requests=self._core.forwarder.end_before_stop,
+        )
 
     async def _look_at_settings(self) -> None:
         """Finds settings that change without a signal."""
--- a/cactusdyke/serving/durations.py
+++ b/cactusdyke/serving/durations.py
@@ -5,7 +5,11 @@
 import collections
 from typing import TYPE_CHECKING
 
+import attrs
+
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from cactusdyke.serving.model import Route
 
 STREAM_MS = 3_000.0
@@ -17,6 +21,19 @@
 MOST_ROUTES = 200
 
 
+@attrs.frozen(kw_only=True)
+class RequestDuration:
+    """How long one answered request took, in milliseconds.
+
+    Attributes:
+        took_ms: From its arrival to its end.
+        attempt_ms: From its last attempt's begin to its end.
+    """
+
+    took_ms: float
+    attempt_ms: float
+
+
 class RouteDurations:
     """The times that the last requests of each route took.
 
@@ -27,23 +44,33 @@
     """
 
     def __init__(self) -> None:
-        self._took: collections.OrderedDict[str, collections.deque[float]] = (
-            collections.OrderedDict()
-        )
+        self._last: collections.OrderedDict[
+            str, collections.deque[RequestDuration]
+        ] = collections.OrderedDict()
 
-    def note(self, route: Route, took_ms: float) -> None:
-        """Takes how long an answered request took, from its arrival on."""
-        took = self._took.setdefault(
+    def note(self, route: Route, duration: RequestDuration) -> None:
+        """Takes how long an answered request took."""
+        last = self._last.setdefault(
             route.name, collections.deque(maxlen=LAST_REQUESTS)
         )
-        took.append(took_ms)
-        self._took.move_to_end(route.name)
-        while len(self._took) > MOST_ROUTES:
-            self._took.popitem(last=False)
+        last.append(duration)
+        self._last.move_to_end(route.name)
+        while len(self._last) > MOST_ROUTES:
+            self._last.popitem(last=False)
 
     def long_ms(self, route: Route) -> float:
         """Returns the time in which nearly all requests of a route end."""
-        took = sorted(self._took.get(route.name, ()))
-        if not took:
-            return STREAM_MS if route.streaming else WHOLE_MS
-        return took[int(LONG_SHARE * (len(took) - 1) + 0.5)]
+        last = self._last.get(route.name, ())
+        return _long(route, (duration.took_ms for duration in last))
+
+    def long_attempt_ms(self, route: Route) -> float:
+        """Returns the time in which nearly all attempts of a route end."""
+        last = self._last.get(route.name, ())
+        return _long(route, (duration.attempt_ms for duration in last))
+
+
+def _long(route: Route, durations_ms: Iterable[float]) -> float:
+    ordered = sorted(durations_ms)
+    if not ordered:
+        return STREAM_MS if route.streaming else WHOLE_MS
+    return ordered[int(LONG_SHARE * (len(ordered) - 1) + 0.5)]
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -13,7 +13,8 @@
 from cactusdyke.kernel import Service
 from cactusdyke.serving import balance, outcomes, routes
 from cactusdyke.serving.attempt import AttemptResult, StreamState
-from cactusdyke.serving.durations import RouteDurations
+from cactusdyke.serving.durations import RequestDuration, RouteDurations
+from cactusdyke.serving.in_flight import RequestsInFlight
 from cactusdyke.serving.model import RepeatPolicy
 from cactusdyke.serving.patience import CallerPatience
 from cactusdyke.serving.request import ServingContext
@@ -102,11 +103,18 @@
         self._metrics = metrics
         self._tracing = tracing
         self._durations = RouteDurations()
+        self._in_flight = RequestsInFlight(
+            clock=clock, durations=self._durations, stop_at=stop_at
+        )
         self._patience = CallerPatience()
         self._log = RequestLog(
             clock=clock, deployment=deployment, metrics=metrics
         )
 
+    async def end_before_stop(self) -> None:
+        """Answers requests that can't be served before the daemon ends."""
+        await self._in_flight.end_before_stop()
+
     def refusal(self, status: int, reason: str) -> tuple[Headers, bytes]:
         """Returns headers and body that refuse what could not be read."""
         failure = Failure(
@@ -217,8 +225,11 @@
                     scope.deadline += more_ms / MS_PER_SECOND
 
                 state.on_begin = begun
-                failure = await self._run(context, reply, state, results)
-            if scope.cancelled_caught:
+                with self._in_flight.track(context, state, scope) as request:
+                    failure = await self._run(context, reply, state, results)
+            if scope.cancelled_caught and request.stopped:
+                failure = outcomes.with_ran(context, outcomes.stopping())
+            elif scope.cancelled_caught:
                 failure = outcomes.timed_out(context)
             finished = True
         finally:
@@ -226,8 +237,12 @@
             if not finished:
                 self._log_unfinished(context, state)
         if failure is None:
-            took_ms = self._clock.now() - context.request.arrived_at
-            self._durations.note(context.route, took_ms)
+            now = self._clock.now()
+            duration = RequestDuration(
+                took_ms=now - context.request.arrived_at,
+                attempt_ms=now - context.engine_asked_at,
+            )
+            self._durations.note(context.route, duration)
             self._log.answered(context, state)
             return
         self._log.failed(failure, context.request.request_id, context)
--- /dev/null
+++ b/cactusdyke/serving/in_flight.py
@@ -0,0 +1,95 @@
+"""Requests in flight, and their final answers at a planned stop."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+
+from cactusdyke.serving.attempt import StreamState
+from cactusdyke.serving.request import ServingContext
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from cactusdyke.clock import Clock, Instant
+    from cactusdyke.serving.durations import RouteDurations
+
+LOOK_EVERY_MS = 50.0
+
+
+@attrs.define(kw_only=True, eq=False)
+class InFlight:
+    """One request that is being served.
+
+    Attributes:
+        context: The request.
+        state: What its caller has got.
+        scope: Ends the work on it.
+        stopped: Whether it was ended as its daemon stops.
+    """
+
+    context: ServingContext
+    state: StreamState
+    scope: anyio.CancelScope
+    stopped: bool = False
+
+    def stop(self) -> None:
+        """Ends the work, so that the caller gets a final answer."""
+        self.stopped = True
+        self.scope.cancel()
+
+
+class RequestsInFlight:
+    """Ends each request that its daemon would leave without an answer."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        durations: RouteDurations,
+        stop_at: Callable[[], Instant],
+    ) -> None:
+        self._clock = clock
+        self._durations = durations
+        self._stop_at = stop_at
+        self._requests: set[InFlight] = set()
+
+    @contextlib.contextmanager
+    def track(
+        self,
+        context: ServingContext,
+        state: StreamState,
+        scope: anyio.CancelScope,
+    ) -> Iterator[InFlight]:
+        """Counts a request as in flight while the block runs."""
+        request = InFlight(context=context, state=state, scope=scope)
+        self._requests.add(request)
+        try:
+            yield request
+        finally:
+            self._requests.discard(request)
+
+    async def end_before_stop(self) -> None:
+        """Ends requests that can't be served before the stop.
+
+        A request may wait for its stages or its replica until its own deadline,
+        which is seconds behind the end of the daemon. Cancelled with the daemon
+        it would end without any answer.
+        """
+        while True:
+            for request in tuple(self._requests):
+                if self._clock.now() >= self._last_chance(request):
+                    request.stop()
+            await self._clock.sleep(LOOK_EVERY_MS)
+
+    def _last_chance(self, request: InFlight) -> Instant:
+        """Returns until when a request may still be served in time."""
+        stop_at = self._stop_at()
+        if request.state.begun or request.stopped:
+            return float("inf")
+        if request.context.asking:
+            return stop_at
+        return stop_at - self._durations.long_attempt_ms(request.context.route)
--- a/cactusdyke/serving/planned_stop.py
+++ b/cactusdyke/serving/planned_stop.py
@@ -22,6 +22,9 @@
 LEAST_LINGER_MS = 3_000.0
 """Callers are told of other addresses within a second, and most ask again after
 the two seconds that their answer holds."""
+LAST_ANSWERS_MS = 250.0
+"""Before the end: requests that can't be served are answered by then, which
+leaves time to write the answers and for callers to read them."""
 IDLE_LOOK_MS = 50.0
 
 
@@ -46,21 +49,33 @@
         """Instant by which the daemon will have ended."""
         return self._ends_at
 
+    @property
+    def answers_by(self) -> Instant:
+        """Instant by which every request that has no answer yet gets one."""
+        return self._ends_at - LAST_ANSWERS_MS
+
     async def run(
-        self, front: Front, drain: Callable[[], Coroutine[None, None, None]]
+        self,
+        front: Front,
+        *,
+        drain: Callable[[], Coroutine[None, None, None]],
+        end_requests: Callable[[], Coroutine[None, None, None]],
     ) -> None:
         """Returns when nothing is in flight, or the time is over.
 
         Args:
             front: Where callers are answered; it goes on.
             drain: Tells all services that the daemon leaves.
+            end_requests: Answers requests that can't be served before
+                `answers_by`, until it is cancelled.
         """
         self._ends_at = self._clock.now() + self._grace_ms() - STOP_MARGIN_MS
         events.log(events.Event.DAEMON_DRAINING, daemon=self._daemon)
         front.close_connections()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(drain)
-            left_ms = self._ends_at - self._clock.now()
+            tasks.start_soon(end_requests)
+            left_ms = self.answers_by - self._clock.now()
             await self._clock.sleep(min(LEAST_LINGER_MS, left_ms))
             await self._wait_until_idle(front)
             tasks.cancel_scope.cancel()
--- a/features/platform/stops.feature
+++ b/features/platform/stops.feature
@@ -4,6 +4,12 @@
     # Seen: a daemon that had been asked to stop read a caller's whole request
     # three seconds later. Four seconds after that the process was gone, and
     # the caller's connection closed with neither an answer nor a refusal.
+    # How: the request waited behind others for its stages. Callers wait six
+    # seconds for a first event; the daemon had less than five to live.
+    # Cause: a request's waiting was bounded by its own deadline only, and the
+    # daemon's end cancelled whatever still waited, without an answer.
+    # Proof: with the code of that time and a stage that takes ten seconds the
+    # connection closed at the same moment of the stop, the replica never asked.
     When a daemon is asked to stop and reads a request that its stages hold up
     Then the caller is told before the end that it did not run
     And nothing was cut by the daemon's end
