Count requests that are being read when a stop looks for idle connections

What callers saw: a connection that closed in their face. A stop ends as soon as nothing is in flight, and only requests that had been read whole counted. One whose body was still arriving was cut as the daemon found itself idle, three seconds after the signal; one that arrived until the end was cut then; and a request that came on a kept connection in that moment was closed unread.

Change: the front ends itself. It waits until no connection owes an answer, from a request's first byte to the close of its connection, then stops listening, closes idle connections after one more look at what has come, and refuses, 250 ms before the daemon's end, what is not read whole: 503, not run, with a time to come back.

--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -117,9 +117,7 @@
 
     def refusal(self, status: int, reason: str) -> tuple[Headers, bytes]:
         """Returns headers and body that refuse what could not be read."""
-        failure = Failure(
-            kind=outcomes.UNREAD.get(status, outcomes.BAD), detail=reason
-        )
+        failure = outcomes.unread(status, reason)
         events.log(
             events.Event.REQUEST_FAILED,
             request_id="",
--- a/cactusdyke/serving/outcomes.py
+++ b/cactusdyke/serving/outcomes.py
@@ -23,9 +23,22 @@
     408: FailureKind.TIMED_OUT,
     413: FailureKind.TOO_LARGE,
     431: FailureKind.HEADERS_TOO_LARGE,
+    503: FailureKind.STOPPING,
 }
 
 
+def unread(status: int, reason: str) -> Failure:
+    """Returns the refusal of what could not be read as a request."""
+    kind = UNREAD.get(status, BAD)
+    return Failure(
+        kind=kind,
+        detail=reason,
+        retry_after_ms=(
+            STOPPING_RETRY_AFTER_MS if kind is FailureKind.STOPPING else None
+        ),
+    )
+
+
 def stopping() -> Failure:
     """Returns the refusal of a daemon that ends too soon."""
     return Failure(
--- a/cactusdyke/serving/planned_stop.py
+++ b/cactusdyke/serving/planned_stop.py
@@ -25,7 +25,6 @@
 LAST_ANSWERS_MS = 250.0
 """Before the end: requests that can't be served are answered by then, which
 leaves time to write the answers and for callers to read them."""
-IDLE_LOOK_MS = 50.0
 
 
 class PlannedStop:
@@ -61,7 +60,7 @@
         drain: Callable[[], Coroutine[None, None, None]],
         end_requests: Callable[[], Coroutine[None, None, None]],
     ) -> None:
-        """Returns when nothing is in flight, or the time is over.
+        """Returns when every connection has ended, or the time is over.
 
         Args:
             front: Where callers are answered; it goes on.
@@ -77,11 +76,8 @@
             tasks.start_soon(end_requests)
             left_ms = self.answers_by - self._clock.now()
             await self._clock.sleep(min(LEAST_LINGER_MS, left_ms))
-            await self._wait_until_idle(front)
+            # Waiting out the whole time would keep several hosts at once from
+            # new work where they are stopped in turn, and all would refuse.
+            with self._clock.timeout(self._ends_at - self._clock.now()):
+                await front.finish(refuse_at=self.answers_by)
             tasks.cancel_scope.cancel()
-
-    async def _wait_until_idle(self, front: Front) -> None:
-        # Waiting out the whole time would keep several hosts at once from new
-        # work where they are stopped in turn, and all would refuse.
-        while front.in_flight and self._clock.now() < self._ends_at:
-            await self._clock.sleep(IDLE_LOOK_MS)
--- a/cactusdyke/transport/front.py
+++ b/cactusdyke/transport/front.py
@@ -36,6 +36,9 @@
 MOST_BODY_BYTES_IN_ALL = 64 * 1024 * 1024
 """Of bodies not yet answered; a fifth of the smallest host's memory."""
 MOST_PIPELINED_BYTES = 65_536
+IDLE_LOOK_MS = 50.0
+LAST_LOOK_MS = 20.0
+"""How long an idle connection is still read as it is about to be closed."""
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -119,6 +122,10 @@
         self._clock = clock
         self._limits = limits
         self._closing = False
+        self._ending = False
+        self._refusing = False
+        self._listening: anyio.CancelScope | None = None
+        self._connections: set[_Connection] = set()
         self._in_flight = 0
         self._body_bytes = 0
         self._body_room = anyio.Event()
@@ -133,6 +140,16 @@
         """Whether answers ask callers to use another connection."""
         return self._closing
 
+    @property
+    def ending(self) -> bool:
+        """Whether connections close as soon as they are idle."""
+        return self._ending
+
+    @property
+    def refusing(self) -> bool:
+        """Whether requests that are not read whole are refused."""
+        return self._refusing
+
     def close_connections(self) -> None:
         """Ends each connection with its next answer."""
         self._closing = True
@@ -145,13 +162,42 @@
             backlog=BACKLOG,
             reuse_port=False,
         )
-        async with listener:
-            await listener.serve(self._connection)
+        async with anyio.create_task_group() as connections:
+            with anyio.CancelScope() as self._listening:
+                async with listener:
+                    await listener.serve(self._connection, connections)
+
+    async def finish(self, *, refuse_at: Instant) -> None:
+        """Ends `serve`: closes each connection once it owes no answer.
+
+        Args:
+            refuse_at: When requests that are still being read are refused.
+        """
+        with self._clock.timeout(refuse_at - self._clock.now()):
+            while any(not c.idle for c in self._connections):
+                await self._clock.sleep(IDLE_LOOK_MS)
+        self._ending = True
+        if self._listening is not None:
+            self._listening.cancel()
+        for connection in self._connections:
+            connection.close_if_idle()
+        with self._clock.timeout(refuse_at - self._clock.now()):
+            await self._wait_until_closed()
+        self._refusing = True
+        for connection in self._connections:
+            connection.refuse_unread()
+        await self._wait_until_closed()
+
+    async def _wait_until_closed(self) -> None:
+        while self._connections:
+            await self._clock.sleep(IDLE_LOOK_MS)
 
     async def _connection(self, stream: SocketStream) -> None:
+        connection = _Connection(front=self, stream=stream)
+        self._connections.add(connection)
         try:
             sockets.guard_against_silence(stream)
-            await _Connection(front=self, stream=stream).run()
+            await connection.run()
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
             # The caller is gone, which ends what it asked for.
             pass
@@ -162,6 +208,7 @@
                 events.Event.INTERNAL_ERROR, path="front", error=repr(error)
             )
         finally:
+            self._connections.discard(connection)
             await anyio.aclose_forcefully(stream)
 
     async def reserve(self, size: int) -> None:
@@ -214,13 +261,29 @@
         )
         self._ahead = b""
         self._held = 0
+        self._idle = True
+        self._reading = anyio.CancelScope()
+
+    @property
+    def idle(self) -> bool:
+        """Whether no byte has come of a request that is not answered."""
+        return self._idle
+
+    def close_if_idle(self) -> None:
+        """Ends the connection where it waits for a request."""
+        if self._idle:
+            self._reading.cancel()
+
+    def refuse_unread(self) -> None:
+        """Refuses the request that is being read, if there is one."""
+        self._reading.cancel()
 
     async def run(self) -> None:
         """Answers requests until the connection ends."""
         while True:
             self._limits = self._front._limits()
             try:
-                request = await self._read_request()
+                request = await self._next_request()
             except _RefusedError as refused:
                 await self._refuse(refused)
                 return
@@ -237,6 +300,35 @@
                 return
             self._h11.start_next_cycle()
 
+    async def _next_request(self) -> ReadRequest | None:
+        """Returns a request, or None where the connection has ended."""
+        self._idle = not (self._ahead or self._h11.trailing_data[0])
+        while True:
+            self._reading = self._reading_scope()
+            with self._reading:
+                return await self._read_request()
+            if not self._idle:
+                raise _RefusedError(
+                    503, "this daemon ends before the request was read"
+                )
+            self._ahead = await self._look_once_more()
+            if not self._ahead:
+                return None
+            self._idle = False
+
+    def _reading_scope(self) -> anyio.CancelScope:
+        scope = anyio.CancelScope()
+        if self._front.refusing or (self._front.ending and self._idle):
+            scope.cancel()
+        return scope
+
+    async def _look_once_more(self) -> bytes:
+        """Returns what has come while the connection was being closed."""
+        data = b""
+        with self._clock.timeout(LAST_LOOK_MS):
+            data = await self._receive()
+        return data
+
     async def _read_request(self) -> ReadRequest | None:
         head = await self._read_head()
         if head is None:
@@ -274,6 +366,7 @@
                 raise _RefusedError(408, "the request's head came too slowly")
             if data and not begun:
                 begun = True
+                self._idle = False
                 until = self._clock.now() + self._limits.header_timeout_ms
             if not data and not begun:
                 return None
--- a/features/platform/stops.feature
+++ b/features/platform/stops.feature
@@ -37,6 +37,11 @@
     When a daemon is asked to stop under a body that goes on for longer
     Then the caller is told before the end that it did not run
 
+  Scenario: a request that comes in the moment of the end
+    # Guards against bytes that were there as an idle connection was closed.
+    When a request comes on a kept connection just as a stop closes it
+    Then the request is answered and the connection ends
+
   Scenario: a stream that outlasts its daemon's stop is logged as cut
     # Guards against logs that name the caller as the one who left.
     When a daemon is asked to stop under a stream that lasts longer
