End refusals of unread requests as messages, so that their rest is read

What callers saw: a caller that reads only after it has sent everything got a reset in place of the 413 that had been sent to it; so would one that a stop refuses in the middle of its body.

Cause: the refusal's head and body were written without the end of the message. The connection's state then was not that of one to be closed, and the part that reads on until the caller has closed, so that no reset overtakes the answer, returned at once.

Change: the refusal is a whole message. The new scenario got no byte before and gets its 413 now. platform: 61 passed, 0 failed.

--- a/cactusdyke/transport/front.py
+++ b/cactusdyke/transport/front.py
@@ -483,10 +483,8 @@
                 (b"connection", b"close"),
             ],
         )
-        data = (self._h11.send(head) or b"") + (
-            self._h11.send(h11.Data(data=body)) or b""
-        )
-        await self.write(data)
+        answer = (head, h11.Data(data=body), h11.EndOfMessage())
+        await self.write(b"".join(self._h11.send(e) or b"" for e in answer))
         await self._finish()
 
     async def _finish(self) -> None:
--- a/features/platform/forwarding.feature
+++ b/features/platform/forwarding.feature
@@ -78,6 +78,11 @@
       | headers that are too large | 431    |
       | a head that never ends     | 408    |
 
+  Scenario: a caller that is still sending can read its refusal
+    # Guards against a reset that overtakes the refusal.
+    When a caller reads only after it has sent a body that is too large
+    Then it gets 413 with one line, and nobody else's request suffers
+
   Scenario: one connection carries requests in chunks and without a body
     When two requests come on one connection, the first in chunks
     Then both are answered in order and the body is the caller's
--- a/features/steps/platform_forwarding_steps.py
+++ b/features/steps/platform_forwarding_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+
 import anyio
 from behave import then, when
 
@@ -273,6 +275,29 @@
     play(story)
 
 
+@when("a caller reads only after it has sent a body that is too large")
+def late_reader(context):
+    async def story(world):
+        await plain_world(world)
+        settings = world.settings["d1"]
+        stream = await anyio.connect_tcp(
+            settings.front.host, settings.front.port
+        )
+        context.got = b""
+        async with stream:
+            await stream.send(BAD["a body that is too large"])
+            with contextlib.suppress(anyio.BrokenResourceError):
+                for _ in range(4):
+                    await stream.send(b"x" * 50_000)
+                    await anyio.sleep(0.05)
+                while not context.got.endswith(b"\n"):
+                    context.got += await stream.receive()
+        context.after = await world.request("/look/a")
+        context.runs = runs(world)
+
+    play(story)
+
+
 @then("it gets {status:d} with one line, and nobody else's request suffers")
 def check_bad_input(context, status):
     head, _, body = context.got.partition(b"\r\n\r\n")
