Show with a failing scenario that pieces whose call failed are left waiting

What callers see: a stage replica fails one call and could be called again some 50 to 300 ms later. The pieces stay in the queue, no second call is made, and the request waits until its own end.

The scenario runs the batcher in virtual time, without a network. It fails the first call in each way that gives pieces back: refused, broken off, no room, and a replica that has left while another one joins later, or none does.

--- a/features/serving/stage_queue.feature
+++ b/features/serving/stage_queue.feature
@@ -60,6 +60,14 @@
     When a call fails four times
     Then its pieces are settled as failed
 
+  Scenario: pieces whose call failed are soon in a call again
+    # Guards against pieces that nobody looks at again after their call failed.
+    Given a stage service with one replica and requests that wait 3 seconds
+    When a request's first call fails, in each way that a call can fail
+    Then its pieces are in a call within 100 ms of when one can be made
+    And it is refused before its end if no replica comes back
+    And the service does not wake while no piece waits
+
   Scenario: a piece whose time has run out is settled as late
     # Its caller has long gone; making it would cost others their time.
     Given a stage queue with calls of 5 pieces and one replica
