Look at a stage's waiting pieces again after their call failed

Cause: a batcher's queue is looked at when a request comes, when a call ends, when results are freed, when a replica reports its memory, and every 50 ms by a task that ends as soon as no piece waits. Only a request that came started that task. A request whose pieces all go into calls at once has ended it. When such a call fails, its pieces are queued again and the queue is looked at while the replica is paused, short of memory or gone. Nobody looked again after the pause, when results had expired or when another replica had joined, and nobody gave the pieces up as late, until another request came for the service. A group that was begun is not handed over to another decider either.

Change: whoever looks at the queue and leaves pieces in it starts the task. Requests do so too, by the same line. Nothing runs while no piece waits.

--- a/cactusdyke/serving/batcher.py
+++ b/cactusdyke/serving/batcher.py
@@ -47,7 +47,7 @@
 FETCH_BYTES_PER_MS = 250_000.0
 """A fifth of the links that replicas have: makers serve several at once."""
 TICK_MS = 50.0
-"""How often what can't be in time any more is looked for."""
+"""How often waiting pieces are looked at, to be called or given up."""
 
 
 class StageBatcher:
@@ -118,7 +118,6 @@
         done = self._done[id(group)] = anyio.Event()
         self._queue.add(group)
         self._pump()
-        self._tick_soon()
         try:
             await done.wait()
         finally:
@@ -242,12 +241,16 @@
         return [replica.name for replica in usable]
 
     def _pump(self) -> None:
-        """Starts every call that can be made now."""
+        """Starts every call that can be made now; ticks for what is left."""
         while True:
             batch = self._queue.next_batch(self._makers())
             if batch is None:
-                return
+                break
             self._tasks.start_soon(self._call, batch)
+        # Nothing tells when a replica's pause is over, when results in its
+        # memory expire, or when another replica joins.
+        if self._queue.waiting:
+            self._tick_soon()
 
     async def _call(self, batch: Batch) -> None:
         replica = self._deployment.replica(batch.maker)
