Split the front into interface, listener and connection; type its refusals

Refusals are typed failures in place of bare statuses, so that a stop's 503 and others of that status differ.

--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -41,7 +41,8 @@
 from cactusdyke.serving.state_exchange import STATE_PATH, StateExchange
 from cactusdyke.transport.asgi import AsgiAdapter
 from cactusdyke.transport.exchange import SocketConnections
-from cactusdyke.transport.front import Front, Limits
+from cactusdyke.transport.front import Front
+from cactusdyke.transport.front_interface import Limits
 from cactusdyke.transport.http_network import HttpNetwork
 from cactusdyke.transport.messages import Request, Response, json_response
 from cactusdyke.transport.routes import Routes
--- a/cactusdyke/platform/wire.py
+++ b/cactusdyke/platform/wire.py
@@ -31,7 +31,7 @@
     from cactusdyke.serving.model import Replica
     from cactusdyke.serving.request import ServingContext
     from cactusdyke.transport.exchange import AnswerHead, Headers
-    from cactusdyke.transport.front import ReadRequest
+    from cactusdyke.transport.front_interface import ReadRequest
 
 ID = b"X-Attempt-Id"
 BYTES_PER_MB = 1_000_000.0
--- a/cactusdyke/serving/attempt.py
+++ b/cactusdyke/serving/attempt.py
@@ -22,7 +22,7 @@
     from cactusdyke.serving.model import Replica
     from cactusdyke.serving.request import ServingContext
     from cactusdyke.transport.exchange import BackendConnections
-    from cactusdyke.transport.front import Reply
+    from cactusdyke.transport.front_interface import Reply
 
 MOST_WHOLE_BODY_BYTES = 8 * 1024 * 1024
 """Answers are checked whole before the first byte is passed on."""
--- a/cactusdyke/serving/dialect.py
+++ b/cactusdyke/serving/dialect.py
@@ -19,7 +19,7 @@
     from cactusdyke.serving.model import Replica
     from cactusdyke.serving.request import ClientRequest, ServingContext
     from cactusdyke.transport.exchange import AnswerHead
-    from cactusdyke.transport.front import ReadRequest
+    from cactusdyke.transport.front_interface import ReadRequest
 
 
 @attrs.frozen(kw_only=True)
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -20,7 +20,7 @@
 from cactusdyke.serving.request import ServingContext
 from cactusdyke.serving.request_log import RequestLog
 from cactusdyke.serving.stages import StageResults
-from cactusdyke.transport.front import (
+from cactusdyke.transport.front_interface import (
     BrokenOffError,
     FrontHandler,
     Headers,
@@ -115,18 +115,18 @@
         """Answers requests that can't be served before the daemon ends."""
         await self._in_flight.end_before_stop()
 
-    def refusal(self, status: int, reason: str) -> tuple[Headers, bytes]:
-        """Returns headers and body that refuse what could not be read."""
-        failure = outcomes.unread(status, reason)
+    def refusal(self, failure: Failure) -> tuple[int, Headers, bytes]:
+        """Returns status, headers and body that refuse what was not read."""
+        failure = outcomes.unread(failure)
         events.log(
             events.Event.REQUEST_FAILED,
             request_id="",
-            status=status,
-            detail=reason,
+            status=failure.kind.status,
+            kind=failure.kind.code,
+            detail=failure.detail,
         )
         self._metrics.ended("", "unread", 0.0)
-        _, headers, body = self._dialect.encode_failure(failure, "")
-        return headers, body
+        return self._dialect.encode_failure(failure, "")
 
     async def handle(self, request: ReadRequest, reply: Reply) -> None:
         """Answers one request."""
--- a/cactusdyke/serving/outcomes.py
+++ b/cactusdyke/serving/outcomes.py
@@ -18,25 +18,12 @@
 """Callers may wait a third of their time; a queue of a call or two is over by
 then."""
 
-BAD = FailureKind.BAD_REQUEST
-UNREAD = {
-    408: FailureKind.TIMED_OUT,
-    413: FailureKind.TOO_LARGE,
-    431: FailureKind.HEADERS_TOO_LARGE,
-    503: FailureKind.STOPPING,
-}
-
-
-def unread(status: int, reason: str) -> Failure:
-    """Returns the refusal of what could not be read as a request."""
-    kind = UNREAD.get(status, BAD)
-    return Failure(
-        kind=kind,
-        detail=reason,
-        retry_after_ms=(
-            STOPPING_RETRY_AFTER_MS if kind is FailureKind.STOPPING else None
-        ),
-    )
+
+def unread(failure: Failure) -> Failure:
+    """Returns the refusal of what was not read as a request."""
+    if failure.kind is FailureKind.STOPPING:
+        return attrs.evolve(failure, retry_after_ms=STOPPING_RETRY_AFTER_MS)
+    return failure
 
 
 def stopping() -> Failure:
--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -8,11 +8,11 @@
 import attrs
 import orjson
 
-from cactusdyke.transport.front import ReadRequest, Reply
+from cactusdyke.transport.front_interface import ReadRequest, Reply
 
 if TYPE_CHECKING:
     from cactusdyke.clock import Clock, Instant
-    from cactusdyke.transport.front import Headers
+    from cactusdyke.transport.front_interface import Headers
     from emulator.arrivals import Arrival
     from emulator.daemons import EmulatedDaemon
     from emulator.world import World
--- a/emulator/daemons.py
+++ b/emulator/daemons.py
@@ -20,7 +20,7 @@
 from cactusdyke.serving.member_view import MemberView
 from cactusdyke.serving.retry_budget import RetryAllowance
 from cactusdyke.settings import Settings
-from cactusdyke.transport.front import BrokenOffError
+from cactusdyke.transport.front_interface import BrokenOffError
 from cactusdyke.transport.messages import Response
 from cactusdyke.transport.routes import Routes
 from emulator import deployment as deployments
@@ -28,7 +28,7 @@
 
 if TYPE_CHECKING:
     from cactusdyke.errors import Failure
-    from cactusdyke.transport.front import ReadRequest, Reply
+    from cactusdyke.transport.front_interface import ReadRequest, Reply
     from cactusdyke.transport.messages import Request
     from emulator.links import Links
     from emulator.world import World
--- a/emulator/dialect.py
+++ b/emulator/dialect.py
@@ -29,7 +29,7 @@
     from cactusdyke.serving.model import Replica
     from cactusdyke.serving.request import ServingContext
     from cactusdyke.transport.exchange import AnswerHead, Headers
-    from cactusdyke.transport.front import ReadRequest
+    from cactusdyke.transport.front_interface import ReadRequest
     from emulator.scenario import Scenario
 
 _REASONS = {
--- a/features/steps/platform_stops_steps.py
+++ b/features/steps/platform_stops_steps.py
@@ -11,7 +11,8 @@
 
 from cactusdyke.clock import SystemClock
 from cactusdyke.transport.exchange import ExchangeError
-from cactusdyke.transport.front import Front, FrontHandler, Limits
+from cactusdyke.transport.front import Front
+from cactusdyke.transport.front_interface import FrontHandler, Limits
 from features.steps.platform_forwarding_steps import (
     STAGE_HEADERS,
     STREAM_HEADERS,
@@ -243,8 +244,8 @@
     async def handle(self, request, reply):
         await reply.whole(200, [], request.target.encode())
 
-    def refusal(self, status, reason):
-        return [], reason.encode()
+    def refusal(self, failure):
+        return failure.kind.status, [], failure.detail.encode()
 
 
 @contextlib.asynccontextmanager
