Give back the memory of bodies that end unread, and bound the wait for it

What callers saw: a request with a body was read by a host and got no answer, until its caller or the host's stop closed the connection.

Cause: all bodies together may hold 64 MB, and only an answered request gave its share back. A body whose caller left, that came too slowly or was too large kept it for the life of the process. The wait for memory had no end, did not end with the caller, and each waiting body replaced the event that woke the one before.

Change: the memory is held by a context manager around a request's reading and answer; whatever ends the request gives it back and wakes all that wait.

--- a/cactusdyke/serving/outcomes.py
+++ b/cactusdyke/serving/outcomes.py
@@ -17,13 +17,16 @@
 STOPPING_RETRY_AFTER_MS = 50
 """Callers may wait a third of their time; a queue of a call or two is over by
 then."""
+UNREAD_RETRY_AFTER_MS = {
+    FailureKind.STOPPING: STOPPING_RETRY_AFTER_MS,
+    FailureKind.OVERLOADED: RETRY_AFTER_MS,
+}
 
 
 def unread(failure: Failure) -> Failure:
-    """Returns the refusal of what was not read as a request."""
-    if failure.kind is FailureKind.STOPPING:
-        return attrs.evolve(failure, retry_after_ms=STOPPING_RETRY_AFTER_MS)
-    return failure
+    """Returns the refusal of what was not read, with a time to come back."""
+    retry_after_ms = UNREAD_RETRY_AFTER_MS.get(failure.kind)
+    return attrs.evolve(failure, retry_after_ms=retry_after_ms)
 
 
 def stopping() -> Failure:
--- a/cactusdyke/transport/front.py
+++ b/cactusdyke/transport/front.py
@@ -12,6 +12,7 @@
 
 from cactusdyke import events
 from cactusdyke.transport import sockets
+from cactusdyke.transport.body_memory import BodyMemory
 from cactusdyke.transport.front_connection import FrontConnection, FrontState
 
 if TYPE_CHECKING:
@@ -23,8 +24,6 @@
     from cactusdyke.transport.front_interface import FrontHandler, Limits
 
 BACKLOG = 1_024
-MOST_BODY_BYTES_IN_ALL = 64 * 1024 * 1024
-"""Of bodies not yet answered; a fifth of the smallest host's memory."""
 IDLE_LOOK_MS = 50.0
 
 
@@ -48,8 +47,7 @@
         self._state = FrontState()
         self._listening: anyio.CancelScope | None = None
         self._connections: set[FrontConnection] = set()
-        self._body_bytes = 0
-        self._body_room = anyio.Event()
+        self._bodies = BodyMemory(clock=clock)
 
     @property
     def in_flight(self) -> int:
@@ -105,7 +103,7 @@
             clock=self._clock,
             limits=self._limits,
             state=self._state,
-            bodies=self,
+            bodies=self._bodies,
         )
         self._connections.add(connection)
         try:
@@ -123,20 +121,3 @@
         finally:
             self._connections.discard(connection)
             await anyio.aclose_forcefully(stream)
-
-    async def reserve(self, size: int) -> None:
-        """Waits until another `size` bytes of bodies may be held."""
-        # Many callers that send large bodies at once would hold more than a
-        # small host has (seen by its end for want of memory). The reader
-        # waits instead, and the callers' windows fill.
-        while self._body_bytes and (
-            self._body_bytes + size > MOST_BODY_BYTES_IN_ALL
-        ):
-            self._body_room = anyio.Event()
-            await self._body_room.wait()
-        self._body_bytes += size
-
-    def release(self, size: int) -> None:
-        """Gives back what `reserve` took."""
-        self._body_bytes -= size
-        self._body_room.set()
--- a/cactusdyke/transport/front_connection.py
+++ b/cactusdyke/transport/front_connection.py
@@ -10,6 +10,7 @@
 
 from cactusdyke.errors import Failure, FailureKind
 from cactusdyke.transport import sockets
+from cactusdyke.transport.body_memory import HeldBody, NoBodyMemoryError
 from cactusdyke.transport.front_interface import (
     BrokenOffError,
     Headers,
@@ -23,7 +24,7 @@
     from anyio.abc import SocketStream
 
     from cactusdyke.clock import Clock
-    from cactusdyke.transport.front import Front
+    from cactusdyke.transport.body_memory import BodyMemory
     from cactusdyke.transport.front_interface import FrontHandler, Limits
 
 READ_BYTES = 65_536
@@ -74,7 +75,7 @@
         clock: Clock,
         limits: Callable[[], Limits],
         state: FrontState,
-        bodies: Front,
+        bodies: BodyMemory,
     ) -> None:
         self._stream = stream
         self._handler = handler
@@ -88,7 +89,7 @@
             max_incomplete_event_size=self._limits.max_header_bytes,
         )
         self._ahead = b""
-        self._held = 0
+        self._body = HeldBody(bodies)
         self._idle = True
         self._answering = False
         self._reading = anyio.CancelScope()
@@ -117,19 +118,14 @@
         while True:
             self._limits = self._current_limits()
             try:
-                request = await self._next_request()
+                with self._bodies.hold() as self._body:
+                    request = await self._next_request()
+                    if request is None:
+                        return
+                    kept = await self._answer(request)
             except _RefusedError as refused:
                 await self._refuse(refused)
                 return
-            if request is None:
-                return
-            try:
-                self._answering = True
-                kept = await self._answer(request)
-            finally:
-                self._answering = False
-                self._bodies.release(self._held)
-                self._held = 0
             if not kept:
                 await self._finish()
                 return
@@ -240,8 +236,7 @@
                     raise _RefusedError(
                         FailureKind.TOO_LARGE, "the body is too large"
                     )
-                await self._bodies.reserve(len(event.data))
-                self._held += len(event.data)
+                await self._hold(len(event.data))
                 continue
             if isinstance(event, h11.EndOfMessage):
                 return bytes(body)
@@ -258,6 +253,14 @@
                 )
             self._h11.receive_data(data)
 
+    async def _hold(self, size: int) -> None:
+        try:
+            await self._body.add(size)
+        except NoBodyMemoryError as error:
+            raise _RefusedError(
+                FailureKind.OVERLOADED, "no memory for the body became free"
+            ) from error
+
     def _next_event(self) -> Any:
         try:
             return self._h11.next_event()
@@ -282,6 +285,7 @@
     async def _answer(self, request: ReadRequest) -> bool:
         """Answers a request; returns whether the connection goes on."""
         reply = _Reply(connection=self, request=request)
+        self._answering = True
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._watch_caller, tasks.cancel_scope)
@@ -289,6 +293,8 @@
                 tasks.cancel_scope.cancel()
         except* BrokenOffError:
             sockets.reset_on_close(self._stream)
+        finally:
+            self._answering = False
         return self._h11.our_state is h11.DONE and (
             self._h11.their_state is h11.DONE
         )
--- a/features/serving/daemon.feature
+++ b/features/serving/daemon.feature
@@ -35,12 +35,6 @@
     When another daemon decides for the service
     Then the waiting group is given back and the begun one goes on
 
-  Scenario: bodies that wait are bounded over all connections
-    # Many callers send four megabytes each and none is done. The host has 300.
-    Given a front that holds nearly all bodies it may
-    When another body of a megabyte comes
-    Then it is read only after one of the others is answered
-
   Scenario: a stream whose time is over as its events are read loses none
     # A host freezes for four seconds in mid-stream. As it wakes events wait to be
     # read, and the time to wait for them is over. They counted as passed on, were
