Let the time of a request end without cutting an answer that is being written

What callers saw: one that takes a large answer in slowly lost it in the middle as the route's time ended, though the replica had given it in time.

Cause: writing a whole answer stood under the request's time. Ended in the write, the request was answered once more with a failure, which the connection refuses to begin, and the connection closed.

A stop that ends requests in flight leaves such answers alone as well.

--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -537,9 +537,12 @@
         """Hands a replica's own answer to the caller, unchanged."""
         assert result.verdict is not None
         assert result.body is not None
-        await reply.whole(
-            result.verdict.status, result.verdict.headers, result.body
-        )
+        # The time of the request may be over while its caller takes the answer
+        # in. Ended there, the answer is cut, and none can follow it.
+        with anyio.CancelScope(shield=True):
+            await reply.whole(
+                result.verdict.status, result.verdict.headers, result.body
+            )
         return None
 
     async def _fail(
--- a/features/platform/forwarding.feature
+++ b/features/platform/forwarding.feature
@@ -62,6 +62,11 @@
     When a replica is silent for longer than the route allows
     Then the caller has its final answer at the route's time
 
+  Scenario: a ready answer is delivered, though its time ends meanwhile
+    # Guards against an answer that is cut while a slow caller takes it in.
+    When a caller takes a large answer in after the route's time
+    Then it has the whole answer
+
   Scenario Outline: <what> is refused with <status> and harms nobody
     When a caller sends <what>
     Then it gets <status> with one line, and nobody else's request suffers
--- a/features/steps/platform_forwarding_steps.py
+++ b/features/steps/platform_forwarding_steps.py
@@ -10,6 +10,8 @@
 from features.support.platform_rig import HOST, KEY, PlatformWorld, route, until
 from standins.replica import SIGNATURE
 
+LARGE_BYTES = 6 << 20
+
 
 def play(story, *args):
     async def run():
@@ -235,6 +237,40 @@
 ).encode()
 """A head that is refused for nothing but what is put behind it."""
 
+
+@when("a caller takes a large answer in after the route's time")
+def slow_reader(context):
+    async def story(world):
+        await plain_world(world, replicas=("p1",), timeout_ms=1_000)
+        world.replicas["p1"].padding = b"x" * LARGE_BYTES
+        settings = world.settings["d1"]
+        context.got = bytearray()
+        stream = await anyio.connect_tcp(
+            settings.front.host, settings.front.port
+        )
+        async with stream:
+            await stream.send(
+                f"GET /look/a HTTP/1.1\r\nHost: {HOST}\r\n"
+                f"X-Attempt-Id: r-1\r\nAuthorization: Bearer {KEY}\r\n"
+                "Connection: close\r\n\r\n".encode()
+            )
+            await anyio.sleep(1.5)
+            with contextlib.suppress(
+                anyio.EndOfStream, anyio.BrokenResourceError
+            ):
+                while True:
+                    context.got += await stream.receive()
+
+    play(story)
+
+
+@then("it has the whole answer")
+def check_slow_reader(context):
+    head, _, body = bytes(context.got).partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200 "), head
+    assert len(body) == LARGE_BYTES + len(b"answer to r-1"), len(body)
+
+
 BAD = {
     "two lengths": GOOD_HEAD
     + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -31,6 +31,7 @@
         events: How many events a stream has.
         event_ms: Time between events.
         work_ms: Time to answer.
+        padding: What whole answers carry beyond the request's id.
         stage_calls: How many pieces each stage call held.
         freed: Handles that were freed.
         free_mb: What it says of its memory for results.
@@ -47,6 +48,7 @@
         self.events = 5
         self.event_ms = 5.0
         self.work_ms = 5.0
+        self.padding = b""
         self.stage_calls: list[int] = []
         self.freed: list[str] = []
         self.free_mb = 10
@@ -175,7 +177,7 @@
             await stream.receive()
 
     def _whole(self, request_id: str) -> bytes:
-        body = f"answer to {request_id}".encode()
+        body = f"answer to {request_id}".encode() + self.padding
         told = "another" if "foreign" in self.faults else request_id
         status = 500 if "errors" in self.faults else 200
         headers = {
