Answer a request that an unexpected error ended, and tell callers' leaving from bugs

What callers saw: where a handler met an error that the code does not expect, the connection closed without a word, at any time and during a stop.

Cause: the front only logged the error and closed. The same branch took a write that failed inside a task group, which arrives as a group of errors, for a bug: callers that left while they were being answered were logged as CD1004.

Change: where no byte of an answer was sent the caller is told 500, which promises nothing about running; an answer that had begun is reset, so that it does not look complete. Groups of errors are told apart by what they hold.

--- a/cactusdyke/transport/front.py
+++ b/cactusdyke/transport/front.py
@@ -109,14 +109,14 @@
         try:
             sockets.guard_against_silence(stream)
             await connection.run()
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+        except* (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
             # The caller is gone, which ends what it asked for.
             pass
-        except Exception as error:
+        except* Exception as errors:
             # A bug met by one request must not end the requests of all other
             # callers with the process.
             events.log(
-                events.Event.INTERNAL_ERROR, path="front", error=repr(error)
+                events.Event.INTERNAL_ERROR, path="front", error=repr(errors)
             )
         finally:
             self._connections.discard(connection)
--- a/cactusdyke/transport/front_connection.py
+++ b/cactusdyke/transport/front_connection.py
@@ -8,7 +8,8 @@
 import attrs
 import h11
 
-from cactusdyke.errors import Failure, FailureKind
+from cactusdyke import events
+from cactusdyke.errors import Failure, FailureKind, Ran
 from cactusdyke.transport import sockets
 from cactusdyke.transport.body_memory import HeldBody, NoBodyMemoryError
 from cactusdyke.transport.front_interface import (
@@ -92,6 +93,7 @@
         self._body = HeldBody(bodies)
         self._idle = True
         self._answering = False
+        self._caller_gone = False
         self._reading = anyio.CancelScope()
 
     @property
@@ -289,7 +291,7 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._watch_caller, tasks.cancel_scope)
-                await self._handler.handle(request, reply)
+                await self._handle(request, reply)
                 tasks.cancel_scope.cancel()
         except* BrokenOffError:
             sockets.reset_on_close(self._stream)
@@ -299,6 +301,22 @@
             self._h11.their_state is h11.DONE
         )
 
+    async def _handle(self, request: ReadRequest, reply: Reply) -> None:
+        try:
+            await self._handler.handle(request, reply)
+        except BrokenOffError:
+            raise
+        except Exception as error:
+            if self._caller_gone:
+                raise
+            events.log(
+                events.Event.INTERNAL_ERROR, path="front", error=repr(error)
+            )
+            if self._h11.our_state is not h11.SEND_RESPONSE:
+                raise BrokenOffError from error
+            status, headers, body = self._handler.refusal(_unexpected())
+            await reply.whole(status, headers, body)
+
     async def _watch_caller(self, scope: anyio.CancelScope) -> None:
         """Cancels the answer as soon as its caller has left."""
         while len(self._ahead) < MOST_PIPELINED_BYTES:
@@ -324,9 +342,11 @@
         Raises:
             anyio.BrokenResourceError: The caller is gone, or takes nothing.
         """
-        with self._clock.timeout(WRITE_TIMEOUT_MS) as scope:
+        self._caller_gone = True
+        with self._clock.timeout(WRITE_TIMEOUT_MS):
             await self._stream.send(data)
-        if scope.cancelled_caught:
+            self._caller_gone = False
+        if self._caller_gone:
             raise anyio.BrokenResourceError
 
     async def _refuse(self, refused: _RefusedError) -> None:
@@ -403,6 +423,14 @@
         return self._h11.send(response) or b""
 
 
+def _unexpected() -> Failure:
+    return Failure(
+        kind=FailureKind.INTERNAL,
+        detail="the daemon met an unexpected error",
+        ran=Ran.UNKNOWN,
+    )
+
+
 def _without_length(headers: Headers) -> Headers:
     dropped = {b"content-length", b"transfer-encoding", b"connection"}
     return [pair for pair in headers if pair[0].lower() not in dropped]
--- a/features/platform/forwarding.feature
+++ b/features/platform/forwarding.feature
@@ -67,6 +67,11 @@
     When a caller takes a large answer in after the route's time
     Then it has the whole answer
 
+  Scenario: a request that meets an error of the daemon's own is answered
+    # Guards against a connection that closes without a word.
+    When an error that the code does not expect ends a request
+    Then the caller is told of it, and the next request is served
+
   Scenario Outline: <what> is refused with <status> and harms nobody
     When a caller sends <what>
     Then it gets <status> with one line, and nobody else's request suffers
--- a/features/steps/platform_forwarding_steps.py
+++ b/features/steps/platform_forwarding_steps.py
@@ -5,8 +5,10 @@
 import contextlib
 
 import anyio
+import eliot
 from behave import then, when
 
+from cactusdyke.transport.exchange import ExchangeError
 from features.support.platform_rig import HOST, KEY, PlatformWorld, route, until
 from standins.replica import SIGNATURE
 
@@ -271,6 +273,39 @@
     assert len(body) == LARGE_BYTES + len(b"answer to r-1"), len(body)
 
 
+@when("an error that the code does not expect ends a request")
+def unexpected_error(context):
+    async def story(world):
+        await plain_world(world, replicas=("p1",))
+        forwarder = world.daemons["d1"]._core.forwarder
+        usual = forwarder._candidates
+        forwarder._candidates = lambda context: 1 // 0
+        try:
+            context.answer = await world.request("/look/a")
+        except ExchangeError:
+            context.answer = None
+        forwarder._candidates = usual
+        context.after = await world.request("/look/a", request_id="r-2")
+
+    context.log = []
+    eliot.add_destinations(context.log.append)
+    try:
+        play(story)
+    finally:
+        eliot.remove_destination(context.log.append)
+
+
+@then("the caller is told of it, and the next request is served")
+def check_unexpected(context):
+    assert context.answer is not None, "closed without an answer"
+    status, headers, body = context.answer
+    assert status == 500
+    assert "retry-after" not in headers
+    assert body.count(b"\n") == 1
+    assert context.after[0] == 200
+    assert "CD1004" in str(context.log)
+
+
 BAD = {
     "two lengths": GOOD_HEAD
     + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
