Go on with a stop whose announcement fails, and announce to all at once

What callers would see: an error in any service's part of a stop ended the stop at once, and with it all requests in flight. None is known to happen; the scenario puts one in, and without the mend the daemon ends with a request cut.

Also, services announced the stop one after the other. In an outage of the platform's store the daemon's own entry took its whole second to give up, and only then were other daemons told, which sent callers here meanwhile.

Change: announcements run side by side, and an error in a service's part is logged as CD1004 while the stop goes on.

The scenario passes now and failed before.

--- a/cactusdyke/kernel.py
+++ b/cactusdyke/kernel.py
@@ -9,7 +9,10 @@
 
 import anyio
 
+from cactusdyke import events
+
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
     from types import TracebackType
 
 logger = logging.getLogger(__name__)
@@ -108,8 +111,23 @@
         All of them announce the stop before the first is drained: while
         requests in flight end, nobody must be sent here any more.
         """
-        for service in self._services.values():
-            await service.announce_stop()
+        async with anyio.create_task_group() as tasks:
+            for name, service in self._services.items():
+                tasks.start_soon(self._contain, name, service.announce_stop)
         for name, service in reversed(self._services.items()):
             logger.debug("draining %s", name)
-            await service.drain()
+            await self._contain(name, service.drain)
+
+    async def _contain(
+        self, name: str, step: Callable[[], Awaitable[None]]
+    ) -> None:
+        try:
+            await step()
+        except Exception as error:
+            # A stop goes on: an error here would end it, and cut what is in
+            # flight.
+            events.log(
+                events.Event.INTERNAL_ERROR,
+                path=f"stop of {name}",
+                error=repr(error),
+            )
--- a/features/platform/stops.feature
+++ b/features/platform/stops.feature
@@ -42,6 +42,11 @@
     When a request comes on a kept connection just as a stop closes it
     Then the request is answered and the connection ends
 
+  Scenario: a stop whose announcement fails is a stop all the same
+    # Guards against an error that ends the daemon with requests in flight.
+    When a daemon is asked to stop under a request and can't announce it
+    Then the request is answered before the daemon ends
+
   Scenario: a stream that outlasts its daemon's stop is logged as cut
     # Guards against logs that name the caller as the one who left.
     When a daemon is asked to stop under a stream that lasts longer
--- a/features/steps/platform_stops_steps.py
+++ b/features/steps/platform_stops_steps.py
@@ -7,6 +7,7 @@
 import socket
 
 import anyio
+import eliot
 from behave import then, when
 
 from cactusdyke.clock import SystemClock
@@ -292,6 +293,38 @@
     assert context.rest == b""
 
 
+@when("a daemon is asked to stop under a request and can't announce it")
+def stop_unannounced(context):
+    async def story(world):
+        replica = await world.add_replica("p1")
+        replica.work_ms = 1_000.0
+        world.configure([route("look", "plain")])
+        daemon = await world.start_daemon("d1")
+
+        async def fail():
+            raise RuntimeError("the announcement failed")
+
+        daemon._members.announce_stop = fail
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask, context, world, "/look/a")
+            await until(lambda: bool(replica.runs))
+            await daemon.stop()
+
+    context.log = []
+    eliot.add_destinations(context.log.append)
+    try:
+        play(story)
+    finally:
+        eliot.remove_destination(context.log.append)
+
+
+@then("the request is answered before the daemon ends")
+def check_unannounced(context):
+    assert context.answer is not None, "closed without an answer"
+    assert context.answer[0] == 200, context.answer
+    assert "the announcement failed" in str(context.log)
+
+
 @when("a daemon is asked to stop under a stream that lasts longer")
 def stop_under_stream(context):
     async def story(world):
