Accept callers again after an error, in place of ending the daemon

What callers saw: a daemon with as many connections as it may have descriptors ended with status 1 as one more came, and cut every request in flight.

Cause: an error of the accept call left the listener, the front and the daemon.

Change: the error is logged as CD1008 and the listener goes on after 100 ms; callers wait in its queue meanwhile.

The scenario, with 64 descriptors and 80 callers, found the request under way cut; it is answered now, and a new caller is served once the others have left.

--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -206,6 +206,11 @@
         "The port for metrics can't be listened on; all else goes on.",
         "Give another port in the deploy file, in both places.",
     )
+    ACCEPT_FAILED = (
+        1008,
+        "A caller's connection could not be accepted; it is tried again.",
+        "Raise the limit on descriptors if the error says that there are none.",
+    )
     DECIDER_CHANGED = (
         4316,
         "Another daemon decides for a service; it is told what requests of"
--- a/cactusdyke/transport/front.py
+++ b/cactusdyke/transport/front.py
@@ -18,13 +18,15 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from anyio.abc import SocketStream
+    from anyio.abc import Listener, SocketStream, TaskGroup
 
     from cactusdyke.clock import Clock, Instant
     from cactusdyke.transport.front_interface import FrontHandler, Limits
 
 BACKLOG = 1_024
 IDLE_LOOK_MS = 50.0
+ACCEPT_PAUSE_MS = 100.0
+"""After an error: descriptors are free again once other connections end."""
 
 
 class Front:
@@ -69,7 +71,18 @@
         async with anyio.create_task_group() as connections:
             with anyio.CancelScope() as self._listening:
                 async with listener:
-                    await listener.serve(self._connection, connections)
+                    await self._accept(listener, connections)
+
+    async def _accept(
+        self, listener: Listener[SocketStream], connections: TaskGroup
+    ) -> None:
+        while True:
+            try:
+                await listener.serve(self._connection, connections)
+            except* OSError as errors:
+                # Callers that are not accepted wait in the listener's queue.
+                events.log(events.Event.ACCEPT_FAILED, error=repr(errors))
+            await self._clock.sleep(ACCEPT_PAUSE_MS)
 
     async def finish(self, *, refuse_at: Instant) -> None:
         """Ends `serve`: closes each connection once it owes no answer.
--- a/features/platform/stops.feature
+++ b/features/platform/stops.feature
@@ -47,6 +47,11 @@
     When a daemon is asked to stop under a request and can't announce it
     Then the request is answered before the daemon ends
 
+  Scenario: a daemon out of descriptors goes on with the connections it has
+    # Guards against the end of a daemon that can't accept one more caller.
+    When more callers come to a daemon than it has descriptors for
+    Then the request under way is answered, and new callers are served later
+
   Scenario: a stream that outlasts its daemon's stop is logged as cut
     # Guards against logs that name the caller as the one who left.
     When a daemon is asked to stop under a stream that lasts longer
--- a/features/steps/platform_stops_steps.py
+++ b/features/steps/platform_stops_steps.py
@@ -325,6 +325,42 @@
     assert "the announcement failed" in str(context.log)
 
 
+@when("more callers come to a daemon than it has descriptors for")
+def out_of_descriptors(context):
+    async def story(world):
+        replica = await world.add_replica("p1")
+        replica.work_ms = 1_000.0
+        world.configure([route("look", "plain")])
+        process = await world.start_process("d1", most_descriptors=64)
+        settings = world.settings["d1"]
+        async with contextlib.AsyncExitStack() as callers:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask, context, world, "/look/a")
+                await until(lambda: bool(replica.runs))
+                with contextlib.suppress(OSError):
+                    for _ in range(80):
+                        caller = await anyio.connect_tcp(
+                            settings.front.host, settings.front.port
+                        )
+                        await callers.enter_async_context(caller)
+            context.under_way = context.answer
+        await anyio.sleep(0.5)
+        await ask(context, world, "/look/a", request_id="r-2")
+        await process.stop()
+        context.warned = logged(process, "CD1008")
+
+    play(story)
+
+
+@then("the request under way is answered, and new callers are served later")
+def check_descriptors(context):
+    assert context.under_way is not None, "closed without an answer"
+    assert context.under_way[0] == 200, context.under_way
+    assert context.answer is not None, "the daemon has ended"
+    assert context.answer[0] == 200, context.answer
+    assert context.warned
+
+
 @when("a daemon is asked to stop under a stream that lasts longer")
 def stop_under_stream(context):
     async def story(world):
--- a/features/support/platform_rig.py
+++ b/features/support/platform_rig.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import random
+import resource
 import signal
 import subprocess
 import sys
@@ -100,7 +101,7 @@
         log: What it wrote, once it has ended.
     """
 
-    def __init__(self, *, settings_path):
+    def __init__(self, *, settings_path, most_descriptors=None):
         self.settings_path = settings_path
         self.code = None
         self.log = ""
@@ -109,6 +110,9 @@
             env={**os.environ, "CACTUSDYKE_CONFIG": str(settings_path)},
             stdout=subprocess.PIPE,
         )
+        if most_descriptors:
+            limits = (most_descriptors, most_descriptors)
+            resource.prlimit(self._process.pid, resource.RLIMIT_NOFILE, limits)
 
     def __enter__(self):
         return self
@@ -241,10 +245,10 @@
         await self.listens(settings.front.address)
         return daemon
 
-    async def start_process(self, name):
+    async def start_process(self, name, **limits):
         """Starts a daemon as a process, and waits until it is ready."""
         path = self._write_settings(name, ())
-        process = DaemonProcess(settings_path=path)
+        process = DaemonProcess(settings_path=path, **limits)
         self._stack.enter_context(process)
         settings = self.settings[name]
         await self.listens(settings.front.address)
