End connections whose callers take nothing in with the daemon's time

Cause: writes to callers go on for their own time, 4 s, so that no cancelled request leaves half an answer. The end of a stop waited for them: with a caller that takes nothing in, a daemon that had 4 s ended 5.1 s after the signal, that is, by SIGKILL, without its last log lines.

Change: when its time is over the daemon ends every connection itself, with a reset where an answer is unfinished, so that it does not look complete.

The scenario measured 5.1 s before and passes now (under 4 s).

--- a/cactusdyke/serving/planned_stop.py
+++ b/cactusdyke/serving/planned_stop.py
@@ -80,4 +80,5 @@
             # new work where they are stopped in turn, and all would refuse.
             with self._clock.timeout(self._ends_at - self._clock.now()):
                 await front.finish(refuse_at=self.answers_by)
+            await front.abort()
             tasks.cancel_scope.cancel()
--- a/cactusdyke/transport/front.py
+++ b/cactusdyke/transport/front.py
@@ -105,6 +105,11 @@
             connection.refuse_unread()
         await self._wait_until_closed()
 
+    async def abort(self) -> None:
+        """Ends every connection, whatever it is in the middle of."""
+        for connection in tuple(self._connections):
+            await connection.abort()
+
     async def _wait_until_closed(self) -> None:
         while self._connections:
             await self._clock.sleep(IDLE_LOOK_MS)
--- a/cactusdyke/transport/front_connection.py
+++ b/cactusdyke/transport/front_connection.py
@@ -115,6 +115,12 @@
         """Refuses the request that is being read, if there is one."""
         self._reading.cancel()
 
+    async def abort(self) -> None:
+        """Ends the connection; a write that waits for its caller fails."""
+        if self._answering:
+            sockets.reset_on_close(self._stream)
+        await anyio.aclose_forcefully(self._stream)
+
     async def run(self) -> None:
         """Answers requests until the connection ends."""
         while True:
--- a/features/platform/stops.feature
+++ b/features/platform/stops.feature
@@ -42,6 +42,11 @@
     When a request comes on a kept connection just as a stop closes it
     Then the request is answered and the connection ends
 
+  Scenario: a caller that takes nothing in does not hold its daemon's end
+    # Guards against a kill that cuts the daemon's own good order.
+    When a daemon is asked to stop under an answer that nobody takes in
+    Then it has ended by itself before it would be killed
+
   Scenario: a stop whose announcement fails is a stop all the same
     # Guards against an error that ends the daemon with requests in flight.
     When a daemon is asked to stop under a request and can't announce it
--- a/features/steps/platform_stops_steps.py
+++ b/features/steps/platform_stops_steps.py
@@ -15,6 +15,7 @@
 from cactusdyke.transport.front import Front
 from cactusdyke.transport.front_interface import FrontHandler, Limits
 from features.steps.platform_forwarding_steps import (
+    LARGE_BYTES,
     STAGE_HEADERS,
     STREAM_HEADERS,
     play,
@@ -293,6 +294,36 @@
     assert context.rest == b""
 
 
+@when("a daemon is asked to stop under an answer that nobody takes in")
+def stop_under_stalled_reader(context):
+    async def story(world):
+        world.grace_s = 4
+        replica = await world.add_replica("p1")
+        replica.padding = b"x" * LARGE_BYTES
+        world.configure([route("look", "plain", timeout_ms=LONG_MS)])
+        process = await world.start_process("d1")
+        settings = world.settings["d1"]
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(stop, context, world, process)
+            await anyio.sleep(2.6)
+            stream = await anyio.connect_tcp(
+                settings.front.host, settings.front.port
+            )
+            async with stream:
+                await stream.send(head_of_body(0))
+                await anyio.sleep(3.0)
+        context.grace_s = world.grace_s
+
+    play(story)
+
+
+@then("it has ended by itself before it would be killed")
+def check_ended(context):
+    assert context.runs == ["r-1"]
+    took_s = context.ended_at - context.asked_at
+    assert took_s < context.grace_s, took_s
+
+
 @when("a daemon is asked to stop under a request and can't announce it")
 def stop_unannounced(context):
     async def story(world):
