Wait at a stop for the pieces that other daemons have made here

What callers of other daemons saw: seconds more. A daemon that decides for a stage service and stops ended as soon as its own callers owed it nothing, three seconds after the signal. Pieces of other daemons' requests that were in a call then were made a second time elsewhere.

Change: the services of a stop are drained while it lingers, and the stop waits for them until its last answers are due; the decider is drained once no group of pieces is being made here. Groups that were not begun are handed over as before.

The scenario, with a call of 4 s, saw its piece made twice before and once now.

--- a/cactusdyke/serving/decider.py
+++ b/cactusdyke/serving/decider.py
@@ -36,6 +36,7 @@
 """Of a maker's memory: fifty requests that hold as much fill it."""
 DECIDED_MS = 5_000.0
 """A service that nothing was asked of for so long has no queue to lose."""
+DRAIN_LOOK_MS = 50.0
 
 
 @attrs.define(kw_only=True)
@@ -90,6 +91,14 @@
             self._tasks = tasks
             await anyio.sleep_forever()
 
+    async def drain(self) -> None:
+        """Returns once the groups that are being made here are made.
+
+        Other daemons wait for theirs, and would have them made once more.
+        """
+        while self._groups:
+            await self._clock.sleep(DRAIN_LOOK_MS)
+
     async def make_work(
         self, work: StageWork, *, pinned: bool
     ) -> Result[StageMade, Failure] | None:
--- a/cactusdyke/serving/planned_stop.py
+++ b/cactusdyke/serving/planned_stop.py
@@ -60,22 +60,31 @@
         drain: Callable[[], Coroutine[None, None, None]],
         end_requests: Callable[[], Coroutine[None, None, None]],
     ) -> None:
-        """Returns when every connection has ended, or the time is over.
+        """Returns when nothing is owed to anybody, or the time is over.
 
         Args:
             front: Where callers are answered; it goes on.
-            drain: Tells all services that the daemon leaves.
+            drain: Tells all services that the daemon leaves; returns once
+                they are done with what others wait for.
             end_requests: Answers requests that can't be served before
                 `answers_by`, until it is cancelled.
         """
         self._ends_at = self._clock.now() + self._grace_ms() - STOP_MARGIN_MS
         events.log(events.Event.DAEMON_DRAINING, daemon=self._daemon)
         front.close_connections()
+        drained = anyio.Event()
+
+        async def drain_services() -> None:
+            await drain()
+            drained.set()
+
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(drain)
+            tasks.start_soon(drain_services)
             tasks.start_soon(end_requests)
             left_ms = self.answers_by - self._clock.now()
             await self._clock.sleep(min(LEAST_LINGER_MS, left_ms))
+            with self._clock.timeout(self.answers_by - self._clock.now()):
+                await drained.wait()
             # Waiting out the whole time would keep several hosts at once from
             # new work where they are stopped in turn, and all would refuse.
             with self._clock.timeout(self._ends_at - self._clock.now()):
--- a/features/platform/stops.feature
+++ b/features/platform/stops.feature
@@ -57,6 +57,12 @@
     When more callers come to a daemon than it has descriptors for
     Then the request under way is answered, and new callers are served later
 
+  Scenario: a daemon that makes pieces for others ends after them
+    # Guards against work that is thrown away, and seconds that others' callers
+    # wait for it to be made again.
+    When a daemon is asked to stop while it makes another one's pieces
+    Then they are made once, and the other one's caller has its answer
+
   Scenario: a stream that outlasts its daemon's stop is logged as cut
     # Guards against logs that name the caller as the one who left.
     When a daemon is asked to stop under a stream that lasts longer
--- a/features/steps/platform_stops_steps.py
+++ b/features/steps/platform_stops_steps.py
@@ -21,10 +21,17 @@
     play,
     runs,
 )
-from features.support.platform_rig import HOST, KEY, route, until
+from features.support.platform_rig import (
+    HOST,
+    KEY,
+    configuration,
+    route,
+    until,
+)
 from standins.fleet import free_port
 
 LONG_MS = 20_000
+SLOW_CALL_MS = 4_000
 HELD_UP_MS = 10_000.0
 """Longer than any stop of these stories."""
 
@@ -392,6 +399,53 @@
     assert context.warned
 
 
+@when("a daemon is asked to stop while it makes another one's pieces")
+def stop_under_others_pieces(context):
+    async def story(world):
+        world.grace_s = 8
+        await world.add_replica("p1")
+        stage = await world.add_replica("s1", "stage")
+        stage.work_ms = SLOW_CALL_MS
+        services = configuration([])["services"]
+        services[2]["pieces"].update(call_ms=SLOW_CALL_MS, handle_s=20)
+        stages = [{"service": "stage", "after": [], "bytes": 1_000}]
+        world.configure(
+            [route("look", "plain", timeout_ms=LONG_MS, stages=stages)],
+            services=services,
+        )
+        process = await world.start_process("d1")
+        # A daemon that has run for two seconds goes before others.
+        await anyio.sleep(2.2)
+        seeds = [world.settings["d1"].peer.address]
+        other = await world.start_daemon("d2", seeds=seeds)
+        await until(lambda: other._core.decider_of("stage") == "d1")
+        headers = {
+            "X-Pieces": "1",
+            "X-Piece-Key": "k",
+            "X-Deadline-Ms": str(LONG_MS),
+        }
+        async with anyio.create_task_group() as tasks:
+
+            async def ask_other():
+                await ask(
+                    context, world, "/look/a", daemon="d2", headers=headers
+                )
+
+            tasks.start_soon(ask_other)
+            await until(lambda: bool(stage.stage_calls))
+            await stop(context, world, process)
+        context.stage_calls = stage.stage_calls
+
+    play(story)
+
+
+@then("they are made once, and the other one's caller has its answer")
+def check_others_pieces(context):
+    assert context.answer is not None
+    assert context.answer[0] == 200, context.answer
+    assert context.stage_calls == [1], context.stage_calls
+
+
 @when("a daemon is asked to stop under a stream that lasts longer")
 def stop_under_stream(context):
     async def story(world):
--- a/features/support/platform_rig.py
+++ b/features/support/platform_rig.py
@@ -118,8 +118,10 @@
         return self
 
     def __exit__(self, *error):
-        self._process.kill()
-        self._process.communicate()
+        if self.code is None:
+            self._process.kill()
+            self._process.wait()
+            self._process.stdout.close()
 
     def signal(self, number):
         self._process.send_signal(number)
