Answer requests that were read behind another one before a stop closes

What callers saw: of two requests sent at once on a connection to a stopping daemon the second was read and got no answer. While an answer is made the daemon reads on, to notice a caller that leaves; the answer asked the caller to leave, and the connection closed with what had been read.

Change: an answer asks for another connection only if nothing was read behind its request. The scenario got one answer before and gets both now.

--- a/cactusdyke/transport/front_connection.py
+++ b/cactusdyke/transport/front_connection.py
@@ -106,6 +106,18 @@
         """Whether no byte has come of a request that is not answered."""
         return self._idle
 
+    @property
+    def asks_to_leave(self) -> bool:
+        """Whether an answer that begins now is the connection's last.
+
+        Requests that were read behind the one that is answered are served too.
+        """
+        return self._state.closing and not self._read_ahead
+
+    @property
+    def _read_ahead(self) -> bool:
+        return bool(self._ahead or self._h11.trailing_data[0])
+
     def close_if_idle(self) -> None:
         """Ends the connection where it waits for a request."""
         if self._idle:
@@ -141,7 +153,7 @@
 
     async def _next_request(self) -> ReadRequest | None:
         """Returns a request, or None where the connection has ended."""
-        self._idle = not (self._ahead or self._h11.trailing_data[0])
+        self._idle = not self._read_ahead
         while True:
             self._reading = self._reading_scope()
             with self._reading:
@@ -423,7 +435,7 @@
             await self._connection.write(sent)
 
     def _head(self, status: int, headers: Headers) -> bytes:
-        if self._connection._state.closing:
+        if self._connection.asks_to_leave:
             headers = [*headers, (b"Connection", b"close")]
         response = h11.Response(status_code=status, headers=headers)
         return self._h11.send(response) or b""
--- a/features/platform/stops.feature
+++ b/features/platform/stops.feature
@@ -63,6 +63,11 @@
     When a daemon is asked to stop while it makes another one's pieces
     Then they are made once, and the other one's caller has its answer
 
+  Scenario: requests that come behind another one on a connection
+    # Guards against a request that was read and is dropped with its connection.
+    When two requests come at once on a connection to a stopping daemon
+    Then both are answered, and only the last answer asks the caller to leave
+
   Scenario: a stream that outlasts its daemon's stop is logged as cut
     # Guards against logs that name the caller as the one who left.
     When a daemon is asked to stop under a stream that lasts longer
--- a/features/steps/platform_stops_steps.py
+++ b/features/steps/platform_stops_steps.py
@@ -399,6 +399,30 @@
     assert context.warned
 
 
+@when("two requests come at once on a connection to a stopping daemon")
+def two_at_once(context):
+    async def story(world):
+        world.grace_s = 8
+        await world.add_replica("p1")
+        world.configure([route("look", "plain")])
+        daemon = await world.start_daemon("d1")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(daemon.stop)
+            await until(lambda: daemon._stopping.begun)
+            context.got = await world.raw(head_of_body(0) * 2)
+            tasks.cancel_scope.cancel()
+
+    play(story)
+
+
+@then("both are answered, and only the last answer asks the caller to leave")
+def check_two(context):
+    answers = context.got.split(b"HTTP/1.1 200 ")[1:]
+    assert len(answers) == 2, context.got
+    asked = [b"connection: close" in answer.lower() for answer in answers]
+    assert asked == [False, True], context.got
+
+
 @when("a daemon is asked to stop while it makes another one's pieces")
 def stop_under_others_pieces(context):
     async def story(world):
