Go on after SIGHUP in the daemon of the own interface

What callers saw: SIGHUP, which supervisors send for changed settings, ended the daemon at once, in mid-call and during a planned stop, with no answer to what was in flight. It was not among the signals that the daemon takes.

Change: it is taken and logged as CD1009, which says that settings are read at the start only. The scenario lost its booking's answer before and has it now.

--- a/cactusdyke/daemon.py
+++ b/cactusdyke/daemon.py
@@ -22,6 +22,8 @@
 from cactusdyke.transport.server import HttpServer
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from cactusdyke.settings import Settings
 
 
@@ -72,11 +74,11 @@
                 events.log(events.Event.PEERS_UNGUARDED, daemon=settings.name)
             # The handler stays until the end: a second signal, sent by an
             # impatient supervisor, would otherwise kill the process and cut
-            # what the first one lets run to its end.
+            # what the first one lets run to its end. So would SIGHUP.
             with anyio.open_signal_receiver(
-                signal.SIGTERM, signal.SIGINT
+                signal.SIGTERM, signal.SIGINT, signal.SIGHUP
             ) as signals:
-                await anext(signals)
+                await _stop_asked(signals)
                 events.log(events.Event.DAEMON_DRAINING, daemon=settings.name)
                 await app.drain()
                 server.stop()
@@ -84,6 +86,13 @@
         events.log(events.Event.DAEMON_STOPPED, daemon=settings.name)
 
 
+async def _stop_asked(signals: AsyncIterator[signal.Signals]) -> None:
+    async for number in signals:
+        if number != signal.SIGHUP:
+            return
+        events.log(events.Event.SIGHUP_WITHOUT_EFFECT)
+
+
 def main(settings: Settings) -> None:
     """Runs the daemon in this process."""
     if settings.log_file:
--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -19,7 +19,7 @@
     )
     DAEMON_STOPPED = (
         1003,
-        "The daemon has ended; `in_flight` requests were cut by it.",
+        "The daemon has ended; `in_flight`, where told, counts what it cut.",
         "Follow the requests of CD4304 just before, if there are any.",
     )
     PEERS_UNGUARDED = (
@@ -211,6 +211,11 @@
         "A caller's connection could not be accepted; it is tried again.",
         "Raise the limit on descriptors if the error says that there are none.",
     )
+    SIGHUP_WITHOUT_EFFECT = (
+        1009,
+        "SIGHUP came; this daemon reads its settings at its start only.",
+        "Restart the daemon to have changed settings in force.",
+    )
     DECIDER_CHANGED = (
         4316,
         "Another daemon decides for a service; it is told what requests of"
--- a/features/steps/stops_steps.py
+++ b/features/steps/stops_steps.py
@@ -170,6 +170,20 @@
     context.stop_meanwhile = _book(context, "entry-2")
 
 
+@when("the booking's daemon gets SIGHUP in mid-call")
+def when_hung_up(context):
+    thread = _begin_booking(context)
+    context.stop_fleet["entry-1"].send(signal.SIGHUP)
+    thread.join(WAIT_S)
+
+
+@then("its caller has the booking's answer")
+def then_answered(context):
+    assert context.stop_first.get("output") == {"booked": {"trailer": 7}}, (
+        context.stop_first
+    )
+
+
 @then("the other daemon said unknown while the owner was frozen")
 def then_unknown(context):
     assert context.stop_meanwhile["error"]["ran"] == "unknown"
--- a/features/stops/stops.feature
+++ b/features/stops/stops.feature
@@ -26,3 +26,11 @@
     When the booking's daemon gets SIGKILL in mid-call
     Then the other daemon said unknown while the owner was frozen
     And the plain service made 1 booking
+
+  Scenario: a daemon that gets SIGHUP in mid-call goes on
+    # Guards against the signal's default, which ends a process with all that is
+    # in flight.
+    Given real daemons whose plain service takes 1500 ms
+    When the booking's daemon gets SIGHUP in mid-call
+    Then its caller has the booking's answer
+    And the plain service made 1 booking
