--- a/cactusdyke/serving/core.py
+++ b/cactusdyke/serving/core.py
@@ -17,6 +17,7 @@
 )
 from cactusdyke.serving.forwarder import Forwarder
 from cactusdyke.serving.health import ReplicaHealth
+from cactusdyke.serving.next_attempt import NextAttempt
 from cactusdyke.serving.peer_watch import ALIVE_PATH, PeerWatch
 from cactusdyke.serving.retry_budget import RetryBudget
 from cactusdyke.serving.stages import StageRunner
@@ -86,10 +87,14 @@
             announce=announce,
         )
         health = ReplicaHealth(clock=clock)
+        budget = RetryBudget(
+            clock=clock,
+            allowance=allowance,
+            daemons=daemons.believed_count,
+        )
         self._forwarder = Forwarder(
             clock=clock,
             rng=rng,
-            data_centre=data_centre,
             dialect=dialect,
             deployment=deployment,
             dispatch=self._dispatch,
@@ -102,18 +107,21 @@
             attempts=Attempts(
                 clock=clock, dialect=dialect, connections=connections
             ),
-            health=health,
-            connections=ConnectionShare(
+            next_attempt=NextAttempt(
+                rng=rng,
+                data_centre=data_centre,
                 deployment=deployment,
                 health=health,
-                daemons=daemons.believed_count,
+                budget=budget,
+                connections=ConnectionShare(
+                    deployment=deployment,
+                    health=health,
+                    daemons=daemons.believed_count,
+                ),
             ),
+            health=health,
+            budget=budget,
             stop_at=stop_at,
-            budget=RetryBudget(
-                clock=clock,
-                allowance=allowance,
-                daemons=daemons.believed_count,
-            ),
             metrics=metrics,
             tracing=tracing,
         )
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -9,9 +9,9 @@
 
 from cactusdyke import events
 from cactusdyke.clock import MS_PER_SECOND
-from cactusdyke.errors import Failure, FailureKind, Ran
+from cactusdyke.errors import Failure, FailureKind
 from cactusdyke.kernel import Service
-from cactusdyke.serving import balance, outcomes, routes
+from cactusdyke.serving import outcomes, routes
 from cactusdyke.serving.attempt import AttemptResult, StreamState
 from cactusdyke.serving.durations import RequestDuration, RouteDurations
 from cactusdyke.serving.in_flight import RequestsInFlight
@@ -35,13 +35,13 @@
     from cactusdyke.clock import Clock, Instant
     from cactusdyke.observe.tracing import Tracing
     from cactusdyke.serving.attempt import Attempts
-    from cactusdyke.serving.connection_share import ConnectionShare
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.dialect import Dialect
     from cactusdyke.serving.dispatch import Dispatch, Placed
     from cactusdyke.serving.health import ReplicaHealth
     from cactusdyke.serving.measures import ServingMetrics
     from cactusdyke.serving.model import Customer, Replica, Route
+    from cactusdyke.serving.next_attempt import NextAttempt
     from cactusdyke.serving.request import ClientRequest
     from cactusdyke.serving.retry_budget import RetryBudget
     from cactusdyke.serving.stages import StageRunner
@@ -52,8 +52,6 @@
 """The final answer leaves so long before the time that a caller is promised."""
 DEFAULT_PATIENCE_MS = 30_000.0
 REFUSED_PAUSE_MS = 40.0
-MOST_SENDS = 4
-"""Whatever a route allows: a request that failed so often fails again."""
 FIRST_EVENT_SHARE = 0.5
 """Of the time left that a first replica may take where another may follow."""
 FETCH_MS = 60.0
@@ -74,31 +72,29 @@
         *,
         clock: Clock,
         rng: random.Random,
-        data_centre: str,
         dialect: Dialect,
         deployment: Deployment,
         dispatch: Dispatch,
         stages: StageRunner,
         attempts: Attempts,
+        next_attempt: NextAttempt,
         health: ReplicaHealth,
         budget: RetryBudget,
-        connections: ConnectionShare,
         stop_at: Callable[[], Instant],
         metrics: ServingMetrics,
         tracing: Tracing,
     ) -> None:
         self._clock = clock
         self._rng = rng
-        self._data_centre = data_centre
         self._dialect = dialect
         self._deployment = deployment
         self._dispatch = dispatch
         self._stages = stages
         self._attempts = attempts
+        self._next = next_attempt
         self._health = health
         deployment.on_change(lambda: health.forget(deployment.replica_names))
         self._budget = budget
-        self._connections = connections
         self._stop_at = stop_at
         self._metrics = metrics
         self._tracing = tracing
@@ -281,8 +277,10 @@
                 last = result
             if result.inputs_gone:
                 self._stages.free(context, results)
-            if not await self._again(context, result):
+            if not self._next.allowed(context, result):
                 break
+            if result.refused:
+                await self._clock.sleep(REFUSED_PAUSE_MS)
         if last is not None and not state.begun:
             return await self._deliver(context, last, reply)
         return outcomes.given_up(context, result)
@@ -316,14 +314,14 @@
                 context.service,
                 placement_id,
                 generation,
-                self._avoid(context),
+                self._next.barred(context),
                 inputs,
             )
             replica = placed.replica if placed else None
         else:
             replica = None
         if replica is None:
-            replica = self._balance(context)
+            replica = self._next.best(context)
         if replica is None:
             return outcomes.no_replica(context), None
         context.attempts += 1
@@ -401,7 +399,7 @@
         on_first: object,
     ) -> AttemptResult:
         left_ms = context.first_by - self._clock.now()
-        more = self._may_send_elsewhere(context, replica)
+        more = self._next.may_go_elsewhere(context, replica)
         if not context.route.streaming:
             repeat = context.route.repeat is RepeatPolicy.IDEMPOTENT and more
             return await self._attempts.whole(
@@ -462,75 +460,6 @@
             detail=result.detail,
         )
 
-    async def _again(
-        self, context: ServingContext, result: AttemptResult
-    ) -> bool:
-        """Returns whether another attempt is made, after a pause if need be."""
-        repeatable = (
-            result.ran is Ran.NOT_RUN
-            or context.route.repeat is not RepeatPolicy.AT_MOST_ONCE
-        )
-        if not repeatable or context.attempts >= MOST_SENDS:
-            return False
-        if result.ran is not Ran.NOT_RUN:
-            context.runs += 1
-        if context.runs >= context.route.max_attempts:
-            return False
-        if not self._candidates(context):
-            return False
-        if result.sent and not self._budget.spend(context.service):
-            events.log(
-                events.Event.RETRY_REFUSED,
-                request_id=context.request.request_id,
-                service=context.service,
-            )
-            return False
-        if result.refused:
-            await self._clock.sleep(REFUSED_PAUSE_MS)
-        return True
-
-    def _may_send_elsewhere(
-        self, context: ServingContext, replica: Replica
-    ) -> bool:
-        """Returns whether another replica could take over from this one."""
-        sent_to = {*context.sent_to, replica.name}
-        if len(sent_to) >= min(context.route.max_attempts, MOST_SENDS):
-            return False
-        usable = self._deployment.usable(context.service)
-        return any(other.name not in sent_to for other in usable)
-
-    def _candidates(self, context: ServingContext) -> list[Replica]:
-        """Returns where the request may be sent now.
-
-        Once it was sent to as many replicas as its route allows, only those
-        among them remain.
-        """
-        usable = [
-            replica
-            for replica in self._deployment.usable(context.service)
-            if self._connections.has_room(replica)
-        ]
-        if len(context.sent_to) < context.route.max_attempts:
-            return usable
-        return [r for r in usable if r.name in context.sent_to]
-
-    def _avoid(self, context: ServingContext) -> set[str]:
-        """Returns the engines that a placement must leave out."""
-        usable = self._deployment.usable(context.service)
-        allowed = {r.name for r in self._candidates(context)}
-        barred = {r.name for r in usable} - allowed
-        failed = set(context.failed_at)
-        return barred if allowed <= failed else barred | failed
-
-    def _balance(self, context: ServingContext) -> Replica | None:
-        return balance.choose(
-            self._candidates(context),
-            self._health,
-            rng=self._rng,
-            here=self._data_centre,
-            exclude=context.failed_at,
-        )
-
     async def _deliver(
         self, context: ServingContext, result: AttemptResult, reply: Reply
     ) -> Failure | None:
--- /dev/null
+++ b/cactusdyke/serving/next_attempt.py
@@ -0,0 +1,111 @@
+"""Whether a request is sent once more, and which replicas may get it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cactusdyke import events
+from cactusdyke.errors import Ran
+from cactusdyke.serving import balance
+from cactusdyke.serving.model import RepeatPolicy
+
+if TYPE_CHECKING:
+    import random
+
+    from cactusdyke.serving.attempt import AttemptResult
+    from cactusdyke.serving.connection_share import ConnectionShare
+    from cactusdyke.serving.deployment import Deployment
+    from cactusdyke.serving.health import ReplicaHealth
+    from cactusdyke.serving.model import Replica
+    from cactusdyke.serving.request import ServingContext
+    from cactusdyke.serving.retry_budget import RetryBudget
+
+MOST_SENDS = 4
+"""Whatever a route allows: a request that failed so often fails again."""
+
+
+class NextAttempt:
+    """Decides on a request's next attempt from what its last ones brought."""
+
+    def __init__(
+        self,
+        *,
+        rng: random.Random,
+        data_centre: str,
+        deployment: Deployment,
+        health: ReplicaHealth,
+        budget: RetryBudget,
+        connections: ConnectionShare,
+    ) -> None:
+        self._rng = rng
+        self._data_centre = data_centre
+        self._deployment = deployment
+        self._health = health
+        self._budget = budget
+        self._connections = connections
+
+    def allowed(self, context: ServingContext, result: AttemptResult) -> bool:
+        """Returns whether another attempt is made, and spends its budget."""
+        repeatable = (
+            result.ran is Ran.NOT_RUN
+            or context.route.repeat is not RepeatPolicy.AT_MOST_ONCE
+        )
+        if not repeatable or context.attempts >= MOST_SENDS:
+            return False
+        if result.ran is not Ran.NOT_RUN:
+            context.runs += 1
+        if context.runs >= context.route.max_attempts:
+            return False
+        if not self.candidates(context):
+            return False
+        if result.sent and not self._budget.spend(context.service):
+            events.log(
+                events.Event.RETRY_REFUSED,
+                request_id=context.request.request_id,
+                service=context.service,
+            )
+            return False
+        return True
+
+    def may_go_elsewhere(
+        self, context: ServingContext, replica: Replica
+    ) -> bool:
+        """Returns whether another replica could take over from this one."""
+        sent_to = {*context.sent_to, replica.name}
+        if len(sent_to) >= min(context.route.max_attempts, MOST_SENDS):
+            return False
+        usable = self._deployment.usable(context.service)
+        return any(other.name not in sent_to for other in usable)
+
+    def candidates(self, context: ServingContext) -> list[Replica]:
+        """Returns where the request may be sent now.
+
+        Once it was sent to as many replicas as its route allows, only those
+        among them remain.
+        """
+        usable = [
+            replica
+            for replica in self._deployment.usable(context.service)
+            if self._connections.has_room(replica)
+        ]
+        if len(context.sent_to) < context.route.max_attempts:
+            return usable
+        return [r for r in usable if r.name in context.sent_to]
+
+    def barred(self, context: ServingContext) -> set[str]:
+        """Returns the engines that a placement must leave out."""
+        usable = self._deployment.usable(context.service)
+        allowed = {r.name for r in self.candidates(context)}
+        barred = {r.name for r in usable} - allowed
+        failed = set(context.failed_at)
+        return barred if allowed <= failed else barred | failed
+
+    def best(self, context: ServingContext) -> Replica | None:
+        """Returns the replica that should answer soonest."""
+        return balance.choose(
+            self.candidates(context),
+            self._health,
+            rng=self._rng,
+            here=self._data_centre,
+            exclude=context.failed_at,
+        )
--- a/features/steps/platform_forwarding_steps.py
+++ b/features/steps/platform_forwarding_steps.py
@@ -277,14 +277,14 @@
 def unexpected_error(context):
     async def story(world):
         await plain_world(world, replicas=("p1",))
-        forwarder = world.daemons["d1"]._core.forwarder
-        usual = forwarder._candidates
-        forwarder._candidates = lambda context: 1 // 0
+        choice = world.daemons["d1"]._core.forwarder._next
+        usual = choice.candidates
+        choice.candidates = lambda context: 1 // 0
         try:
             context.answer = await world.request("/look/a")
         except ExchangeError:
             context.answer = None
-        forwarder._candidates = usual
+        choice.candidates = usual
         context.after = await world.request("/look/a", request_id="r-2")
 
     context.log = []
