Count an answer as given though its caller leaves at once

Cause: the task that watches the caller's connection ended the request at its close, also while the request, its last byte written, still put its parts away.

Change: a caller that leaves after the end of its answer ends nothing.

--- a/cactusdyke/transport/front_connection.py
+++ b/cactusdyke/transport/front_connection.py
@@ -42,6 +42,9 @@
 """How long an idle connection is still read as it is about to be closed."""
 
 
+_UNANSWERED = {h11.SEND_RESPONSE, h11.SEND_BODY}
+
+
 @attrs.define(kw_only=True)
 class FrontState:
     """How far a front has come with its stop.
@@ -336,7 +339,7 @@
             await reply.whole(status, headers, body)
 
     async def _watch_caller(self, scope: anyio.CancelScope) -> None:
-        """Cancels the answer as soon as its caller has left."""
+        """Cancels the answer as soon as its caller has left without it."""
         while len(self._ahead) < MOST_PIPELINED_BYTES:
             try:
                 data = await self._stream.receive(READ_BYTES)
@@ -345,7 +348,8 @@
                 anyio.BrokenResourceError,
                 anyio.ClosedResourceError,
             ):
-                scope.cancel()
+                if self._h11.our_state in _UNANSWERED:
+                    scope.cancel()
                 return
             self._ahead += data
 
--- a/features/platform/forwarding.feature
+++ b/features/platform/forwarding.feature
@@ -67,6 +67,11 @@
     When a caller takes a large answer in after the route's time
     Then it has the whole answer
 
+  Scenario: a caller that leaves with its whole answer was answered
+    # Guards against answers that count as given up, at the engine and in logs.
+    When callers close their connections as soon as their streams have ended
+    Then each request is logged as answered
+
   Scenario: a request that meets an error of the daemon's own is answered
     # Guards against a connection that closes without a word.
     When an error that the code does not expect ends a request
--- a/features/steps/platform_forwarding_steps.py
+++ b/features/steps/platform_forwarding_steps.py
@@ -460,6 +460,11 @@
 
 
 async def stage_world(world):
+    await configure_stages(world)
+    await world.start_daemon("d1")
+
+
+async def configure_stages(world):
     await world.add_replica("e1", "engine")
     await world.add_replica("s1", "stage")
     world.replicas["s1"].work_ms = 60.0
@@ -470,7 +475,6 @@
     world.configure(
         [route("talk", "engine", kind="streaming", sticky=True, stages=stages)]
     )
-    await world.start_daemon("d1")
 
 
 STAGE_HEADERS = {**STREAM_HEADERS, "X-Pieces": "2,1", "X-Piece-Key": "k"}
@@ -523,6 +527,27 @@
     assert len(set(handles)) == 4
 
 
+@when("callers close their connections as soon as their streams have ended")
+def leave_with_answer(context):
+    async def story(world):
+        await configure_stages(world)
+        process = await world.start_process("d1")
+        for number in range(10):
+            answer = await staged(world, f"r-{number}")
+            assert answer[0] == 200, answer
+        await process.stop()
+        context.answered = process.logged("CD4301")
+        context.left = process.logged("CD4303")
+
+    play(story)
+
+
+@then("each request is logged as answered")
+def check_logged(context):
+    assert len(context.answered) == 10, context.left
+    assert context.left == []
+
+
 @when("a stage's inputs are {lost} once")
 def lost_inputs(context, lost):
     async def story(world):
--- a/features/steps/platform_stops_steps.py
+++ b/features/steps/platform_stops_steps.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import json
 import socket
 
 import anyio
@@ -36,12 +35,6 @@
 """Longer than any stop of these stories."""
 
 
-def logged(process, code):
-    """Returns the log lines of an event."""
-    lines = [json.loads(line) for line in process.log.splitlines()]
-    return [line for line in lines if line["event"].startswith(code)]
-
-
 async def ask(context, world, path, **changes):
     """Notes what a caller gets, and when; None for a connection that closed."""
     try:
@@ -56,8 +49,8 @@
     context.asked_at = anyio.current_time()
     await process.stop()
     context.ended_at = anyio.current_time()
-    context.cut = logged(process, "CD4304")
-    context.ended = logged(process, "CD1003")
+    context.cut = process.logged("CD4304")
+    context.ended = process.logged("CD1003")
     context.runs = runs(world)
 
 
@@ -385,7 +378,7 @@
         await anyio.sleep(0.5)
         await ask(context, world, "/look/a", request_id="r-2")
         await process.stop()
-        context.warned = logged(process, "CD1008")
+        context.warned = process.logged("CD1008")
 
     play(story)
 
--- a/features/support/platform_rig.py
+++ b/features/support/platform_rig.py
@@ -137,6 +137,11 @@
         self.signal(signal.SIGTERM)
         await self.end()
 
+    def logged(self, code):
+        """Returns the log lines of an event, once the process has ended."""
+        lines = [json.loads(line) for line in self.log.splitlines()]
+        return [line for line in lines if line["event"].startswith(code)]
+
 
 class PlatformWorld:
     """Starts what a story needs and ends it."""
