Begin no stream at a stopping daemon once callers know other addresses

What callers saw: streams that came 3.2 to 4.3 s after the signal were begun and reset as the daemon ended, 7.7 s after it.

Cause: whether a stream ends before the daemon is told by the route's last times. A daemon that has none assumes 3 s, and of those it has one in twenty is longer than what it reckons with. Callers know other addresses three seconds after the signal; nothing is won by beginning a stream here.

Change: from then on streams are refused, not run, with a time to come back. The stop's instants stand in one value, StopTimes, so that "by then all have an answer" and "by then the daemon has ended" no longer share a name: a caller that leaves between the two was logged as cut.

The scenario's stream was begun before and is refused now.

--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -164,7 +164,7 @@
             daemons=self._view,
             data_centre=self._settings.zone,
             allowance=lambda: self._settings.retries,
-            stop_at=lambda: self._stopping.answers_by,
+            stop=lambda: self._stopping.times,
             announce=self._members.announce,
             metrics=metrics,
             tracing=self._tracing,
--- a/cactusdyke/serving/core.py
+++ b/cactusdyke/serving/core.py
@@ -26,13 +26,14 @@
     import random
     from collections.abc import Callable
 
-    from cactusdyke.clock import Clock, Instant
+    from cactusdyke.clock import Clock
     from cactusdyke.kernel import Service
     from cactusdyke.observe.tracing import Tracing
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.dialect import Dialect
     from cactusdyke.serving.measures import ServingMetrics
     from cactusdyke.serving.peers import PeerDaemons
+    from cactusdyke.serving.planned_stop import StopTimes
     from cactusdyke.serving.retry_budget import RetryAllowance
     from cactusdyke.transport.exchange import BackendConnections
     from cactusdyke.transport.messages import Handler
@@ -58,7 +59,7 @@
         daemons: PeerDaemons,
         data_centre: str,
         allowance: Callable[[], RetryAllowance],
-        stop_at: Callable[[], Instant],
+        stop: Callable[[], StopTimes],
         announce: Callable[[], None],
         metrics: ServingMetrics,
         tracing: Tracing,
@@ -121,7 +122,7 @@
             ),
             health=health,
             budget=budget,
-            stop_at=stop_at,
+            stop=stop,
             metrics=metrics,
             tracing=tracing,
         )
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -32,7 +32,7 @@
     import random
     from collections.abc import Callable
 
-    from cactusdyke.clock import Clock, Instant
+    from cactusdyke.clock import Clock
     from cactusdyke.observe.tracing import Tracing
     from cactusdyke.serving.attempt import Attempts
     from cactusdyke.serving.deployment import Deployment
@@ -42,6 +42,7 @@
     from cactusdyke.serving.measures import ServingMetrics
     from cactusdyke.serving.model import Customer, Replica, Route
     from cactusdyke.serving.next_attempt import NextAttempt
+    from cactusdyke.serving.planned_stop import StopTimes
     from cactusdyke.serving.request import ClientRequest
     from cactusdyke.serving.retry_budget import RetryBudget
     from cactusdyke.serving.stages import StageRunner
@@ -80,7 +81,7 @@
         next_attempt: NextAttempt,
         health: ReplicaHealth,
         budget: RetryBudget,
-        stop_at: Callable[[], Instant],
+        stop: Callable[[], StopTimes],
         metrics: ServingMetrics,
         tracing: Tracing,
     ) -> None:
@@ -95,12 +96,12 @@
         self._health = health
         deployment.on_change(lambda: health.forget(deployment.replica_names))
         self._budget = budget
-        self._stop_at = stop_at
+        self._stop = stop
         self._metrics = metrics
         self._tracing = tracing
         self._durations = RouteDurations()
         self._in_flight = RequestsInFlight(
-            clock=clock, durations=self._durations, stop_at=stop_at
+            clock=clock, durations=self._durations, stop=stop
         )
         self._patience = CallerPatience()
         self._log = RequestLog(
@@ -171,14 +172,22 @@
                     detail="the API key is not known",
                 )
             )
-        # A stopping daemon refuses what it would have to cut: the caller hears
-        # "not run" and has time to go elsewhere. With one time assumed for all
-        # streams, those of the longest route were cut at the end of stops.
-        needs_ms = self._durations.long_ms(route)
-        if self._clock.now() + needs_ms > self._stop_at():
+        if not self._ends_before_stop(route):
             return Err(outcomes.stopping())
         return Ok(self._context(request, route, customer))
 
+    def _ends_before_stop(self, route: Route) -> bool:
+        """Returns whether a request that comes now is served in time.
+
+        What a stop would cut is refused: the caller hears "not run" and has
+        time to go elsewhere.
+        """
+        stop = self._stop()
+        now = self._clock.now()
+        if route.streaming and now > stop.streams_until:
+            return False
+        return now + self._durations.long_ms(route) <= stop.answers_by
+
     def _context(
         self, request: ClientRequest, route: Route, customer: Customer | None
     ) -> ServingContext:
@@ -247,7 +256,7 @@
     def _log_unfinished(
         self, context: ServingContext, state: StreamState
     ) -> None:
-        if self._clock.now() >= self._stop_at():
+        if self._clock.now() >= self._stop().ends_at:
             self._log.cut(context, state)
         else:
             self._log.left(context, state)
--- a/cactusdyke/serving/in_flight.py
+++ b/cactusdyke/serving/in_flight.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 from typing import TYPE_CHECKING
 
 import anyio
@@ -16,6 +17,7 @@
 
     from cactusdyke.clock import Clock, Instant
     from cactusdyke.serving.durations import RouteDurations
+    from cactusdyke.serving.planned_stop import StopTimes
 
 LOOK_EVERY_MS = 50.0
 
@@ -50,11 +52,11 @@
         *,
         clock: Clock,
         durations: RouteDurations,
-        stop_at: Callable[[], Instant],
+        stop: Callable[[], StopTimes],
     ) -> None:
         self._clock = clock
         self._durations = durations
-        self._stop_at = stop_at
+        self._stop = stop
         self._requests: set[InFlight] = set()
 
     @contextlib.contextmanager
@@ -81,15 +83,15 @@
         """
         while True:
             for request in tuple(self._requests):
-                if self._clock.now() >= self._last_chance(request):
+                if self._clock.now() >= self._may_go_on_until(request):
                     request.stop()
             await self._clock.sleep(LOOK_EVERY_MS)
 
-    def _last_chance(self, request: InFlight) -> Instant:
-        """Returns until when a request may still be served in time."""
-        stop_at = self._stop_at()
+    def _may_go_on_until(self, request: InFlight) -> Instant:
         if request.state.begun or request.stopped:
-            return float("inf")
+            return math.inf
+        answers_by = self._stop().answers_by
         if request.context.asking:
-            return stop_at
-        return stop_at - self._durations.long_attempt_ms(request.context.route)
+            return answers_by
+        route = request.context.route
+        return answers_by - self._durations.long_attempt_ms(route)
--- a/cactusdyke/serving/planned_stop.py
+++ b/cactusdyke/serving/planned_stop.py
@@ -6,19 +6,20 @@
 from typing import TYPE_CHECKING
 
 import anyio
+import attrs
 
 from cactusdyke import events
+from cactusdyke.clock import Instant
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
-    from cactusdyke.clock import Clock, Instant
+    from cactusdyke.clock import Clock
     from cactusdyke.transport.front import Front
 
 STOP_MARGIN_MS = 300.0
-"""Kept of the time between SIGTERM and SIGKILL, for an end in good order: the
-last log lines and one call to the store. What is cut then would be cut by the
-SIGKILL as well; with 700 ms kept, streams were cut that had 400 ms to go on."""
+"""Kept of the time between SIGTERM and SIGKILL for the last log lines and one
+call to the store."""
 LEAST_LINGER_MS = 3_000.0
 """Callers are told of other addresses within a second, and most ask again after
 the two seconds that their answer holds."""
@@ -27,6 +28,22 @@
 leaves time to write the answers and for callers to read them."""
 
 
+@attrs.frozen(kw_only=True)
+class StopTimes:
+    """What a daemon still does until when; infinite while nothing stops it.
+
+    Attributes:
+        streams_until: Streams are begun until then, for their length is known
+            by its share of long ones only. Callers know other addresses.
+        answers_by: Every request that has no answer by then gets one.
+        ends_at: The daemon will have ended.
+    """
+
+    streams_until: Instant = math.inf
+    answers_by: Instant = math.inf
+    ends_at: Instant = math.inf
+
+
 class PlannedStop:
     """Serves callers that still hold the address, then lets the daemon end."""
 
@@ -36,22 +53,17 @@
         self._clock = clock
         self._daemon = daemon
         self._grace_ms = grace_ms
-        self._ends_at: Instant = math.inf
+        self._times = StopTimes()
 
     @property
     def begun(self) -> bool:
         """Whether the daemon was asked to stop."""
-        return self._ends_at < math.inf
+        return self._times.ends_at < math.inf
 
     @property
-    def ends_at(self) -> Instant:
-        """Instant by which the daemon will have ended."""
-        return self._ends_at
-
-    @property
-    def answers_by(self) -> Instant:
-        """Instant by which every request that has no answer yet gets one."""
-        return self._ends_at - LAST_ANSWERS_MS
+    def times(self) -> StopTimes:
+        """What the daemon still does until when."""
+        return self._times
 
     async def run(
         self,
@@ -60,7 +72,7 @@
         drain: Callable[[], Coroutine[None, None, None]],
         end_requests: Callable[[], Coroutine[None, None, None]],
     ) -> None:
-        """Returns when nothing is owed to anybody, or the time is over.
+        """Returns when nothing is in flight, or the time is over.
 
         Args:
             front: Where callers are answered; it goes on.
@@ -69,7 +81,7 @@
             end_requests: Answers requests that can't be served before
                 `answers_by`, until it is cancelled.
         """
-        self._ends_at = self._clock.now() + self._grace_ms() - STOP_MARGIN_MS
+        times = self._times = self._begin()
         events.log(events.Event.DAEMON_DRAINING, daemon=self._daemon)
         front.close_connections()
         drained = anyio.Event()
@@ -81,13 +93,23 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(drain_services)
             tasks.start_soon(end_requests)
-            left_ms = self.answers_by - self._clock.now()
-            await self._clock.sleep(min(LEAST_LINGER_MS, left_ms))
-            with self._clock.timeout(self.answers_by - self._clock.now()):
+            await self._clock.sleep(
+                min(times.streams_until, times.answers_by) - self._clock.now()
+            )
+            with self._clock.timeout(times.answers_by - self._clock.now()):
                 await drained.wait()
             # Waiting out the whole time would keep several hosts at once from
             # new work where they are stopped in turn, and all would refuse.
-            with self._clock.timeout(self._ends_at - self._clock.now()):
-                await front.finish(refuse_at=self.answers_by)
+            with self._clock.timeout(times.ends_at - self._clock.now()):
+                await front.finish(refuse_at=times.answers_by)
             await front.abort()
             tasks.cancel_scope.cancel()
+
+    def _begin(self) -> StopTimes:
+        now = self._clock.now()
+        ends_at = now + self._grace_ms() - STOP_MARGIN_MS
+        return StopTimes(
+            streams_until=now + LEAST_LINGER_MS,
+            answers_by=ends_at - LAST_ANSWERS_MS,
+            ends_at=ends_at,
+        )
--- a/emulator/daemons.py
+++ b/emulator/daemons.py
@@ -18,6 +18,7 @@
 from cactusdyke.serving.deployment import Deployment
 from cactusdyke.serving.measures import ServingMetrics
 from cactusdyke.serving.member_view import MemberView
+from cactusdyke.serving.planned_stop import StopTimes
 from cactusdyke.serving.retry_budget import RetryAllowance
 from cactusdyke.settings import Settings
 from cactusdyke.transport.front_interface import BrokenOffError
@@ -195,7 +196,7 @@
             daemons=view,
             data_centre=self.data_centre,
             allowance=RetryAllowance,
-            stop_at=lambda: float("inf"),
+            stop=StopTimes,
             announce=members.announce,
             metrics=ServingMetrics(registry),
             tracing=Tracing(daemon=self.name, kept=KEPT_SPANS),
--- a/features/platform/stops.feature
+++ b/features/platform/stops.feature
@@ -4,12 +4,12 @@
     # Seen: a daemon that had been asked to stop read a caller's whole request
     # three seconds later. Four seconds after that the process was gone, and
     # the caller's connection closed with neither an answer nor a refusal.
-    # How: the request waited behind others for its stages. Callers wait six
-    # seconds for a first event; the daemon had less than five to live.
+    # How: the request waited, for what is not known; here it is for its stages.
+    # No replica was at work on it, and the daemon had less than five seconds.
     # Cause: a request's waiting was bounded by its own deadline only, and the
     # daemon's end cancelled whatever still waited, without an answer.
     # Proof: with the code of that time and a stage that takes ten seconds the
-    # connection closed at the same moment of the stop, the replica never asked.
+    # connection closed at the same moment of the stop.
     When a daemon is asked to stop and reads a request that its stages hold up
     Then the caller is told before the end that it did not run
     And nothing was cut by the daemon's end
@@ -33,7 +33,7 @@
     Then the caller has the replica's answer
 
   Scenario: a body that does not end before its daemon
-    # Guards against a connection that is closed in the caller's face.
+    # Guards against a connection that closes in the middle of a body.
     When a daemon is asked to stop under a body that goes on for longer
     Then the caller is told before the end that it did not run
 
@@ -42,9 +42,9 @@
     When a request comes on a kept connection just as a stop closes it
     Then the request is answered and the connection ends
 
-  Scenario: a caller that takes nothing in does not hold its daemon's end
-    # Guards against a kill that cuts the daemon's own good order.
-    When a daemon is asked to stop under an answer that nobody takes in
+  Scenario: a caller that does not read does not hold its daemon's end
+    # Guards against a stop that ends by SIGKILL, without its last log lines.
+    When a daemon is asked to stop under an answer that nobody reads
     Then it has ended by itself before it would be killed
 
   Scenario: a stop whose announcement fails is a stop all the same
@@ -68,7 +68,12 @@
     When two requests come at once on a connection to a stopping daemon
     Then both are answered, and only the last answer asks the caller to leave
 
-  Scenario: a stream that outlasts its daemon's stop is logged as cut
+  Scenario: a stream that comes once callers know other addresses
+    # Guards against streams that are begun though the stop may cut them.
+    When a stream comes three seconds after a daemon was asked to stop
+    Then the caller is told at once that it did not run
+
+  Scenario: streams that outlast their daemon's stop are logged as cut
     # Guards against logs that name the caller as the one who left.
-    When a daemon is asked to stop under a stream that lasts longer
+    When a daemon is asked to stop under streams that last longer
     Then the log tells how many requests were cut, and where each one was
