Count what a stop cuts before its connections are ended

Cause: the daemon's last line told how many requests were in flight after the connections had been ended, when some of them were gone already: with 30 streams cut it said 3.

Change: the count is taken before. The scenario cuts five streams now, and each is logged and counted.

--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -217,8 +217,7 @@
                         self._reload("SIGHUP")
                     else:
                         break
-                await self.stop()
-                in_flight = self._front.in_flight
+                in_flight = await self.stop()
                 tasks.cancel_scope.cancel()
         events.log(
             events.Event.DAEMON_STOPPED,
@@ -316,9 +315,9 @@
             idle_timeout_ms=limits.idle_timeout_ms,
         )
 
-    async def stop(self) -> None:
-        """Serves callers that still hold the address, then returns."""
-        await self._stopping.run(
+    async def stop(self) -> int:
+        """Serves callers that still hold the address; returns what it cut."""
+        return await self._stopping.run(
             self._front,
             drain=self._kernel.drain,
             end_requests=self._core.forwarder.end_before_stop,
--- a/cactusdyke/serving/planned_stop.py
+++ b/cactusdyke/serving/planned_stop.py
@@ -25,7 +25,7 @@
 the two seconds that their answer holds."""
 LAST_ANSWERS_MS = 250.0
 """Before the end: requests that can't be served are answered by then, which
-leaves time to write the answers and for callers to read them."""
+leaves time to write hundreds of answers and for callers to read them."""
 
 
 @attrs.frozen(kw_only=True)
@@ -71,9 +71,11 @@
         *,
         drain: Callable[[], Coroutine[None, None, None]],
         end_requests: Callable[[], Coroutine[None, None, None]],
-    ) -> None:
+    ) -> int:
         """Returns when nothing is in flight, or the time is over.
 
+        What is in flight then is cut; its count is returned.
+
         Args:
             front: Where callers are answered; it goes on.
             drain: Tells all services that the daemon leaves; returns once
@@ -102,8 +104,10 @@
             # new work where they are stopped in turn, and all would refuse.
             with self._clock.timeout(times.ends_at - self._clock.now()):
                 await front.finish(refuse_at=times.answers_by)
+            cut = front.in_flight
             await front.abort()
             tasks.cancel_scope.cancel()
+        return cut
 
     def _begin(self) -> StopTimes:
         now = self._clock.now()
--- a/features/steps/platform_stops_steps.py
+++ b/features/steps/platform_stops_steps.py
@@ -30,7 +30,7 @@
 from standins.fleet import free_port
 
 LONG_MS = 20_000
-STREAMS = 1
+STREAMS = 5
 SLOW_CALL_MS = 4_000
 HELD_UP_MS = 10_000.0
 """Longer than any stop of these stories."""
