Give the last answers of a stop half a second

Cause: all requests that replicas hold are ended in one moment, a quarter of a second before the daemon's end and 550 ms before SIGKILL.

Change: half a second in place of a quarter.

--- a/cactusdyke/serving/planned_stop.py
+++ b/cactusdyke/serving/planned_stop.py
@@ -23,7 +23,7 @@
 LEAST_LINGER_MS = 3_000.0
 """Callers are told of other addresses within a second, and most ask again after
 the two seconds that their answer holds."""
-LAST_ANSWERS_MS = 250.0
+LAST_ANSWERS_MS = 500.0
 """Before the end: requests that can't be served are answered by then, which
 leaves time to write hundreds of answers and for callers to read them."""
 
