Serve callers that are accepted in the last moment of a stop

Cause: the listener was cancelled, which may strike between the accept of a connection and its task; and an end that found no connection at once did not wait for one that was just being made.

--- a/cactusdyke/transport/front.py
+++ b/cactusdyke/transport/front.py
@@ -47,7 +47,7 @@
         self._clock = clock
         self._limits = limits
         self._state = FrontState()
-        self._listening: anyio.CancelScope | None = None
+        self._listener: Listener[SocketStream] | None = None
         self._connections: set[FrontConnection] = set()
         self._bodies = BodyMemory(clock=clock)
 
@@ -62,27 +62,27 @@
 
     async def serve(self) -> None:
         """Serves until it is cancelled."""
-        listener = await anyio.create_tcp_listener(
+        listener = self._listener = await anyio.create_tcp_listener(
             local_host=self._host,
             local_port=self._port,
             backlog=BACKLOG,
             reuse_port=False,
         )
-        async with anyio.create_task_group() as connections:
-            with anyio.CancelScope() as self._listening:
-                async with listener:
-                    await self._accept(listener, connections)
+        async with anyio.create_task_group() as connections, listener:
+            await self._accept(listener, connections)
 
     async def _accept(
         self, listener: Listener[SocketStream], connections: TaskGroup
     ) -> None:
-        while True:
+        while not self._state.ending:
             try:
                 await listener.serve(self._connection, connections)
+            except* anyio.ClosedResourceError:
+                pass
             except* OSError as errors:
                 # Callers that are not accepted wait in the listener's queue.
                 events.log(events.Event.ACCEPT_FAILED, error=repr(errors))
-            await self._clock.sleep(ACCEPT_PAUSE_MS)
+                await self._clock.sleep(ACCEPT_PAUSE_MS)
 
     async def finish(self, *, refuse_at: Instant) -> None:
         """Ends `serve`: closes each connection once it owes no answer.
@@ -94,8 +94,10 @@
             while any(not c.idle for c in self._connections):
                 await self._clock.sleep(IDLE_LOOK_MS)
         self._state.ending = True
-        if self._listening is not None:
-            self._listening.cancel()
+        # Cancelled in place of closed, the listener would drop a caller that it
+        # has just accepted.
+        if self._listener is not None:
+            await self._listener.aclose()
         for connection in self._connections:
             connection.close_if_idle()
         with self._clock.timeout(refuse_at - self._clock.now()):
@@ -111,6 +113,8 @@
             await connection.abort()
 
     async def _wait_until_closed(self) -> None:
+        # A caller that was just accepted has no connection here yet.
+        await self._clock.sleep(IDLE_LOOK_MS)
         while self._connections:
             await self._clock.sleep(IDLE_LOOK_MS)
 
