End a stream whose events have all been written, though its time is over

Cause: a stream's events are written whole before its attempt may be ended; its end was not. An attempt that was ended between the two went on at another replica, or was reset, with all events at the caller.

Change: the end, and the begin of a stream without events, are written whole as well. The new scenario got no end before.

--- a/cactusdyke/serving/attempt.py
+++ b/cactusdyke/serving/attempt.py
@@ -279,9 +279,11 @@
             raise ExchangeError(
                 "the stream ended within an event", sent=exchange.sent
             )
-        if first and not state.begun:
-            await reply.begin(verdict.status, verdict.headers)
-        await reply.end()
+        with anyio.CancelScope(shield=True):
+            if not state.begun:
+                state.begun = True
+                await reply.begin(verdict.status, verdict.headers)
+            await reply.end()
 
     def _check_order(
         self,
--- a/cactusdyke/serving/durations.py
+++ b/cactusdyke/serving/durations.py
@@ -38,9 +38,7 @@
     """The times that the last requests of each route took.
 
     Streams of one route differ by their length, which no caller knows before
-    (its own estimate is right at the median only), and routes differ more: on
-    one deployment 3 s are enough for most answers of two kinds and for one in
-    six of the third.
+    (its own estimate is right at the median only), and routes differ more.
     """
 
     def __init__(self) -> None:
--- a/cactusdyke/transport/front.py
+++ b/cactusdyke/transport/front.py
@@ -85,7 +85,7 @@
                 await self._clock.sleep(ACCEPT_PAUSE_MS)
 
     async def finish(self, *, refuse_at: Instant) -> None:
-        """Ends `serve`: closes each connection once it owes no answer.
+        """Ends `serve`: closes each connection once its requests are answered.
 
         Args:
             refuse_at: When requests that are still being read are refused.
--- a/features/serving/daemon.feature
+++ b/features/serving/daemon.feature
@@ -42,3 +42,9 @@
     Given a stream of which an event is read after its time is over
     When the attempt is ended for it
     Then all events that count as passed on were written
+
+  Scenario: a stream whose time is over as it ends is ended
+    # Guards against a stream with all its events that looks cut.
+    Given a stream that has ended as its time is over
+    When the attempt is ended for it
+    Then the caller's stream has its end
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -302,11 +302,20 @@
         yield b"id: 2\ndata: b\n\n"
 
 
+class LateEnd(LateBody):
+    """An answer that ends while the daemon was frozen."""
+
+    async def body(self):
+        yield b"id: 1\ndata: a\n\n"
+        self._wait.cancel()
+
+
 class WrittenReply:
     """Keeps what a caller got; each write may be cancelled."""
 
     def __init__(self):
         self.data = b""
+        self.ended = False
 
     async def begin(self, status, headers):
         del status, headers
@@ -318,10 +327,18 @@
 
     async def end(self):
         await anyio.lowlevel.checkpoint()
+        self.ended = True
+
+
+@given("a stream that has ended as its time is over")
+def late_end(context):
+    late_event(context)
+    context.body = LateEnd
 
 
 @given("a stream of which an event is read after its time is over")
 def late_event(context):
+    context.body = LateBody
     context.reply = WrittenReply()
     context.state = StreamState()
 
@@ -341,7 +358,7 @@
         )
         with anyio.CancelScope() as wait:
             await attempts._pass_on(
-                LateBody(wait),
+                context.body(wait),
                 verdict,
                 context.reply,
                 context.state,
@@ -360,3 +377,8 @@
         context.state,
         context.reply.data,
     )
+
+
+@then("the caller's stream has its end")
+def check_ended(context):
+    assert context.reply.ended
