Import membership and logs without the application and the configuration

Membership's package registers itself with the application and so imported both; its list of peers was defined in the configuration's package.

Change: what registers a package stands in its extension module; Peer and Directory are interfaces of infrastructure.

--- a/bench/naive/pipeline.py
+++ b/bench/naive/pipeline.py
@@ -188,7 +188,7 @@
 
 def setup(app: Application) -> ExtensionMetadata:
     """Registers the naive runner in the pipeline's place."""
-    app.setup_extension("cactusdyke.observe")
+    app.setup_extension("cactusdyke.observe.extension")
     app.setup_extension("cactusdyke.routing")
     app.add_service("timings", Timings(clock=app.clock))
     app.add_service("pipeline", NaiveRunner(app=app))
--- a/bench/naive/static_limits.py
+++ b/bench/naive/static_limits.py
@@ -80,7 +80,7 @@
 
 def setup(app: Application) -> ExtensionMetadata:
     """Registers the naive limits."""
-    app.setup_extension("cactusdyke.membership")
+    app.setup_extension("cactusdyke.membership.extension")
     members = app.service("membership", Members)
     limits = StaticLimits(
         clock=app.clock, daemons=lambda: len(members.serving())
--- a/cactusdyke/application.py
+++ b/cactusdyke/application.py
@@ -30,9 +30,9 @@
     from cactusdyke.transport.network import Network
 
 BUILTIN_EXTENSIONS = (
-    "cactusdyke.observe",
+    "cactusdyke.observe.extension",
     "cactusdyke.configuration",
-    "cactusdyke.membership",
+    "cactusdyke.membership.extension",
     "cactusdyke.limits",
     "cactusdyke.routing",
     "cactusdyke.load",
--- a/cactusdyke/booking/__init__.py
+++ b/cactusdyke/booking/__init__.py
@@ -22,9 +22,9 @@
 
 def setup(app: Application) -> ExtensionMetadata:
     """Registers the bookings service and the sweeper of its records."""
-    app.setup_extension("cactusdyke.observe")
+    app.setup_extension("cactusdyke.observe.extension")
     app.setup_extension("cactusdyke.routing")
-    app.setup_extension("cactusdyke.membership")
+    app.setup_extension("cactusdyke.membership.extension")
     records = Records(clock=app.clock, object_store=app.object_store)
     maker = CallMaker(
         daemon=app.settings.name,
--- a/cactusdyke/configuration/__init__.py
+++ b/cactusdyke/configuration/__init__.py
@@ -8,7 +8,8 @@
 from cactusdyke.configuration.desk import SubmissionDesk
 from cactusdyke.configuration.exchange import ExchangeHandlers
 from cactusdyke.configuration.in_force import InForce
-from cactusdyke.configuration.peers import HEAD_PATH, PARTS_PATH, Peer
+from cactusdyke.configuration.peers import HEAD_PATH, PARTS_PATH
+from cactusdyke.infrastructure.directory import Peer
 
 if TYPE_CHECKING:
     from cactusdyke.application import Application
--- a/cactusdyke/configuration/in_force.py
+++ b/cactusdyke/configuration/in_force.py
@@ -21,8 +21,9 @@
     from result import Result
 
     from cactusdyke.clock import Clock
-    from cactusdyke.configuration import model, objects, peers
+    from cactusdyke.configuration import model, objects
     from cactusdyke.errors import Failure
+    from cactusdyke.infrastructure.directory import Directory, Peer
     from cactusdyke.infrastructure.object_store import ObjectStore
     from cactusdyke.transport.network import Network
 
@@ -33,8 +34,8 @@
     def __init__(
         self,
         *,
-        own: peers.Peer,
-        seeds: Iterable[peers.Peer],
+        own: Peer,
+        seeds: Iterable[Peer],
         clock: Clock,
         rng: random.Random,
         object_store: ObjectStore,
@@ -85,7 +86,7 @@
         """Whether this daemon is one that watches the store."""
         return self._roles.watches_store
 
-    def follow(self, directory: peers.Directory) -> None:
+    def follow(self, directory: Directory) -> None:
         """Takes the other daemons from `directory` from now on."""
         self._roles.follow(directory)
 
--- a/cactusdyke/configuration/peer_follower.py
+++ b/cactusdyke/configuration/peer_follower.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from cactusdyke.configuration import peers
+from cactusdyke.infrastructure.directory import Peer
 
 if TYPE_CHECKING:
     import random
@@ -116,9 +117,7 @@
             # Forgotten before it is asked: a daemon that can't give what it
             # announced is asked again only when it is heard of again.
             del self._hints[address]
-            await self._ask(
-                peers.Peer(name="", address=address, data_centre="")
-            )
+            await self._ask(Peer(name="", address=address, data_centre=""))
 
     async def _ask_around(self) -> None:
         """Asks daemons of all data centres while the store is not heard."""
@@ -137,7 +136,7 @@
                 START_ASK_MS if starting else limit_ms / ASKS_PER_LIMIT
             )
 
-    async def _ask(self, peer: peers.Peer, wait_ms: float = 0.0) -> bool:
+    async def _ask(self, peer: Peer, wait_ms: float = 0.0) -> bool:
         """Takes a peer's revision; returns whether the peer gave it whole."""
         asked_at = self._clock.now()
         answer = await self._client.head(
@@ -167,8 +166,8 @@
             )
         return True
 
-    def _one_of_each_data_centre(self) -> list[peers.Peer]:
-        by_data_centre: dict[str, list[peers.Peer]] = {}
+    def _one_of_each_data_centre(self) -> list[Peer]:
+        by_data_centre: dict[str, list[Peer]] = {}
         for peer in self._roles.others():
             by_data_centre.setdefault(peer.data_centre, []).append(peer)
         return [self._rng.choice(some) for some in by_data_centre.values()]
--- a/cactusdyke/configuration/peers.py
+++ b/cactusdyke/configuration/peers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import abc
 from collections.abc import Mapping, Sequence
 from typing import TYPE_CHECKING, Any
 
@@ -14,6 +13,7 @@
 from cactusdyke.configuration import objects
 from cactusdyke.configuration.loader import PartSource
 from cactusdyke.errors import Failure, FailureKind
+from cactusdyke.infrastructure.directory import Directory, Peer
 from cactusdyke.transport.messages import Request, parse_object
 from cactusdyke.transport.network import CallOptions
 from cactusdyke.util import structure
@@ -35,23 +35,6 @@
 ANSWER_TIMEOUT_MS = 1_500.0
 
 
-@attrs.frozen(kw_only=True)
-class Peer:
-    """Another daemon as the configuration needs to know it."""
-
-    name: str
-    address: str
-    data_centre: str
-
-
-class Directory(abc.ABC):
-    """Tells which daemons there are; membership is one."""
-
-    @abc.abstractmethod
-    def peers(self) -> Sequence[Peer]:
-        """Returns the other daemons that seem to be alive."""
-
-
 class FixedDirectory(Directory):
     """The daemons that the settings name."""
 
--- a/cactusdyke/configuration/roles.py
+++ b/cactusdyke/configuration/roles.py
@@ -10,6 +10,7 @@
     from collections.abc import Iterable
 
     from cactusdyke.clock import Clock, Instant
+    from cactusdyke.infrastructure.directory import Directory, Peer
 
 DISTRUST_MS = 15_000.0
 
@@ -18,14 +19,12 @@
     """Knows the other daemons and this one's place among them."""
 
     def __init__(
-        self, *, own: peers.Peer, seeds: Iterable[peers.Peer], clock: Clock
+        self, *, own: Peer, seeds: Iterable[Peer], clock: Clock
     ) -> None:
         self._own = own
         self._seeds = tuple(seeds)
         self._clock = clock
-        self._directory: peers.Directory = peers.FixedDirectory(
-            peers=self._seeds
-        )
+        self._directory: Directory = peers.FixedDirectory(peers=self._seeds)
         self._distrusted: dict[str, Instant] = {}
 
     @property
@@ -43,11 +42,11 @@
         """Every data centre that has a daemon."""
         return {p.data_centre for p in (self._own, *self.others())}
 
-    def follow(self, directory: peers.Directory) -> None:
+    def follow(self, directory: Directory) -> None:
         """Takes the other daemons from `directory` from now on."""
         self._directory = directory
 
-    def distrust(self, peer: peers.Peer) -> None:
+    def distrust(self, peer: Peer) -> None:
         """Passes a daemon over for a while when looking for a parent."""
         now = self._clock.now()
         self._distrusted = {
@@ -57,7 +56,7 @@
         }
         self._distrusted[peer.name] = now
 
-    def parent(self) -> peers.Peer | None:
+    def parent(self) -> Peer | None:
         """Returns whom this daemon follows, None if it watches the store."""
         now = self._clock.now()
         trusted = [
@@ -68,7 +67,7 @@
         ]
         return peers.parent_of(self._own, trusted)
 
-    def others(self) -> list[peers.Peer]:
+    def others(self) -> list[Peer]:
         """Returns the other daemons, those of the settings included."""
         known = {peer.address: peer for peer in self._seeds}
         known.update({p.address: p for p in self._directory.peers()})
--- a/cactusdyke/limits/__init__.py
+++ b/cactusdyke/limits/__init__.py
@@ -21,9 +21,9 @@
 
 def setup(app: Application) -> ExtensionMetadata:
     """Registers the limits service and its route."""
-    app.setup_extension("cactusdyke.observe")
+    app.setup_extension("cactusdyke.observe.extension")
     app.setup_extension("cactusdyke.configuration")
-    app.setup_extension("cactusdyke.membership")
+    app.setup_extension("cactusdyke.membership.extension")
     in_force = app.service("configuration", InForce)
 
     def find_customer(name: str) -> Customer | None:
--- a/cactusdyke/limits/overload.py
+++ b/cactusdyke/limits/overload.py
@@ -18,7 +18,7 @@
 
 def setup(app: Application) -> ExtensionMetadata:
     """Registers the admission service."""
-    app.setup_extension("cactusdyke.membership")
+    app.setup_extension("cactusdyke.membership.extension")
     app.setup_extension("cactusdyke.pipeline")
     members = app.service("membership", Members)
     pools = Pools(
--- a/cactusdyke/load/__init__.py
+++ b/cactusdyke/load/__init__.py
@@ -18,7 +18,7 @@
 
 def setup(app: Application) -> ExtensionMetadata:
     """Registers the collector of load and the watcher of departures."""
-    app.setup_extension("cactusdyke.membership")
+    app.setup_extension("cactusdyke.membership.extension")
     app.setup_extension("cactusdyke.routing")
     in_force = app.service("configuration", InForce)
     members = app.service("membership", Members)
--- a/cactusdyke/membership/members.py
+++ b/cactusdyke/membership/members.py
@@ -7,7 +7,7 @@
 import anyio
 from result import Err
 
-from cactusdyke.configuration.peers import Directory, Peer
+from cactusdyke.infrastructure.directory import Directory, Peer
 from cactusdyke.kernel import Service
 from cactusdyke.membership.exchange import Exchange
 from cactusdyke.membership.member import Member, MemberState
--- a/cactusdyke/pipeline/__init__.py
+++ b/cactusdyke/pipeline/__init__.py
@@ -26,7 +26,7 @@
 
 def setup(app: Application) -> ExtensionMetadata:
     """Registers the pipeline runner."""
-    app.setup_extension("cactusdyke.observe")
+    app.setup_extension("cactusdyke.observe.extension")
     app.setup_extension("cactusdyke.routing")
     app.add_service("timings", Timings(clock=app.clock))
     app.add_service("pipeline", _runner(app))
