Read the platform's store at a few daemons, which tell the others

Change: one daemon of each data centre in 64, large hosts first, reads; the others wait at it for what they lack, and are sent the changes alone. A reader that is silent, or to which the store is, is found out in 1.25 s, and its followers then read the store at once themselves: half a second is left of the shortest time in which a change has to be in force. What follows a kind moved from the adapter to serving/; the adapter decodes.

Ruled out: telling it by gossip (five seconds to all of 195), and one watch for a whole deployment (its loss would be everybody's).

Result: in virtual time, 60 daemons: a change is known by all in under 200 ms, by the followers of a reader that is cut off, frozen or dead in under 1.6 s; only the three readers call the store. Without the look at a reader's age, the direct read or the guard on older states a scenario fails.

--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -162,6 +162,11 @@
         "The settings file can't be used; the settings in force stay.",
         "Correct the settings file as the detail says.",
     )
+    SERVING_STATE_SOURCE = (
+        2208,
+        "This daemon hears of the platform's store from another source now.",
+        "",
+    )
     REQUEST_ANSWERED = (4301, "A request was answered by a replica.", "")
     REQUEST_FAILED = (
         4302,
--- a/cactusdyke/platform/decode.py
+++ b/cactusdyke/platform/decode.py
@@ -23,7 +23,7 @@
 )
 
 if TYPE_CHECKING:
-    from cactusdyke.platform.store import StoreObject
+    from cactusdyke.infrastructure.watched_store import StoreObject
 
 DEFAULT_TIMEOUT_MS = 30_000.0
 DEFAULT_CONNECTIONS = 64
--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -22,12 +22,7 @@
 from cactusdyke.observe.tracing import Tracing, request_span, trace_id
 from cactusdyke.platform import settings as platform_settings
 from cactusdyke.platform.addresses import READY_PATH, RESOLVE_PATH, Addresses
-from cactusdyke.platform.follow import (
-    CONFIGURATION_KIND,
-    REPLICAS_KIND,
-    ConfigurationFollower,
-    ReplicaFollower,
-)
+from cactusdyke.platform.follow import ConfigurationState, ReplicaState
 from cactusdyke.platform.registry import DaemonRegistry
 from cactusdyke.platform.settings import Endpoint
 from cactusdyke.platform.store import StoreClient
@@ -130,19 +125,9 @@
                 registry.registered_count, len(self._settings.seeds) + 1
             ),
         )
-        followers = [
-            follower(
-                kind=kind,
-                store=store,
-                clock=clock,
-                rng=rng,
-                deployment=self._deployment,
-                daemons=self._view.believed_count,
-            )
-            for kind, follower in (
-                (CONFIGURATION_KIND, ConfigurationFollower),
-                (REPLICAS_KIND, ReplicaFollower),
-            )
+        states = [
+            state(store=store, clock=clock, deployment=self._deployment)
+            for state in (ConfigurationState, ReplicaState)
         ]
         self._deployment.on_change(self._announce_when_ready)
         self._exchange = StateExchange(
@@ -150,7 +135,7 @@
             rng=rng,
             network=network,
             daemons=self._view,
-            states=followers,
+            states=states,
         )
         self._tracing = Tracing(daemon=self._settings.node, kept=KEPT_SPANS)
         metrics = ServingMetrics(self._registry)
@@ -182,7 +167,6 @@
             "deployment": self._deployment,
             "registry": registry,
             "membership": self._members,
-            **{f"follow_{f.name}": f for f in followers},
             "state_exchange": self._exchange,
             "serving_metrics": metrics,
             **self._core.services,
--- a/cactusdyke/platform/store.py
+++ b/cactusdyke/platform/store.py
@@ -5,11 +5,17 @@
 import urllib.parse
 from typing import TYPE_CHECKING, Any
 
-import attrs
 import orjson
 from result import Err, Ok, Result
 
 from cactusdyke.errors import Failure, FailureKind, Ran
+from cactusdyke.infrastructure.watched_store import (
+    Change,
+    Changes,
+    Listing,
+    StoreObject,
+    WatchedStore,
+)
 from cactusdyke.transport.messages import JSON_TYPE, Request, parse_object
 from cactusdyke.transport.network import CallOptions
 
@@ -27,53 +33,7 @@
 MOST_PAGES = 1_000
 
 
-@attrs.frozen(kw_only=True)
-class StoreObject:
-    """One object, its content as it came.
-
-    Attributes:
-        name: Its name in its kind.
-        revision: The store's revision of its last change.
-        spec: What its writer put there; any JSON value.
-    """
-
-    name: str
-    revision: int
-    spec: Any
-
-
-@attrs.frozen(kw_only=True)
-class Listing:
-    """All objects of a kind, as of a revision of the store."""
-
-    objects: tuple[StoreObject, ...]
-    revision: int
-
-
-@attrs.frozen(kw_only=True)
-class Change:
-    """One change of one object."""
-
-    object: StoreObject
-    deleted: bool
-
-
-@attrs.frozen(kw_only=True)
-class Changes:
-    """What has changed since a revision.
-
-    Attributes:
-        changes: The changes in order.
-        revision: The revision to go on from.
-        lost: Whether that history is gone and all has to be listed.
-    """
-
-    changes: tuple[Change, ...] = ()
-    revision: int = 0
-    lost: bool = False
-
-
-class StoreClient:
+class StoreClient(WatchedStore):
     """Lists, watches and writes objects of the platform's store."""
 
     def __init__(self, *, address: str, network: Network, clock: Clock) -> None:
--- a/cactusdyke/serving/state_exchange.py
+++ b/cactusdyke/serving/state_exchange.py
@@ -1,14 +1,15 @@
-"""Daemons that the store does not answer learn its state from others."""
+"""Keeps the store's states up to date: from the store, or from a daemon."""
 
 from __future__ import annotations
 
-import abc
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
+import anyio
 from result import Err
 
 from cactusdyke import events
 from cactusdyke.kernel import Service
+from cactusdyke.serving import state_readers
 from cactusdyke.transport.messages import (
     Request,
     Response,
@@ -21,54 +22,34 @@
     import random
     from collections.abc import Sequence
 
-    from cactusdyke.clock import Clock
+    from cactusdyke.clock import Clock, Instant
+    from cactusdyke.serving.followed_state import FollowedState
     from cactusdyke.serving.peers import PeerDaemon, PeerDaemons
     from cactusdyke.transport.network import Network
 
 STATE_PATH = "/internal/v1/known-state"
-SILENCE_MS = 2_800.0
-"""Longer than a watch that nothing happens on takes to come back."""
-ASK_EVERY_MS = 400.0
-CALL_TIMEOUT_MS = 800.0
-
-
-class KnownState(abc.ABC):
-    """A state that the store holds, as one daemon knows it."""
-
-    @property
-    @abc.abstractmethod
-    def name(self) -> str:
-        """Names the state."""
-
-    @property
-    @abc.abstractmethod
-    def revision(self) -> int:
-        """What the state is of; grows."""
-
-    @property
-    @abc.abstractmethod
-    def silent_ms(self) -> float:
-        """How long ago the store last answered."""
-
-    @abc.abstractmethod
-    def to_wire(self) -> Any:
-        """Returns the state as JSON."""
-
-    @abc.abstractmethod
-    def take(self, revision: int, value: Any, *, source: str) -> None:
-        """Takes a newer state.
-
-        Raises:
-            ValueError, TypeError: The value is of no known form.
-        """
+WAIT_MS = 900.0
+"""How long the store, or a daemon that reads it, may wait for a change."""
+ANSWER_MARGIN_MS = 350.0
+"""With it a silent reader is found out in 1.25 s. The shortest time in which a
+change has to be in force is 2 s, and one call to the store is left to make."""
+STALE_MS = 1_200.0
+"""A daemon that the store last answered so long ago is not followed."""
+GATHER_MS = 100.0
+"""Changes that come so soon after one another take one call."""
+RETRY_MS = 250.0
+RETRY_BY_OTHERS_MS = 2_500.0
+"""Between the tries of a daemon that reads only for want of a reader."""
+AVOIDED_MS = 3_000.0
+ROLE_LOOK_MS = 500.0
 
 
 class StateExchange(Service):
-    """Asks one other daemon at a time while the store is silent.
+    """Reads the store where that is this daemon's part, or follows a reader.
 
-    The store may turn some hosts away and serve the others, and the operator
-    with them. What it accepts then has to reach all hosts all the same. No
-    message is sent while the store answers.
+    A follower waits at its reader for what is newer than its own state. Where
+    the reader is silent, or the store is silent to it, the follower reads the
+    store at once itself: what has changed meanwhile is due there as well.
     """
 
     def __init__(
@@ -78,77 +59,157 @@
         rng: random.Random,
         network: Network,
         daemons: PeerDaemons,
-        states: Sequence[KnownState],
+        states: Sequence[FollowedState],
     ) -> None:
         self._clock = clock
         self._rng = rng
         self._network = network
         self._daemons = daemons
         self._states = {state.name: state for state in states}
+        self._changed = anyio.Event()
+        self._reading = anyio.Event()
+        self._source = ""
+        self._avoided: dict[str, Instant] = {}
+        for state in states:
+            state.on_change(self._note_change)
+
+    @property
+    def reads(self) -> bool:
+        """Whether this daemon reads the store."""
+        return self._reading.is_set()
 
     async def run(self) -> None:
-        """Asks while it has to, until it is cancelled."""
-        while True:
-            await self._clock.sleep(ASK_EVERY_MS)
+        """Reads or follows until it is cancelled."""
+        async with anyio.create_task_group() as tasks:
             for state in self._states.values():
-                if state.revision == 0 or state.silent_ms > SILENCE_MS:
-                    await self._ask(state)
+                tasks.start_soon(self._read, state)
+            while True:
+                await self._step()
 
     async def handle(self, request: Request) -> Response:
-        """Tells another daemon a state that is newer than its own."""
-        state = self._states.get(request.query.get("name", ""))
-        known = request.query.get("revision", "0")
-        if state is None or not known.isdigit():
-            return json_response({}, status=404)
-        if state.revision <= int(known):
-            return json_response({"revision": state.revision})
+        """Answers a follower once something is newer, or its wait is over."""
+        known: dict[str, int] = {}
+        for name in self._states:
+            text = request.query.get(name, "0")
+            known[name] = int(text) if text.isdigit() else 0
+        wait = request.query.get("wait_ms", "0")
+        wait_ms = min(WAIT_MS, float(wait) if wait.isdigit() else 0.0)
+        fresh_ms = STALE_MS - max(s.age_ms for s in self._states.values())
+        with self._clock.timeout(min(wait_ms, fresh_ms)):
+            while not self._newer(known):
+                await self._changed.wait()
         return json_response(
-            {"revision": state.revision, "state": state.to_wire()}
+            {
+                "states": {
+                    name: state.to_wire(known[name])
+                    for name, state in self._states.items()
+                    if state.revision
+                }
+            }
+        )
+
+    def _newer(self, known: dict[str, int]) -> bool:
+        return any(
+            state.is_newer_than(known[name])
+            for name, state in self._states.items()
         )
 
-    async def _ask(self, state: KnownState) -> None:
-        others = [d for d in self._daemons.all() if not d.own]
-        if not others:
-            return
-        peer = self._rng.choice(others)
+    def _note_change(self) -> None:
+        changed, self._changed = self._changed, anyio.Event()
+        changed.set()
+
+    async def _read(self, state: FollowedState) -> None:
+        while True:
+            if state.listed:
+                await self._reading.wait()
+            read = await state.read(wait_ms=WAIT_MS)
+            if isinstance(read, Err):
+                await self._clock.sleep(self._retry_ms())
+            elif read.ok_value:
+                await self._clock.sleep(GATHER_MS)
+
+    def _retry_ms(self) -> float:
+        chosen = state_readers.readers(self._daemons.all())
+        is_reader = any(reader.own for reader in chosen)
+        retry_ms = RETRY_MS if is_reader else RETRY_BY_OTHERS_MS
+        return retry_ms * self._rng.uniform(0.5, 1.0)
+
+    async def _step(self) -> None:
+        source = self._choose()
+        if source is None or not self._all_listed:
+            self._follow("the store")
+            await self._clock.sleep(ROLE_LOOK_MS * self._rng.uniform(0.6, 1.0))
+            if not (self._fresh and self._all_listed):
+                await self._ask_any()
+        elif await self._ask(source, wait_ms=WAIT_MS) and self._fresh:
+            self._follow(source.name)
+        else:
+            self._avoided[source.name] = self._clock.now() + AVOIDED_MS
+            self._reading.set()
+
+    @property
+    def _all_listed(self) -> bool:
+        return all(state.listed for state in self._states.values())
+
+    @property
+    def _fresh(self) -> bool:
+        return all(s.age_ms < STALE_MS for s in self._states.values())
+
+    def _choose(self) -> PeerDaemon | None:
+        now = self._clock.now()
+        self._avoided = {n: at for n, at in self._avoided.items() if at > now}
+        daemons = self._daemons.all()
+        own = next(d for d in daemons if d.own)
+        return state_readers.source(own, daemons, self._avoided)
+
+    def _follow(self, source: str) -> None:
+        if source == "the store":
+            self._reading.set()
+        elif self.reads:
+            self._reading = anyio.Event()
+        if source != self._source:
+            self._source = source
+            events.log(events.Event.SERVING_STATE_SOURCE, source=source)
+
+    async def _ask_any(self) -> None:
+        daemons = self._daemons.all()
+        others = [d for d in state_readers.readers(daemons) if not d.own]
+        others = others or [d for d in daemons if not d.own]
+        if others:
+            await self._ask(self._rng.choice(others), wait_ms=0.0)
+
+    async def _ask(self, peer: PeerDaemon, *, wait_ms: float) -> bool:
+        """Takes what a daemon knows; returns whether it answered."""
         request = Request(
             method="GET",
             path=STATE_PATH,
-            query={"name": state.name, "revision": str(state.revision)},
+            query={
+                "wait_ms": str(int(wait_ms)),
+                **{s.name: str(s.revision) for s in self._states.values()},
+            },
         )
+        timeout_ms = wait_ms + ANSWER_MARGIN_MS
         options = CallOptions(
-            connect_timeout_ms=CALL_TIMEOUT_MS,
-            progress_timeout_ms=CALL_TIMEOUT_MS,
+            connect_timeout_ms=timeout_ms, progress_timeout_ms=timeout_ms
         )
-        answer = await self._network.fetch(peer.address, request, options)
-        if isinstance(answer, Err) or answer.ok_value.status != 200:
-            return
+        answer = None
+        with self._clock.timeout(timeout_ms):
+            answer = await self._network.fetch(peer.address, request, options)
+        if answer is None or isinstance(answer, Err):
+            return False
         body = answer.ok_value.body
-        assert isinstance(body, bytes)
-        parsed = parse_object(body)
-        if isinstance(parsed, Err) or "state" not in parsed.ok_value:
-            return
-        self._take(state, peer, parsed.ok_value)
-
-    def _take(
-        self, state: KnownState, peer: PeerDaemon, body: dict[str, Any]
-    ) -> None:
-        before = state.revision
+        if answer.ok_value.status != 200 or not isinstance(body, bytes):
+            return False
         try:
-            state.take(int(body["revision"]), body["state"], source=peer.name)
+            for name, value in parse_object(body).unwrap()["states"].items():
+                if name in self._states:
+                    self._states[name].take(value, source=peer.name)
         except (KeyError, TypeError, ValueError) as error:
             events.log(
                 events.Event.GOSSIP_REJECTED,
                 member=peer.name,
-                key=state.name,
+                key="state",
                 detail=repr(error),
             )
-            return
-        events.log(
-            events.Event.SERVING_PEER_NEWER,
-            state=state.name,
-            peer=peer.name,
-            before=before,
-            revision=state.revision,
-            silent_ms=round(state.silent_ms),
-        )
+            return False
+        return True
--- a/features/steps/platform_state_steps.py
+++ b/features/steps/platform_state_steps.py
@@ -11,9 +11,9 @@
 import eliot
 from behave import given, then, when
 
+from cactusdyke.infrastructure.watched_store import StoreObject
 from cactusdyke.platform import decode
 from cactusdyke.platform import settings as platform_settings
-from cactusdyke.platform.store import StoreObject
 from cactusdyke.transport.messages import Request
 from cactusdyke.transport.network import CallOptions
 from features.steps.platform_forwarding_steps import (
--- /dev/null
+++ b/features/steps/state_readers_steps.py
@@ -0,0 +1,236 @@
+"""Steps of who reads the store and who follows whom."""
+
+from __future__ import annotations
+
+import anyio
+from behave import given, then, when
+
+from cactusdyke.clock import EventLoopClock
+from cactusdyke.serving import state_readers
+from cactusdyke.serving.state_exchange import WAIT_MS
+from features.support.state_fleet import (
+    DATA_CENTRES,
+    KIND,
+    StateFleet,
+    Things,
+    peer,
+)
+from standins import virtual
+
+FIVE = ("a", "b", "c", "d", "e")
+
+
+@when("{count:d} daemons in five data centres choose who reads the store")
+def choose(context, count):
+    context.daemons = [peer(n, data_centres=FIVE) for n in range(count)]
+    context.readers = state_readers.readers(context.daemons)
+    context.sources = _sources(context.daemons, ())
+
+
+def _sources(daemons, avoided):
+    return {
+        daemon.name: state_readers.source(daemon, daemons, avoided)
+        for daemon in daemons
+    }
+
+
+@then("each data centre has a reader, and no reader has over 64 followers")
+def check_readers(context):
+    for place in FIVE[: len(context.daemons)]:
+        here = [d for d in context.daemons if d.data_centre == place]
+        reads = [d for d in context.readers if d.data_centre == place]
+        assert len(reads) == -(-len(here) // 64), (place, reads)
+    for daemon in context.daemons:
+        source = context.sources[daemon.name]
+        if source is not None:
+            assert source.data_centre == daemon.data_centre
+
+
+@then("without one of the readers its followers have another one")
+def check_lost_reader(context):
+    lost = context.readers[0]
+    for name, source in _sources(context.daemons, {lost.name}).items():
+        assert source is None or source.name != lost.name, name
+
+
+@when("hosts of two sizes choose who reads the store")
+def choose_large(context):
+    daemons = [
+        *(peer(n, data_centres=("a",), size=-2) for n in range(20)),
+        peer(20, data_centres=("a",), size=0, settled=False),
+        peer(21, data_centres=("a",), size=0),
+    ]
+    context.readers = state_readers.readers(daemons)
+
+
+@then("the reader is a large host that has run for a while")
+def check_large(context):
+    assert [reader.name for reader in context.readers] == ["d21"]
+
+
+@given("{count:d} daemons that follow the store")
+def fleet(context, count):
+    context.count = count
+
+
+def _play(context, story):
+    async def run():
+        async with StateFleet(count=context.count) as fleet:
+            await story(fleet)
+
+    virtual.run_virtual(run, seed=1)
+
+
+@when("20 things change in 30 seconds")
+def many_changes(context):
+    async def story(fleet):
+        fleet.attempts.clear()
+        for number in range(20):
+            fleet.store.put(KIND, f"t{number}", {})
+            await anyio.sleep(1.5)
+        context.callers = dict(fleet.attempts)
+        context.readers = fleet.readers
+        assert len(context.readers) == len(DATA_CENTRES)
+        context.seen = {n: s.seen for n, s in fleet.states.items()}
+
+    _play(context, story)
+
+
+@then("only its readers call the store, for each change and each wait once")
+def check_calls(context):
+    waits = 30_000.0 / WAIT_MS
+    assert set(context.callers) == set(context.readers), context.callers
+    for name, calls in context.callers.items():
+        assert calls <= 20 + waits + 1, (name, calls)
+
+
+@then("each daemon has seen each change once, in order")
+def check_seen(context):
+    expected = [f"t{number}" for number in range(20)]
+    for name, seen in context.seen.items():
+        assert [s for s in seen if s.startswith("t")] == expected, (name, seen)
+
+
+@when("a thing changes")
+def one_change(context):
+    async def story(fleet):
+        fleet.store.put(KIND, "new", {})
+        context.took = await fleet.until_all_know(
+            "new", list(fleet.states), within_s=5.0
+        )
+
+    _play(context, story)
+
+
+@then("all daemons know it within {within:d} ms")
+@then("all other daemons know it within {within:d} ms")
+def check_took(context, within):
+    assert context.took * 1_000 <= within, context.took
+
+
+@when("a reader {fault} and a thing changes")
+def reader_fault(context, fault):
+    async def story(fleet):
+        reader = fleet.readers[0]
+        assert any(fleet.source_of(n) == reader for n in fleet.states)
+        links = [(reader, "store"), ("store", reader)]
+        match fault:
+            case "is frozen":
+                fleet.hub.freeze(reader)
+            case "has died":
+                fleet.hub.kill(reader)
+            case "is gone without a word":
+                for name in (*fleet.states, "store"):
+                    links += [(reader, name), (name, reader)]
+        if fault.startswith("is cut") or fault.startswith("is gone"):
+            for source, target in links:
+                fleet.hub.link(source, target).silent = True
+            fleet.hub.silence_open(reader, "store")
+            for name in fleet.states:
+                if fault.startswith("is gone"):
+                    fleet.hub.silence_open(name, reader)
+        await anyio.sleep(0.05)
+        fleet.store.put(KIND, "new", {})
+        others = [name for name in fleet.states if name != reader]
+        context.took = await fleet.until_all_know("new", others, within_s=9.0)
+
+    _play(context, story)
+
+
+@when("the store is away for ten seconds and a thing changes as it returns")
+def store_away(context):
+    async def story(fleet):
+        fleet.store.faults["down"] = True
+        before = fleet.calls
+        await anyio.sleep(10.0)
+        context.calls = fleet.calls - before
+        fleet.store.faults.clear()
+        fleet.store.put(KIND, "new", {})
+        context.took = await fleet.until_all_know(
+            "new", list(fleet.states), within_s=9.0
+        )
+
+    _play(context, story)
+
+
+@then("it gets under 10 calls a daemon meanwhile")
+def check_calls_away(context):
+    assert context.calls < 10 * context.count, context.calls
+
+
+@then("all daemons know the change within two seconds")
+@then("all daemons know them within two seconds")
+def check_two_seconds(context):
+    assert context.took <= 2.0, context.took
+
+
+@when("the store turns all but one of them away and a thing changes")
+def turned_away(context):
+    async def story(fleet):
+        served = fleet.readers[-1]
+        fleet.turned_away = set(fleet.states) - {served}
+        await anyio.sleep(2.0)
+        fleet.store.put(KIND, "new", {})
+        context.took = await fleet.until_all_know(
+            "new", list(fleet.states), within_s=9.0
+        )
+
+    _play(context, story)
+
+
+@when("a daemon is told an older state by another one than it has")
+def older_state(context):
+    async def story():
+        state = Things(store=None, clock=EventLoopClock())
+        state.take(
+            {"revision": 9, "age_ms": 0, "objects": [["new", 9, {}]]},
+            source="d1",
+        )
+        for older in (
+            {"revision": 5, "age_ms": 0, "objects": [["old", 5, {}]]},
+            {"revision": 8, "age_ms": 0, "changes": [["old", 8, {}, False]]},
+        ):
+            state.take(older, source="d2")
+        context.state = state
+
+    virtual.run_virtual(story, seed=1)
+
+
+@then("it keeps what it has")
+def check_kept(context):
+    assert context.state.names == {"new"}
+    assert context.state.revision == 9
+
+
+@when("things change while the store's history is lost")
+def history_lost(context):
+    async def story(fleet):
+        fleet.store.put(KIND, "first", {})
+        fleet.store.forget_history()
+        fleet.store.put(KIND, "new", {})
+        context.took = await fleet.until_all_know(
+            "new", list(fleet.states), within_s=5.0
+        )
+        assert all("first" in s.names for s in fleet.states.values())
+
+    _play(context, story)
--- /dev/null
+++ b/features/support/state_fleet.py
@@ -0,0 +1,143 @@
+"""Daemons that follow a store's states, on a hub in virtual time."""
+
+from __future__ import annotations
+
+import collections
+import random
+
+import anyio
+
+from cactusdyke.platform.store import StoreClient
+from cactusdyke.serving.followed_state import FollowedState
+from cactusdyke.serving.peers import PeerDaemon, PeerDaemons
+from cactusdyke.serving.state_exchange import STATE_PATH, StateExchange
+from cactusdyke.transport.messages import Request, Response, json_response
+from cactusdyke.transport.routes import Routes
+from standins.hub import Hub
+from standins.platform_store import PlatformStore
+
+DATA_CENTRES = ("north", "east", "south")
+KIND = "things"
+
+
+def peer(number: int, *, data_centres=DATA_CENTRES, **values) -> PeerDaemon:
+    """Returns daemon `number`, its data centre by turns."""
+    return PeerDaemon(
+        name=f"d{number}",
+        address=f"d{number}:1",
+        front_address=f"d{number}:80",
+        data_centre=data_centres[number % len(data_centres)],
+        **{"ready": True, **values},
+    )
+
+
+class _View(PeerDaemons):
+    def __init__(self, daemons: tuple[PeerDaemon, ...]) -> None:
+        self._daemons = daemons
+
+    def all(self) -> tuple[PeerDaemon, ...]:
+        return self._daemons
+
+    def believed_count(self) -> int:
+        return len(self._daemons)
+
+
+class Things(FollowedState):
+    """A state that only counts in what order its things came."""
+
+    def __init__(self, **values) -> None:
+        super().__init__(kind=KIND, **values)
+        self.seen: list[str] = []
+
+    @property
+    def names(self) -> set[str]:
+        return set(self._objects)
+
+    def _applied(self, source: str) -> None:
+        self.seen.append(f"all by {source}")
+
+    def _changed(self, change) -> None:
+        self.seen.append(change.object.name)
+
+
+class StateFleet:
+    """A store, and daemons that all know one another."""
+
+    def __init__(self, *, count: int, seed: int = 1) -> None:
+        self.hub = Hub()
+        self.store = PlatformStore(clock=self.hub.clock)
+        self.states: dict[str, Things] = {}
+        self.exchanges: dict[str, StateExchange] = {}
+        self.attempts: collections.Counter[str] = collections.Counter()
+        self.turned_away: set[str] = set()
+        self._count = count
+        self._rng = random.Random(seed)
+
+    async def __aenter__(self) -> StateFleet:
+        await self.hub.__aenter__()
+        for number in range(self._count):
+            self._start(number)
+        await anyio.sleep(4.0)
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        await self.hub.__aexit__(*error)
+
+    @property
+    def readers(self) -> list[str]:
+        return [name for name, e in self.exchanges.items() if e.reads]
+
+    @property
+    def calls(self) -> int:
+        return self.attempts.total()
+
+    def source_of(self, name: str) -> str:
+        return self.exchanges[name]._source
+
+    async def until_all_know(self, thing: str, names, *, within_s: float):
+        """Returns after how long all of `names` know a thing."""
+        began = anyio.current_time()
+        while not all(thing in self.states[name].names for name in names):
+            assert anyio.current_time() - began < within_s, [
+                n for n in names if thing not in self.states[n].names
+            ]
+            await anyio.sleep(0.01)
+        return anyio.current_time() - began
+
+    def _store_for(self, name: str) -> str:
+        """Returns the store's address for one daemon, to tell its calls."""
+
+        async def handle(request: Request) -> Response:
+            self.attempts[name] += 1
+            if name in self.turned_away:
+                return json_response({}, status=503)
+            return await self.store.routes.handle(request)
+
+        address = f"store-{name}:1"
+        self.hub.listen(address, handle, owner="store")
+        return address
+
+    def _start(self, number: int) -> None:
+        own = peer(number)
+        clock = self.hub.clock_of(own.name)
+        network = self.hub.network(own.name)
+        state = Things(
+            store=StoreClient(
+                address=self._store_for(own.name), network=network, clock=clock
+            ),
+            clock=clock,
+        )
+        daemons = tuple(peer(n, own=n == number) for n in range(self._count))
+        exchange = StateExchange(
+            clock=clock,
+            rng=random.Random(self._rng.random()),
+            network=network,
+            daemons=_View(daemons),
+            states=[state],
+        )
+        routes = Routes()
+        routes.add("GET", STATE_PATH, exchange.handle)
+        self.states[own.name] = state
+        self.exchanges[own.name] = exchange
+        self.hub.listen(own.address, routes.handle, owner=own.name)
+        self.hub.start(exchange.run)
