Tell callers of the daemons near them, where these are enough and not busy

Cause: callers choose among the addresses at random, and were told of all up to 64: with 61 hosts in four data centres three requests of four crossed, with 195 in five four of ten.

Change: where eight or more are near and most have time left, a caller is told of these and of one in each other data centre. A daemon that uses over half of its processor says so with what it tells of itself; where most near ones do, callers are told of the others again, as on a crowd in one data centre.

--- a/cactusdyke/platform/addresses.py
+++ b/cactusdyke/platform/addresses.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from cactusdyke.serving.caller_addresses import addresses_for
 from cactusdyke.transport.messages import Request, Response, json_response
 
 if TYPE_CHECKING:
@@ -29,9 +30,10 @@
     async def resolve(self, request: Request) -> Response:
         """Returns where callers may connect."""
         zone = request.query.get("zone", "")
-        daemons = self._view.callers_may_use()
-        daemons.sort(key=lambda d: d.data_centre != zone)
-        addresses = [d.front_address for d in daemons[:MOST_ADDRESSES]]
+        daemons = addresses_for(
+            self._view.callers_may_use(), zone, most=MOST_ADDRESSES
+        )
+        addresses = [d.front_address for d in daemons]
         if not addresses:
             return json_response({}, status=503)
         return json_response({"addresses": addresses, "ttl_s": TTL_S})
--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -33,6 +33,7 @@
 from cactusdyke.serving.member_view import MemberView
 from cactusdyke.serving.peers import size_class
 from cactusdyke.serving.planned_stop import PlannedStop
+from cactusdyke.serving.processor_load import ProcessorLoad
 from cactusdyke.serving.state_exchange import STATE_PATH, StateExchange
 from cactusdyke.transport.asgi import AsgiAdapter
 from cactusdyke.transport.exchange import SocketConnections
@@ -112,6 +113,7 @@
             host_list=registry,
             revision=lambda: self._deployment.version,
         )
+        load = ProcessorLoad(clock=clock, cores=self._settings.cores)
         self._view = MemberView(
             clock=clock,
             members=self._members,
@@ -124,6 +126,7 @@
             least_count=lambda: max(
                 registry.registered_count, len(self._settings.seeds) + 1
             ),
+            busy=lambda: load.busy,
         )
         states = [
             state(store=store, clock=clock, deployment=self._deployment)
--- a/cactusdyke/serving/member_view.py
+++ b/cactusdyke/serving/member_view.py
@@ -37,6 +37,7 @@
         ready: Callable[[], bool],
         decides: Callable[[], frozenset[int]],
         least_count: Callable[[], int],
+        busy: Callable[[], bool] = lambda: False,
     ) -> None:
         self._clock = clock
         self._started_at = clock.now()
@@ -46,6 +47,7 @@
         self._ready = ready
         self._decides = decides
         self._least_count = least_count
+        self._busy = busy
         self._told: dict[str, Mapping[str, Any]] = {}
         self._known: tuple[PeerDaemon, ...] = ()
         self._fresh_until: Instant = -math.inf
@@ -97,6 +99,7 @@
             settled=self._settled(),
             size=self._size,
             decides=self._decides(),
+            busy=self._busy(),
             own=True,
         )
 
@@ -111,6 +114,7 @@
             settled=bool(told.get("s")),
             size=int(told.get("w", 0)),
             decides=frozenset(told.get("d", ())),
+            busy=bool(told.get("b")),
         )
 
     def _tell(self) -> Mapping[str, Any]:
@@ -119,6 +123,7 @@
             "r": int(self._ready()),
             "s": int(self._settled()),
             "w": self._size,
+            "b": int(self._busy()),
             "d": sorted(self._decides())[:MOST_DECIDED],
         }
 
--- a/cactusdyke/serving/peers.py
+++ b/cactusdyke/serving/peers.py
@@ -26,6 +26,7 @@
         settled: Whether it has been ready for a while.
         size: The class of its host's processor and link, larger for more.
         decides: Marks of the services that it says it decides for.
+        busy: Whether its processor has little time left.
         own: Whether it is this daemon.
     """
 
@@ -37,6 +38,7 @@
     settled: bool = True
     size: int = 0
     decides: frozenset[int] = frozenset()
+    busy: bool = False
     own: bool = False
 
 
