--- a/cactusdyke/transport/exchange.py
+++ b/cactusdyke/transport/exchange.py
@@ -1,6 +1,6 @@
 """One request and its answer on one connection, with h11.
 
-httpcore hides what decides whether an answer may be used: bytes behind the
+A client library hides what decides whether an answer may be used: bytes behind the
 answer's end, whether the end was a close or a reset, the exact moment of the
 first byte sent. h11 shows all of them.
 """
