--- a/cactusdyke/transport/exchange.py
+++ b/cactusdyke/transport/exchange.py
@@ -1,8 +1,8 @@
 """One request and its answer on one connection, with h11.
 
-A client library hides what decides whether an answer may be used: bytes behind the
-answer's end, whether the end was a close or a reset, the exact moment of the
-first byte sent. h11 shows all of them.
+A client library hides what decides whether an answer may be used: bytes behind
+its end, whether the end was a close or a reset, the exact moment of the first
+byte sent. h11 shows all of them.
 """
 
 from __future__ import annotations
