Log which request was under way as its connection broke

Cause: logs name a request by the id of the caller's attempt, so they could not tell one request that comes back under new ids from many requests at a failing engine. Change: CD4001 has a digest of method, host, path, caller and body, where the connection broke with the answer not whole. It is made only then.

--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -74,8 +74,10 @@
     )
     ATTEMPT_FAILED = (
         4001,
-        "An attempt at a backend server failed.",
-        "Look at the backend server if this is repeated.",
+        "An attempt at a backend server failed; `digest`, where the connection"
+        " broke, is the same for all attempts of one path, caller and body.",
+        "Look at the backend server if this is repeated, or at the request if"
+        " one digest is told of several backend servers.",
     )
     ANSWER_DROPPED = (
         4002,
--- a/cactusdyke/serving/attempt.py
+++ b/cactusdyke/serving/attempt.py
@@ -39,6 +39,7 @@
         body: The answer's whole body, if it was read.
         delivered: Whether the caller has got the whole answer.
         sent: Whether a byte was handed over.
+        broken: Whether the connection ended with the answer not whole.
     """
 
     ran: Ran
@@ -47,6 +48,7 @@
     body: bytes | None = None
     delivered: bool = False
     sent: bool = True
+    broken: bool = False
 
     @property
     def inputs_gone(self) -> bool:
@@ -314,4 +316,5 @@
         ran=Ran.UNKNOWN if error.sent else Ran.NOT_RUN,
         detail=str(error),
         sent=error.sent,
+        broken=error.sent,
     )
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -467,6 +467,7 @@
             ran=str(result.ran),
             took_ms=round(took_ms),
             detail=result.detail,
+            **({"digest": context.digest} if result.broken else {}),
         )
 
     async def _deliver(
--- a/cactusdyke/serving/request.py
+++ b/cactusdyke/serving/request.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import functools
+
 import attrs
+import xxhash
 
 from cactusdyke.clock import Clock, Instant
 from cactusdyke.errors import Ran
@@ -133,6 +136,16 @@
     engine_asked_at: Instant = 0.0
     crossed_bytes: float = 0.0
 
+    @functools.cached_property
+    def digest(self) -> str:
+        """Names what is asked, and by whom, the same for each repetition."""
+        request = self.request
+        customer = self.customer.name if self.customer else ""
+        hashed = xxhash.xxh3_128(request.body)
+        for part in (request.method, request.host, request.target, customer):
+            hashed.update(b"\0" + part.encode())
+        return hashed.hexdigest()
+
     @property
     def may_have_run(self) -> bool:
         """Whether any attempt ran or may have run, or may run yet."""
