Failing scenarios: a request that crashes each replica that runs it

Seen: replicas ended one after the other under a request that came back under new ids; 13 of 9 engines' lives in ten seconds, the streams of other callers with them. Change: the replica stand-in crashes under marked requests and comes back under a new id; eleven scenarios with daemons as processes, of six kinds of requests, of daemons that start late, stand still or all die, and of sound requests that must not be taken for the cause.

--- /dev/null
+++ b/features/steps/quarantine_process_steps.py
@@ -0,0 +1,299 @@
+"""Steps of requests that crash replicas, with daemons as processes."""
+
+from __future__ import annotations
+
+import itertools
+import random
+import signal
+
+import anyio
+from behave import given, then, when
+
+from cactusdyke.transport.exchange import ExchangeError
+from features.steps.platform_forwarding_steps import (
+    STAGE_HEADERS,
+    STREAM_HEADERS,
+    play,
+)
+from features.support.platform_rig import route, until
+
+DAEMONS = ("d1", "d2", "d3")
+MARK = b"crash-me"
+SETTLED_S = 1.0
+"""By then every daemon knows what has crashed three replicas."""
+EVERY_S = 0.1
+AFTERWARDS_S = 2.0
+MOST_AFTERWARDS = 3
+LONG_BODY = 60_000
+
+KINDS = {
+    "lookup without a body": {"path": "/look/crash-me", "method": "GET"},
+    "lookup with a long body": {"path": "/look/a", "body": LONG_BODY},
+    "booking": {"path": "/book/a"},
+    "stream": {"path": "/talk/stream", "headers": STREAM_HEADERS},
+    "resumable stream": {"path": "/resume/stream", "headers": STREAM_HEADERS},
+    "stream with stages": {"path": "/stage/stream", "headers": STAGE_HEADERS},
+}
+
+
+def _routes():
+    stages = [
+        {"service": "stage", "after": [], "bytes": 1_000},
+        {"service": "stage", "after": [0], "bytes": 100},
+    ]
+    return [
+        route("look", "plain"),
+        route("book", "plain", kind="non_idempotent"),
+        route("talk", "engine", kind="streaming"),
+        route("resume", "engine", kind="streaming", resumable=True),
+        route("stage", "engine", kind="streaming", stages=stages),
+    ]
+
+
+class Callers:
+    """Sends the request that crashes replicas, and sound ones beside it."""
+
+    def __init__(self, world, kind):
+        self.world = world
+        self.kind = kind
+        self.daemons = list(DAEMONS)
+        self.refused = []
+        self.sound = []
+        self._rng = random.Random(7)
+        self._numbers = itertools.count()
+
+    @property
+    def replicas(self):
+        return list(self.world.replicas.values())
+
+    @property
+    def crashes(self):
+        return sorted(at for r in self.replicas for at, _ in r.crashes)
+
+    @property
+    def arrivals(self):
+        return sorted(at for r in self.replicas for at in r.crashing_arrivals)
+
+    async def crashing(self, daemon=None):
+        """Sends the request once more; returns what its caller gets."""
+        request = dict(self.kind)
+        if request.get("method") != "GET":
+            length = request.pop("body", 0)
+            request["body"] = MARK + b"." * length
+        began = anyio.current_time()
+        answer = await self._send(daemon, **request)
+        if answer is not None and answer[0] == 503:
+            self.refused.append((anyio.current_time() - began, answer))
+        return answer
+
+    async def one_sound(self):
+        """Sends a sound request, and again if it was not answered."""
+        request = dict(self.kind)
+        number = next(self._numbers)
+        request["path"] = request["path"].replace("crash-me", f"a{number}")
+        request["body"] = b"" if "method" in request else b"%d" % number
+        answers = [await self._send(None, **request) for _ in range(2)]
+        self.sound += answers
+
+    async def _send(self, daemon, path, **changes):
+        try:
+            return await self.world.request(
+                path,
+                daemon=daemon or self._rng.choice(self.daemons),
+                request_id=f"r-{next(self._numbers)}",
+                **changes,
+            )
+        except ExchangeError:
+            return None
+
+    async def until_crashed(self, times):
+        """Sends the request until so many replicas have crashed."""
+        with anyio.fail_after(10):
+            while len(self.crashes) < times:
+                await self.crashing()
+                await anyio.sleep(EVERY_S)
+
+
+def _play(context, story):
+    async def whole(world):
+        for number in range(4):
+            for service in ("plain", "engine"):
+                replica = await world.add_replica(f"{service}{number}", service)
+                replica.crashes_on = MARK
+                replica.work_ms = 60.0
+        await world.add_replica("s1", "stage")
+        world.configure(_routes())
+        context.processes = dict(
+            zip(DAEMONS, await world.start_processes(*DAEMONS), strict=True)
+        )
+        await anyio.sleep(0.5)
+        callers = Callers(world, context.kind)
+        await story(world, callers)
+        context.callers = callers
+        context.crashes = callers.crashes
+        context.arrivals = callers.arrivals
+
+    play(whole)
+
+
+@given("three daemons before four replicas that a {kind} crashes")
+def crashing_kind(context, kind):
+    context.kind = KINDS[kind]
+
+
+@when("it comes again and again, at all daemons, beside sound requests")
+def comes_again(context):
+    async def story(world, callers):
+        async with anyio.create_task_group() as tasks:
+            with anyio.fail_after(15):
+                while len(callers.crashes) < 3:
+                    tasks.start_soon(callers.crashing)
+                    tasks.start_soon(callers.one_sound)
+                    await anyio.sleep(EVERY_S)
+            ends_at = callers.crashes[2] + SETTLED_S + AFTERWARDS_S
+            while anyio.current_time() < ends_at:
+                tasks.start_soon(callers.crashing)
+                tasks.start_soon(callers.one_sound)
+                await anyio.sleep(EVERY_S)
+
+    _play(context, story)
+
+
+@then("it reaches replicas three times at most once it has crashed three")
+def check_arrivals(context):
+    settled_at = context.crashes[2] + SETTLED_S
+    late = [at for at in context.arrivals if at > settled_at]
+    assert len(late) <= MOST_AFTERWARDS, (len(late), len(context.crashes))
+
+
+@then("it is refused at once, as not run, with a time to come back")
+def check_refused(context):
+    refused = context.callers.refused
+    assert len(refused) > AFTERWARDS_S / EVERY_S / 2, len(refused)
+    for took_s, (_, headers, _) in refused[-10:]:
+        assert took_s < 0.5, took_s
+        assert float(headers["retry-after"]) > 0
+
+
+@then("no sound request is refused for it")
+def check_sound(context):
+    sound = context.callers.sound
+    answered = [answer for answer in sound if answer is not None]
+    assert len(answered) > 20, len(sound)
+    told = [a[2] for a in answered if a[0] == 503]
+    assert not any(b"crashed" in line for line in told), told
+    last = sound[-10:]
+    assert all(a is not None and a[0] == 200 for a in last), last
+
+
+@when("it has crashed three replicas and comes to a daemon that then starts")
+def comes_to_started(context):
+    async def story(world, callers):
+        await callers.until_crashed(3)
+        await anyio.sleep(SETTLED_S)
+        context.before = len(callers.arrivals)
+        await world.start_process("d4")
+        context.answers = [await callers.crashing("d4") for _ in range(4)]
+
+    _play(context, story)
+
+
+@when("it has crashed three replicas and comes to a daemon that stood still")
+def comes_to_stopped(context):
+    async def story(world, callers):
+        callers.daemons.remove("d3")
+        context.processes["d3"].signal(signal.SIGSTOP)
+        await callers.until_crashed(3)
+        await anyio.sleep(SETTLED_S)
+        context.before = len(callers.arrivals)
+        context.processes["d3"].signal(signal.SIGCONT)
+        await anyio.sleep(2 * SETTLED_S)
+        context.answers = [await callers.crashing("d3") for _ in range(4)]
+
+    _play(context, story)
+
+
+@when("it has crashed three replicas and comes to daemons that all died")
+def comes_to_new(context):
+    async def story(world, callers):
+        await callers.until_crashed(3)
+        await anyio.sleep(SETTLED_S)
+        context.before = len(callers.arrivals)
+        for process in context.processes.values():
+            process.signal(signal.SIGKILL)
+            await process.end()
+        await world.start_processes(*DAEMONS)
+        context.answers = [
+            await callers.crashing(name) for name in DAEMONS for _ in range(2)
+        ]
+
+    _play(context, story)
+
+
+@then("it reaches no replica again")
+def check_no_more(context):
+    assert len(context.arrivals) == context.before, (
+        context.before,
+        len(context.arrivals),
+    )
+    for status, headers, _ in context.answers:
+        assert status == 503
+        assert float(headers["retry-after"]) > 0
+
+
+@when("five replicas crash under one lookup that is answered in between")
+def crashes_beside(context):
+    async def story(world, callers):
+        async def ask():
+            return await world.request(
+                "/look/hot", daemon="d1", method="GET", request_id="hot"
+            )
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(5):
+                for daemon in DAEMONS:
+                    for _ in range(4):
+                        tasks.start_soon(_ask_hot, world, daemon)
+                await anyio.sleep(0.03)
+                busiest = max(
+                    (r for r in callers.replicas if r.name[0] == "p"),
+                    key=lambda r: r.under_way,
+                )
+                assert busiest.under_way
+                busiest.crash()
+                await anyio.sleep(0.6)
+        context.answers = [await ask() for _ in range(3)]
+
+    _play(context, story)
+
+
+async def _ask_hot(world, daemon):
+    await world.request(
+        "/look/hot", daemon=daemon, method="GET", request_id="hot"
+    )
+
+
+@then("the lookup is served afterwards")
+@then("the booking is served afterwards")
+def check_served(context):
+    assert [status for status, _, _ in context.answers] == [200] * 3
+
+
+@when("replicas cut the answers to one booking eight times")
+def answers_cut(context):
+    async def story(world, callers):
+        plain = [r for r in callers.replicas if r.name[0] == "p"]
+        for replica in plain:
+            replica.faults.add("cut")
+
+        async def book(daemon):
+            return await world.request("/book/b", daemon=daemon, body=b"b")
+
+        for number in range(8):
+            await book(DAEMONS[number % 3])
+        for replica in plain:
+            replica.faults.clear()
+        await until(lambda: not any(r.faults for r in plain))
+        context.answers = [await book(daemon) for daemon in DAEMONS]
+
+    _play(context, story)
--- a/features/support/platform_rig.py
+++ b/features/support/platform_rig.py
@@ -178,11 +178,20 @@
 
     async def add_replica(self, name, service="plain"):
         replica = PlatformReplica(name=name)
+        replica.on_start = lambda before: self._replace_listed(
+            replica, before, service
+        )
         await self._stack.enter_async_context(replica)
         self.replicas[name] = replica
         self.list_replica(name, service)
         return replica
 
+    def _replace_listed(self, replica, before, service):
+        self.store.remove("servers", before)
+        del self.replicas[before]
+        self.replicas[replica.name] = replica
+        self.list_replica(replica.name, service)
+
     def list_replica(self, name, service="plain", **changes):
         self.store.put(
             "servers",
@@ -252,6 +261,18 @@
         await self.listens(settings.front.address)
         return daemon
 
+    async def start_processes(self, *names):
+        """Starts daemons as processes together; returns them once ready."""
+        processes = {}
+
+        async def start(name):
+            processes[name] = await self.start_process(name)
+
+        async with anyio.create_task_group() as tasks:
+            for name in names:
+                tasks.start_soon(start, name)
+        return [processes[name] for name in names]
+
     async def start_process(self, name, **limits):
         """Starts a daemon as a process, and waits until it is ready."""
         path = self._write_settings(name, ())
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 from typing import TYPE_CHECKING, Any, Self
 
 import anyio
@@ -14,6 +15,7 @@
 import orjson
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from types import TracebackType
 
 SIGNATURE = b"signed-by-the-replica"
@@ -36,6 +38,13 @@
         freed: Handles that were freed.
         free_mb: What it says of its memory for results.
         reports: How often it was asked for it.
+        crashes_on: A request with these bytes in its path or body ends the
+            process soon after it begins to run; None for no such request.
+        crash_after_ms: How long after.
+        down_ms: How long the process is down; it comes back under a new id.
+        crashing_arrivals: When it was sent such a request.
+        crashes: When it crashed, and with which requests under way.
+        on_start: Called after it has come back, with the id that it had.
     """
 
     def __init__(self, *, name: str) -> None:
@@ -53,6 +62,14 @@
         self.freed: list[str] = []
         self.free_mb = 10
         self.reports = 0
+        self.crashes_on: bytes | None = None
+        self.crash_after_ms = 30.0
+        self.down_ms = 300.0
+        self.crashing_arrivals: list[float] = []
+        self.crashes: list[tuple[float, list[str]]] = []
+        self.on_start: Callable[[str], None] = lambda before: None
+        self._under_way: list[str] = []
+        self._process = anyio.CancelScope()
         self._handles = 0
         self._stack = contextlib.AsyncExitStack()
         self.address = ""
@@ -64,7 +81,7 @@
         self._tasks = await self._stack.enter_async_context(
             anyio.create_task_group()
         )
-        self._tasks.start_soon(listener.serve, self._connection)
+        self._tasks.start_soon(self._live, listener, port)
         return self
 
     async def __aexit__(
@@ -76,6 +93,38 @@
         self._tasks.cancel_scope.cancel()
         await self._stack.__aexit__(kind, error, trace)
 
+    async def _live(self, listener: Any, port: int) -> None:
+        """Serves; starts again under a new id after each crash."""
+        for start in itertools.count(1):
+            with anyio.CancelScope() as self._process:
+                async with listener:
+                    await listener.serve(self._connection)
+            await anyio.sleep(self.down_ms / 1000.0)
+            listener = await anyio.create_tcp_listener(
+                local_host="127.0.0.1", local_port=port
+            )
+            before = self.name
+            self.name = f"{before.partition('~')[0]}~{start}"
+            self.on_start(before)
+
+    def _is_crashing(self, path: str, body: bytes) -> bool:
+        mark = self.crashes_on
+        return mark is not None and (mark in body or mark in path.encode())
+
+    @property
+    def under_way(self) -> int:
+        """How many requests it runs."""
+        return len(self._under_way)
+
+    def crash(self) -> None:
+        """Ends the process; it comes back under a new id."""
+        self.crashes.append((anyio.current_time(), list(self._under_way)))
+        self._process.cancel()
+
+    async def _crash_soon(self) -> None:
+        await anyio.sleep(self.crash_after_ms / 1000.0)
+        self.crash()
+
     async def _connection(self, stream: Any) -> None:
         connection = h11.Connection(h11.SERVER)
         async with stream:
@@ -113,6 +162,8 @@
         path = head.target.decode()
         self.heads.append(headers)
         self.bodies.append(body)
+        if self._is_crashing(path, body):
+            self.crashing_arrivals.append(anyio.current_time())
         expected = headers.get("x-expect-replica", self.name)
         if expected != self.name:
             await stream.send(_plain(421, b"", {"X-Replica-Id": self.name}))
@@ -157,6 +208,17 @@
                 await stream.send(_plain(status, b"", answer))
                 return
         self.runs.append(request_id)
+        self._under_way.append(request_id)
+        try:
+            await self._run_begun(stream, headers, path, request_id)
+        finally:
+            self._under_way.remove(request_id)
+
+    async def _run_begun(
+        self, stream: Any, headers: dict[str, str], path: str, request_id: str
+    ) -> None:
+        if self._is_crashing(path, self.bodies[-1]):
+            self._tasks.start_soon(self._crash_soon)
         try:
             await self._work(stream)
         except anyio.EndOfStream:
