--- a/emulator/arrivals.py
+++ b/emulator/arrivals.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
 if TYPE_CHECKING:
     import random
 
-    from emulator.scenario import Burst, Kind, Scenario
+    from emulator.scenario import Burst, Fault, Kind, Scenario
 
 MS_PER_SECOND = 1_000.0
 SPREAD = 0.6
@@ -31,6 +31,7 @@
         parts: Its prompt, as (name, tokens).
         events: Events of its answer, 0 for a whole one.
         patience_ms: How long its caller waits.
+        crash: What it does to replicas that run it, if it crashes them.
     """
 
     number: int
@@ -40,6 +41,7 @@
     parts: tuple[tuple[str, int], ...]
     events: int
     patience_ms: float
+    crash: dict[str, Any] | None = None
 
 
 def draw(scenario: Scenario, rng: random.Random) -> list[Arrival]:
@@ -63,6 +65,20 @@
     ]
 
 
+def draw_crashing(
+    scenario: Scenario, fault: Fault, number: int, rng: random.Random
+) -> Arrival:
+    """Returns a request of a fault's kind that crashes replicas."""
+    kind = next(kind for kind in scenario.kinds if kind.name == fault.kind)
+    crash = {
+        "name": f"crashing-{number}",
+        "after_ms": fault.crash_after_ms,
+        "down_ms": fault.down_s * MS_PER_SECOND,
+    }
+    arrival = _arrival(-1 - number, 0.0, kind, rng)
+    return attrs.evolve(arrival, crash=crash)
+
+
 def _times(bursts: tuple[Burst, ...], kind: str, at_ms: float) -> float:
     times = 1.0
     for burst in bursts:
--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING
 
 import anyio
@@ -82,6 +83,13 @@
         """Takes the end."""
         self.complete = True
 
+    @property
+    def quarantined(self) -> bool:
+        """Whether the request was refused as one that crashes replicas."""
+        if self.status != 503 or not self.complete:
+            return False
+        return bool(orjson.loads(self.body)["kind"] == "quarantined")
+
     def _note(self) -> None:
         now = self._clock.now()
         if self.first_at is None:
@@ -100,6 +108,7 @@
         self._clock = world.clock
         self._daemons = daemons
         self._known = list(daemons)
+        self._numbers = itertools.count()
         self.outcomes: list[Outcome] = []
 
     async def run(self, arrivals: list[Arrival]) -> None:
@@ -148,6 +157,27 @@
                 break
         self.outcomes.append(outcome)
 
+    async def repeat(
+        self, arrival: Arrival, *, every_ms: float, for_ms: float
+    ) -> None:
+        """Sends one request again and again, each time under a new id."""
+        ends_at = self._clock.now() + for_ms
+        async with anyio.create_task_group() as tasks:
+            while self._clock.now() < ends_at:
+                tasks.start_soon(self._once, arrival)
+                pause_ms = self._world.rng.expovariate(1 / every_ms)
+                await self._clock.sleep(pause_ms)
+
+    async def _once(self, arrival: Arrival) -> None:
+        daemon = self._pick(set())
+        if not daemon.up:
+            return
+        got = _Got(clock=self._clock)
+        with self._clock.timeout(arrival.patience_ms):
+            request = self._request(arrival, arrival.patience_ms)
+            await daemon.answer(request, got)
+        self._world.counts["crashing refused"] += got.quarantined
+
     def _pick(self, avoid: set[str]) -> EmulatedDaemon:
         others = [d for d in self._known if d.name not in avoid]
         return self._world.rng.choice(others or self._known)
@@ -160,18 +190,22 @@
         self._learn_addresses()
 
     def _request(self, arrival: Arrival, left_ms: float) -> ReadRequest:
-        name = f"{arrival.kind.name}:{arrival.number}:{left_ms:.0f}"
+        kind = arrival.kind.name
+        name = f"{kind}:{arrival.number}:{next(self._numbers)}"
         body = {
-            "id": name,
+            "number": arrival.number,
             "parts": arrival.parts,
             "events": arrival.events,
             "pieces": arrival.pieces,
-            "patience_ms": left_ms,
+            "crash": arrival.crash,
         }
         return ReadRequest(
             method="POST",
-            target=f"/{arrival.kind.name}/",
-            headers=[],
+            target=f"/{kind}/",
+            headers=[
+                (b"id", name.encode()),
+                (b"patience_ms", str(left_ms).encode()),
+            ],
             body=orjson.dumps(body),
             arrived_at=self._clock.now(),
         )
@@ -180,6 +214,8 @@
         """Judges an answer; returns whether the caller is content."""
         if not (got.complete and got.status == 200 and got.first_at):
             outcome.how = "refused" if got.status == 503 else "failed"
+            if got.quarantined:
+                self._world.counts["sound quarantined"] += 1
             return False
         kind = outcome.arrival.kind
         outcome.first_ms = got.first_at + WAY_MS - began
--- a/emulator/dialect.py
+++ b/emulator/dialect.py
@@ -52,6 +52,8 @@
     ) -> Result[ClientRequest, Failure]:
         """Returns a caller's request."""
         body = orjson.loads(request.body)
+        headers = dict(request.headers)
+        request_id = headers[b"id"].decode()
         parts = tuple(PromptPart(name=n, tokens=t) for n, t in body["parts"])
         generation = Generation(
             model="m",
@@ -61,7 +63,7 @@
         )
         return Ok(
             ClientRequest(
-                request_id=body["id"],
+                request_id=request_id,
                 method="POST",
                 host="emulated",
                 target=request.target,
@@ -69,10 +71,10 @@
                 headers=(),
                 body=request.body,
                 api_key="",
-                patience_ms=body["patience_ms"],
+                patience_ms=float(headers[b"patience_ms"]),
                 generation=generation if body["events"] else None,
                 piece_counts=tuple(body["pieces"]),
-                piece_key=body["id"],
+                piece_key=request_id,
                 resume_after=None,
                 arrived_at=request.arrived_at,
             )
@@ -105,6 +107,7 @@
             "inputs": list(handles),
             "parts": sent["parts"],
             "events": sent["events"],
+            "crash": sent["crash"],
             "after": -1 if resume_after is None else resume_after,
         }
         return _call("/run", body)
--- a/emulator/engines.py
+++ b/emulator/engines.py
@@ -26,8 +26,7 @@
             collections.OrderedDict()
         )
 
-    async def serve(self, call: Call, answer: Answering) -> None:
-        """Runs one request."""
+    async def _serve(self, call: Call, answer: Answering) -> None:
         body = call.body
         if self._running >= self._spec.slots:
             answer.whole(503, {}, ran="no")
@@ -46,6 +45,9 @@
         finally:
             self._running -= 1
 
+    def _forget(self) -> None:
+        self._cached.clear()
+
     def _fetch(self, handles: list[str]) -> None:
         for handle in handles:
             result = self.world.results[handle]
@@ -72,6 +74,7 @@
         )
 
     async def _generate(self, call: Call, answer: Answering) -> None:
+        self.begun(call)
         await self.world.clock.sleep(self._spec.first_ms)
         answer.head(200, events="yes")
         for number in range(call.body["after"] + 1, call.body["events"]):
@@ -97,8 +100,7 @@
         self._slots = anyio.Semaphore(spec.slots)
         self._present = 0
 
-    async def serve(self, call: Call, answer: Answering) -> None:
-        """Runs one request."""
+    async def _serve(self, call: Call, answer: Answering) -> None:
         if self._present >= 2 * self._spec.slots:
             answer.whole(503, {}, ran="no")
             return
@@ -107,6 +109,7 @@
             async with self._slots:
                 if call.left.is_set():
                     return
+                self.begun(call)
                 await self.world.clock.sleep(self._spec.work_ms * self.slow)
             answer.whole(200, {"id": call.body["id"]})
         finally:
--- a/emulator/experiment.py
+++ b/emulator/experiment.py
@@ -115,6 +115,11 @@
         "unused": mean([p.unused for p in plays]),
         "no room": mean([p.no_room for p in plays], 0),
         "disagreed ms": mean([p.disagreed_ms for p in plays], 0),
+        "crashes": mean([p.crashes for p in plays], 1),
+        "sent on": max(p.sent_on for p in plays),
+        "sound refused": sum(
+            p.counts.get("sound quarantined", 0) for p in plays
+        ),
         **kinds,
     }
 
--- a/emulator/links.py
+++ b/emulator/links.py
@@ -25,6 +25,21 @@
     from emulator.world import World
 
 
+@attrs.frozen(kw_only=True)
+class Crash:
+    """What a request does to each replica that begins to run it.
+
+    Attributes:
+        name: Names the request, however often it comes.
+        after_ms: From its begin to the crash.
+        down_ms: Until the replica is back.
+    """
+
+    name: str
+    after_ms: float
+    down_ms: float
+
+
 @attrs.frozen(kw_only=True)
 class Call:
     """A call as a backend server gets it.
@@ -33,11 +48,14 @@
         path: What is asked for.
         body: Its JSON.
         left: Set when the caller has closed the connection.
+        crash: What it does to a replica that begins to run it, if that is
+            a crash.
     """
 
     path: str
     body: dict[str, Any]
     left: anyio.Event
+    crash: Crash | None = None
 
 
 class Answering(abc.ABC):
@@ -75,9 +93,51 @@
         self.address = f"{name}:1"
         self.gone = False
         self.slow = 1.0
+        self._calls: set[anyio.CancelScope] = set()
+        self._crashing: set[str] = set()
+        self._starts = 0
 
-    @abc.abstractmethod
     async def serve(self, call: Call, answer: Answering) -> None:
+        """Answers one call, unless a crash ends it."""
+        with anyio.CancelScope() as scope:
+            self._calls.add(scope)
+            try:
+                await self._serve(call, answer)
+            finally:
+                self._calls.discard(scope)
+                if call.crash is not None:
+                    self._crashing.discard(call.crash.name)
+
+    def begun(self, call: Call) -> None:
+        """Notes that a request has begun to run."""
+        if call.crash is not None:
+            self._crashing.add(call.crash.name)
+            self.world.hub.start(self._crash_under, call.crash)
+
+    async def crash(self, *, down_ms: float) -> None:
+        """Ends the process; returns once it is back under another name."""
+        self.gone = True
+        for name in self._crashing:
+            self.world.crashing[name].crashes.append(self.world.clock.now())
+        for scope in self._calls:
+            scope.cancel()
+        self._forget()
+        await self.world.clock.sleep(down_ms)
+        self._starts += 1
+        self.name = f"{self.name.partition('~')[0]}~{self._starts}"
+        self.gone = False
+
+    async def _crash_under(self, crash: Crash) -> None:
+        name = self.name
+        await self.world.clock.sleep(crash.after_ms)
+        if self.name == name and not self.gone:
+            await self.crash(down_ms=crash.down_ms)
+
+    def _forget(self) -> None:  # noqa: B027
+        """Drops what does not outlive the process."""
+
+    @abc.abstractmethod
+    async def _serve(self, call: Call, answer: Answering) -> None:
         """Answers one call."""
 
 
@@ -153,7 +213,11 @@
         del method, headers
         self._sent = True
         value = orjson.loads(body) if body else {}
-        call = Call(path=target, body=value, left=self.left)
+        crash = Crash(**value["crash"]) if value.get("crash") else None
+        if crash is not None:
+            crashing = self._world.crashing[crash.name]
+            crashing.arrivals.append(self._world.clock.now())
+        call = Call(path=target, body=value, left=self.left, crash=crash)
         self._world.hub.start(self._serve, call)
 
     async def _serve(self, call: Call) -> None:
--- a/emulator/makers.py
+++ b/emulator/makers.py
@@ -33,8 +33,7 @@
             collections.deque([(-math.inf, spec.room_mb * MB)])
         )
 
-    async def serve(self, call: Call, answer: Answering) -> None:
-        """Makes pieces, frees results or tells its memory."""
+    async def _serve(self, call: Call, answer: Answering) -> None:
         if call.path == "/make":
             await self._make(call, answer)
         elif call.path == "/free":
--- a/emulator/play.py
+++ b/emulator/play.py
@@ -12,14 +12,15 @@
 import attrs
 
 from emulator import deployment
-from emulator.arrivals import draw
+from emulator.arrivals import draw, draw_crashing
 from emulator.callers import Callers, Outcome
 from emulator.daemons import EmulatedDaemon
 from emulator.links import Links
-from emulator.world import MB, World
+from emulator.world import MB, Crashing, World
 from standins.virtual import run_virtual
 
 if TYPE_CHECKING:
+    from emulator.links import Backend
     from emulator.scenario import Fault, Policy, Scenario
 
 MS_PER_SECOND = 1_000.0
@@ -27,6 +28,9 @@
 """Daemons find one another before the first request comes."""
 WINDOW_MS = 2_000.0
 LOOK_EVERY_MS = 50.0
+CRASHES = 3
+SETTLED_MS = 1_000.0
+"""What daemons have to hear of the third crash under one request."""
 
 
 @attrs.define(kw_only=True)
@@ -43,6 +47,9 @@
         no_room: Pieces that found no room.
         disagreed_ms: Time in which daemons named different deciders, from the
             first fault on.
+        sent_on: How often a request was sent to replicas once it had crashed
+            three and all daemons could know; of several the most.
+        crashes: Crashes under such requests.
         counts: Whatever else was counted.
     """
 
@@ -54,6 +61,8 @@
     unused: float
     no_room: int
     disagreed_ms: float
+    sent_on: int
+    crashes: int
     counts: dict[str, int]
 
     @property
@@ -127,7 +136,8 @@
         callers = Callers(world=world, daemons=daemons)
         async with anyio.create_task_group() as tasks:
             for fault in scenario.faults:
-                tasks.start_soon(_strike, world, fault, daemons, links)
+                struck = (world, fault, daemons, links, callers)
+                tasks.start_soon(_strike, *struck)
             tasks.start_soon(_watch_deciders, world, daemons, disagreed)
             await callers.run(arrivals)
             tasks.cancel_scope.cancel()
@@ -135,7 +145,11 @@
 
 
 async def _strike(
-    world: World, fault: Fault, daemons: list[EmulatedDaemon], links: Links
+    world: World,
+    fault: Fault,
+    daemons: list[EmulatedDaemon],
+    links: Links,
+    callers: Callers,
 ) -> None:
     await world.clock.sleep(fault.at_s * MS_PER_SECOND)
     for_ms = fault.for_s * MS_PER_SECOND
@@ -155,13 +169,16 @@
                 daemon.kill(powerless=False)
                 daemon.start()
                 await world.clock.sleep(for_ms)
+        case "crashing_request":
+            number = len(world.crashing)
+            arrival = draw_crashing(world.scenario, fault, number, world.rng)
+            world.crashing[f"crashing-{number}"] = Crashing()
+            every_ms = fault.every_s * MS_PER_SECOND
+            await callers.repeat(arrival, every_ms=every_ms, for_ms=for_ms)
+        case "replica_crashed":
+            await _choose(world, links, fault.service).crash(down_ms=for_ms)
         case "replica_gone" | "replica_slow":
-            of_service = [
-                backend
-                for backend in links.backends.values()
-                if backend.service == fault.service and not backend.gone
-            ]
-            backend = world.rng.choice(of_service)
+            backend = _choose(world, links, fault.service)
             backend.gone = fault.what == "replica_gone"
             backend.slow = fault.times
             if for_ms:
@@ -171,6 +188,17 @@
             raise ValueError(f"no fault is called {fault.what}")
 
 
+def _choose(world: World, links: Links, service: str) -> Backend:
+    """Returns one of a service's replicas that are there."""
+    return world.rng.choice(
+        [
+            backend
+            for backend in links.backends.values()
+            if backend.service == service and not backend.gone
+        ]
+    )
+
+
 async def _watch_deciders(
     world: World, daemons: list[EmulatedDaemon], disagreed: list[float]
 ) -> None:
@@ -213,5 +241,13 @@
         unused=world.counts["results unused"] / max(1, made),
         no_room=world.counts["pieces room"],
         disagreed_ms=disagreed_ms,
+        sent_on=max(
+            (
+                crashing.sent_after(CRASHES, SETTLED_MS)
+                for crashing in world.crashing.values()
+            ),
+            default=0,
+        ),
+        crashes=sum(len(c.crashes) for c in world.crashing.values()),
         counts=dict(world.counts),
     )
--- a/emulator/scenario.py
+++ b/emulator/scenario.py
@@ -163,13 +163,19 @@
 
     Attributes:
         what: `daemons_killed`, `daemons_lose_power`, `daemons_restarted` (in
-            turn, without an end in good order), `replica_gone` or
-            `replica_slow`.
+            turn, without an end in good order), `replica_gone`,
+            `replica_slow`, `replica_crashed`, or `crashing_request` (comes
+            again and again, and crashes each replica that begins to run it).
         at_s: When.
-        for_s: How long; for a restart in turn the pause between two.
+        for_s: How long; for a restart in turn the pause between two, for a
+            crash the time until the replica is back under another name.
         share: Part of the daemons.
         service: Whose replica it is.
         times: How many times slower.
+        kind: Of which kind a crashing request is.
+        every_s: Mean time between two arrivals of a crashing request.
+        down_s: How long a replica is down that it has crashed.
+        crash_after_ms: How long after its begin it crashes a replica.
     """
 
     what: str
@@ -178,6 +184,10 @@
     share: float = 1.0
     service: str = ""
     times: float = 1.0
+    kind: str = ""
+    every_s: float = 0.5
+    down_s: float = 3.0
+    crash_after_ms: float = 60.0
 
 
 @attrs.frozen(kw_only=True)
--- a/emulator/world.py
+++ b/emulator/world.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from cactusdyke.clock import Instant
 from standins.hub import Hub
 
 if TYPE_CHECKING:
@@ -26,6 +27,31 @@
     used: bool = False
 
 
+@attrs.define(kw_only=True)
+class Crashing:
+    """What a request that crashes replicas has done.
+
+    Attributes:
+        arrivals: When a replica was sent it.
+        crashes: When a replica crashed under it.
+    """
+
+    arrivals: list[Instant] = attrs.field(factory=list)
+    crashes: list[Instant] = attrs.field(factory=list)
+
+    def sent_after(self, crashes: int, settled_ms: float) -> int:
+        """Returns how often it was sent once it had crashed so many.
+
+        Args:
+            crashes: The crashes that all daemons have to know of.
+            settled_ms: How long they have to hear of them.
+        """
+        if len(self.crashes) < crashes:
+            return 0
+        known_at = self.crashes[crashes - 1] + settled_ms
+        return sum(at > known_at for at in self.arrivals)
+
+
 class World:
     """One play: its clock, its random numbers and what is counted."""
 
@@ -37,6 +63,9 @@
         self.results: dict[str, StageResult] = {}
         self.counts: collections.Counter[str] = collections.Counter()
         self.crossed_bytes = 0.0
+        self.crashing: collections.defaultdict[str, Crashing] = (
+            collections.defaultdict(Crashing)
+        )
         self.busy_ms = 0.0
         self.wasted_ms = 0.0
 
