Have a failed story on the platform's rig fail rather than hang

Seen: a scenario with processes hung without an end, twice of about twenty beside four busy processes; a stack of the hung one showed contextlib's _fix_exception_context. Cause: the rig cancelled its outermost task group before it left what was entered later. Each of those was cancelled as it ended, and contextlib followed the chain of those errors and the story's, which had become a ring. Change: the group is cancelled once all that was entered later has ended. Result: a story that fails on purpose beside open requests hung in nine of nine runs (20 s each), and now fails at once in three of three; 69 scenarios of platform pass.

--- a/features/support/platform_rig.py
+++ b/features/support/platform_rig.py
@@ -155,10 +155,13 @@
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self):
+        self.network = await self._stack.enter_async_context(HttpNetwork())
         self.tasks = await self._stack.enter_async_context(
             anyio.create_task_group()
         )
-        self.network = await self._stack.enter_async_context(HttpNetwork())
+        # Not before what is entered later has ended: each of these would be
+        # cancelled as it ends, and an error of the story lost among them.
+        self._stack.callback(self.tasks.cancel_scope.cancel)
         self.folder = self._stack.enter_context(tempfile.TemporaryDirectory())
         port = free_port()
         self.store_address = f"127.0.0.1:{port}"
@@ -173,7 +176,6 @@
         return self
 
     async def __aexit__(self, *error):
-        self.tasks.cancel_scope.cancel()
         return await self._stack.__aexit__(*error)
 
     async def add_replica(self, name, service="plain"):
