Keep requests that crash replicas from them, at all daemons

Seen by callers: streams and calls that broke off as replicas ended one after the other; 13 of them in ten seconds under one request. Cause: a request is known by the id of the caller's attempt. Nothing that a daemon learns of a request outlives it, and no daemon tells another one, so a request that crashes what runs it was new each time, at each of the daemons. Change: a daemon whose attempt breaks connects once more, and takes the replica for crashed if its host refuses. It reports which requests were under way, by digest, to the daemons that read the store; they add reports up and tell all. A crash counts against the request with most crashes of all that were under way. With three such crashes a request is refused, as not run, before its stages and before each send, for half an hour after its last crash; one that is served anywhere is cleared. Probes carry the same to whoever missed it, and each daemon's object in the store to those that start, read with the list that they read anyway. 1,024 requests are kept at most, for five minutes where nothing is proved. Nothing is computed or sent until a connection breaks. CD4318 to CD4320 and two metrics tell of it.

--- a/cactusdyke/errors.py
+++ b/cactusdyke/errors.py
@@ -43,6 +43,11 @@
         503,
         "Send the request again after retry_after_ms; the pool is failing",
     )
+    QUARANTINED = (
+        503,
+        "Change the request; replicas crash under it, and until retry_after_ms"
+        " it is sent to none",
+    )
     STOPPING = (503, "Ask for addresses again and use another one")
     UNCONFIRMED = (503, "Try another address; this daemon is cut off")
     STORE_UNAVAILABLE = (
--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -208,6 +208,24 @@
         "A daemon that decides for a service is silent; another one decides.",
         "Look at the daemon and the link to it.",
     )
+    REPLICA_CRASHED = (
+        4318,
+        "A replica is down after connections to it broke; `digests` names the"
+        " requests that were under way from here.",
+        "Look at the replica's own log; CD4001 has the attempts by digest.",
+    )
+    REQUEST_QUARANTINED = (
+        4319,
+        "Replicas crashed again and again under a request; from now on it is"
+        " refused, whoever sends it again, and no replica gets it.",
+        "Find the request in CD4001 by its digest, and mend the replicas.",
+    )
+    QUARANTINE_NOT_SAVED = (
+        4320,
+        "The store does not take which requests are quarantined; daemons that"
+        " start tell one another meanwhile.",
+        "Check the platform's store.",
+    )
     METRICS_NOT_SERVED = (
         1007,
         "The port for metrics can't be listened on; all else goes on.",
--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -154,9 +154,12 @@
             allowance=lambda: self._settings.retries,
             stop=lambda: self._stopping.times,
             announce=self._members.announce,
+            quarantine_store=registry,
             metrics=metrics,
             tracing=self._tracing,
         )
+        registry.keep(self._core.quarantine)
+        self._members.ride("crashes", self._core.quarantine.rider)
         self._front = Front(
             host=self._settings.front.host,
             port=self._settings.front.port,
--- a/cactusdyke/platform/registry.py
+++ b/cactusdyke/platform/registry.py
@@ -2,33 +2,41 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+import anyio
 from result import Err, Ok, Result
 
+from cactusdyke import events
 from cactusdyke.infrastructure.host_list import (
     HostList,
     HostState,
     ListedHost,
 )
 from cactusdyke.kernel import Service
+from cactusdyke.serving.quarantine import QuarantineStore
 
 if TYPE_CHECKING:
     from cactusdyke.clock import Clock
     from cactusdyke.errors import Failure
+    from cactusdyke.infrastructure.watched_store import StoreObject
     from cactusdyke.platform.settings import PlatformSettings
     from cactusdyke.platform.store import StoreClient
+    from cactusdyke.serving.quarantine import Quarantine
 
 KIND = "cactusdyke-daemons"
 RETRY_MS = 1_000.0
 STOP_TIMEOUT_MS = 1_000.0
 
 
-class DaemonRegistry(Service, HostList):
+class DaemonRegistry(Service, HostList, QuarantineStore):
     """One object for each daemon, written at its start and removed at its end.
 
     Membership is kept by the daemons themselves; the store only tells a
     daemon whose seeds are all gone where to begin. One write a start.
+
+    The object also holds the evidence against requests that crash replicas,
+    which daemons that start read with the list and no further call.
     """
 
     def __init__(
@@ -37,19 +45,30 @@
         self._settings = settings
         self._store = store
         self._clock = clock
+        self._quarantine: Quarantine | None = None
         self._registered = 0
+        self._tried = anyio.Event()
+        self._listed = False
 
     @property
     def registered_count(self) -> int:
         """How many daemons were registered when this one started."""
         return self._registered
 
+    def keep(self, quarantine: Quarantine) -> None:
+        """Keeps the evidence of a quarantine from now on."""
+        self._quarantine = quarantine
+
     async def read(self) -> Result[tuple[ListedHost, ...], Failure]:
         """Returns the daemons registered; some may be gone."""
         answer = await self._store.list(KIND)
+        self._tried.set()
         if isinstance(answer, Err):
             return answer
+        self._listed = True
         self._registered = len(answer.ok_value.objects)
+        for entry in answer.ok_value.objects:
+            self._load_evidence(entry)
         return Ok(
             tuple(
                 ListedHost(
@@ -64,17 +83,46 @@
         )
 
     async def run(self) -> None:
-        """Registers this daemon, again and again until that is done."""
-        spec = {
-            "address": self._settings.peer.address,
-            "data_centre": self._settings.zone,
-        }
+        """Registers this daemon, again and again until that is done.
+
+        Its object of before is read first: the evidence in it may be the last.
+        """
+        await self._tried.wait()
         while True:
-            answer = await self._store.put(KIND, self._settings.node, spec)
-            if answer.is_ok():
+            if not self._listed:
+                await self.read()
+            if self._listed and (await self.save_quarantine()).is_ok():
                 return
             await self._clock.sleep(RETRY_MS)
 
+    async def save_quarantine(self) -> Result[None, Failure]:
+        """Writes this daemon's object, with the evidence that it knows."""
+        spec: dict[str, Any] = {
+            "address": self._settings.peer.address,
+            "data_centre": self._settings.zone,
+        }
+        evidence = self._quarantine.evidence if self._quarantine else None
+        if evidence is not None:
+            spec["crashes"] = {"at": self._clock.wall(), "evidence": evidence}
+        return await self._store.put(KIND, self._settings.node, spec)
+
+    def _load_evidence(self, entry: StoreObject) -> None:
+        told = isinstance(entry.spec, dict) and "crashes" in entry.spec
+        if not told or self._quarantine is None:
+            return
+        try:
+            saved = entry.spec["crashes"]
+            passed_ms = max(0.0, self._clock.wall() - float(saved["at"]))
+            self._quarantine.take(saved["evidence"], passed_ms)
+        except (KeyError, TypeError, ValueError) as error:
+            events.log(
+                events.Event.SERVING_ENTRY_REJECTED,
+                kind=KIND,
+                name=entry.name,
+                revision=entry.revision,
+                detail=repr(error),
+            )
+
     async def announce_stop(self) -> None:
         """Removes this daemon's object."""
         with self._clock.timeout(STOP_TIMEOUT_MS):
--- a/cactusdyke/serving/attempt.py
+++ b/cactusdyke/serving/attempt.py
@@ -55,6 +55,12 @@
         """Whether a stage's result was gone."""
         return self._is(AnswerKind.INPUTS_GONE)
 
+    @property
+    def ran_to_its_end(self) -> bool:
+        """Whether the replica has given its whole answer, a failure or not."""
+        whole = self.delivered or self.body is not None
+        return whole and self._is(AnswerKind.ANSWER)
+
     @property
     def wrong_replica(self) -> bool:
         """Whether another replica has the address."""
--- a/cactusdyke/serving/core.py
+++ b/cactusdyke/serving/core.py
@@ -19,6 +19,7 @@
 from cactusdyke.serving.health import ReplicaHealth
 from cactusdyke.serving.next_attempt import NextAttempt
 from cactusdyke.serving.peer_watch import ALIVE_PATH, PeerWatch
+from cactusdyke.serving.quarantine import CRASHES_PATH, Quarantine
 from cactusdyke.serving.retry_budget import RetryBudget
 from cactusdyke.serving.stages import StageRunner
 
@@ -34,6 +35,7 @@
     from cactusdyke.serving.measures import ServingMetrics
     from cactusdyke.serving.peers import PeerDaemons
     from cactusdyke.serving.planned_stop import StopTimes
+    from cactusdyke.serving.quarantine import QuarantineStore
     from cactusdyke.serving.retry_budget import RetryAllowance
     from cactusdyke.transport.exchange import BackendConnections
     from cactusdyke.transport.messages import Handler
@@ -61,6 +63,7 @@
         allowance: Callable[[], RetryAllowance],
         stop: Callable[[], StopTimes],
         announce: Callable[[], None],
+        quarantine_store: QuarantineStore,
         metrics: ServingMetrics,
         tracing: Tracing,
     ) -> None:
@@ -87,6 +90,14 @@
             deployment=deployment,
             announce=announce,
         )
+        self._quarantine = Quarantine(
+            clock=clock,
+            network=network,
+            connections=connections,
+            daemons=daemons,
+            store=quarantine_store,
+            metrics=metrics,
+        )
         health = ReplicaHealth(clock=clock)
         budget = RetryBudget(
             clock=clock,
@@ -122,6 +133,7 @@
             ),
             health=health,
             budget=budget,
+            quarantine=self._quarantine,
             stop=stop,
             metrics=metrics,
             tracing=tracing,
@@ -132,6 +144,11 @@
         """Answers callers' requests."""
         return self._forwarder
 
+    @property
+    def quarantine(self) -> Quarantine:
+        """Keeps requests that crash replicas from them."""
+        return self._quarantine
+
     @property
     def decides(self) -> frozenset[int]:
         """Marks of the services that this daemon says it decides for."""
@@ -148,6 +165,7 @@
             "peer_watch": self._watch,
             "decider": self._decider,
             "dispatch": self._dispatch,
+            "quarantine": self._quarantine,
             "forwarder": self._forwarder,
         }
 
@@ -159,4 +177,5 @@
             ("POST", PLACE_PATH, self._interface.handle_place),
             ("POST", NOTES_PATH, self._interface.handle_notes),
             ("GET", ALIVE_PATH, self._watch.handle),
+            ("POST", CRASHES_PATH, self._quarantine.handle),
         ]
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -43,6 +43,7 @@
     from cactusdyke.serving.model import Customer, Replica, Route
     from cactusdyke.serving.next_attempt import NextAttempt
     from cactusdyke.serving.planned_stop import StopTimes
+    from cactusdyke.serving.quarantine import Quarantine
     from cactusdyke.serving.request import ClientRequest
     from cactusdyke.serving.retry_budget import RetryBudget
     from cactusdyke.serving.stages import StageRunner
@@ -81,6 +82,7 @@
         next_attempt: NextAttempt,
         health: ReplicaHealth,
         budget: RetryBudget,
+        quarantine: Quarantine,
         stop: Callable[[], StopTimes],
         metrics: ServingMetrics,
         tracing: Tracing,
@@ -96,6 +98,7 @@
         self._health = health
         deployment.on_change(lambda: health.forget(deployment.replica_names))
         self._budget = budget
+        self._quarantine = quarantine
         self._stop = stop
         self._metrics = metrics
         self._tracing = tracing
@@ -297,14 +300,17 @@
     async def _make_inputs(
         self, context: ServingContext, results: StageResults
     ) -> Result[list[str], Failure]:
-        if not context.route.stages:
-            return Ok([])
+        """Makes a request's stages, unless it is not to run at all."""
+        refusal = self._quarantine.refusal(context)
+        if refusal is not None or not context.route.stages:
+            return Err(refusal) if refusal else Ok([])
         began = self._clock.now()
         handles = await self._stages.run(context, results)
         took_ms = self._clock.now() - began
         context.stages_ms += took_ms
         self._metrics.stages(context.route.name, took_ms)
-        return handles
+        refusal = self._quarantine.refusal(context)
+        return Err(refusal) if refusal else handles
 
     async def _attempt(
         self,
@@ -446,6 +452,10 @@
         verdict = result.verdict
         if verdict is not None and verdict.load is not None:
             self._health.load_told(replica.name, verdict.load)
+        if result.broken:
+            self._quarantine.attempt_broke(context, replica)
+        elif result.ran_to_its_end:
+            self._quarantine.served(context)
         if result.wrong_replica:
             self._deployment.mark_gone(
                 replica, reason="another has its address"
--- a/cactusdyke/serving/measures.py
+++ b/cactusdyke/serving/measures.py
@@ -40,6 +40,25 @@
             ("service",),
             registry=registry,
         )
+        self._crashes = prometheus_client.Counter(
+            "cactusdyke_replica_crashes",
+            "Replicas that crashed under requests of this daemon, by service.",
+            ("service",),
+            registry=registry,
+        )
+        self._quarantined = prometheus_client.Gauge(
+            "cactusdyke_quarantined",
+            "Requests that no replica gets, as replicas crash under them.",
+            registry=registry,
+        )
+
+    def replica_crashed(self, service: str) -> None:
+        """Counts a replica that crashed under requests of this daemon."""
+        self._crashes.labels(service).inc()
+
+    def quarantined(self, count: int) -> None:
+        """Notes how many requests are quarantined."""
+        self._quarantined.set(count)
 
     def ended(self, route: str, outcome: str, took_ms: float) -> None:
         """Counts a request that has ended."""
--- a/cactusdyke/serving/state_exchange.py
+++ b/cactusdyke/serving/state_exchange.py
@@ -69,8 +69,7 @@
         self._changed = anyio.Event()
         self._reading = anyio.Event()
         self._source = ""
-        self._ranked_of: tuple[PeerDaemon, ...] = ()
-        self._ranked: list[PeerDaemon] = []
+        self._readers = state_readers.RankedReaders(daemons=daemons)
         self._avoided: dict[str, Instant] = {}
         for state in states:
             state.on_change(self._note_change)
@@ -131,7 +130,7 @@
                 await self._clock.sleep(GATHER_MS)
 
     def _retry_ms(self) -> float:
-        is_reader = any(reader.own for reader in self._readers())
+        is_reader = any(reader.own for reader in self._readers.now())
         retry_ms = RETRY_MS if is_reader else RETRY_BY_OTHERS_MS
         return retry_ms * self._rng.uniform(0.5, 1.0)
 
@@ -160,14 +159,7 @@
         now = self._clock.now()
         self._avoided = {n: at for n, at in self._avoided.items() if at > now}
         own = next(d for d in self._daemons.all() if d.own)
-        return state_readers.source(own, self._readers(), self._avoided)
-
-    def _readers(self) -> list[PeerDaemon]:
-        daemons = self._daemons.all()
-        if daemons is not self._ranked_of:
-            self._ranked_of = daemons
-            self._ranked = state_readers.readers(daemons)
-        return self._ranked
+        return state_readers.source(own, self._readers.now(), self._avoided)
 
     def _follow(self, source: str) -> None:
         if source == "the store":
@@ -179,7 +171,7 @@
             events.log(events.Event.SERVING_STATE_SOURCE, source=source)
 
     async def _ask_any(self) -> None:
-        others = [d for d in self._readers() if not d.own]
+        others = [d for d in self._readers.now() if not d.own]
         others = others or [d for d in self._daemons.all() if not d.own]
         if others:
             await self._ask(self._rng.choice(others), wait_ms=0.0)
--- a/cactusdyke/serving/state_readers.py
+++ b/cactusdyke/serving/state_readers.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Container, Sequence
 
-    from cactusdyke.serving.peers import PeerDaemon
+    from cactusdyke.serving.peers import PeerDaemon, PeerDaemons
 
 LEAST_READERS = 2
 FOLLOWERS_A_READER = 64
@@ -39,6 +39,23 @@
     return sorted(ranked, key=lambda d: turns[d.name])[:count]
 
 
+class RankedReaders:
+    """The daemons that read the store, ranked anew as members change."""
+
+    def __init__(self, *, daemons: PeerDaemons) -> None:
+        self._daemons = daemons
+        self._ranked_of: tuple[PeerDaemon, ...] = ()
+        self._ranked: list[PeerDaemon] = []
+
+    def now(self) -> list[PeerDaemon]:
+        """Returns them as members are seen now."""
+        daemons = self._daemons.all()
+        if daemons is not self._ranked_of:
+            self._ranked_of = daemons
+            self._ranked = readers(daemons)
+        return self._ranked
+
+
 def source(
     own: PeerDaemon, chosen: Sequence[PeerDaemon], avoided: Container[str]
 ) -> PeerDaemon | None:
--- a/cactusdyke/transport/exchange.py
+++ b/cactusdyke/transport/exchange.py
@@ -41,11 +41,15 @@
 
     Attributes:
         sent: Whether a byte of the request was handed to the connection.
+        refused: Whether the host is there and nothing listens at the address.
     """
 
-    def __init__(self, detail: str, *, sent: bool) -> None:
+    def __init__(
+        self, detail: str, *, sent: bool, refused: bool = False
+    ) -> None:
         super().__init__(detail)
         self.sent = sent
+        self.refused = refused
 
 
 @attrs.frozen(kw_only=True)
@@ -247,7 +251,11 @@
         with clock.timeout(timeout_ms):
             stream = await connect_tcp(host, int(port))
     except (OSError, ValueError) as error:
-        raise ExchangeError(f"{address}: {error}", sent=False) from error
+        raise ExchangeError(
+            f"{address}: {error}",
+            sent=False,
+            refused=isinstance(error, ConnectionRefusedError),
+        ) from error
     if stream is None:
         raise ExchangeError(f"{address}: no connection in time", sent=False)
     try:
--- a/emulator/daemons.py
+++ b/emulator/daemons.py
@@ -19,6 +19,7 @@
 from cactusdyke.serving.measures import ServingMetrics
 from cactusdyke.serving.member_view import MemberView
 from cactusdyke.serving.planned_stop import StopTimes
+from cactusdyke.serving.quarantine import QuarantineStore
 from cactusdyke.serving.retry_budget import RetryAllowance
 from cactusdyke.settings import Settings
 from cactusdyke.transport.front_interface import BrokenOffError
@@ -28,6 +29,8 @@
 from emulator.dialect import EmulatedDialect
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
     from cactusdyke.errors import Failure
     from cactusdyke.transport.front_interface import ReadRequest, Reply
     from cactusdyke.transport.messages import Request
@@ -49,6 +52,28 @@
         return Ok(self._hosts)
 
 
+class _SavedQuarantine(QuarantineStore):
+    """The part of the platform's store that outlives daemons."""
+
+    def __init__(
+        self,
+        *,
+        saved: dict[str, Mapping[str, Any]],
+        name: str,
+        evidence: Callable[[], Mapping[str, Any] | None],
+    ) -> None:
+        self._saved = saved
+        self._name = name
+        self._evidence = evidence
+
+    async def save_quarantine(self) -> Result[None, Failure]:
+        """Saves the daemon's evidence."""
+        evidence = self._evidence()
+        if evidence is not None:
+            self._saved[self._name] = evidence
+        return Ok(None)
+
+
 class EmulatedDaemon:
     """One host's daemon, which may die and come back."""
 
@@ -198,9 +223,17 @@
             allowance=RetryAllowance,
             stop=StopTimes,
             announce=members.announce,
+            quarantine_store=_SavedQuarantine(
+                saved=world.saved,
+                name=self.name,
+                evidence=lambda: core.quarantine.evidence,
+            ),
             metrics=ServingMetrics(registry),
             tracing=Tracing(daemon=self.name, kept=KEPT_SPANS),
         )
+        members.ride("crashes", core.quarantine.rider)
+        for evidence in world.saved.values():
+            core.quarantine.take(evidence)
         deployment.apply(
             deployments.configuration(world.scenario), source="scenario"
         )
--- a/emulator/links.py
+++ b/emulator/links.py
@@ -175,7 +175,9 @@
     async def connect(self, address: str) -> AsyncIterator[Exchange]:
         backend = self._links.backends.get(address)
         if backend is None or backend.gone:
-            raise ExchangeError(f"{address}: nobody there", sent=False)
+            raise ExchangeError(
+                f"{address}: nobody there", sent=False, refused=True
+            )
         way_ms = self._world.way_ms(self._data_centre, backend.data_centre)
         await self._world.clock.sleep(2 * way_ms)
         self._world.counts["connections"] += 1
--- a/emulator/world.py
+++ b/emulator/world.py
@@ -4,7 +4,7 @@
 
 import collections
 import random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
@@ -12,6 +12,8 @@
 from standins.hub import Hub
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from emulator.scenario import Scenario
 
 MB = 1e6
@@ -66,6 +68,7 @@
         self.crashing: collections.defaultdict[str, Crashing] = (
             collections.defaultdict(Crashing)
         )
+        self.saved: dict[str, Mapping[str, Any]] = {}
         self.busy_ms = 0.0
         self.wasted_ms = 0.0
 
--- a/features/steps/quarantine_process_steps.py
+++ b/features/steps/quarantine_process_steps.py
@@ -254,13 +254,9 @@
                 for daemon in DAEMONS:
                     for _ in range(4):
                         tasks.start_soon(_ask_hot, world, daemon)
-                await anyio.sleep(0.03)
-                busiest = max(
-                    (r for r in callers.replicas if r.name[0] == "p"),
-                    key=lambda r: r.under_way,
-                )
-                assert busiest.under_way
-                busiest.crash()
+                plain = [r for r in callers.replicas if r.name[0] == "p"]
+                await until(lambda: any(r.under_way for r in plain))
+                max(plain, key=lambda r: r.under_way).crash()
                 await anyio.sleep(0.6)
         context.answers = [await ask() for _ in range(3)]
 
--- /dev/null
+++ b/features/support/quarantine_fleet.py
@@ -0,0 +1,189 @@
+"""Daemons that watch for crashes of replicas, on a hub in virtual time."""
+
+from __future__ import annotations
+
+import collections
+import contextlib
+import random
+import types
+
+import anyio
+import prometheus_client
+from result import Ok
+
+from cactusdyke.membership.member import Member
+from cactusdyke.serving import state_readers
+from cactusdyke.serving.measures import ServingMetrics
+from cactusdyke.serving.model import Replica, ReplicaState
+from cactusdyke.serving.quarantine import (
+    CRASHES_PATH,
+    Quarantine,
+    QuarantineStore,
+)
+from cactusdyke.transport.exchange import BackendConnections, ExchangeError
+from cactusdyke.transport.routes import Routes
+from features.support.state_fleet import FixedDaemons, peer
+from standins.hub import Hub
+
+PROBE_EVERY_S = 1.0
+
+
+def request(digest):
+    """Returns a request as far as a quarantine looks at it."""
+    return types.SimpleNamespace(digest=digest)
+
+
+def replica(number):
+    return Replica(
+        name=f"r{number}",
+        service="models",
+        address=f"r{number}:1",
+        data_centre="north",
+        state=ReplicaState.READY,
+        slots=1,
+    )
+
+
+class Replicas(BackendConnections):
+    """Replicas that are up, but for those that are down."""
+
+    def __init__(self):
+        self.down = set()
+
+    @contextlib.asynccontextmanager
+    async def connect(self, address):
+        if address in self.down:
+            raise ExchangeError(address, sent=False, refused=True)
+        yield None
+
+
+class Saved(QuarantineStore):
+    """A store that takes everything and keeps nothing."""
+
+    async def save_quarantine(self):
+        return Ok(None)
+
+
+class QuarantineFleet:
+    """Daemons that all know one another, and probe one another by turns."""
+
+    def __init__(self, *, count, probes=False):
+        self.hub = Hub()
+        self.replicas = Replicas()
+        self.quarantines = {}
+        self.messages = collections.Counter()
+        self.cut_off = set()
+        self._probes = probes
+        self._count = count
+        self._views = {}
+        self._rng = random.Random(1)
+
+    async def __aenter__(self):
+        await self.hub.__aenter__()
+        for number in range(self._count):
+            self._start(number)
+        if self._probes:
+            self.hub.start(self._probe)
+        await anyio.sleep(0.1)
+        return self
+
+    async def __aexit__(self, *error):
+        await self.hub.__aexit__(*error)
+
+    @property
+    def collectors(self):
+        return [
+            daemon.name for daemon in state_readers.readers(self._all(None))
+        ]
+
+    @property
+    def others(self):
+        """Daemons that collect nothing."""
+        return [n for n in self.quarantines if n not in self.collectors]
+
+    def crash(self, number, seen):
+        """Crashes a replica; `seen` has the digests under way, by daemon."""
+        crashed = replica(number)
+        self.replicas.down.add(crashed.address)
+        for name, digests in seen.items():
+            for digest in digests:
+                self.quarantines[name].attempt_broke(request(digest), crashed)
+
+    def lose(self, name):
+        """Has all others believe that a daemon is gone."""
+        for own, view in self._views.items():
+            view._daemons = tuple(d for d in self._all(own) if d.name != name)
+        del self.quarantines[name]
+        self._count_lost = name
+
+    async def until_all_refuse(self, digest, names, *, within_s):
+        """Returns after how long all of `names` refuse a request."""
+        began = anyio.current_time()
+        while not all(self.refuses(name, digest) for name in names):
+            assert anyio.current_time() - began < within_s, [
+                n for n in names if not self.refuses(n, digest)
+            ]
+            await anyio.sleep(0.01)
+        return anyio.current_time() - began
+
+    def refuses(self, name, digest):
+        return self.quarantines[name].refusal(request(digest)) is not None
+
+    def _all(self, own):
+        return tuple(
+            peer(n, own=f"d{n}" == own)
+            for n in range(self._count)
+            if f"d{n}" in self.quarantines or own is None or f"d{n}" == own
+        )
+
+    def _start(self, number):
+        name = f"d{number}"
+        view = FixedDaemons(
+            tuple(peer(n, own=n == number) for n in range(self._count))
+        )
+        quarantine = Quarantine(
+            clock=self.hub.clock_of(name),
+            network=self.hub.network(name),
+            connections=self.replicas,
+            daemons=view,
+            store=Saved(),
+            metrics=ServingMetrics(prometheus_client.CollectorRegistry()),
+        )
+        self._views[name] = view
+        self.quarantines[name] = quarantine
+
+        async def handle(request):
+            self.messages[name] += 1
+            return await quarantine.handle(request)
+
+        routes = Routes()
+        routes.add("POST", CRASHES_PATH, handle)
+        self.hub.listen(f"{name}:1", routes.handle, owner=name)
+        self.hub.start(quarantine.run)
+
+    async def _probe(self):
+        """Lets each daemon exchange what membership's messages carry."""
+        riders = {n: q.rider for n, q in self.quarantines.items()}
+        while True:
+            await anyio.sleep(PROBE_EVERY_S)
+            for name in riders:
+                other = self._rng.choice(sorted(riders))
+                if other != name and not {name, other} & self.cut_off:
+                    _carry(riders, name, other)
+                    _carry(riders, other, name)
+
+
+def _carry(riders, sender, receiver):
+    value = riders[sender].write(_member(receiver))
+    if value is not None:
+        riders[receiver].read(_member(sender), value)
+
+
+def _member(name):
+    return Member(
+        name=name,
+        address=f"{name}:1",
+        data_centre="north",
+        region="",
+        incarnation=1,
+    )
--- a/features/support/state_fleet.py
+++ b/features/support/state_fleet.py
@@ -31,7 +31,7 @@
     )
 
 
-class _View(PeerDaemons):
+class FixedDaemons(PeerDaemons):
     def __init__(self, daemons: tuple[PeerDaemon, ...]) -> None:
         self._daemons = daemons
 
@@ -132,7 +132,7 @@
             clock=clock,
             rng=random.Random(self._rng.random()),
             network=network,
-            daemons=_View(daemons),
+            daemons=FixedDaemons(daemons),
             states=[state],
         )
         routes = Routes()
