Have a daemon that starts serve once it knows which requests are quarantined

Cause: the daemon has its configuration and its list of replicas from two calls to the store and the evidence from a third one, and was ready without that. Change: it is ready, and lets requests in, once the store has answered or failed to answer that call, a second after its start at the latest. A scenario for collectors that die after the first crash.

--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -92,7 +92,8 @@
     @property
     def ready(self) -> bool:
         """Whether callers may be sent here."""
-        return self._deployment.ready and not self._stopping.begun
+        informed = self._deployment.ready and self._core.quarantine.informed
+        return informed and not self._stopping.begun
 
     def _build(self) -> None:
         clock, rng, network = self._clock, self._rng, self._network
@@ -159,6 +160,7 @@
             tracing=self._tracing,
         )
         registry.keep(self._core.quarantine)
+        self._core.quarantine.on_informed(self._announce_when_ready)
         self._members.ride("crashes", self._core.quarantine.rider)
         self._front = Front(
             host=self._settings.front.host,
--- a/cactusdyke/platform/registry.py
+++ b/cactusdyke/platform/registry.py
@@ -64,11 +64,13 @@
         answer = await self._store.list(KIND)
         self._tried.set()
         if isinstance(answer, Err):
+            self._inform()
             return answer
         self._listed = True
         self._registered = len(answer.ok_value.objects)
         for entry in answer.ok_value.objects:
             self._load_evidence(entry)
+        self._inform()
         return Ok(
             tuple(
                 ListedHost(
@@ -106,6 +108,10 @@
             spec["crashes"] = {"at": self._clock.wall(), "evidence": evidence}
         return await self._store.put(KIND, self._settings.node, spec)
 
+    def _inform(self) -> None:
+        if self._quarantine is not None:
+            self._quarantine.inform()
+
     def _load_evidence(self, entry: StoreObject) -> None:
         told = isinstance(entry.spec, dict) and "crashes" in entry.spec
         if not told or self._quarantine is None:
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -150,11 +150,11 @@
     def _admit(self, request: ClientRequest) -> Result[ServingContext, Failure]:
         """Finds the route and the customer of a request."""
         configuration = self._deployment.configuration
-        if configuration is None:
+        if configuration is None or not self._quarantine.informed:
             return Err(
                 Failure(
                     kind=FailureKind.UNCONFIRMED,
-                    detail="no configuration is known here yet",
+                    detail="this daemon does not know yet what it may serve",
                     retry_after_ms=outcomes.UNKNOWN_YET_RETRY_AFTER_MS,
                 )
             )
--- a/cactusdyke/serving/quarantine.py
+++ b/cactusdyke/serving/quarantine.py
@@ -38,7 +38,7 @@
 from cactusdyke.transport.network import CallOptions
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from anyio.abc import TaskGroup
     from result import Result
@@ -59,6 +59,8 @@
 CALL_TIMEOUT_MS = 500.0
 RETRY_MS = 500.0
 SAVE_RETRY_MS = 2_000.0
+INFORM_WITHIN_MS = 1_000.0
+"""How long a daemon that starts waits for what was saved before it serves."""
 MOST_CALLS = 16
 """Calls at once to other daemons; a host has a core at most to spend."""
 
@@ -99,6 +101,23 @@
         self._seen = anyio.Event()
         self._told = anyio.Event()
         self._tasks: TaskGroup | None = None
+        self._informed = False
+        self._on_informed: Callable[[], None] = lambda: None
+
+    @property
+    def informed(self) -> bool:
+        """Whether what others know is known here, or waited for in vain."""
+        return self._informed
+
+    def on_informed(self, hook: Callable[[], None]) -> None:
+        """Calls `hook` once that is so."""
+        self._on_informed = hook
+
+    def inform(self) -> None:
+        """Notes that all that was saved has been taken, or can't be had."""
+        if not self._informed:
+            self._informed = True
+            self._on_informed()
 
     @property
     def rider(self) -> Rider:
@@ -158,6 +177,7 @@
             self._tasks = tasks
             tasks.start_soon(self._report)
             tasks.start_soon(self._save)
+            tasks.start_soon(self._wait_for_saved)
             await self._tell_others()
 
     async def handle(self, request: Request) -> Response:
@@ -177,6 +197,10 @@
             )
         return json_response({})
 
+    async def _wait_for_saved(self) -> None:
+        await self._clock.sleep(INFORM_WITHIN_MS)
+        self.inform()
+
     async def _look_at(self, replica: Replica) -> None:
         """Takes a replica for crashed if its host refuses connections.
 
--- a/emulator/daemons.py
+++ b/emulator/daemons.py
@@ -234,6 +234,7 @@
         members.ride("crashes", core.quarantine.rider)
         for evidence in world.saved.values():
             core.quarantine.take(evidence)
+        core.quarantine.inform()
         deployment.apply(
             deployments.configuration(world.scenario), source="scenario"
         )
--- a/features/quarantine/fleet.feature
+++ b/features/quarantine/fleet.feature
@@ -26,12 +26,17 @@
       | has died          |
       | hears of nobody   |
 
-  Scenario: both collectors die between two crashes
+  Scenario Outline: both collectors die after the <number> crash
     # Guards against evidence that only its collectors have.
     Given 61 daemons that watch for crashes
-    When both collectors die after the second crash under one request
+    When both collectors die after the <number> crash under one request
     Then all other daemons refuse it within 1500 ms
 
+    Examples: crashes
+      | number |
+      | first  |
+      | second |
+
   Scenario: a daemon that was cut off hears with its next probe
     # Guards against a message that is sent once.
     Given 61 daemons that watch for crashes
--- a/features/steps/quarantine_fleet_steps.py
+++ b/features/steps/quarantine_fleet_steps.py
@@ -74,17 +74,19 @@
     _play(context, story)
 
 
-@when("both collectors die after the second crash under one request")
-def collectors_die(context):
+@when("both collectors die after the {number} crash under one request")
+def collectors_die(context, number):
     async def story(fleet):
         names = fleet.others[:3]
-        for number in range(2):
-            fleet.crash(number, {names[number]: [BAD]})
-            await anyio.sleep(0.5)
-        for lost in fleet.collectors:
-            fleet.hub.kill(lost)
-            fleet.lose(lost)
-        fleet.crash(2, {names[2]: [BAD]})
+        before = {"first": 1, "second": 2}[number]
+        for crashed, name in enumerate(names):
+            if crashed == before:
+                for lost in fleet.collectors:
+                    fleet.hub.kill(lost)
+                    fleet.lose(lost)
+                await anyio.sleep(1.0)
+            fleet.crash(crashed, {name: [BAD]})
+            await anyio.sleep(0.2)
         context.took = await fleet.until_all_refuse(
             BAD, list(fleet.quarantines), within_s=FOUND_S
         )
--- a/features/support/quarantine_fleet.py
+++ b/features/support/quarantine_fleet.py
@@ -114,7 +114,6 @@
         for own, view in self._views.items():
             view._daemons = tuple(d for d in self._all(own) if d.name != name)
         del self.quarantines[name]
-        self._count_lost = name
 
     async def until_all_refuse(self, digest, names, *, within_s):
         """Returns after how long all of `names` refuse a request."""
