Look twice whether a replica has crashed; fixed ports for the replica stand-in

Cause: a process that ends may break its connections before it stops listening. The look 20 ms after the break found a listener and accused nobody, so the third crash known was a later one. Besides, its ports were in the range of outgoing connections, which may take one while it is down. Change: a replica that still accepts is looked at again after 250 ms. The stand-in takes its ports from the tests' own block.

--- a/cactusdyke/serving/quarantine.py
+++ b/cactusdyke/serving/quarantine.py
@@ -56,6 +56,8 @@
 OK_STATUS = 200
 GATHER_MS = 20.0
 """Connections to a replica that crashes break within a few milliseconds."""
+ENDS_WITHIN_MS = 250.0
+"""A process that ends may break its connections before it stops listening."""
 CALL_TIMEOUT_MS = 500.0
 RETRY_MS = 500.0
 SAVE_RETRY_MS = 2_000.0
@@ -119,6 +121,11 @@
             self._informed = True
             self._on_informed()
 
+    @property
+    def known(self) -> CrashSuspects:
+        """What this daemon has seen and heard."""
+        return self._known
+
     @property
     def rider(self) -> Rider:
         """Has what all daemons are told travel with membership's messages."""
@@ -210,6 +217,9 @@
         try:
             await self._clock.sleep(GATHER_MS)
             down = await self._is_down(replica)
+            if not down:
+                await self._clock.sleep(ENDS_WITHIN_MS)
+                down = await self._is_down(replica)
         finally:
             digests = self._broken.pop(replica.name)
         if not down:
--- a/features/quarantine/processes.feature
+++ b/features/quarantine/processes.feature
@@ -30,6 +30,18 @@
     When it has crashed three replicas and comes to a daemon that stood still
     Then it reaches no replica again
 
+  Scenario: a replica that still listens as its connections break has crashed
+    # Guards against a look that comes before the process has ended.
+    Given three daemons before four replicas that a booking crashes
+    When it has crashed three replicas that each listen for 100 ms more
+    Then it reaches no replica again
+
+  Scenario: a request that waits for its stages is not sent on either
+    # Guards against judging a request only as it arrives.
+    Given three daemons before four replicas that a stream with stages crashes
+    When a daemon hears of its third crash while it waits for its stages
+    Then it reaches no replica again
+
   Scenario: daemons that all died know the request
     # Guards against a loss of all daemons after which everything is tried anew.
     Given three daemons before four replicas that a booking crashes
--- a/features/steps/quarantine_process_steps.py
+++ b/features/steps/quarantine_process_steps.py
@@ -213,6 +213,48 @@
     _play(context, story)
 
 
+@when("it has crashed three replicas that each listen for 100 ms more")
+def listen_on(context):
+    async def story(world, callers):
+        for crashing in callers.replicas:
+            crashing.closes_ms = 100.0
+            crashing.down_ms = 1_000.0
+        with anyio.fail_after(10):
+            while len(callers.crashes) < 3:
+                await callers.crashing()
+                await anyio.sleep(2 * SETTLED_S / 3)
+        await anyio.sleep(SETTLED_S)
+        context.before = len(callers.arrivals)
+        context.answers = [await callers.crashing(name) for name in DAEMONS]
+
+    _play(context, story)
+
+
+@when("a daemon hears of its third crash while it waits for its stages")
+def hears_meanwhile(context):
+    async def story(world, callers):
+        daemon = await world.start_daemon("d4")
+        await callers.crashing("d4")
+        quarantine = daemon._core.quarantine
+        await until(lambda: not quarantine.known.empty)
+        digest = quarantine.known.to_wire()["crashes"][0][0]
+        context.before = len(callers.arrivals)
+        stage = next(r for r in callers.replicas if r.name == "s1")
+        stage.work_ms = 500.0
+        context.answers = []
+
+        async def ask():
+            context.answers.append(await callers.crashing("d4"))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask)
+            await anyio.sleep(0.2)
+            crashes = [[digest, f"elsewhere-{n}", 10] for n in range(2)]
+            quarantine.take({"crashes": crashes, "served": []})
+
+    _play(context, story)
+
+
 @when("it has crashed three replicas and comes to daemons that all died")
 def comes_to_new(context):
     async def story(world, callers):
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -14,6 +14,8 @@
 import h11
 import orjson
 
+from standins.fleet import free_port
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from types import TracebackType
@@ -41,6 +43,7 @@
         crashes_on: A request with these bytes in its path or body ends the
             process soon after it begins to run; None for no such request.
         crash_after_ms: How long after.
+        closes_ms: How long it still listens once its connections have broken.
         down_ms: How long the process is down; it comes back under a new id.
         crashing_arrivals: When it was sent such a request.
         crashes: When it crashed, and with which requests under way.
@@ -64,6 +67,7 @@
         self.reports = 0
         self.crashes_on: bytes | None = None
         self.crash_after_ms = 30.0
+        self.closes_ms = 0.0
         self.down_ms = 300.0
         self.crashing_arrivals: list[float] = []
         self.crashes: list[tuple[float, list[str]]] = []
@@ -75,8 +79,10 @@
         self.address = ""
 
     async def __aenter__(self) -> Self:
-        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        port = free_port()
+        listener = await anyio.create_tcp_listener(
+            local_host="127.0.0.1", local_port=port
+        )
         self.address = f"127.0.0.1:{port}"
         self._tasks = await self._stack.enter_async_context(
             anyio.create_task_group()
@@ -96,9 +102,11 @@
     async def _live(self, listener: Any, port: int) -> None:
         """Serves; starts again under a new id after each crash."""
         for start in itertools.count(1):
-            with anyio.CancelScope() as self._process:
-                async with listener:
+            async with listener:
+                with anyio.CancelScope() as self._process:
                     await listener.serve(self._connection)
+                if self.closes_ms:
+                    await anyio.sleep(self.closes_ms / 1000.0)
             await anyio.sleep(self.down_ms / 1000.0)
             listener = await anyio.create_tcp_listener(
                 local_host="127.0.0.1", local_port=port
