--- a/features/quarantine/evidence.feature
+++ b/features/quarantine/evidence.feature
@@ -39,6 +39,11 @@
     And a rule that counts crashes only is caught
     And a rule that counts shared crashes for all that share most is caught
 
+  Scenario: a daemon that starts without the store keeps what it had saved
+    # Guards against replacing the last copy before it was read.
+    When a daemon starts while the store is away, and it comes back
+    Then it registers only with the evidence that it had saved before
+
   Scenario Outline: evidence that can't be read is refused: <value>
     # Guards against a daemon that ends over another one's message.
     When a daemon is sent <value> as evidence
--- a/features/steps/quarantine_evidence_steps.py
+++ b/features/steps/quarantine_evidence_steps.py
@@ -5,6 +5,7 @@
 import json
 import random
 import tracemalloc
+import types
 
 import anyio
 import prometheus_client
@@ -12,7 +13,11 @@
 from hypothesis import given as given_values
 from hypothesis import settings
 from hypothesis import strategies as st
+from result import Err, Ok
 
+from cactusdyke.errors import Failure, FailureKind
+from cactusdyke.infrastructure.watched_store import Listing, StoreObject
+from cactusdyke.platform.registry import DaemonRegistry
 from cactusdyke.serving.crash_suspects import (
     CRASHES,
     MOST_CRASHES,
@@ -245,25 +250,82 @@
     assert any(blamed for blamed, _ in context.storms[SharesBlame])
 
 
+GOOD = {"crashes": [["bad", f"r{n}", 5] for n in range(3)], "served": []}
+
+
+def _quarantine(hub):
+    return Quarantine(
+        clock=hub.clock,
+        network=hub.network("d0"),
+        connections=Replicas(),
+        daemons=FixedDaemons((peer(0, own=True),)),
+        store=Saved(),
+        metrics=ServingMetrics(prometheus_client.CollectorRegistry()),
+    )
+
+
+class LateStore:
+    """A store that is away for the first listings."""
+
+    def __init__(self, objects):
+        self.objects = objects
+        self.away = 2
+        self.written = []
+
+    async def list(self, kind):
+        self.away -= 1
+        if self.away >= 0:
+            detail = "the store is away"
+            return Err(Failure(kind=FailureKind.STORE_UNKNOWN, detail=detail))
+        return Ok(Listing(objects=self.objects, revision=1))
+
+    async def put(self, kind, name, spec):
+        self.written.append(spec)
+        return Ok(None)
+
+
+@when("a daemon starts while the store is away, and it comes back")
+def starts_without_store(context):
+    async def story():
+        async with Hub() as hub:
+            quarantine = _quarantine(hub)
+            saved = {"at": hub.clock.wall(), "evidence": GOOD}
+            context.store = LateStore(
+                (StoreObject(name="d0", revision=1, spec={"crashes": saved}),)
+            )
+            settings = types.SimpleNamespace(
+                node="d0",
+                zone="here",
+                peer=types.SimpleNamespace(address="d0:1"),
+            )
+            registry = DaemonRegistry(
+                settings=settings, store=context.store, clock=hub.clock
+            )
+            registry.keep(quarantine)
+            hub.start(registry.run)
+            await registry.read()
+            await anyio.sleep(5.0)
+            context.refused = quarantine.refusal(request("bad"))
+
+    run_virtual(story)
+
+
+@then("it registers only with the evidence that it had saved before")
+def check_kept_saved(context):
+    assert len(context.store.written) == 1, context.store.written
+    evidence = context.store.written[0]["crashes"]["evidence"]
+    assert len(evidence["crashes"]) == CRASHES
+    assert context.refused is not None
+
+
 @when("a daemon is sent {value} as evidence")
 def sent_nonsense(context, value):
     async def story():
         async with Hub() as hub:
-            quarantine = Quarantine(
-                clock=hub.clock,
-                network=hub.network("d0"),
-                connections=Replicas(),
-                daemons=FixedDaemons((peer(0, own=True),)),
-                store=Saved(),
-                metrics=ServingMetrics(prometheus_client.CollectorRegistry()),
-            )
+            quarantine = _quarantine(hub)
             hub.start(quarantine.run)
             await anyio.sleep(0.1)
-            good = {
-                "crashes": [["bad", f"r{n}", 5] for n in range(3)],
-                "served": [],
-            }
-            quarantine.take(good)
+            quarantine.take(GOOD)
             answer = await quarantine.handle(
                 Request(method="POST", path="/", body=value.encode())
             )
