Postmortem of the requests that crash replicas; a bound that no scenario held

Cause: taking the bound of served requests out was noticed by no scenario. Change: the scenario counts them. Result: with the bound out one scenario of evidence fails, with it 15 pass.

--- a/features/steps/quarantine_evidence_steps.py
+++ b/features/steps/quarantine_evidence_steps.py
@@ -21,6 +21,7 @@
 from cactusdyke.serving.crash_suspects import (
     CRASHES,
     MOST_CRASHES,
+    MOST_SERVED,
     MOST_SUSPECTS,
     MOST_TOLD,
     QUARANTINE_MS,
@@ -143,6 +144,7 @@
 def check_bounded(context):
     known = context.known
     assert len(known._suspects) <= MOST_SUSPECTS
+    assert len(known._served) <= MOST_SERVED
     assert len(known.crashes("bad")) <= MOST_CRASHES
     assert context.held < 2_000_000, context.held
     if not known.empty:
