--- a/features/run.py
+++ b/features/run.py
@@ -58,7 +58,9 @@
                 if element["type"] == "background":
                     continue
                 good = element["status"] == "passed"
-                (passed if good else failed).append(element["name"])
+                # Rows of an unnamed table of examples end in a space.
+                name = element["name"].strip()
+                (passed if good else failed).append(name)
     if done.returncode and not failed:
         failed.append(f"{room}: behave ended with {done.returncode}")
     return RoomResult(room=room, passed=passed, failed=failed, output=output)
