Give each process of tests a block of ports that no other one draws from

Cause: blocks of ports were chosen by process id modulo 100, so two rooms that run side by side could share one. Since replicas' stand-ins draw from them as well rooms with many replicas hold many. Change: a process listens on its block's first port, and takes another block where that is taken.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import hashlib
 import itertools
 import json
@@ -29,6 +30,7 @@
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 30.0
 _next_port = itertools.count()
+_guards: list[socket.socket] = []
 OPERATOR_TOKEN = "operator-token"
 PEER_TOKEN = "peer-token"
 CUSTOMER_TOKEN = "customer-token"
@@ -46,9 +48,9 @@
     server listens, which shows as a process that does not start. These ports
     are below the system's range, and each process of tests has its own block.
     """
-    block = FIRST_PORT + os.getpid() % PORT_BLOCKS * PORTS_IN_BLOCK
+    block = _own_block(os.getpid())
     for _ in range(PORTS_IN_BLOCK):
-        port = block + next(_next_port) % PORTS_IN_BLOCK
+        port = block + 1 + next(_next_port) % (PORTS_IN_BLOCK - 1)
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             probe.bind((HOST, port))
@@ -56,6 +58,27 @@
     raise RuntimeError(f"no port of {block} and the next ones is free")
 
 
+@functools.cache
+def _own_block(process_id: int) -> int:
+    """Returns the first port of a process's block, and keeps others out.
+
+    The block's first port is listened on for as long as the process lives.
+    """
+    for turn in range(PORT_BLOCKS):
+        number = (process_id + turn) % PORT_BLOCKS
+        block = FIRST_PORT + number * PORTS_IN_BLOCK
+        guard = socket.socket()
+        try:
+            guard.bind((HOST, block))
+            guard.listen()
+        except OSError:
+            guard.close()
+            continue
+        _guards.append(guard)
+        return block
+    raise RuntimeError("every block of ports has an owner")
+
+
 @attrs.define(kw_only=True)
 class Process:
     """A process of the fleet."""
