A decider that only one daemon finds silent keeps its service

The decider machine failed on hypothesis seed 1: d2 was replaced by d1. Cause: a daemon avoids one that it finds silent for 2 s, and announces itself as decider after 1 s of deciding. So a daemon that could not reach the decider for a moment announced itself while all others still used the former decider, and ranked first among two that announce. It now announces only if it would be the decider with the silent daemons counted as well.

Ruled out: gossip order (the example has none lost) and the ranking itself (equal in all views).

The naive machine that prefers itself was no longer found on seed 0, as two daemons announce less often; of seeds 0 to 5 it is found on seed 2, where the other naive machine is found too and the correct one is clean.

--- a/cactusdyke/serving/decided_services.py
+++ b/cactusdyke/serving/decided_services.py
@@ -23,6 +23,10 @@
     has not reached it yet. Announcing this at once would reach the other
     daemons at different times and make the service switch back and forth
     between deciders, for two seconds in practice.
+
+    A daemon that replaces a decider which only itself finds silent announces
+    nothing: avoidance of the silent daemon ends later than the delay, and the
+    announcement would take the service from a decider that all others use.
     """
 
     def __init__(self, *, clock: Clock, deciders: DeciderDirectory) -> None:
@@ -51,7 +55,7 @@
         self._since = {
             name: self._since.get(name, now)
             for name in services
-            if self._deciders.decider_by_membership(name).is_local
+            if self._deciders.decides_undisputed(name)
         }
         before = self._service_hashes
         self._service_hashes = frozenset(
--- a/cactusdyke/serving/decider_directory.py
+++ b/cactusdyke/serving/decider_directory.py
@@ -68,6 +68,19 @@
             self._decider_by_service[service] = first
         return first
 
+    def decides_undisputed(self, service: str) -> bool:
+        """Returns whether this daemon is the decider for all other daemons too.
+
+        It is not if it is the decider only because another daemon, which all
+        others still use, does not answer this one.
+        """
+        if not self.decider_by_membership(service).is_local:
+            return False
+        if not self._ranked_silent:
+            return True
+        daemons = self._ranked_daemons
+        return peers.rank_deciders(service, daemons, ())[0].is_local
+
     def local_daemon(self) -> PeerDaemon:
         """Returns this daemon."""
         return next(d for d in self._daemons.all() if d.is_local)
--- a/features/serving/deciders.feature
+++ b/features/serving/deciders.feature
@@ -74,6 +74,24 @@
     Then no example violates an invariant
     And the invariants fail with the hash alone, and with self-preferring daemons
 
+  Scenario Outline: the decider machine on seed <seed>
+    # Guards against orders of events that the machine's own examples lack.
+    When the decider machine runs 40 examples on seed <seed>
+    Then no example violates an invariant
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
+  Scenario: a decider that is silent to one daemon alone stays the decider
+    # Guards against a daemon that cannot reach the decider for two seconds and
+    # takes the service from it for all others.
+    Given four daemons that agree on a decider which the hash does not prefer
+    When the preferred one finds it silent until gossip has spread again
+    Then all four still choose the former decider
+
   Scenario: a daemon announces itself as decider after one second
     # As a decider left, each daemon that ranked itself first announced this at
     # once, and the service switched deciders thirteen times in two seconds.
--- a/features/steps/deciders_steps.py
+++ b/features/steps/deciders_steps.py
@@ -42,6 +42,7 @@
     machine_fails,
 )
 from features.support.decider_machine import (
+    NAMES,
     DeciderMachine,
     HashOnlyMachine,
     Node,
@@ -51,11 +52,11 @@
 
 SERVICE = "stage"
 ENGINE = EngineSpec(slots=64, kv_tokens=600_000)
-NAIVE_SEED = 0
+NAIVE_SEED = 2
 """Seed of the naive machines' examples.
 
 The examples must not depend on the class's source text, from which derandomize
-takes its seed. The correct machine is clean on this seed, though not on all.
+takes its seed. The correct machine must be clean on this seed.
 """
 
 
@@ -492,17 +493,22 @@
     context.violation = machine_fails(DeciderMachine, 40)
 
 
+@when("the decider machine runs 40 examples on seed {number:d}")
+def run_machine_on_seed(context, number):
+    context.violation = _seeded_violation(DeciderMachine, number)
+
+
 @then("no example violates an invariant")
 def no_violation(context):
     assert not context.violation, context.violation
 
 
-def _seeded_violation(machine):
-    """Returns what a machine finds broken with NAIVE_SEED, empty if nothing.
+def _seeded_violation(machine, number=NAIVE_SEED):
+    """Returns what a machine finds broken with a seed, empty if nothing.
 
     The seed is set on a subclass, as it would stay on the class.
     """
-    seeded = seed(NAIVE_SEED)(type(machine.__name__, (machine,), {}))
+    seeded = seed(number)(type(machine.__name__, (machine,), {}))
     return machine_fails(seeded, 40)
 
 
@@ -518,6 +524,29 @@
     assert not correct, correct
 
 
+@given("four daemons that agree on a decider which the hash does not prefer")
+def agreed_on_second(context):
+    context.machine = DeciderMachine()
+    context.machine.heal(NAMES)
+    context.preferred = context.machine.agreed
+    context.machine.stop(context.preferred)
+    context.machine.all_restart(NAMES)
+    context.agreed = context.machine.agreed
+    assert context.agreed != context.preferred
+
+
+@when("the preferred one finds it silent until gossip has spread again")
+def preferred_finds_silent(context):
+    context.machine.silence(context.preferred, context.agreed)
+    context.machine.heal(NAMES)
+
+
+@then("all four still choose the former decider")
+def former_decider(context):
+    nodes = context.machine.nodes.values()
+    assert {node.decider() for node in nodes} == {context.agreed}
+
+
 @given("a daemon that schedules work of a service")
 def schedules_work(context):
     context.clock = ManualClock()
