Parse answers with httptools in place of h11

Each request costs a daemon some ten exchanges as a client, with replicas and with deciders, and h11 takes most of the time of one. httptools is in the runtime already, for the server side.

AnswerParser keeps what decides whether an answer may be used: bytes behind its end, a body that ends with its connection, interim answers, a bound on heads. A request head that contains a line end within a part is refused as not sent, as h11 did.

--- a/cactusdyke/serving/dialect.py
+++ b/cactusdyke/serving/dialect.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from cactusdyke.transport.exchange import Headers
+from cactusdyke.transport.answer_parser import Headers
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -18,7 +18,7 @@
     from cactusdyke.errors import Failure
     from cactusdyke.serving.model import Replica
     from cactusdyke.serving.request import ClientRequest, ServingContext
-    from cactusdyke.transport.exchange import AnswerHead
+    from cactusdyke.transport.answer_parser import AnswerHead
     from cactusdyke.transport.front_interface import ReadRequest
 
 
--- a/cactusdyke/transport/exchange.py
+++ b/cactusdyke/transport/exchange.py
@@ -1,21 +1,26 @@
-"""One request and its answer on one connection, with h11.
+"""One request and its answer on one connection.
 
 A client library hides what decides whether an answer may be used: bytes behind
 its end, whether the end was a close or a reset, the exact moment of the first
-byte sent. h11 shows all of them.
+byte sent.
 """
 
 from __future__ import annotations
 
 import abc
 import contextlib
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import anyio
-import attrs
-import h11
 
 from cactusdyke.transport import sockets
+from cactusdyke.transport.answer_parser import (
+    AnswerError,
+    AnswerHead,
+    AnswerParser,
+    Headers,
+    encode_request,
+)
 from cactusdyke.transport.tcp_stream import connect_tcp
 
 if TYPE_CHECKING:
@@ -28,13 +33,11 @@
     from cactusdyke.transport.tcp_stream import TcpStream
 
 READ_BYTES = 65_536
-MOST_HEAD_BYTES = 65_536
+MAX_HEAD_BYTES = 65_536
 CONNECT_TIMEOUT_MS = 400.0
 """The opening packet is sent again after a second only; another replica, or
 the same one anew, answers sooner than that."""
 
-Headers = list[tuple[bytes, bytes]]
-
 
 class ExchangeError(Exception):
     """The exchange ended without a whole answer.
@@ -52,18 +55,6 @@
         self.refused = refused
 
 
-@attrs.frozen(kw_only=True)
-class AnswerHead:
-    """Status and headers of an answer; header names in lower case."""
-
-    status: int
-    headers: Headers
-
-    def get(self, name: bytes) -> bytes | None:
-        """Returns the first header of that name."""
-        return next((value for key, value in self.headers if key == name), None)
-
-
 class Exchange(abc.ABC):
     """Sends one request to a backend server and reads its answer."""
 
@@ -139,9 +130,7 @@
     def __init__(self, *, stream: ByteStream, address: str) -> None:
         self._stream = stream
         self._address = address
-        self._connection = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MOST_HEAD_BYTES
-        )
+        self._parser = AnswerParser(method="", max_head_bytes=MAX_HEAD_BYTES)
         self._sent = False
 
     @property
@@ -151,12 +140,8 @@
 
     def next_exchange(self) -> bool:
         """Makes ready for another request; returns whether there may be one."""
-        http = self._connection
-        if not (http.our_state is http.their_state is h11.DONE):
+        if not self._parser.may_reuse_connection:
             return False
-        if http.trailing_data[0]:
-            return False
-        http.start_next_cycle()
         self._sent = False
         return True
 
@@ -166,18 +151,18 @@
         """Sends a request.
 
         Raises:
-            ExchangeError: The connection broke.
+            ExchangeError: The request cannot be encoded; nothing was sent.
         """
-        head = self._connection.send(
-            h11.Request(method=method, target=target, headers=headers)
+        self._parser = AnswerParser(
+            method=method, max_head_bytes=MAX_HEAD_BYTES
         )
-        data = self._connection.send(h11.Data(data=body)) if body else b""
-        end = self._connection.send(h11.EndOfMessage())
+        try:
+            data = encode_request(method, target, headers, body)
+        except ValueError as error:
+            raise self._error(str(error)) from error
         self._sent = True
         try:
-            await self._stream.send(
-                (head or b"") + (data or b"") + (end or b"")
-            )
+            await self._stream.send(data)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             # It may have answered before it read all, and closed then. What
             # it said is still to be read; reading fails if it said nothing.
@@ -189,15 +174,11 @@
         Raises:
             ExchangeError: The connection broke, or no answer came.
         """
-        while True:
-            event = await self._next()
-            if isinstance(event, h11.InformationalResponse):
-                continue
-            if isinstance(event, h11.Response):
-                return AnswerHead(
-                    status=event.status_code, headers=list(event.headers)
-                )
-            raise self._error("the connection ended before an answer")
+        while self._parser.head is None:
+            await self._receive()
+            if self._parser.head is None:
+                self._check()
+        return self._parser.head
 
     async def body(self) -> AsyncIterator[bytes]:
         """Yields the answer's body; ends only at its real end.
@@ -206,29 +187,28 @@
             ExchangeError: The body was cut short.
         """
         while True:
-            event = await self._next()
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
+            try:
+                data = self._parser.take_body()
+            except AnswerError as error:
+                raise self._error(str(error)) from error
+            if data:
+                yield data
+            elif self._parser.done:
                 return
             else:
-                raise self._error("the answer was cut short")
+                await self._receive()
 
-    async def _next(self) -> Any:
-        while True:
-            try:
-                event = self._connection.next_event()
-            except h11.RemoteProtocolError as error:
-                raise self._error(f"no HTTP answer: {error}") from error
-            if event is not h11.NEED_DATA:
-                return event
-            self._connection.receive_data(await self._receive())
-
-    async def _receive(self) -> bytes:
+    def _check(self) -> None:
+        try:
+            self._parser.check()
+        except AnswerError as error:
+            raise self._error(str(error)) from error
+
+    async def _receive(self) -> None:
         try:
-            return await self._stream.receive(READ_BYTES)
+            self._parser.feed(await self._stream.receive(READ_BYTES))
         except anyio.EndOfStream:
-            return b""
+            self._parser.feed_eof()
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             raise self._error("the connection was reset") from error
 
--- a/cactusdyke/transport/http_network.py
+++ b/cactusdyke/transport/http_network.py
@@ -13,11 +13,7 @@
 from cactusdyke.errors import CactusdykeError, Failure, FailureKind, Ran
 from cactusdyke.transport import sockets
 from cactusdyke.transport.bounded_stream import BoundedStream
-from cactusdyke.transport.exchange import (
-    AnswerHead,
-    ExchangeError,
-    SocketExchange,
-)
+from cactusdyke.transport.exchange import ExchangeError, SocketExchange
 from cactusdyke.transport.kept_connections import (
     KeptConnection,
     KeptConnections,
@@ -30,6 +26,7 @@
     from collections.abc import AsyncIterator, Mapping
     from types import TracebackType
 
+    from cactusdyke.transport.answer_parser import AnswerHead
     from cactusdyke.transport.messages import Request
 
 CLEAN_EVERY_MS = 1_000.0
--- a/emulator/dialect.py
+++ b/emulator/dialect.py
@@ -28,7 +28,7 @@
     from cactusdyke.serving.dialect import Piece
     from cactusdyke.serving.model import Replica
     from cactusdyke.serving.request import ServingContext
-    from cactusdyke.transport.exchange import AnswerHead, Headers
+    from cactusdyke.transport.answer_parser import AnswerHead, Headers
     from cactusdyke.transport.front_interface import ReadRequest
     from emulator.scenario import Scenario
 
--- a/emulator/links.py
+++ b/emulator/links.py
@@ -11,8 +11,8 @@
 import attrs
 import orjson
 
+from cactusdyke.transport.answer_parser import AnswerHead
 from cactusdyke.transport.exchange import (
-    AnswerHead,
     BackendConnections,
     Exchange,
     ExchangeError,
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from cactusdyke.transport.exchange import Headers
+    from cactusdyke.transport.answer_parser import Headers
     from emulator.world import World
 
 
--- a/features/steps/stage_retry_steps.py
+++ b/features/steps/stage_retry_steps.py
@@ -17,8 +17,8 @@
 from cactusdyke.serving.deployment import Deployment
 from cactusdyke.serving.stage_queue import REFUSED_PAUSE_MS
 from cactusdyke.serving.stage_replicas import MIN_BACKOFF_MS, NO_MEMORY_PAUSE_MS
+from cactusdyke.transport.answer_parser import AnswerHead
 from cactusdyke.transport.exchange import (
-    AnswerHead,
     BackendConnections,
     Exchange,
     ExchangeError,
