--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -169,6 +169,18 @@
         "This daemon hears of the platform's store from another source now.",
         "",
     )
+    DATA_CENTRE_EVACUATED = (
+        2209,
+        "The operator evacuates a data centre; its backend servers get no new"
+        " work from this daemon.",
+        "",
+    )
+    DATA_CENTRE_RETURNED = (
+        2210,
+        "A data centre is no longer evacuated; its backend servers get new"
+        " work again, and count as cold at first.",
+        "",
+    )
     REQUEST_ANSWERED = (4301, "A request was answered by a replica.", "")
     REQUEST_FAILED = (
         4302,
--- a/cactusdyke/platform/decode.py
+++ b/cactusdyke/platform/decode.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Any
 
 from result import Err, Ok, Result
 
+from cactusdyke.clock import MS_PER_SECOND
 from cactusdyke.errors import Failure, FailureKind
 from cactusdyke.serving.model import (
     BatchSpec,
@@ -78,6 +80,7 @@
                 state=ReplicaState(spec["state"]),
                 slots=int(spec.get("capacity") or 1),
                 born=born if isinstance(born, int) else 0,
+                cold_left_ms=_duration(spec.get("cold_left_ms")),
             )
         )
     except _MISFORMED as error:
@@ -163,6 +166,8 @@
             else None
         ),
         batching=_batching(pieces) if pieces else None,
+        cold_ms=float(value.get("cold_s") or 0) * MS_PER_SECOND,
+        cold_requests_per_s=float(value.get("cold_per_s") or 0),
     )
 
 
@@ -174,7 +179,7 @@
         call_ms=float(value.get("call_ms") or 0),
         piece_ms=float(value.get("item_ms") or 0),
         result_capacity_bytes=float(value["headroom_mb"]) * BYTES_PER_MB,
-        result_lifetime_ms=float(value.get("handle_s") or 1) * 1000.0,
+        result_lifetime_ms=float(value.get("handle_s") or 1) * MS_PER_SECOND,
     )
 
 
@@ -187,6 +192,16 @@
     )
 
 
+def _duration(value: Any) -> float | None:
+    """Returns a duration in milliseconds, None if it is not stated."""
+    if value is None:
+        return None
+    duration_ms = float(value)
+    if not math.isfinite(duration_ms) or duration_ms < 0:
+        raise ValueError(f"no duration: {value!r}")
+    return duration_ms
+
+
 def _text(value: Any) -> str:
     if not isinstance(value, str):
         raise TypeError(f"a text is needed in place of {value!r}")
--- a/cactusdyke/platform/follow.py
+++ b/cactusdyke/platform/follow.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, ClassVar
 
 from result import Err
 
@@ -23,17 +23,26 @@
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 REPLICAS_KIND = "servers"
+EVACUATIONS_KIND = "evacuations"
 
 
-class ConfigurationState(FollowedState):
-    """Puts the operator's newest configuration in force."""
+class DeploymentState(FollowedState):
+    """State of one kind in the store that a deployment consists of."""
+
+    kind: ClassVar[str]
 
     def __init__(
         self, *, store: WatchedStore, clock: Clock, deployment: Deployment
     ) -> None:
-        super().__init__(kind=CONFIGURATION_KIND, store=store, clock=clock)
+        super().__init__(kind=self.kind, store=store, clock=clock)
         self._deployment = deployment
 
+
+class ConfigurationState(DeploymentState):
+    """Puts the operator's newest configuration in force."""
+
+    kind = CONFIGURATION_KIND
+
     def _apply_objects(self, source: str) -> None:
         entry = self._objects.get(CONFIGURATION_NAME)
         if entry is None:
@@ -50,19 +59,35 @@
             return
         self._deployment.apply(decoded.ok_value, source=source)
 
-    def _apply_change(self, change: Change) -> None:
+    def _apply_change(self, change: Change, source: str) -> None:
         if change.object.name == CONFIGURATION_NAME and not change.deleted:
-            self._apply_objects("store")
+            self._apply_objects(source)
+
+
+class EvacuationState(DeploymentState):
+    """Keeps the list of evacuated data centres.
 
+    An entry evacuates the data centre that it is named after, whatever its
+    content is: a malformed entry still shows that somebody wants the data
+    centre to receive nothing.
+    """
 
-class ReplicaState(FollowedState):
+    kind = EVACUATIONS_KIND
+
+    def _apply_objects(self, source: str) -> None:
+        self._deployment.replace_evacuated(
+            frozenset(self._objects), source=source
+        )
+
+    def _apply_change(self, change: Change, source: str) -> None:
+        del change
+        self._apply_objects(source)
+
+
+class ReplicaState(DeploymentState):
     """Keeps the list of replicas, each entry decoded alone."""
 
-    def __init__(
-        self, *, store: WatchedStore, clock: Clock, deployment: Deployment
-    ) -> None:
-        super().__init__(kind=REPLICAS_KIND, store=store, clock=clock)
-        self._deployment = deployment
+    kind = REPLICAS_KIND
 
     def _apply_objects(self, source: str) -> None:
         del source
@@ -75,7 +100,8 @@
                 replicas.append(decoded.ok_value)
         self._deployment.replace_replicas(replicas)
 
-    def _apply_change(self, change: Change) -> None:
+    def _apply_change(self, change: Change, source: str) -> None:
+        del source
         entry = change.object
         if change.deleted:
             self._deployment.remove_replica(entry.name)
--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -22,7 +22,12 @@
 from cactusdyke.observe.tracing import Tracing, request_span, trace_id
 from cactusdyke.platform import settings as platform_settings
 from cactusdyke.platform.addresses import READY_PATH, RESOLVE_PATH, Addresses
-from cactusdyke.platform.follow import ConfigurationState, ReplicaState
+from cactusdyke.platform.follow import (
+    ConfigurationState,
+    DeploymentState,
+    EvacuationState,
+    ReplicaState,
+)
 from cactusdyke.platform.registry import DaemonRegistry
 from cactusdyke.platform.settings import Endpoint
 from cactusdyke.platform.store import StoreClient
@@ -97,7 +102,9 @@
 
     def _build(self) -> None:
         clock, rng, network = self._clock, self._rng, self._network
-        self._deployment = Deployment(clock=clock)
+        self._deployment = Deployment(
+            clock=clock, follows_evacuations=self._settings.follows_evacuations
+        )
         store = StoreClient(
             address=self._settings.store, network=network, clock=clock
         )
@@ -129,9 +136,12 @@
             ),
             busy=lambda: load.busy,
         )
+        kinds: list[type[DeploymentState]] = [ConfigurationState, ReplicaState]
+        if self._settings.follows_evacuations:
+            kinds.append(EvacuationState)
         states = [
-            state(store=store, clock=clock, deployment=self._deployment)
-            for state in (ConfigurationState, ReplicaState)
+            kind(store=store, clock=clock, deployment=self._deployment)
+            for kind in kinds
         ]
         self._deployment.on_change(self._announce_when_ready)
         self._exchange = StateExchange(
@@ -143,6 +153,7 @@
         )
         self._tracing = Tracing(daemon=self._settings.node, kept=KEPT_SPANS)
         metrics = ServingMetrics(self._registry)
+        metrics.watch_deployment(self._deployment)
         self._core = ServingCore(
             clock=clock,
             rng=rng,
@@ -153,6 +164,7 @@
             daemons=self._view,
             data_centre=self._settings.zone,
             retry_allowance=lambda: self._settings.retries,
+            cold_allowance=lambda: self._settings.cold_requests,
             stop_times=lambda: self._stopping.times,
             announce=self._members.announce,
             quarantine_store=registry,
--- a/cactusdyke/platform/settings.py
+++ b/cactusdyke/platform/settings.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from cactusdyke.errors import Failure, FailureKind
+from cactusdyke.serving.cold_replicas import ColdAllowance
 from cactusdyke.serving.retry_budget import RetryAllowance
 from cactusdyke.settings import Peer, Settings
 
@@ -53,6 +54,8 @@
         memory_mb: Memory at which the process is killed.
         cores: The host's processor, in cores.
         link_mbps: The host's own link.
+        cold_requests: What all daemons may send to a cold replica.
+        follows_evacuations: Whether the operator may evacuate data centres.
     """
 
     node: str
@@ -70,6 +73,8 @@
     memory_mb: float
     cores: float
     link_mbps: float
+    cold_requests: ColdAllowance
+    follows_evacuations: bool
 
     def product_settings(self) -> Settings:
         """Returns the settings of the product's own daemon."""
@@ -153,6 +158,11 @@
         cores=float(limits.get("cpu_share", 1))
         * float(limits.get("cpu_cores", 1)),
         link_mbps=float(limits.get("link_mbps", 1_000)),
+        cold_requests=ColdAllowance(
+            overshoot=float(bounds.get("cold_overshoot", 1)),
+            slack=float(bounds.get("cold_slack", 0)),
+        ),
+        follows_evacuations="evacuate_ms" in bounds,
     )
 
 
--- a/cactusdyke/serving/batcher.py
+++ b/cactusdyke/serving/batcher.py
@@ -22,6 +22,7 @@
     from anyio.abc import TaskGroup
 
     from cactusdyke.clock import Clock
+    from cactusdyke.serving.cold_replicas import ColdRequestLimit
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.dialect import Dialect
     from cactusdyke.serving.model import BatchSpec, Replica
@@ -65,8 +66,10 @@
         connections: BackendConnections,
         tasks: TaskGroup,
         free_inputs: FreeInputs,
+        cold_limit: ColdRequestLimit,
     ) -> None:
         self._free_inputs = free_inputs
+        self._cold_limit = cold_limit
         self._connections = connections
         self._service = service
         self._clock = clock
@@ -248,12 +251,22 @@
             self._queue.set_data_centre(replica.name, replica.data_centre)
         return [replica.name for replica in usable]
 
+    def _callable_replicas(self) -> list[str]:
+        """Returns the usable replicas without cold ones that need a pause."""
+        exhausted = self._cold_limit.exhausted(
+            self._deployment.usable_replicas(self._service)
+        )
+        return [n for n in self._usable_replicas() if n not in exhausted]
+
     def _start_calls(self) -> None:
         """Starts all calls that can be made now; schedules further checks."""
         while True:
-            batch = self._queue.next_batch(self._usable_replicas())
+            batch = self._queue.next_batch(self._callable_replicas())
             if batch is None:
                 break
+            replica = self._deployment.replica(batch.replica_name)
+            if replica is not None:
+                self._cold_limit.record(replica)
             self._tasks.start_soon(self._call, batch)
         # No event signals that a replica's pause is over, that results in its
         # memory have expired, or that another replica has joined.
--- a/cactusdyke/serving/core.py
+++ b/cactusdyke/serving/core.py
@@ -5,7 +5,9 @@
 from typing import TYPE_CHECKING
 
 from cactusdyke.serving.attempt import AttemptRunner
+from cactusdyke.serving.cold_replicas import ColdRequestLimit
 from cactusdyke.serving.connection_share import ConnectionShare
+from cactusdyke.serving.decided_services import DecidedServices
 from cactusdyke.serving.decider import Decider
 from cactusdyke.serving.decider_directory import DeciderDirectory
 from cactusdyke.serving.decider_interface import DeciderInterface
@@ -30,6 +32,7 @@
     from cactusdyke.clock import Clock
     from cactusdyke.kernel import Service
     from cactusdyke.observe.tracing import Tracing
+    from cactusdyke.serving.cold_replicas import ColdAllowance
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.dialect import Dialect
     from cactusdyke.serving.metrics import ServingMetrics
@@ -61,6 +64,7 @@
         daemons: PeerDaemons,
         data_centre: str,
         retry_allowance: Callable[[], RetryAllowance],
+        cold_allowance: Callable[[], ColdAllowance],
         stop_times: Callable[[], StopTimes],
         announce: Callable[[], None],
         quarantine_store: QuarantineStore,
@@ -68,15 +72,27 @@
         tracing: Tracing,
     ) -> None:
         self._watch = PeerWatch(clock=clock, network=network)
+        self._deciders = DeciderDirectory(
+            clock=clock, daemons=daemons, watch=self._watch
+        )
+        decided = DecidedServices(clock=clock, deciders=self._deciders)
+        cold_limit = ColdRequestLimit(
+            clock=clock,
+            deployment=deployment,
+            allowance=cold_allowance,
+            is_announced_decider=decided.announced,
+            sees_most_daemons=daemons.sees_most,
+        )
+        deployment.on_change(
+            lambda: cold_limit.remove_unknown(deployment.replica_names)
+        )
         self._decider = Decider(
             clock=clock,
             deployment=deployment,
             dialect=dialect,
             connections=connections,
             tracing=tracing,
-        )
-        self._deciders = DeciderDirectory(
-            clock=clock, daemons=daemons, watch=self._watch
+            cold_limit=cold_limit,
         )
         self._interface = DeciderInterface(
             deciders=self._deciders, decider=self._decider
@@ -87,6 +103,7 @@
             deciders=self._deciders,
             watch=self._watch,
             decider=self._decider,
+            decided=decided,
             deployment=deployment,
             announce=announce,
         )
--- a/cactusdyke/serving/decided_services.py
+++ b/cactusdyke/serving/decided_services.py
@@ -40,6 +40,10 @@
         """Service hashes, as announced on gossip."""
         return self._service_hashes
 
+    def announced(self, service: str) -> bool:
+        """Returns whether this daemon announces to decide for a service."""
+        return service_hash(service) in self._service_hashes
+
     def update(self, services: Iterable[str]) -> bool:
         """Updates the set of services.
 
--- a/cactusdyke/serving/decider.py
+++ b/cactusdyke/serving/decider.py
@@ -23,6 +23,7 @@
     from cactusdyke.errors import Failure
     from cactusdyke.observe.tracing import Tracing
     from cactusdyke.serving.batcher import FreeInputs
+    from cactusdyke.serving.cold_replicas import ColdRequestLimit
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.dialect import Dialect
     from cactusdyke.serving.dispatch_messages import StageOutcome, StageWork
@@ -58,12 +59,14 @@
         dialect: Dialect,
         connections: BackendConnections,
         tracing: Tracing,
+        cold_limit: ColdRequestLimit,
     ) -> None:
         self._clock = clock
         self._deployment = deployment
         self._dialect = dialect
         self._connections = connections
         self._tracing = tracing
+        self._cold_limit = cold_limit
         self._batchers: dict[str, StageBatcher] = {}
         self._placers: dict[str, EnginePlacer] = {}
         self._groups: dict[str, _ActiveGroup] = {}
@@ -186,11 +189,8 @@
         While late requests with such inputs are queued, the preceding stage
         has no free memory for new results.
         """
-        configuration = self._deployment.configuration
-        if configuration is None:
-            return False
         for inputs in work.last_use_of:
-            spec = configuration.services.get(inputs.service)
+            spec = self._deployment.service(inputs.service)
             if spec is None or spec.batching is None:
                 continue
             memory_bytes = spec.batching.result_capacity_bytes
@@ -251,37 +251,67 @@
         Returns:
             The engine; None if there is none or the service has no engines.
         """
-        configuration = self._deployment.configuration
-        spec = configuration.services.get(service) if configuration else None
+        spec = self._deployment.service(service)
         if spec is None or spec.engine is None:
             return None
         self._last_used_at[service] = self._clock.now()
-        return self._placer(service).place(
+        engines = self._deployment.usable_replicas(service)
+        chosen = self._placer(service).place(
             placement_id,
             generation,
-            self._deployment.usable_replicas(service),
+            engines,
             spec.engine,
-            exclude=exclude,
+            exclude={*exclude, *self._cold_limit.exhausted(engines)},
             inputs=inputs,
         )
+        if chosen is not None:
+            self._cold_limit.record(chosen)
+        return chosen
+
+    def choose_cold(
+        self, service: str, exclude: Collection[str]
+    ) -> Replica | None:
+        """Chooses a cold replica of a service whose replicas are all cold.
+
+        Args:
+            service: A service that daemons send requests to without a decider
+                as long as it has warm replicas.
+            exclude: Names of replicas that must not be used.
+
+        Returns:
+            A replica that tolerates another request, or None.
+        """
+        self._last_used_at[service] = self._clock.now()
+        replicas = self._deployment.usable_replicas(service)
+        excluded = {*exclude, *self._cold_limit.exhausted(replicas)}
+        chosen = min(
+            (r for r in replicas if r.name not in excluded),
+            key=self._cold_limit.recent_count,
+            default=None,
+        )
+        if chosen is not None:
+            self._cold_limit.record(chosen)
+        return chosen
 
     def locate(self, service: str, generation: Generation) -> Replica | None:
         """Returns the engine that would be chosen now if it caches the subject.
 
         Nothing is counted. See `EnginePlacer.locate`.
         """
-        configuration = self._deployment.configuration
-        spec = configuration.services.get(service) if configuration else None
+        spec = self._deployment.service(service)
         if spec is None or spec.engine is None:
             return None
+        engines = self._deployment.usable_replicas(service)
+        exhausted = self._cold_limit.exhausted(engines)
         return self._placer(service).locate(
-            generation, self._deployment.usable_replicas(service), spec.engine
+            generation,
+            [e for e in engines if e.name not in exhausted],
+            spec.engine,
         )
 
     def merge_snapshot(self, service: str, snapshot: ResourceSnapshot) -> None:
         """Adds the replica resources that another daemon's requests occupy."""
-        configuration = self._deployment.configuration
-        spec = configuration.services.get(service) if configuration else None
+        spec = self._deployment.service(service)
         batcher = self._batcher(service)
         if batcher is not None:
             batcher.record_held_results(snapshot.results)
@@ -324,8 +354,7 @@
         return placer
 
     def _batcher(self, service: str) -> StageBatcher | None:
-        configuration = self._deployment.configuration
-        spec = configuration.services.get(service) if configuration else None
+        spec = self._deployment.service(service)
         if spec is None or spec.batching is None or self._tasks is None:
             return None
         batcher = self._batchers.get(service)
@@ -339,6 +368,7 @@
                 connections=self._connections,
                 tasks=self._tasks,
                 free_inputs=self._free_inputs,
+                cold_limit=self._cold_limit,
             )
         batcher.update(spec.batching)
         return batcher
--- a/cactusdyke/serving/decider_interface.py
+++ b/cactusdyke/serving/decider_interface.py
@@ -25,6 +25,7 @@
 if TYPE_CHECKING:
     from cactusdyke.serving.decider import Decider
     from cactusdyke.serving.decider_directory import DeciderDirectory
+    from cactusdyke.serving.model import Replica
 
 
 class DeciderInterface:
@@ -74,21 +75,26 @@
         if redirect and not body.get("insists"):
             return json_response({"moved": redirect})
         try:
-            generation = decode_generation(body["generation"])
-            if body["id"]:
-                replica = self._decider.place(
-                    body["service"],
-                    body["id"],
-                    generation,
-                    set(body["exclude"]),
-                    {str(k): float(v) for k, v in body["inputs"].items()},
-                )
-            else:
-                replica = self._decider.locate(body["service"], generation)
+            replica = self._choose(body)
         except (AttributeError, KeyError, TypeError, ValueError) as error:
             return failure_response(malformed_message_failure(error))
         return json_response({"replica": replica.name if replica else None})
 
+    def _choose(self, body: dict[str, Any]) -> Replica | None:
+        service = str(body["service"])
+        if "generation" not in body:
+            return self._decider.choose_cold(service, set(body["exclude"]))
+        generation = decode_generation(body["generation"])
+        if not body["id"]:
+            return self._decider.locate(service, generation)
+        return self._decider.place(
+            service,
+            body["id"],
+            generation,
+            set(body["exclude"]),
+            {str(k): float(v) for k, v in body["inputs"].items()},
+        )
+
     async def handle_notifications(self, request: Request) -> Response:
         """Applies the notifications of another daemon."""
         value = request.json()
--- a/cactusdyke/serving/deployment.py
+++ b/cactusdyke/serving/deployment.py
@@ -6,6 +6,7 @@
 
 from cactusdyke import events
 from cactusdyke.kernel import Service
+from cactusdyke.serving.cold_replicas import ColdReplicas
 from cactusdyke.serving.model import ReplicaState
 from cactusdyke.serving.routes import RouteTable
 
@@ -17,6 +18,7 @@
         Customer,
         Replica,
         Route,
+        ServiceSpec,
         ServingConfiguration,
     )
 
@@ -28,10 +30,24 @@
     version is higher. The current version therefore never decreases while the
     process runs, whether a configuration comes from the store, from another
     daemon or in a delayed answer.
+
+    Replicas of an evacuated data centre receive no new work.
     """
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(
+        self, *, clock: Clock, follows_evacuations: bool = False
+    ) -> None:
+        """Creates a deployment that knows nothing yet.
+
+        Args:
+            clock: The clock.
+            follows_evacuations: Whether the evacuated data centres have to be
+                known before requests can be served.
+        """
         self._clock = clock
+        self._cold = ColdReplicas(clock=clock)
+        self._evacuations_known = not follows_evacuations
+        self._evacuated: frozenset[str] = frozenset()
         self._configuration: ServingConfiguration | None = None
         self._routes = RouteTable(())
         self._replicas: dict[str, Replica] = {}
@@ -75,8 +91,23 @@
 
     @property
     def ready(self) -> bool:
-        """Whether a configuration and a list of replicas are known."""
-        return self._configuration is not None and self._replicas_received
+        """Whether all that is needed to serve requests is known."""
+        return (
+            self._configuration is not None
+            and self._replicas_received
+            and self._evacuations_known
+        )
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Data centres whose replicas receive no new work."""
+        return self._evacuated
+
+    @property
+    def cold_count(self) -> int:
+        """Number of replicas that may receive new work and are cold."""
+        usable = self._usable_by_service.values()
+        return sum(self.is_cold(r) for replicas in usable for r in replicas)
 
     def on_change(self, hook: Callable[[], None]) -> None:
         """Registers a function that is called after each change."""
@@ -116,10 +147,45 @@
         self._notify()
         return True
 
+    def replace_evacuated(
+        self, data_centres: frozenset[str], *, source: str
+    ) -> None:
+        """Replaces the evacuated data centres.
+
+        Args:
+            data_centres: All data centres that are evacuated now.
+            source: Where the change comes from, for the log.
+        """
+        self._evacuations_known = True
+        before, self._evacuated = self._evacuated, data_centres
+        for data_centre in sorted(data_centres - before):
+            self._log_evacuation(
+                events.Event.DATA_CENTRE_EVACUATED, data_centre, source
+            )
+        for data_centre in sorted(before - data_centres):
+            self._cold.record_return(data_centre)
+            self._log_evacuation(
+                events.Event.DATA_CENTRE_RETURNED, data_centre, source
+            )
+        self._index()
+
+    def _log_evacuation(
+        self, event: events.Event, data_centre: str, source: str
+    ) -> None:
+        affected = self._replicas.values()
+        events.log(
+            event,
+            data_centre=data_centre,
+            source=source,
+            backend_servers=sum(r.data_centre == data_centre for r in affected),
+        )
+
     def replace_replicas(self, replicas: Iterable[Replica]) -> None:
         """Replaces all known replicas."""
         self._replicas = {replica.name: replica for replica in replicas}
         self._replicas_received = True
+        for replica in self._replicas.values():
+            self._cold.record(replica)
         self._index()
 
     def put_replica(self, replica: Replica) -> None:
@@ -131,6 +197,7 @@
             # It has restarted under its id, so it is no longer leaving.
             self._leaving.pop(replica.name, None)
         self._replicas[replica.name] = replica
+        self._cold.record(replica)
         self._index()
 
     def remove_replica(self, name: str) -> None:
@@ -157,10 +224,27 @@
         replica = self.replica_at(address)
         return replica.data_centre if replica else ""
 
+    def service(self, name: str) -> ServiceSpec | None:
+        """Returns a configured service, None if unknown."""
+        if self._configuration is None:
+            return None
+        return self._configuration.services.get(name)
+
     def usable_replicas(self, service: str) -> list[Replica]:
-        """Returns the replicas of a service that may receive new work."""
+        """Returns the replicas of a service that may receive new work.
+
+        Some of them may be cold, and must not receive more than they tolerate.
+        """
         return self._usable_by_service.get(service, [])
 
+    def is_cold(self, replica: Replica) -> bool:
+        """Returns whether requests to a replica are limited as it is cold."""
+        return self.cold_left_ms(replica) > 0
+
+    def cold_left_ms(self, replica: Replica) -> float:
+        """Returns for how long requests to a replica are limited."""
+        return self._cold.left_ms(replica, self.service(replica.service))
+
     def is_usable(self, replica: Replica) -> bool:
         """Returns whether a replica chosen earlier may still receive work."""
         known = self._replicas.get(replica.name)
@@ -168,6 +252,7 @@
             known is not None
             and known.state is ReplicaState.READY
             and known.address == replica.address
+            and known.data_centre not in self._evacuated
             and replica.name not in self._leaving
         )
 
@@ -197,12 +282,15 @@
             for name, at in self._leaving.items()
             if name in self._replicas
         }
+        self._cold.remove_unknown(self.replica_names)
         grouped: dict[str, list[Replica]] = {}
         for replica in self._replicas.values():
             if replica.state is not ReplicaState.READY:
                 continue
             if replica.name in self._leaving:
                 continue
+            if replica.data_centre in self._evacuated:
+                continue
             grouped.setdefault(replica.service, []).append(replica)
         self._usable_by_service = grouped
         self._notify()
--- a/cactusdyke/serving/dispatch.py
+++ b/cactusdyke/serving/dispatch.py
@@ -18,7 +18,6 @@
 from cactusdyke import events
 from cactusdyke.errors import Failure, FailureKind, Ran
 from cactusdyke.kernel import Service
-from cactusdyke.serving.decided_services import DecidedServices
 from cactusdyke.serving.dispatch_messages import (
     StageOutcome,
     StageWork,
@@ -37,6 +36,7 @@
     from collections.abc import Callable, Collection, Mapping, Sequence
 
     from cactusdyke.clock import Clock, Instant
+    from cactusdyke.serving.decided_services import DecidedServices
     from cactusdyke.serving.decider import Decider
     from cactusdyke.serving.decider_directory import DeciderDirectory
     from cactusdyke.serving.deployment import Deployment
@@ -87,6 +87,7 @@
         deciders: DeciderDirectory,
         watch: PeerWatch,
         decider: Decider,
+        decided: DecidedServices,
         deployment: Deployment,
         announce: Callable[[], None],
     ) -> None:
@@ -99,7 +100,7 @@
         self._announce = announce
         self._tracker = ResourceTracker(clock=clock)
         self._last_decider: dict[str, str] = {}
-        self._decided = DecidedServices(clock=clock, deciders=deciders)
+        self._decided = decided
         self._notifications: dict[str, list[Any]] = {}
         self._backlogs: dict[str, tuple[Backlog, Instant]] = {}
         self._notification_added = anyio.Event()
@@ -297,6 +298,24 @@
             decider=peer,
         )
 
+    async def choose_cold(
+        self, service: str, exclude: Collection[str]
+    ) -> Replica | None:
+        """Asks the decider for a cold replica that tolerates a request.
+
+        Args:
+            service: Service all of whose replicas are cold.
+            exclude: Names of replicas that must not be used.
+        """
+        peer = self._deciders.decider_of(service)
+        if peer.is_local:
+            return self._decider.choose_cold(service, exclude)
+        body = {"service": service, "exclude": list(exclude)}
+        replica = await self._fetch_choice(peer, service, body)
+        if replica is None or not self._deployment.is_usable(replica):
+            return None
+        return replica
+
     async def locate(self, service: str, generation: Generation) -> str:
         """Returns the data centre of the engine that caches a subject.
 
@@ -396,6 +415,12 @@
             "exclude": list(exclude),
             "inputs": {dc: round(size) for dc, size in inputs.items()},
         }
+        return await self._fetch_choice(peer, service, body)
+
+    async def _fetch_choice(
+        self, peer: PeerDaemon, service: str, body: dict[str, Any]
+    ) -> Replica | None:
+        """Returns the replica that a decider chooses, None if there is none."""
         answer: Result[dict[str, Any], Failure] | None = None
         with self._clock.timeout(PLACEMENT_TIMEOUT_MS):
             answer = await self._fetch(
--- a/cactusdyke/serving/followed_state.py
+++ b/cactusdyke/serving/followed_state.py
@@ -19,6 +19,8 @@
     from cactusdyke.errors import Failure
     from cactusdyke.infrastructure.watched_store import WatchedStore
 
+STORE = "store"
+"""The source of what the store itself has answered."""
 MAX_BATCHES = 500
 """Batches of changes kept for followers; a follower behind them gets all
 objects."""
@@ -153,6 +155,7 @@
                     for *value, deleted in body["changes"]
                 ],
                 revision,
+                source,
             )
         self._record_confirmation(self._clock.now() - age_ms)
 
@@ -164,7 +167,7 @@
         # A peer may have sent a newer state in the meantime.
         newer = listing.revision >= self._revision
         if newer:
-            self._replace(listing.objects, listing.revision, "store")
+            self._replace(listing.objects, listing.revision, STORE)
         self._listed = True
         self._on_store_answer()
         return Ok(newer)
@@ -181,7 +184,7 @@
             return Ok(False)
         changes = answer.ok_value.changes
         if answer.ok_value.revision >= self._revision:
-            self._apply_changes(changes, answer.ok_value.revision)
+            self._apply_changes(changes, answer.ok_value.revision, STORE)
         return Ok(bool(changes))
 
     def _on_store_answer(self) -> None:
@@ -207,7 +210,9 @@
         self._apply_objects(source)
         self._change_hook()
 
-    def _apply_changes(self, changes: Sequence[Change], revision: int) -> None:
+    def _apply_changes(
+        self, changes: Sequence[Change], revision: int, source: str
+    ) -> None:
         self._revision = revision
         if not changes:
             return
@@ -219,7 +224,7 @@
                 self._objects.pop(change.object.name, None)
             else:
                 self._objects[change.object.name] = change.object
-            self._apply_change(change)
+            self._apply_change(change, source)
         self._change_hook()
 
     @abc.abstractmethod
@@ -227,8 +232,8 @@
         """Applies all objects; `source` is the store or a daemon's name."""
 
     @abc.abstractmethod
-    def _apply_change(self, change: Change) -> None:
-        """Applies one change."""
+    def _apply_change(self, change: Change, source: str) -> None:
+        """Applies one change; `source` is the store or a daemon's name."""
 
 
 def _decode_object(value: Sequence[Any]) -> StoreObject:
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -30,7 +30,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from cactusdyke.clock import Clock
     from cactusdyke.observe.tracing import Tracing
@@ -345,23 +345,11 @@
         results: StageResults,
         handles: list[str],
     ) -> tuple[Failure | None, AttemptResult | None]:
-        placed: ChosenEngine | None = None
-        generation = context.request.generation
         inputs = self._stages.input_bytes_by_data_centre(context, results)
-        placement_id = f"{context.request.request_id}/{context.attempts}"
-        if generation is not None and context.route.generates:
-            placed = await self._dispatch.place(
-                context.service,
-                placement_id,
-                generation,
-                self._retry_policy.excluded(context),
-                inputs,
-            )
-            replica = placed.replica if placed else None
-        else:
-            replica = None
-        if replica is None:
-            replica = self._retry_policy.choose(context)
+        placed = await self._place(context, inputs)
+        replica = (
+            placed.replica if placed else await self._choose_replica(context)
+        )
         if replica is None:
             return request_failures.no_replica(context), None
         context.attempts += 1
@@ -412,6 +400,32 @@
             if placed is not None:
                 self._dispatch.notify_end(placed, failed=not attempt_succeeded)
 
+    async def _place(
+        self, context: ServingContext, inputs: Mapping[str, float]
+    ) -> ChosenEngine | None:
+        """Asks the decider for an engine, if the request needs one."""
+        generation = context.request.generation
+        if generation is None or not context.route.generates:
+            return None
+        return await self._dispatch.place(
+            context.service,
+            f"{context.request.request_id}/{context.attempts}",
+            generation,
+            self._retry_policy.excluded(context),
+            inputs,
+        )
+
+    async def _choose_replica(self, context: ServingContext) -> Replica | None:
+        """Chooses a replica here; asks the decider if all of them are cold."""
+        replica = self._retry_policy.choose(context)
+        if replica is not None or context.route.generates:
+            return replica
+        if not self._retry_policy.candidates(context):
+            return None
+        return await self._dispatch.choose_cold(
+            context.service, self._retry_policy.excluded(context)
+        )
+
     async def _free_inputs_after_fetch(
         self, context: ServingContext, results: StageResults
     ) -> None:
--- a/cactusdyke/serving/metrics.py
+++ b/cactusdyke/serving/metrics.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import prometheus_client
 
 from cactusdyke.clock import MS_PER_SECOND
 from cactusdyke.kernel import Service
 
+if TYPE_CHECKING:
+    from cactusdyke.serving.deployment import Deployment
+
 SECONDS_BUCKETS = (0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 1.5, 2.0, 4.0, 8.0, 15.0)
 
 
@@ -46,12 +51,27 @@
             ("service",),
             registry=registry,
         )
+        self._evacuated = prometheus_client.Gauge(
+            "cactusdyke_evacuated_data_centres",
+            "Data centres whose replicas receive no new work.",
+            registry=registry,
+        )
+        self._cold = prometheus_client.Gauge(
+            "cactusdyke_cold_replicas",
+            "Replicas to which requests are limited, as they are cold.",
+            registry=registry,
+        )
         self._quarantined = prometheus_client.Gauge(
             "cactusdyke_quarantined",
             "Requests that no replica gets, as replicas crash under them.",
             registry=registry,
         )
 
+    def watch_deployment(self, deployment: Deployment) -> None:
+        """Reads the gauges of replicas from a deployment when asked for."""
+        self._evacuated.set_function(lambda: len(deployment.evacuated))
+        self._cold.set_function(lambda: deployment.cold_count)
+
     def replica_crashed(self, service: str) -> None:
         """Counts a replica that crashed under requests of this daemon."""
         self._crashes.labels(service).inc()
--- a/cactusdyke/serving/model.py
+++ b/cactusdyke/serving/model.py
@@ -123,13 +123,27 @@
 
 @attrs.frozen(kw_only=True)
 class ServiceSpec:
-    """One service: a pool of replicas of one kind."""
+    """One service: a pool of replicas of one kind.
+
+    Attributes:
+        name: The service's name.
+        max_connections: Connections that a replica accepts from all daemons.
+        health_path: Path of its health check.
+        engine: Capacity of a replica, None if it is no model engine.
+        batching: Capacity of a replica, None if it runs no stages.
+        cold_ms: How long a replica is cold after its start, if it does not
+            report it itself.
+        cold_requests_per_s: Requests per second that a cold replica tolerates
+            from all daemons; 0 if cold replicas need no limit.
+    """
 
     name: str
     max_connections: int
     health_path: str = ""
     engine: EngineSpec | None = None
     batching: BatchSpec | None = None
+    cold_ms: float = 0.0
+    cold_requests_per_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -189,6 +203,8 @@
         state: Whether it accepts new work.
         slots: Number of requests that it processes at the same time.
         born: Start of the incarnation, Unix milliseconds, 0 if not reported.
+        cold_left_ms: How long it stays cold, in milliseconds from the report;
+            None if it does not report it.
     """
 
     name: str
@@ -198,3 +214,4 @@
     state: ReplicaState
     slots: int
     born: int = 0
+    cold_left_ms: float | None = None
--- a/cactusdyke/serving/peers.py
+++ b/cactusdyke/serving/peers.py
@@ -57,6 +57,13 @@
         presumes the other dead, and would otherwise spend the whole budget.
         """
 
+    def sees_most(self) -> bool:
+        """Returns whether more than half of the daemons are presumed alive.
+
+        In a network partition this holds on one side at most.
+        """
+        return 2 * len(self.all()) > self.estimated_count()
+
 
 USEFUL_CORES = 1.0
 USEFUL_LINK_MBPS = 50.0
--- a/cactusdyke/serving/retry_policy.py
+++ b/cactusdyke/serving/retry_policy.py
@@ -103,9 +103,17 @@
         return excluded if allowed <= failed else excluded | failed
 
     def choose(self, context: ServingContext) -> Replica | None:
-        """Returns the replica with the least expected cost, or None."""
+        """Returns the warm replica with the least expected cost, or None.
+
+        Only the decider of a service sends requests to its cold replicas, as
+        it knows how many all daemons send there.
+        """
         return balance.choose(
-            self.candidates(context),
+            [
+                replica
+                for replica in self.candidates(context)
+                if not self._deployment.is_cold(replica)
+            ],
             self._health,
             rng=self._rng,
             local_data_centre=self._data_centre,
--- a/emulator/daemons.py
+++ b/emulator/daemons.py
@@ -14,6 +14,7 @@
 from cactusdyke.membership.exchange import GOSSIP_PATH
 from cactusdyke.membership.members import Members
 from cactusdyke.observe.tracing import Tracing
+from cactusdyke.serving.cold_replicas import ColdAllowance
 from cactusdyke.serving.core import ServingCore
 from cactusdyke.serving.deployment import Deployment
 from cactusdyke.serving.member_view import MemberView
@@ -27,6 +28,7 @@
 from cactusdyke.transport.routes import Routes
 from emulator import deployment as deployments
 from emulator.dialect import EmulatedDialect
+from emulator.links import COLD_OVERSHOOT, COLD_SLACK
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -221,6 +223,9 @@
             daemons=view,
             data_centre=self.data_centre,
             retry_allowance=RetryAllowance,
+            cold_allowance=lambda: ColdAllowance(
+                overshoot=COLD_OVERSHOOT, slack=COLD_SLACK
+            ),
             stop_times=StopTimes,
             announce=members.announce,
             quarantine_store=_SavedQuarantine(
@@ -279,3 +284,7 @@
             if now != known:
                 known = now
                 deployment.replace_replicas(now)
+            if self._world.evacuated != deployment.evacuated:
+                deployment.replace_evacuated(
+                    self._world.evacuated, source="scenario"
+                )
--- a/emulator/deployment.py
+++ b/emulator/deployment.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+from cactusdyke.clock import MS_PER_SECOND
 from cactusdyke.serving.model import (
     BatchSpec,
     CallerLimits,
@@ -23,7 +24,7 @@
 from emulator.world import MB
 
 if TYPE_CHECKING:
-    from emulator.scenario import Kind, Scenario
+    from emulator.scenario import EngineService, Kind, PlainService, Scenario
     from emulator.world import World
 
 GAP_MS = 300.0
@@ -54,9 +55,16 @@
             name=name,
             max_connections=MANY,
             engine=EngineSpec(slots=engine.slots, kv_tokens=engine.kv_tokens),
+            cold_ms=engine.cold_s * MS_PER_SECOND,
+            cold_requests_per_s=engine.cold_per_s,
+        )
+    for name, plain in scenario.plain_services.items():
+        services[name] = ServiceSpec(
+            name=name,
+            max_connections=MANY,
+            cold_ms=plain.cold_s * MS_PER_SECOND,
+            cold_requests_per_s=plain.cold_per_s,
         )
-    for name in scenario.plain_services:
-        services[name] = ServiceSpec(name=name, max_connections=MANY)
     return ServingConfiguration(
         version=1,
         routes=tuple(_route(kind) for kind in scenario.kinds),
@@ -111,15 +119,19 @@
             links.add(StageMaker(world=world, spec=stage, **place))
     for name, engine in world.scenario.engine_services.items():
         for number in range(engine.replicas):
-            place = _place(world, name, number)
+            place = _place(world, name, number) | _cold(engine)
             links.add(Engine(world=world, spec=engine, **place))
     for name, plain in world.scenario.plain_services.items():
         for number in range(plain.replicas):
-            place = _place(world, name, number)
+            place = _place(world, name, number) | _cold(plain)
             links.add(PlainServer(world=world, spec=plain, **place))
 
 
-def _place(world: World, service: str, number: int) -> dict[str, str]:
+def _cold(spec: EngineService | PlainService) -> dict[str, Any]:
+    return {"cold_s": spec.cold_s, "cold_per_s": spec.cold_per_s}
+
+
+def _place(world: World, service: str, number: int) -> dict[str, Any]:
     return {
         "name": f"{service}-{number}",
         "service": service,
@@ -144,4 +156,5 @@
         data_centre=backend.data_centre,
         state=ReplicaState.READY,
         slots=1,
+        cold_left_ms=backend.cold_left_ms,
     )
--- a/emulator/experiment.py
+++ b/emulator/experiment.py
@@ -116,6 +116,12 @@
         "no room": mean([p.no_room for p in plays], 0),
         "disagreed ms": mean([p.disagreed_ms for p in plays], 0),
         "crashes": mean([p.crashes for p in plays], 1),
+        "to cold": mean(
+            [p.counts.get("requests to cold", 0) for p in plays], 0
+        ),
+        "too many for cold": sum(
+            p.counts.get("requests too many for cold", 0) for p in plays
+        ),
         "sent on": max(p.sent_on for p in plays),
         "sound refused": sum(
             p.counts.get("sound quarantined", 0) for p in plays
--- a/emulator/links.py
+++ b/emulator/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+import collections
 import contextlib
 import math
 from typing import TYPE_CHECKING, Any
@@ -11,6 +12,7 @@
 import attrs
 import orjson
 
+from cactusdyke.clock import MS_PER_SECOND, Instant
 from cactusdyke.transport.answer_parser import AnswerHead
 from cactusdyke.transport.exchange import (
     BackendConnections,
@@ -80,11 +82,28 @@
         self.end()
 
 
+COLD_OVERSHOOT = 1.5
+COLD_SLACK = 5.0
+COLD_WINDOW_MS = 1_000.0
+EVACUATION_KNOWN_MS = 1_000.0
+"""Within this time all daemons know that a data centre is evacuated."""
+
+
 class Backend(abc.ABC):
-    """An emulated backend server."""
+    """An emulated backend server.
+
+    A cold one crashes if it gets more requests in a second than it tolerates.
+    """
 
     def __init__(
-        self, *, world: World, name: str, service: str, data_centre: str
+        self,
+        *,
+        world: World,
+        name: str,
+        service: str,
+        data_centre: str,
+        cold_s: float = 0.0,
+        cold_per_s: float = 0.0,
     ) -> None:
         self.world = world
         self.name = name
@@ -93,12 +112,26 @@
         self.address = f"{name}:1"
         self.gone = False
         self.slow = 1.0
+        self.cold_ms = cold_s * MS_PER_SECOND
+        self.cold_per_s = cold_per_s
+        self._cold_until: Instant = 0.0
+        self._arrivals: collections.deque[Instant] = collections.deque()
         self._calls: set[anyio.CancelScope] = set()
         self._crashing: set[str] = set()
         self._starts = 0
 
+    @property
+    def cold_left_ms(self) -> float:
+        """How long it stays cold."""
+        return max(0.0, self._cold_until - self.world.clock.now())
+
+    def turn_cold(self) -> None:
+        """Makes it cold from now on."""
+        self._cold_until = self.world.clock.now() + self.cold_ms
+
     async def serve(self, call: Call, answer: Answering) -> None:
         """Answers one call, unless a crash ends it."""
+        self._count_arrival()
         with anyio.CancelScope() as scope:
             self._calls.add(scope)
             try:
@@ -108,6 +141,30 @@
                 if call.crash is not None:
                     self._crashing.discard(call.crash.name)
 
+    def _count_arrival(self) -> None:
+        """Counts a request, and crashes if it is one too many when cold."""
+        now = self.world.clock.now()
+        evacuated_at = self.world.evacuated_at.get(self.data_centre)
+        if (
+            evacuated_at is not None
+            and now > evacuated_at + EVACUATION_KNOWN_MS
+        ):
+            self.world.counts["requests to evacuated"] += 1
+        self._arrivals.append(now)
+        while self._arrivals[0] <= now - COLD_WINDOW_MS:
+            self._arrivals.popleft()
+        if not self.cold_per_s or not self.cold_left_ms:
+            return
+        self.world.counts["requests to cold"] += 1
+        most = self.cold_per_s * COLD_OVERSHOOT + COLD_SLACK
+        if len(self._arrivals) > most:
+            self.world.counts["requests too many for cold"] += 1
+            self.world.hub.start(self._crash_if_there)
+
+    async def _crash_if_there(self) -> None:
+        if not self.gone:
+            await self.crash(down_ms=self.cold_ms)
+
     def begun(self, call: Call) -> None:
         """Notes that a request has begun to run."""
         if call.crash is not None:
@@ -125,6 +182,8 @@
         await self.world.clock.sleep(down_ms)
         self._starts += 1
         self.name = f"{self.name.partition('~')[0]}~{self._starts}"
+        self._arrivals.clear()
+        self.turn_cold()
         self.gone = False
 
     async def _crash_under(self, crash: Crash) -> None:
--- a/emulator/naive.py
+++ b/emulator/naive.py
@@ -4,10 +4,14 @@
 
 from typing import TYPE_CHECKING
 
+from cactusdyke.serving.cold_replicas import ColdRequestLimit
 from cactusdyke.serving.stage_queue import StageQueue
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from cactusdyke.clock import Instant
+    from cactusdyke.serving.model import Replica
     from cactusdyke.serving.stage_queue import PieceGroup
 
 
@@ -25,3 +29,20 @@
     def _sort_key(self, group: PieceGroup, now: Instant) -> tuple[bool, float]:
         del now
         return (False, group.objective_at)
+
+
+class ColdLikeWarm(ColdRequestLimit):
+    """Sends to cold replicas as to warm ones."""
+
+    def exhausted(self, replicas: Sequence[Replica]) -> set[str]:
+        """Returns no replica."""
+        del replicas
+        return set()
+
+
+class NothingWhileCold(ColdRequestLimit):
+    """Sends nothing to cold replicas."""
+
+    def exhausted(self, replicas: Sequence[Replica]) -> set[str]:
+        """Returns every cold replica."""
+        return {r.name for r in replicas if self._deployment.is_cold(r)}
--- a/emulator/play.py
+++ b/emulator/play.py
@@ -6,6 +6,7 @@
 import importlib
 import random
 import warnings
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -177,6 +178,12 @@
             await callers.repeat(arrival, every_ms=every_ms, for_ms=for_ms)
         case "replica_crashed":
             await _choose(world, links, fault.service).crash(down_ms=for_ms)
+        case "data_centre_cold":
+            async with anyio.create_task_group() as tasks:
+                for backend in _in_data_centre(links, fault.data_centre):
+                    tasks.start_soon(partial(backend.crash, down_ms=for_ms))
+        case "data_centre_evacuated":
+            await _evacuate(world, links, fault.data_centre, for_ms)
         case "replica_gone" | "replica_slow":
             backend = _choose(world, links, fault.service)
             backend.gone = fault.what == "replica_gone"
@@ -188,6 +195,23 @@
             raise ValueError(f"no fault is called {fault.what}")
 
 
+def _in_data_centre(links: Links, data_centre: str) -> list[Backend]:
+    return [b for b in links.backends.values() if b.data_centre == data_centre]
+
+
+async def _evacuate(
+    world: World, links: Links, data_centre: str, for_ms: float
+) -> None:
+    """Evacuates a data centre; its replicas turn cold just before its end."""
+    world.evacuated |= {data_centre}
+    world.evacuated_at[data_centre] = world.clock.now()
+    await world.clock.sleep(for_ms)
+    for backend in _in_data_centre(links, data_centre):
+        backend.turn_cold()
+    world.evacuated -= {data_centre}
+    del world.evacuated_at[data_centre]
+
+
 def _choose(world: World, links: Links, service: str) -> Backend:
     """Returns one of a service's replicas that are there."""
     return world.rng.choice(
--- a/emulator/scenario.py
+++ b/emulator/scenario.py
@@ -52,6 +52,8 @@
         step_ms_per_request: What each other request adds.
         event_tokens: Tokens in one event of a stream.
         first_ms: From a prompt read to its first event.
+        cold_s: How long a replica is cold after it has come back.
+        cold_per_s: Requests a second that a cold one tolerates; 0 for any.
     """
 
     replicas: int
@@ -62,15 +64,27 @@
     step_ms_per_request: float = 0.0
     event_tokens: int = 1
     first_ms: float = 30.0
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
 class PlainService:
-    """A service whose requests have no stages and no prompt."""
+    """A service whose requests have no stages and no prompt.
+
+    Attributes:
+        replicas: How many there are, spread over the data centres.
+        slots: Requests that one works on.
+        work_ms: Time of one request.
+        cold_s: How long a replica is cold after it has come back.
+        cold_per_s: Requests a second that a cold one tolerates; 0 for any.
+    """
 
     replicas: int
     slots: int
     work_ms: float
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -164,13 +178,17 @@
     Attributes:
         what: `daemons_killed`, `daemons_lose_power`, `daemons_restarted` (in
             turn, without an end in good order), `replica_gone`,
-            `replica_slow`, `replica_crashed`, or `crashing_request` (comes
-            again and again, and crashes each replica that begins to run it).
+            `replica_slow`, `replica_crashed`, `data_centre_cold` (its
+            replicas go down and come back cold), `data_centre_evacuated` (its
+            replicas are to get nothing for a while, and are cold after it),
+            or `crashing_request` (comes again and again, and crashes each
+            replica that begins to run it).
         at_s: When.
         for_s: How long; for a restart in turn the pause between two, for a
             crash the time until the replica is back under another name.
         share: Part of the daemons.
         service: Whose replica it is.
+        data_centre: Which data centre it is.
         times: How many times slower.
         kind: Of which kind a crashing request is.
         every_s: Mean time between two arrivals of a crashing request.
@@ -183,6 +201,7 @@
     for_s: float = 0.0
     share: float = 1.0
     service: str = ""
+    data_centre: str = ""
     times: float = 1.0
     kind: str = ""
     every_s: float = 0.5
--- a/emulator/world.py
+++ b/emulator/world.py
@@ -69,6 +69,8 @@
             collections.defaultdict(Crashing)
         )
         self.saved: dict[str, Mapping[str, Any]] = {}
+        self.evacuated: frozenset[str] = frozenset()
+        self.evacuated_at: dict[str, Instant] = {}
         self.busy_ms = 0.0
         self.wasted_ms = 0.0
 
--- a/features/platform/state.feature
+++ b/features/platform/state.feature
@@ -14,6 +14,35 @@
     When the list holds entries that can't be read
     Then they name no replica and the others hold
 
+  Scenario Outline: an evacuated data centre, its entry <entry>
+    # Guards against requests to replicas that the operator needs idle, and
+    # against an entry that is ignored for what another writer put there.
+    When a data centre is evacuated and taken back, its entry <entry>
+    Then its replicas get nothing within a second, and requests after it
+    And the log says since when it is evacuated, and from whom that is known
+
+    Examples:
+      | entry         |
+      | empty         |
+      | a text        |
+      | a list        |
+      | without value |
+
+  Scenario: a daemon that starts during an evacuation
+    # Guards against its first requests, before it has read of the evacuation.
+    When a daemon starts while its data centre is evacuated
+    Then it sends nothing there
+
+  Scenario: a daemon that the store turns away learns of an evacuation
+    # Guards against a follower that hears of replicas only from its reader.
+    When a data centre is evacuated while the store turns a daemon away
+    Then that daemon sends nothing there two seconds later
+
+  Scenario: an evacuation that the store no longer confirms
+    # Guards against replicas that are used again as the store is down.
+    When the store goes down during an evacuation and forgets nothing
+    Then the data centre stays evacuated
+
   Scenario: a daemon that knows nothing says so
     # It starts in an outage of the store. A 404 for a route that exists would
     # be taken for final.
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -32,7 +32,7 @@
 from cactusdyke.serving.stage_queue import PieceGroup, PieceTask
 from cactusdyke.transport.messages import json_response
 from features.steps.serving_steps import ManualClock
-from features.support.serving_values import NoConnections
+from features.support.serving_values import NoConnections, cold_limit
 from standins.virtual import run_virtual
 
 
@@ -253,6 +253,7 @@
             dialect=None,
             connections=NoConnections(),
             tracing=Tracing(daemon="d1"),
+            cold_limit=cold_limit(EventLoopClock(), deployment),
         )
         context.returned = []
 
--- a/features/steps/deciders_steps.py
+++ b/features/steps/deciders_steps.py
@@ -12,6 +12,7 @@
 from cactusdyke.clock import EventLoopClock
 from cactusdyke.membership.member import Member
 from cactusdyke.serving import peers
+from cactusdyke.serving.decided_services import DecidedServices
 from cactusdyke.serving.decider_directory import DeciderDirectory
 from cactusdyke.serving.deployment import Deployment
 from cactusdyke.serving.dialect import Piece
@@ -314,14 +315,16 @@
     async def run():
         clock = EventLoopClock()
         watch = PeerWatch(clock=clock, network=context.network)
+        deciders = DeciderDirectory(
+            clock=clock, daemons=context.daemons, watch=watch
+        )
         dispatch = Dispatch(
             clock=clock,
             network=context.network,
-            deciders=DeciderDirectory(
-                clock=clock, daemons=context.daemons, watch=watch
-            ),
+            deciders=deciders,
             watch=watch,
             decider=UnusedDecider(),
+            decided=DecidedServices(clock=clock, deciders=deciders),
             deployment=Deployment(clock=clock),
             announce=lambda: None,
         )
--- a/features/steps/platform_state_steps.py
+++ b/features/steps/platform_state_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import pathlib
 import signal
@@ -110,6 +111,135 @@
     assert context.status == 200
 
 
+@contextlib.contextmanager
+def captured_events():
+    """Collects the events that are logged within the block."""
+    events = []
+    eliot.add_destinations(events.append)
+    try:
+        yield events
+    finally:
+        eliot.remove_destination(events.append)
+
+
+EVACUATION_ENTRIES = {
+    "empty": {},
+    "a text": "text",
+    "a list": [1, 2],
+    "without value": None,
+}
+
+
+async def _evacuable_world(world):
+    world.further_bounds = {"evacuate_ms": 5_000}
+    await plain_world(world, replicas=("p1",))
+
+
+@when("a data centre is evacuated and taken back, its entry {entry}")
+def evacuated(context, entry):
+    async def story(world):
+        await _evacuable_world(world)
+        deployment = world.daemons["d1"]._deployment
+        context.before = (await world.request("/look/a"))[0]
+        world.store.put("evacuations", "here", EVACUATION_ENTRIES[entry])
+        began = anyio.current_time()
+        await until(lambda: deployment.evacuated == {"here"}, seconds=1.0)
+        context.took_s = anyio.current_time() - began
+        context.runs = len(world.replicas["p1"].runs)
+        context.during = await world.request("/look/a", request_id="r-2")
+        context.runs_during = len(world.replicas["p1"].runs) - context.runs
+        world.store.remove("evacuations", "here")
+        await until(lambda: not deployment.evacuated, seconds=1.0)
+        context.after = (await world.request("/look/a", request_id="r-3"))[0]
+
+    with captured_events() as context.events:
+        play(story)
+
+
+@then("its replicas get nothing within a second, and requests after it")
+def check_evacuated(context):
+    assert context.took_s < 1.0, context.took_s
+    assert (context.before, context.after) == (200, 200)
+    status, headers, _ = context.during
+    assert status == 503
+    assert float(headers["retry-after"]) > 0
+    assert context.runs_during == 0
+
+
+@then("the log says since when it is evacuated, and from whom that is known")
+def check_evacuation_logged(context):
+    logged = [e for e in context.events if "data_centre" in e]
+    assert [e["message_type"].split(":")[0] for e in logged][-2:] == [
+        "CD2209",
+        "CD2210",
+    ], logged
+    assert {e["source"] for e in logged} == {"store"}
+    assert logged[0]["backend_servers"] == 1
+
+
+@when("a daemon starts while its data centre is evacuated")
+def starts_evacuated(context):
+    async def story(world):
+        world.further_bounds = {"evacuate_ms": 5_000}
+        world.store.put("evacuations", "here", {})
+        await plain_world(world, replicas=("p1",))
+        context.statuses = [
+            (await world.request("/look/a", request_id=f"r-{n}"))[0]
+            for n in range(3)
+        ]
+        context.runs = len(world.replicas["p1"].runs)
+
+    play(story)
+
+
+@then("it sends nothing there")
+def check_sends_nothing(context):
+    assert context.statuses == [503] * 3
+    assert context.runs == 0
+
+
+@when("a data centre is evacuated while the store turns a daemon away")
+def evacuated_turned_away(context):
+    async def story(world):
+        await _evacuable_world(world)
+        seeds = [world.settings["d1"].peer.address]
+        second = await world.start_daemon("d2", seeds)
+        second._exchange._states[
+            "evacuations"
+        ]._store._address = f"127.0.0.1:{free_port()}"
+        world.store.put("evacuations", "here", {})
+        await anyio.sleep(2)
+        context.status = (await world.request("/look/a", daemon="d2"))[0]
+        context.runs = len(world.replicas["p1"].runs)
+
+    play(story)
+
+
+@then("that daemon sends nothing there two seconds later")
+def check_turned_away(context):
+    assert context.status == 503
+    assert context.runs == 0
+
+
+@when("the store goes down during an evacuation and forgets nothing")
+def store_down_evacuated(context):
+    async def story(world):
+        await _evacuable_world(world)
+        deployment = world.daemons["d1"]._deployment
+        world.store.put("evacuations", "here", {})
+        await until(lambda: deployment.evacuated == {"here"}, seconds=1.0)
+        world.store.faults["down"] = True
+        await anyio.sleep(2)
+        context.evacuated = deployment.evacuated
+
+    play(story)
+
+
+@then("the data centre stays evacuated")
+def check_stays_evacuated(context):
+    assert context.evacuated == {"here"}
+
+
 @when("a daemon starts while the store is down and nobody else is there")
 def start_alone(context):
     async def story(world):
--- a/features/steps/recovery_steps.py
+++ b/features/steps/recovery_steps.py
@@ -462,12 +462,14 @@
 @given("a decider with new work and with repeated work")
 def new_and_repeated(context):
     async def run():
+        deployment = deployment_with_stage()
         decider = Decider(
             clock=EventLoopClock(),
-            deployment=deployment_with_stage(),
+            deployment=deployment,
             dialect=PlatformDialect(),
             connections=values.NoConnections(),
             tracing=Tracing(daemon="d1"),
+            cold_limit=values.cold_limit(EventLoopClock(), deployment),
         )
         context.started = {}
         async with anyio.create_task_group() as tasks:
--- a/features/support/platform_rig.py
+++ b/features/support/platform_rig.py
@@ -152,6 +152,7 @@
         self.daemons = {}
         self.settings = {}
         self.grace_s = 3
+        self.further_bounds = {}
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self):
@@ -234,6 +235,7 @@
                 "bounds": {
                     "grace_s": self.grace_s,
                     "retry_budget_slack": 50,
+                    **self.further_bounds,
                 },
                 "platform": {"address": self.store_address},
             }
--- a/features/support/serving_values.py
+++ b/features/support/serving_values.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from cactusdyke.serving.cold_replicas import ColdAllowance, ColdRequestLimit
 from cactusdyke.serving.request import ClientRequest, ServingContext
 from cactusdyke.transport.exchange import BackendConnections, ExchangeError
 
@@ -40,6 +41,17 @@
     )
 
 
+def cold_limit(clock, deployment, *, announced=True, **allowance):
+    """Returns the limit of a daemon that is the decider and sees all others."""
+    return ColdRequestLimit(
+        clock=clock,
+        deployment=deployment,
+        allowance=lambda: ColdAllowance(**allowance),
+        is_announced_decider=lambda service: announced,
+        sees_most_daemons=lambda: True,
+    )
+
+
 class NoConnections(BackendConnections):
     """Refuses every connection attempt."""
 
--- a/features/support/state_fleet.py
+++ b/features/support/state_fleet.py
@@ -56,7 +56,7 @@
     def _apply_objects(self, source: str) -> None:
         self.seen.append(f"all by {source}")
 
-    def _apply_change(self, change) -> None:
+    def _apply_change(self, change, source) -> None:
         self.seen.append(change.object.name)
 
 
