Serve other daemons without uvicorn on the platform

Each request costs a daemon several internal requests, and uvicorn with ASGI takes most of the time of one; its import is a part of each start. DirectServer parses with httptools and calls the handler from a protocol of the event loop. It bounds heads, bodies, the time of a request, of an idle connection and of a caller that does not read, answers pipelined requests in order, and ends everything when it ends. The product's own interface keeps uvicorn.

--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -40,14 +40,13 @@
 from cactusdyke.serving.planned_stop import PlannedStop
 from cactusdyke.serving.processor_load import ProcessorLoad
 from cactusdyke.serving.state_exchange import STATE_PATH, StateExchange
-from cactusdyke.transport.asgi import AsgiAdapter
+from cactusdyke.transport.direct_server import DirectServer
 from cactusdyke.transport.exchange import SocketConnections
 from cactusdyke.transport.front import Front
 from cactusdyke.transport.front_interface import Limits
 from cactusdyke.transport.http_network import HttpNetwork
 from cactusdyke.transport.messages import Request, Response, json_response
 from cactusdyke.transport.routes import Routes
-from cactusdyke.transport.server import HttpServer
 
 if TYPE_CHECKING:
     from cactusdyke.clock import Clock
@@ -246,7 +245,7 @@
             (self._settings.ready, ready),
         ]
 
-    def _metrics_server(self) -> HttpServer | None:
+    def _metrics_server(self) -> DirectServer | None:
         """Returns the listener for metrics, None if its port is taken.
 
         Its port stands in the deploy file, while the platform draws all others
@@ -271,15 +270,12 @@
             )
             return None
 
-    def _server(self, endpoint: Endpoint, routes: Routes) -> HttpServer:
-        return HttpServer(
+    def _server(self, endpoint: Endpoint, routes: Routes) -> DirectServer:
+        return DirectServer(
             host=endpoint.host,
             port=endpoint.port,
-            adapter=AsgiAdapter(
-                handler=routes.handle,
-                clock=self._clock,
-                max_body_bytes=MOST_STATE_BYTES,
-            ),
+            handler=routes.handle,
+            max_body_bytes=MOST_STATE_BYTES,
         )
 
     def _peer_routes(self) -> list[tuple[str, str, Handler]]:
