--- a/cactusdyke/serving/health.py
+++ b/cactusdyke/serving/health.py
@@ -80,6 +80,9 @@
 
     def failure_share(self, name: str) -> float:
         """Returns the recent share of failures, 0 to 1."""
+        known = self._stats.get(name)
+        if known is None or not known.failures:
+            return 0.0
         stats = self._decayed(name)
         return stats.failures / (
             stats.successes + stats.failures + PRIOR_SUCCESSES
--- a/cactusdyke/serving/placement.py
+++ b/cactusdyke/serving/placement.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import collections
+import heapq
 import math
 from types import MappingProxyType
 from typing import TYPE_CHECKING
@@ -91,6 +92,7 @@
         self._engines: dict[str, _Engine] = {}
         self._placements: dict[str, Placement] = {}
         self._ms_per_token = ASSUMED_MS_PER_TOKEN
+        self._last_replicas: Sequence[Replica] = ()
 
     def running(self, replica: str) -> int:
         """Returns how many placed requests run on an engine."""
@@ -236,8 +238,12 @@
         preferred: dict[str, int],
         spec: EngineSpec,
     ) -> float:
-        engine = self._engine(replica.name)
-        tokens_to_prefill = self._tokens_to_prefill(engine, generation, hashes)
+        engine = self._engines.get(replica.name) or self._engine(replica.name)
+        tokens_to_prefill = (
+            self._tokens_to_prefill(engine, generation, hashes)
+            if engine.cached
+            else generation.prompt_tokens
+        )
         own_tokens = generation.parts[-1].tokens if generation.parts else 0
         repeated_tokens = max(0, tokens_to_prefill - own_tokens)
         tokens = (
@@ -261,8 +267,9 @@
         self, engine: _Engine, generation: Generation, hashes: list[int]
     ) -> int:
         tokens_to_prefill = generation.prompt_tokens
+        cached = engine.cached
         for part, prefix_hash in zip(generation.parts, hashes, strict=True):
-            if prefix_hash not in engine.cached:
+            if prefix_hash not in cached:
                 break
             tokens_to_prefill -= part.tokens
         return max(0, tokens_to_prefill)
@@ -306,6 +313,8 @@
         engine.slowdown_at = self._clock.now()
 
     def _slowdown(self, engine: _Engine) -> float:
+        if engine.slowdown == 1.0:
+            return 1.0
         age_ms = self._clock.now() - engine.slowdown_at
         decay = math.exp(-max(0.0, age_ms) / SLOWDOWN_DECAY_MS)
         return 1.0 + (engine.slowdown - 1.0) * decay
@@ -314,14 +323,16 @@
         return self._engines.setdefault(name, _Engine())
 
     def _drop_stale(self, replicas: Sequence[Replica]) -> None:
-        now = self._clock.now()
-        expired = [
-            key
-            for key, placement in self._placements.items()
-            if now - placement.placed_at > PLACEMENT_EXPIRY_MS
-        ]
-        for key in expired:
+        oldest = self._clock.now() - PLACEMENT_EXPIRY_MS
+        while self._placements:
+            # They are in the order in which they were placed.
+            key, placement = next(iter(self._placements.items()))
+            if placement.placed_at >= oldest:
+                break
             self.record_end(key, failed=False)
+        if replicas is self._last_replicas:
+            return
+        self._last_replicas = replicas
         names = {replica.name for replica in replicas}
         for name in list(self._engines):
             if name not in names and self._engines[name].running == 0:
@@ -354,11 +365,9 @@
     subject = str(
         hashes[-2] if len(hashes) > 1 else hashes[-1] if hashes else 0
     )
-    ranked = sorted(
-        replicas,
-        key=lambda r: xxhash.xxh3_64_intdigest(f"{subject}@{r.name}".encode()),
+    digest = xxhash.xxh3_64_intdigest
+    ranked = heapq.nsmallest(
+        PREFERRED_ENGINE_COUNT,
+        ((digest(f"{subject}@{r.name}".encode()), r.name) for r in replicas),
     )
-    return {
-        replica.name: rank
-        for rank, replica in enumerate(ranked[:PREFERRED_ENGINE_COUNT])
-    }
+    return {name: rank for rank, (_, name) in enumerate(ranked)}
