--- a/bench/naive/bookings.py
+++ b/bench/naive/bookings.py
@@ -10,7 +10,7 @@
 from cactusdyke.booking import answers
 from cactusdyke.booking.asking import Asker
 from cactusdyke.booking.bookings import Bookings
-from cactusdyke.booking.maker import CallMaker
+from cactusdyke.booking.call_runner import CallRunner
 from cactusdyke.booking.records import Records
 from cactusdyke.booking.sending import Sender
 from cactusdyke.configuration.model import PlainService
@@ -69,7 +69,7 @@
     router = app.service("router", Router)
     client = BackendClient(network=app.network)
     records = Records(clock=app.clock, object_store=app.object_store)
-    maker = CallMaker(
+    maker = CallRunner(
         daemon=app.settings.name,
         clock=app.clock,
         records=records,
--- a/bench/naive/configuration.py
+++ b/bench/naive/configuration.py
@@ -14,10 +14,10 @@
 from cactusdyke import configuration
 from cactusdyke.application import Application, ExtensionMetadata
 from cactusdyke.configuration import model, objects
-from cactusdyke.configuration.desk import SubmissionDesk
 from cactusdyke.configuration.history import accepted_of
 from cactusdyke.configuration.in_force import InForce
 from cactusdyke.configuration.submission import Accepted, Submission
+from cactusdyke.configuration.submission_handler import SubmissionHandler
 from cactusdyke.errors import Failure
 
 PREFIX = "naive/"
@@ -59,7 +59,7 @@
         return Ok(None)
 
 
-class NaiveDesk(SubmissionDesk):
+class NaiveDesk(SubmissionHandler):
     """Writes object by object, and takes a lost answer for a failure."""
 
     async def submit(self, submission: Submission) -> Result[Accepted, Failure]:
--- a/cactusdyke/api/__init__.py
+++ b/cactusdyke/api/__init__.py
@@ -7,13 +7,13 @@
 from cactusdyke.api import addresses
 from cactusdyke.api.authentication import OperatorGate
 from cactusdyke.api.calls import CallHandlers
-from cactusdyke.api.flights import Flights
+from cactusdyke.api.in_flight import RequestsInFlight
 from cactusdyke.api.operations import OperationHandlers
 from cactusdyke.api.submissions import SubmissionHandlers
 from cactusdyke.application import ExtensionMetadata
 from cactusdyke.booking.bookings import Bookings
-from cactusdyke.configuration.desk import SubmissionDesk
 from cactusdyke.configuration.in_force import InForce
+from cactusdyke.configuration.submission_handler import SubmissionHandler
 from cactusdyke.limits.admission import Admission
 from cactusdyke.limits.limiter import Limiter
 from cactusdyke.membership.members import Members
@@ -28,7 +28,9 @@
 
 def setup(app: Application) -> ExtensionMetadata:
     """Registers the routes of callers and operators."""
-    flights = Flights(clock=app.clock, linger_ms=app.settings.linger_ms)
+    in_flight = RequestsInFlight(
+        clock=app.clock, linger_ms=app.settings.linger_ms
+    )
     calls = CallHandlers(
         clock=app.clock,
         rng=app.rng,
@@ -37,7 +39,7 @@
         admission=app.service("admission", Admission),  # type: ignore[type-abstract]
         pipelines=app.service("pipeline", PipelineRunner),
         bookings=app.service("bookings", Bookings),
-        flights=flights,
+        in_flight=in_flight,
         tracing=app.service("tracing", Tracing),
         metrics=app.service("metrics", Metrics),
     )
@@ -56,7 +58,7 @@
     submissions = SubmissionHandlers(
         gate=gate,
         in_force=app.service("configuration", InForce),
-        desk=app.service("submissions", SubmissionDesk),
+        submissions=app.service("submissions", SubmissionHandler),
     )
     app.add_route("POST", "/v1/submissions", submissions.submit)
     app.add_route("GET", "/v1/submissions/{id}", submissions.find)
@@ -73,5 +75,5 @@
     app.add_route("GET", "/health", operations.health)
     app.add_route("GET", "/ready", operations.ready)
     app.add_route("GET", "/metrics", operations.metrics)
-    app.add_service("flights", flights)
+    app.add_service("requests_in_flight", in_flight)
     return ExtensionMetadata(version="1")
--- a/cactusdyke/api/calls.py
+++ b/cactusdyke/api/calls.py
@@ -28,7 +28,7 @@
     import random
     from collections.abc import AsyncIterator
 
-    from cactusdyke.api.flights import Flights
+    from cactusdyke.api.in_flight import RequestsInFlight
     from cactusdyke.booking.bookings import Bookings
     from cactusdyke.clock import Clock
     from cactusdyke.configuration.in_force import InForce
@@ -58,7 +58,7 @@
         admission: Admission,
         pipelines: PipelineRunner,
         bookings: Bookings,
-        flights: Flights,
+        in_flight: RequestsInFlight,
         tracing: Tracing,
         metrics: Metrics,
     ) -> None:
@@ -69,7 +69,7 @@
         self._admission = admission
         self._pipelines = pipelines
         self._bookings = bookings
-        self._flights = flights
+        self._in_flight = in_flight
         self._tracing = tracing
         self._metrics = metrics
 
@@ -85,7 +85,7 @@
         context, pipeline, stream = opened.ok_value
         if stream:
             return await self._stream(context, pipeline)
-        with self._flights.track():
+        with self._in_flight.track():
             async with self._admission.enter(context, pipeline) as permit:
                 if isinstance(permit, Err):
                     return self._close(context, name, permit)
@@ -97,7 +97,7 @@
     ) -> Response:
         """Starts a stream once it is admitted."""
         stack = contextlib.AsyncExitStack()
-        stack.enter_context(self._flights.track())
+        stack.enter_context(self._in_flight.track())
         permit = await stack.enter_async_context(
             self._admission.enter(context, pipeline)
         )
@@ -127,7 +127,7 @@
         if isinstance(opened, Err):
             return failure_response(opened.err_value)
         context, service, _ = opened.ok_value
-        with self._flights.track():
+        with self._in_flight.track():
             answer = await self._call_service(context, service)
         return self._close(context, name, answer)
 
--- a/cactusdyke/api/flights.py
+++ b/cactusdyke/api/in_flight.py
@@ -21,7 +21,7 @@
 """Bounds the wait for quiet, should a caller keep to an old address."""
 
 
-class Flights(Service):
+class RequestsInFlight(Service):
     """Knows how many requests are in flight and when there are none."""
 
     def __init__(self, *, clock: Clock, linger_ms: float) -> None:
--- a/cactusdyke/api/submissions.py
+++ b/cactusdyke/api/submissions.py
@@ -23,9 +23,9 @@
 
 if TYPE_CHECKING:
     from cactusdyke.api.authentication import OperatorGate
-    from cactusdyke.configuration.desk import SubmissionDesk
     from cactusdyke.configuration.in_force import InForce
     from cactusdyke.configuration.model import Configuration, Operator
+    from cactusdyke.configuration.submission_handler import SubmissionHandler
 
 SUBMISSION_ID = Matching(
     pattern=r"[A-Za-z0-9._:-]{1,128}",
@@ -62,11 +62,11 @@
         *,
         gate: OperatorGate,
         in_force: InForce,
-        desk: SubmissionDesk,
+        submissions: SubmissionHandler,
     ) -> None:
         self._gate = gate
         self._in_force = in_force
-        self._desk = desk
+        self._submissions = submissions
 
     async def submit(self, request: Request) -> Response:
         """Accepts or refuses a submission, or says what it would change."""
@@ -79,7 +79,7 @@
         body, wanted = submission.ok_value
         if body.dry_run:
             return _respond(await self._dry_run(body, wanted))
-        accepted = await self._desk.submit(wanted)
+        accepted = await self._submissions.submit(wanted)
         return _respond(
             accepted.map(
                 lambda found: {
@@ -95,7 +95,7 @@
         if isinstance(operator, Err):
             return failure_response(operator.err_value)
         name = request.parameters["id"]
-        found = await self._desk.find(name)
+        found = await self._submissions.find(name)
         if isinstance(found, Err):
             return failure_response(found.err_value)
         if found.ok_value is None:
@@ -120,7 +120,7 @@
                     detail="limit is not a whole number above 0",
                 )
             )
-        heads = await self._desk.history.latest(int(limit))
+        heads = await self._submissions.history.latest(int(limit))
         return _respond(
             heads.map(
                 lambda some: {
@@ -158,14 +158,14 @@
     async def _dry_run(
         self, body: SubmissionBody, wanted: Submission
     ) -> Result[dict[str, Any], Failure]:
-        stored = await self._desk.history.head()
+        stored = await self._submissions.history.head()
         if isinstance(stored, Err):
             return stored
         head = stored.ok_value.head
-        current = await self._desk.accepted()
+        current = await self._submissions.accepted()
         if isinstance(current, Err):
             return current
-        new = await self._desk.resolve(wanted, head)
+        new = await self._submissions.resolve(wanted, head)
         return new.map(
             lambda configuration: {
                 "base_revision": current.ok_value.revision,
--- a/cactusdyke/booking/__init__.py
+++ b/cactusdyke/booking/__init__.py
@@ -7,7 +7,7 @@
 from cactusdyke.application import ExtensionMetadata
 from cactusdyke.booking.asking import Asker
 from cactusdyke.booking.bookings import Bookings
-from cactusdyke.booking.maker import CallMaker
+from cactusdyke.booking.call_runner import CallRunner
 from cactusdyke.booking.records import Records
 from cactusdyke.booking.sending import Sender
 from cactusdyke.booking.sweeper import Sweeper
@@ -26,7 +26,7 @@
     app.setup_extension("cactusdyke.routing")
     app.setup_extension("cactusdyke.membership.extension")
     records = Records(clock=app.clock, object_store=app.object_store)
-    maker = CallMaker(
+    maker = CallRunner(
         daemon=app.settings.name,
         clock=app.clock,
         records=records,
--- a/cactusdyke/booking/bookings.py
+++ b/cactusdyke/booking/bookings.py
@@ -19,7 +19,7 @@
     from types import TracebackType
 
     from cactusdyke.booking.answers import Outcome
-    from cactusdyke.booking.maker import CallMaker
+    from cactusdyke.booking.call_runner import CallRunner
     from cactusdyke.booking.records import Records
     from cactusdyke.clock import Clock
     from cactusdyke.configuration.model import PlainService
@@ -45,7 +45,7 @@
         clock: Clock,
         rng: random.Random,
         records: Records,
-        maker: CallMaker,
+        maker: CallRunner,
     ) -> None:
         self._clock = clock
         self._rng = rng
--- a/cactusdyke/booking/maker.py
+++ b/cactusdyke/booking/call_runner.py
@@ -31,7 +31,7 @@
 """Longest wait for another daemon's call with the same key."""
 
 
-class CallMaker:
+class CallRunner:
     """Makes calls, each at most once for its key over all daemons.
 
     A record goes from open to dispatching by a conditional write that every
--- a/cactusdyke/configuration/__init__.py
+++ b/cactusdyke/configuration/__init__.py
@@ -5,10 +5,10 @@
 from typing import TYPE_CHECKING
 
 from cactusdyke.application import ExtensionMetadata
-from cactusdyke.configuration.desk import SubmissionDesk
 from cactusdyke.configuration.exchange import ExchangeHandlers
 from cactusdyke.configuration.in_force import InForce
 from cactusdyke.configuration.peers import HEAD_PATH, PARTS_PATH
+from cactusdyke.configuration.submission_handler import SubmissionHandler
 from cactusdyke.infrastructure.directory import Peer
 
 if TYPE_CHECKING:
@@ -17,14 +17,14 @@
 
 def setup(app: Application) -> ExtensionMetadata:
     """Registers what keeps a configuration in force and what accepts one."""
-    return setup_with(app, in_force_type=InForce, desk_type=SubmissionDesk)
+    return setup_with(app, in_force_type=InForce, desk_type=SubmissionHandler)
 
 
 def setup_with(
     app: Application,
     *,
     in_force_type: type[InForce],
-    desk_type: type[SubmissionDesk],
+    desk_type: type[SubmissionHandler],
 ) -> ExtensionMetadata:
     """Registers the services as these classes, such as naive versions."""
     settings = app.settings
--- a/cactusdyke/configuration/desk.py
+++ b/cactusdyke/configuration/submission_handler.py
@@ -37,7 +37,7 @@
 _Write: TypeAlias = Callable[[], Awaitable[Result[Any, Failure]]]
 
 
-class SubmissionDesk(Service):
+class SubmissionHandler(Service):
     """Takes submissions of this daemon's callers to the store."""
 
     def __init__(
--- a/cactusdyke/serving/batcher.py
+++ b/cactusdyke/serving/batcher.py
@@ -12,7 +12,7 @@
 from cactusdyke.errors import Failure, FailureKind
 from cactusdyke.serving.dialect import PieceFailure, PieceResult
 from cactusdyke.serving.dispatch_messages import StageOutcome
-from cactusdyke.serving.maker_reports import MemoryReports
+from cactusdyke.serving.memory_reports import MemoryReports
 from cactusdyke.serving.stage_queue import Batch, PieceGroup, StageQueue
 from cactusdyke.transport.exchange import ExchangeError
 
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -14,10 +14,10 @@
 from cactusdyke.kernel import Service
 from cactusdyke.serving import request_failures, routes
 from cactusdyke.serving.attempt import AttemptResult, StreamState
+from cactusdyke.serving.caller_patience import CallerPatience
 from cactusdyke.serving.durations import RequestDuration, RouteDurations
 from cactusdyke.serving.in_flight import InFlightRequests
 from cactusdyke.serving.model import RepeatPolicy
-from cactusdyke.serving.patience import CallerPatience
 from cactusdyke.serving.request import ServingContext
 from cactusdyke.serving.request_log import RequestLog
 from cactusdyke.serving.stages import StageResults
--- a/emulator/deployment.py
+++ b/emulator/deployment.py
@@ -20,7 +20,7 @@
 )
 from emulator.engines import Engine, PlainServer
 from emulator.links import Backend, Links
-from emulator.makers import WAITING_CALLS, StageMaker
+from emulator.stage_replicas import WAITING_CALLS, EmulatedStageReplica
 from emulator.world import MB
 
 if TYPE_CHECKING:
@@ -116,7 +116,7 @@
     for name, stage in world.scenario.stage_services.items():
         for number in range(stage.replicas):
             place = _place(world, name, number)
-            links.add(StageMaker(world=world, spec=stage, **place))
+            links.add(EmulatedStageReplica(world=world, spec=stage, **place))
     for name, engine in world.scenario.engine_services.items():
         for number in range(engine.replicas):
             place = _place(world, name, number) | _cold(engine)
--- a/emulator/makers.py
+++ b/emulator/stage_replicas.py
@@ -18,7 +18,7 @@
 REPORT_AGE_MS = 200.0
 
 
-class StageMaker(Backend):
+class EmulatedStageReplica(Backend):
     """Works on one call at a time and keeps its results for a while."""
 
     def __init__(self, *, world: World, spec: StageService, **place: Any):
--- a/features/steps/emulator_steps.py
+++ b/features/steps/emulator_steps.py
@@ -18,7 +18,6 @@
 from emulator.bound import bound
 from emulator.experiment import OURS, run
 from emulator.links import Answering, Call, Links
-from emulator.makers import StageMaker
 from emulator.scenario import (
     Experiment,
     Fault,
@@ -27,6 +26,7 @@
     load_experiment,
     load_scenario,
 )
+from emulator.stage_replicas import EmulatedStageReplica
 from emulator.world import MB, World
 from standins.virtual import run_virtual
 
@@ -228,7 +228,7 @@
         world = World(scenario=scenario, seed=1)
         async with world.hub:
             links = Links(world=world)
-            maker = StageMaker(
+            maker = EmulatedStageReplica(
                 world=world,
                 spec=context.spec,
                 name="m",
--- a/features/steps/recovery_steps.py
+++ b/features/steps/recovery_steps.py
@@ -16,6 +16,7 @@
 from cactusdyke.observe.tracing import Tracing
 from cactusdyke.platform.wire import PlatformDialect
 from cactusdyke.serving.batcher import FETCH_OVERHEAD_MS, StageBatcher
+from cactusdyke.serving.caller_patience import CallerPatience
 from cactusdyke.serving.decider import Decider
 from cactusdyke.serving.deployment import Deployment
 from cactusdyke.serving.dialect import MemoryReport, Piece, PieceFailure
@@ -26,7 +27,6 @@
     StageWork,
 )
 from cactusdyke.serving.model import StageSpec
-from cactusdyke.serving.patience import CallerPatience
 from cactusdyke.serving.stage_queue import Backlog, Batch
 from cactusdyke.serving.stages import StageResults, StageRunner
 from features.steps.daemon_steps import deployment_with_stage
