--- a/features/support/platform_rig.py
+++ b/features/support/platform_rig.py
@@ -106,7 +106,7 @@
         self.code = None
         self.log = ""
         self._process = subprocess.Popen(
-            [sys.executable, "-m", "cactusdyke.platform.program"],
+            [sys.executable, "-m", "cactusdyke.platform"],
             env={**os.environ, "CACTUSDYKE_CONFIG": str(settings_path)},
             stdout=subprocess.PIPE,
         )
