--- a/cactusdyke/transport/asgi.py
+++ b/cactusdyke/transport/asgi.py
@@ -15,14 +15,14 @@
 import anyio
 from result import Err, Ok, Result
 
-from cactusdyke import events
-from cactusdyke.errors import CactusdykeError, Failure, FailureKind, Ran
+from cactusdyke.errors import Failure, FailureKind
 from cactusdyke.transport.messages import (
     Handler,
     Request,
     Response,
     failure_response,
 )
+from cactusdyke.transport.safe_handler import respond
 
 if TYPE_CHECKING:
     from cactusdyke.clock import Clock
@@ -67,7 +67,7 @@
         closing = False
         match await self._read(scope, receive):
             case Ok(request):
-                response = await self._answer(request)
+                response = await respond(self._handler, request)
             case Err(failure):
                 # The rest of a refused body is still on its way; a kept
                 # connection would take it for the next request.
@@ -80,25 +80,6 @@
         else:
             await _send_stream(response.body, receive, send)
 
-    async def _answer(self, request: Request) -> Response:
-        try:
-            return await self._handler(request)
-        except CactusdykeError as error:
-            return failure_response(error.failure)
-        except Exception as error:
-            events.log(
-                events.Event.INTERNAL_ERROR,
-                path=request.path,
-                error=repr(error),
-            )
-            return failure_response(
-                Failure(
-                    kind=FailureKind.INTERNAL,
-                    detail="The daemon met an unexpected error",
-                    ran=Ran.UNKNOWN,
-                )
-            )
-
     async def _read(
         self, scope: Message, receive: Receive
     ) -> Result[Request, Failure]:
--- a/cactusdyke/transport/direct_server.py
+++ b/cactusdyke/transport/direct_server.py
@@ -15,14 +15,14 @@
 import anyio
 import httptools
 
-from cactusdyke import events
-from cactusdyke.errors import CactusdykeError, Failure, FailureKind, Ran
+from cactusdyke.errors import Failure, FailureKind
 from cactusdyke.transport.messages import (
     Handler,
     Request,
     Response,
     failure_response,
 )
+from cactusdyke.transport.safe_handler import respond
 from cactusdyke.transport.tcp_stream import listen
 
 MAX_HEAD_BYTES = 65_536
@@ -222,32 +222,13 @@
         answer.add_done_callback(self._answers.discard)
 
     async def _answer(self, request: Request, keep_alive: bool) -> None:
-        response = await self._respond(request)
+        response = await respond(self._handler, request)
         self._write(response, keep_alive=keep_alive)
         self._answering = False
         if keep_alive:
             self._set_timer(IDLE_TIMEOUT_S)
             self._start_next()
 
-    async def _respond(self, request: Request) -> Response:
-        try:
-            return await self._handler(request)
-        except CactusdykeError as error:
-            return failure_response(error.failure)
-        except Exception as error:
-            events.log(
-                events.Event.INTERNAL_ERROR,
-                path=request.path,
-                error=repr(error),
-            )
-            return failure_response(
-                Failure(
-                    kind=FailureKind.INTERNAL,
-                    detail="The daemon met an unexpected error",
-                    ran=Ran.UNKNOWN,
-                )
-            )
-
     def _refuse(self, kind: FailureKind, detail: str) -> None:
         if not self._refused:
             self._refused = True
