Close a caller's socket before its abort returns

Cause: made the abort of a front's connection return before the event loop had closed the socket, so that a caller saw the reset one turn of the loop later, which the scenario's blocking caller waits for in vain. The abort waits for that turn again. Connections to replicas are still closed with the next turn; nobody waits for them.

--- a/cactusdyke/transport/front_connection.py
+++ b/cactusdyke/transport/front_connection.py
@@ -131,10 +131,13 @@
         self._reading.cancel()
 
     async def abort(self) -> None:
-        """Ends the connection; a write that waits for its caller fails."""
+        """Ends the connection; a write that waits for its caller fails.
+
+        Its socket is closed on return.
+        """
         if self._answering:
             sockets.reset_on_close(self._stream)
-        self._stream.abort()
+        await anyio.aclose_forcefully(self._stream)
 
     async def run(self) -> None:
         """Answers requests until the connection ends."""
