Announce a daemon once, as it becomes ready

Cause: each change of the deployment called the announcement of a daemon that is ready, and an announcement probes up to 16 others. Every daemon did so at each replica that came, left or changed, and since cold replicas report their time with each heartbeat, at each of these too.

Change: one announcement, at the change that makes the daemon ready.

--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -88,6 +88,7 @@
             daemon=settings.node,
             grace_ms=lambda: self._settings.grace_ms,
         )
+        self._announced_ready = False
         self._kernel = Kernel()
         self._registry = prometheus_client.CollectorRegistry()
         prometheus_client.ProcessCollector(registry=self._registry)
@@ -194,7 +195,13 @@
             self._kernel.add(name, service)
 
     def _announce_when_ready(self) -> None:
-        if self.ready:
+        """Announces this daemon once, as it becomes ready.
+
+        An announcement probes many daemons, and each change of a replica
+        reaches every daemon.
+        """
+        if self.ready and not self._announced_ready:
+            self._announced_ready = True
             self._members.announce()
 
     async def run(self) -> None:
--- a/features/platform/state.feature
+++ b/features/platform/state.feature
@@ -28,6 +28,11 @@
       | a list        |
       | without value |
 
+  Scenario: replicas that change beside a daemon that is ready
+    # Guards against a daemon that probes many others with each such change.
+    When replicas change ten times beside a daemon that is ready
+    Then it has announced itself once
+
   Scenario: a daemon that starts during an evacuation
     # Guards against its first requests, before it has read of the evacuation.
     When a daemon starts while its data centre is evacuated
--- a/features/steps/platform_state_steps.py
+++ b/features/steps/platform_state_steps.py
@@ -13,6 +13,7 @@
 from behave import given, then, when
 
 from cactusdyke.infrastructure.watched_store import StoreObject
+from cactusdyke.membership.members import Members
 from cactusdyke.platform import decode
 from cactusdyke.platform import settings as platform_settings
 from cactusdyke.transport.messages import Request
@@ -177,6 +178,40 @@
     assert logged[0]["backend_servers"] == 1
 
 
+@when("replicas change ten times beside a daemon that is ready")
+def replicas_change(context):
+    announced = []
+
+    async def story(world):
+        original = Members.announce
+
+        def count(members):
+            announced.append(1)
+            original(members)
+
+        Members.announce = count
+        try:
+            await plain_world(world, replicas=("p1",))
+            deployment = world.daemons["d1"]._deployment
+            for capacity in range(10, 20):
+                world.list_replica("p1", capacity=capacity)
+                await until(
+                    lambda slots=capacity: (
+                        deployment.replica("p1").slots == slots
+                    )
+                )
+        finally:
+            Members.announce = original
+
+    play(story)
+    context.announced = len(announced)
+
+
+@then("it has announced itself once")
+def check_announced_once(context):
+    assert context.announced == 1, context.announced
+
+
 @when("a daemon starts while its data centre is evacuated")
 def starts_evacuated(context):
     async def story(world):
