Test a plain service whose replicas are all cold

Cause: of eight guards taken out one by one, the choice of a cold replica by the decider where all are cold was noticed by no scenario.

The other seven were noticed before.

--- a/features/emulator/cold_replicas.feature
+++ b/features/emulator/cold_replicas.feature
@@ -14,6 +14,12 @@
       | a third of the daemons being killed |
       | the loss of all daemons             |
 
+  Scenario: a plain service whose replicas all come back cold
+    # Guards against a service that refuses everything until one is warm.
+    Given the scenario of a cold return of all desks
+    When it is played with two seeds
+    Then cold replicas get requests, and none gets more than it tolerates
+
   Scenario: cold replicas are worth their limit
     # Guards against a limit that costs more than it saves, and against one that
     # the scenario does not need.
--- a/features/steps/cold_emulated_steps.py
+++ b/features/steps/cold_emulated_steps.py
@@ -38,6 +38,29 @@
     )
 
 
+@given("the scenario of a cold return of all desks")
+def cold_desks(context):
+    scenario = load_scenario(SCENARIO).unwrap()
+    context.emulated = attrs.evolve(
+        scenario,
+        seconds=7.0,
+        bursts=(),
+        kinds=tuple(k for k in scenario.kinds if k.service == "desk"),
+        faults=tuple(
+            Fault(
+                what="data_centre_cold", at_s=2.0, for_s=0.3, data_centre=name
+            )
+            for name in scenario.data_centres
+        ),
+    )
+
+
+@then("cold replicas get requests, and none gets more than it tolerates")
+def check_desks(context):
+    assert _total(context, OURS, "requests to cold") > 10
+    assert not _total(context, OURS, "requests too many for cold")
+
+
 def _play(context, policies):
     results = run(
         Experiment(scenarios={}, policies=policies),
