Log the limits that replicas state, and count the replicas that do

The head of each answer is now decoded for the limit, for requests and for calls of stages. A limit ends with an answer to a request sent after its last statement, as answers overtake each other. Nothing is decided by it yet.

--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -238,6 +238,12 @@
         " start tell one another meanwhile.",
         "Check the platform's store.",
     )
+    REPLICA_LIMIT_CHANGED = (
+        4321,
+        "A replica states another limit on the requests that it takes from all"
+        " daemons together, or none any more; `source` says who has heard it.",
+        "Look at the replica's own log for why it is in need.",
+    )
     METRICS_NOT_SERVED = (
         1007,
         "The port for metrics can't be listened on; all else goes on.",
--- a/cactusdyke/platform/wire.py
+++ b/cactusdyke/platform/wire.py
@@ -178,8 +178,14 @@
             ],
             is_event_stream=content_type.startswith(b"text/event-stream"),
             load=_load(head.get(b"x-replica-load")),
+            stated_limit=self.decode_stated_limit(head),
         )
 
+    def decode_stated_limit(self, head: AnswerHead) -> float | None:
+        """Returns the limit that an answer states, None if it states none."""
+        value = head.get(b"server-limit")
+        return None if value is None else _rate(value)
+
     def event_reader(self) -> EventReader:
         """Returns a reader for one stream."""
         return _EventStreamReader()
@@ -412,5 +418,14 @@
     return ReplicaLoad(running=running, queued=waiting, slots=slots)
 
 
+def _rate(value: bytes) -> float:
+    """Returns a number of requests per second, 0 if it is none."""
+    try:
+        rate = float(value)
+    except ValueError:
+        return 0.0
+    return rate if math.isfinite(rate) and rate > 0 else 0.0
+
+
 def _bad(detail: str) -> Failure:
     return Failure(kind=FailureKind.BAD_REQUEST, detail=detail)
--- a/cactusdyke/serving/attempt.py
+++ b/cactusdyke/serving/attempt.py
@@ -21,6 +21,8 @@
     from cactusdyke.serving.dialect import Dialect, StreamEvent
     from cactusdyke.serving.model import Replica
     from cactusdyke.serving.request import ServingContext
+    from cactusdyke.serving.stated_limits import StatedLimits
+    from cactusdyke.transport.answer_parser import AnswerHead
     from cactusdyke.transport.exchange import BackendConnections
     from cactusdyke.transport.front_interface import Reply
 
@@ -109,10 +111,12 @@
         clock: Clock,
         dialect: Dialect,
         connections: BackendConnections,
+        stated_limits: StatedLimits,
     ) -> None:
         self._clock = clock
         self._connections = connections
         self._dialect = dialect
+        self._stated_limits = stated_limits
 
     async def fetch(
         self,
@@ -130,8 +134,11 @@
                 async with self._connections.connect(
                     replica.address
                 ) as exchange:
+                    sent_at = self._clock.now()
                     await self._send(exchange, context, replica, handles, None)
-                    result = await self._read_answer(exchange, context)
+                    head = await exchange.head()
+                    verdict = self._decode_head(context, replica, head, sent_at)
+                    result = await self._classify(exchange, verdict)
             except ExchangeError as error:
                 return _from_exchange_error(error)
         if exchange is None or not exchange.sent:
@@ -171,6 +178,7 @@
                     replica.address
                 ) as exchange:
                     sent = True
+                    sent_at = self._clock.now()
                     await self._send(
                         exchange,
                         context,
@@ -179,7 +187,7 @@
                         state.last_event_number,
                     )
                     head = await exchange.head()
-                    verdict = self._dialect.decode_answer(context, head)
+                    verdict = self._decode_head(context, replica, head, sent_at)
                     if not (verdict.succeeded and verdict.is_event_stream):
                         return await self._classify(exchange, verdict)
                     await self._forward_events(
@@ -220,13 +228,26 @@
         )
         await exchange.send(call.method, call.target, call.headers, call.body)
 
-    async def _read_answer(
-        self, exchange: Exchange, context: ServingContext
-    ) -> AttemptResult:
-        head = await exchange.head()
-        return await self._classify(
-            exchange, self._dialect.decode_answer(context, head)
-        )
+    def _decode_head(
+        self,
+        context: ServingContext,
+        replica: Replica,
+        head: AnswerHead,
+        sent_at: Instant,
+    ) -> AnswerVerdict:
+        """Decodes the head of an answer and records the limit it states."""
+        verdict = self._dialect.decode_answer(context, head)
+        is_own = verdict.kind not in {
+            AnswerKind.FOREIGN,
+            AnswerKind.WRONG_REPLICA,
+        }
+        # A replica that refuses or fails a request may leave the limit out.
+        states = verdict.stated_limit is not None
+        if is_own and (states or verdict.succeeded):
+            self._stated_limits.record_answer(
+                replica, verdict.stated_limit, sent_at=sent_at
+            )
+        return verdict
 
     async def _classify(
         self, exchange: Exchange, verdict: AnswerVerdict
--- a/cactusdyke/serving/batcher.py
+++ b/cactusdyke/serving/batcher.py
@@ -22,10 +22,10 @@
     from anyio.abc import TaskGroup
 
     from cactusdyke.clock import Clock
-    from cactusdyke.serving.cold_replicas import ColdRequestLimit
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.dialect import Dialect
     from cactusdyke.serving.model import BatchSpec, Replica
+    from cactusdyke.serving.request_limits import RequestLimits
     from cactusdyke.serving.resource_tracker import StoredResult
     from cactusdyke.transport.exchange import BackendConnections
 
@@ -66,10 +66,10 @@
         connections: BackendConnections,
         tasks: TaskGroup,
         free_inputs: FreeInputs,
-        cold_limit: ColdRequestLimit,
+        request_limits: RequestLimits,
     ) -> None:
         self._free_inputs = free_inputs
-        self._cold_limit = cold_limit
+        self._request_limits = request_limits
         self._connections = connections
         self._service = service
         self._clock = clock
@@ -253,7 +253,7 @@
 
     def _callable_replicas(self) -> list[str]:
         """Returns the usable replicas without cold ones that need a pause."""
-        exhausted = self._cold_limit.exhausted(
+        exhausted = self._request_limits.exhausted(
             self._deployment.usable_replicas(self._service)
         )
         return [n for n in self._usable_replicas() if n not in exhausted]
@@ -266,7 +266,7 @@
                 break
             replica = self._deployment.replica(batch.replica_name)
             if replica is not None:
-                self._cold_limit.record(replica)
+                self._request_limits.record(replica)
             self._tasks.start_soon(self._call, batch)
         # No event signals that a replica's pause is over, that results in its
         # memory have expired, or that another replica has joined.
@@ -390,6 +390,7 @@
             replica, [(t.piece, t.group.deadline_at - now) for t in batch.tasks]
         )
         async with self._connections.connect(replica.address) as exchange:
+            sent_at = self._clock.now()
             await exchange.send(
                 call.method, call.target, call.headers, call.body
             )
@@ -401,7 +402,12 @@
             self._deployment.mark_leaving(
                 replica, reason="another has its address"
             )
-        return self._dialect.decode_pieces(head, body, len(batch.tasks))
+            return None
+        results = self._dialect.decode_pieces(head, body, len(batch.tasks))
+        limit = self._dialect.decode_stated_limit(head)
+        if limit is not None or results is not None:
+            self._request_limits.record_answer(replica, limit, sent_at=sent_at)
+        return results
 
     def _settle(self, groups: Sequence[PieceGroup]) -> None:
         for group in groups:
--- a/cactusdyke/serving/core.py
+++ b/cactusdyke/serving/core.py
@@ -21,9 +21,11 @@
 from cactusdyke.serving.health import ReplicaHealth
 from cactusdyke.serving.peer_watch import ALIVE_PATH, PeerWatch
 from cactusdyke.serving.quarantine import CRASHES_PATH, Quarantine
+from cactusdyke.serving.request_limits import RequestLimits
 from cactusdyke.serving.retry_budget import RetryBudget
 from cactusdyke.serving.retry_policy import RetryPolicy
 from cactusdyke.serving.stages import StageRunner
+from cactusdyke.serving.stated_limits import StatedLimits
 
 if TYPE_CHECKING:
     import random
@@ -75,6 +77,11 @@
         self._deciders = DeciderDirectory(
             clock=clock, daemons=daemons, watch=self._watch
         )
+        stated_limits = StatedLimits(clock=clock)
+        deployment.on_change(
+            lambda: stated_limits.remove_unknown(deployment.replica_names)
+        )
+        metrics.watch_limits(stated_limits)
         decided = DecidedServices(clock=clock, deciders=self._deciders)
         cold_limit = ColdRequestLimit(
             clock=clock,
@@ -92,7 +99,7 @@
             dialect=dialect,
             connections=connections,
             tracing=tracing,
-            cold_limit=cold_limit,
+            request_limits=RequestLimits(cold=cold_limit, stated=stated_limits),
         )
         self._interface = DeciderInterface(
             deciders=self._deciders, decider=self._decider
@@ -134,7 +141,10 @@
                 deployment=deployment,
             ),
             attempts=AttemptRunner(
-                clock=clock, dialect=dialect, connections=connections
+                clock=clock,
+                dialect=dialect,
+                connections=connections,
+                stated_limits=stated_limits,
             ),
             retry_policy=RetryPolicy(
                 rng=rng,
--- a/cactusdyke/serving/decider.py
+++ b/cactusdyke/serving/decider.py
@@ -23,12 +23,12 @@
     from cactusdyke.errors import Failure
     from cactusdyke.observe.tracing import Tracing
     from cactusdyke.serving.batcher import FreeInputs
-    from cactusdyke.serving.cold_replicas import ColdRequestLimit
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.dialect import Dialect
     from cactusdyke.serving.dispatch_messages import StageOutcome, StageWork
     from cactusdyke.serving.model import Replica
     from cactusdyke.serving.request import Generation
+    from cactusdyke.serving.request_limits import RequestLimits
     from cactusdyke.serving.resource_tracker import ResourceSnapshot
     from cactusdyke.transport.exchange import BackendConnections
 
@@ -59,14 +59,14 @@
         dialect: Dialect,
         connections: BackendConnections,
         tracing: Tracing,
-        cold_limit: ColdRequestLimit,
+        request_limits: RequestLimits,
     ) -> None:
         self._clock = clock
         self._deployment = deployment
         self._dialect = dialect
         self._connections = connections
         self._tracing = tracing
-        self._cold_limit = cold_limit
+        self._request_limits = request_limits
         self._batchers: dict[str, StageBatcher] = {}
         self._placers: dict[str, EnginePlacer] = {}
         self._groups: dict[str, _ActiveGroup] = {}
@@ -261,11 +261,11 @@
             generation,
             engines,
             spec.engine,
-            exclude={*exclude, *self._cold_limit.exhausted(engines)},
+            exclude={*exclude, *self._request_limits.exhausted(engines)},
             inputs=inputs,
         )
         if chosen is not None:
-            self._cold_limit.record(chosen)
+            self._request_limits.record(chosen)
         return chosen
 
     def choose_cold(
@@ -283,14 +283,14 @@
         """
         self._last_used_at[service] = self._clock.now()
         replicas = self._deployment.usable_replicas(service)
-        excluded = {*exclude, *self._cold_limit.exhausted(replicas)}
+        excluded = {*exclude, *self._request_limits.exhausted(replicas)}
         chosen = min(
             (r for r in replicas if r.name not in excluded),
-            key=self._cold_limit.recent_count,
+            key=self._request_limits.recent_count,
             default=None,
         )
         if chosen is not None:
-            self._cold_limit.record(chosen)
+            self._request_limits.record(chosen)
         return chosen
 
     def locate(self, service: str, generation: Generation) -> Replica | None:
@@ -302,7 +302,7 @@
         if spec is None or spec.engine is None:
             return None
         engines = self._deployment.usable_replicas(service)
-        exhausted = self._cold_limit.exhausted(engines)
+        exhausted = self._request_limits.exhausted(engines)
         return self._placer(service).locate(
             generation,
             [e for e in engines if e.name not in exhausted],
@@ -368,7 +368,7 @@
                 connections=self._connections,
                 tasks=self._tasks,
                 free_inputs=self._free_inputs,
-                cold_limit=self._cold_limit,
+                request_limits=self._request_limits,
             )
         batcher.update(spec.batching)
         return batcher
--- a/cactusdyke/serving/dialect.py
+++ b/cactusdyke/serving/dialect.py
@@ -66,6 +66,8 @@
         headers: The headers to forward to the caller.
         is_event_stream: Whether the body is a stream of events.
         load: The replica's load, None if it is not reported.
+        stated_limit: Requests per second that the replica takes from all
+            daemons together, None if it states no limit.
     """
 
     kind: AnswerKind
@@ -73,6 +75,7 @@
     headers: Headers
     is_event_stream: bool
     load: ReplicaLoad | None
+    stated_limit: float | None = None
 
     @property
     def succeeded(self) -> bool:
@@ -204,6 +207,15 @@
     ) -> AnswerVerdict:
         """Decodes the head of an answer."""
 
+    @abc.abstractmethod
+    def decode_stated_limit(self, head: AnswerHead) -> float | None:
+        """Returns the limit that an answer states, None if it states none.
+
+        Returns:
+            Requests per second that the replica takes from all daemons
+            together. It is 0 if the stated value cannot be read.
+        """
+
     @abc.abstractmethod
     def event_reader(self) -> EventReader:
         """Returns a reader for one stream."""
--- a/cactusdyke/serving/metrics.py
+++ b/cactusdyke/serving/metrics.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from cactusdyke.serving.deployment import Deployment
+    from cactusdyke.serving.stated_limits import StatedLimits
 
 SECONDS_BUCKETS = (0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 1.5, 2.0, 4.0, 8.0, 15.0)
 
@@ -61,6 +62,11 @@
             "Replicas to which requests are limited, as they are cold.",
             registry=registry,
         )
+        self._limited = prometheus_client.Gauge(
+            "cactusdyke_limited_replicas",
+            "Replicas that state how many requests they take.",
+            registry=registry,
+        )
         self._quarantined = prometheus_client.Gauge(
             "cactusdyke_quarantined",
             "Requests that no replica gets, as replicas crash under them.",
@@ -72,6 +78,10 @@
         self._evacuated.set_function(lambda: len(deployment.evacuated))
         self._cold.set_function(lambda: deployment.cold_count)
 
+    def watch_limits(self, limits: StatedLimits) -> None:
+        """Reads the gauge of limited replicas when asked for."""
+        self._limited.set_function(lambda: limits.count)
+
     def replica_crashed(self, service: str) -> None:
         """Counts a replica that crashed under requests of this daemon."""
         self._crashes.labels(service).inc()
--- a/emulator/dialect.py
+++ b/emulator/dialect.py
@@ -126,8 +126,14 @@
             headers=[],
             is_event_stream=head.get(b"events") == b"yes",
             load=None,
+            stated_limit=self.decode_stated_limit(head),
         )
 
+    def decode_stated_limit(self, head: AnswerHead) -> float | None:
+        """Returns the limit that an answer states, None if it states none."""
+        value = head.get(b"limit")
+        return None if value is None else float(value)
+
     def event_reader(self) -> EventReader:
         """Returns a reader for one stream."""
         return _Events()
--- /dev/null
+++ b/features/serving/stated_limits.feature
@@ -0,0 +1,19 @@
+Feature: limits that replicas state
+
+  Scenario Outline: a replica that <answers> has <limit>
+    # Guards against a limit that is lost, or kept after its end, as answers of one
+    # replica arrive in another order than it gave them.
+    When a replica <answers>
+    Then its known limit is <limit>
+
+    Examples: one daemon
+      | answers                                              | limit |
+      | states no limit                                      | none  |
+      | states 1 a second                                    | 1     |
+      | states 2.5, then 1 a second                          | 1     |
+      | states 1, then answers a later request without       | none  |
+      | states 1, then answers an earlier request without    | 1     |
+      | states 1, ends it, then states 2                     | 2     |
+      | states 1, and starts again                           | none  |
+      | states a limit that cannot be read                   | 0     |
+      | states 1, and refuses a later request without        | 1     |
--- a/features/steps/cold_replica_steps.py
+++ b/features/steps/cold_replica_steps.py
@@ -27,7 +27,7 @@
 from features.steps.stage_retry_steps import FailingOnce
 from features.support import cold_machine
 from features.support.decider_machine import SERVICE, HandClock
-from features.support.serving_values import NoConnections, cold_limit
+from features.support.serving_values import NoConnections, request_limits
 from standins.virtual import run_virtual
 
 DATA_CENTRES = ("a", "b", "c")
@@ -141,7 +141,7 @@
         ),
         source="test",
     )
-    context.limit = cold_limit(
+    context.limit = request_limits(
         clock, deployment, announced=announced, overshoot=1.5, slack=5.0
     )
     context.decider = Decider(
@@ -150,7 +150,7 @@
         dialect=None,
         connections=NoConnections(),
         tracing=Tracing(daemon="d1"),
-        cold_limit=context.limit,
+        request_limits=context.limit,
     )
 
 
@@ -286,7 +286,9 @@
             connections=context.connections,
             tasks=tasks,
             free_inputs=lambda service, handles: False,
-            cold_limit=cold_limit(clock, deployment, overshoot=1.5, slack=5.0),
+            request_limits=request_limits(
+                clock, deployment, overshoot=1.5, slack=5.0
+            ),
         )
         with clock.timeout(BURST_MS):
             async with anyio.create_task_group() as requests:
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -30,9 +30,10 @@
 from cactusdyke.serving.peer_watch import ALIVE_PATH, PeerWatch
 from cactusdyke.serving.peers import PeerDaemon
 from cactusdyke.serving.stage_queue import PieceGroup, PieceTask
+from cactusdyke.serving.stated_limits import StatedLimits
 from cactusdyke.transport.messages import json_response
 from features.steps.serving_steps import ManualClock
-from features.support.serving_values import NoConnections, cold_limit
+from features.support.serving_values import NoConnections, request_limits
 from standins.virtual import run_virtual
 
 
@@ -253,7 +254,7 @@
             dialect=None,
             connections=NoConnections(),
             tracing=Tracing(daemon="d1"),
-            cold_limit=cold_limit(EventLoopClock(), deployment),
+            request_limits=request_limits(EventLoopClock(), deployment),
         )
         context.returned = []
 
@@ -347,8 +348,12 @@
 @when("the attempt is ended by the time-out")
 def ended_by_timeout(context):
     async def run():
+        clock = EventLoopClock()
         attempts = AttemptRunner(
-            clock=EventLoopClock(), dialect=PlatformDialect(), connections=None
+            clock=clock,
+            dialect=PlatformDialect(),
+            connections=None,
+            stated_limits=StatedLimits(clock=clock),
         )
         verdict = AnswerVerdict(
             kind=AnswerKind.ANSWER,
--- a/features/steps/recovery_steps.py
+++ b/features/steps/recovery_steps.py
@@ -469,7 +469,7 @@
             dialect=PlatformDialect(),
             connections=values.NoConnections(),
             tracing=Tracing(daemon="d1"),
-            cold_limit=values.cold_limit(EventLoopClock(), deployment),
+            request_limits=values.request_limits(EventLoopClock(), deployment),
         )
         context.started = {}
         async with anyio.create_task_group() as tasks:
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -571,7 +571,7 @@
             connections=values.NoConnections(),
             tasks=tasks,
             free_inputs=lambda service, handles: False,
-            cold_limit=values.cold_limit(ManualClock(), deployment),
+            request_limits=values.request_limits(ManualClock(), deployment),
         )
 
     inputs = ("2.2.2.2:2/a", "1.1.1.1:1/b", "1.1.1.1:1/c")
--- a/features/steps/stage_retry_steps.py
+++ b/features/steps/stage_retry_steps.py
@@ -25,7 +25,7 @@
 )
 from features.steps.serving_steps import replica
 from features.steps.stage_queue_steps import batch_spec, group
-from features.support.serving_values import cold_limit
+from features.support.serving_values import request_limits
 from standins.virtual import run_virtual
 
 PIECES = 2
@@ -155,7 +155,7 @@
             connections=connections,
             tasks=tasks,
             free_inputs=lambda service, handles: False,
-            cold_limit=cold_limit(clock, deployment),
+            request_limits=request_limits(clock, deployment),
         )
         clock.queue = batcher.queue
         if way == "meets a replica that is replaced":
--- a/features/support/serving_values.py
+++ b/features/support/serving_values.py
@@ -4,6 +4,8 @@
 
 from cactusdyke.serving.cold_replicas import ColdAllowance, ColdRequestLimit
 from cactusdyke.serving.request import ClientRequest, ServingContext
+from cactusdyke.serving.request_limits import RequestLimits
+from cactusdyke.serving.stated_limits import StatedLimits
 from cactusdyke.transport.exchange import BackendConnections, ExchangeError
 
 
@@ -41,15 +43,23 @@
     )
 
 
-def cold_limit(clock, deployment, *, announced=True, **allowance):
-    """Returns the limit of a daemon that is the decider and sees all others."""
-    return ColdRequestLimit(
+def request_limits(clock, deployment, *, announced=True, **allowance):
+    """Returns the limits of a daemon that is the decider and sees all others.
+
+    Args:
+        clock: The clock.
+        deployment: The deployment.
+        announced: Whether the daemon has announced that it is the decider.
+        allowance: What all daemons may send to a cold replica.
+    """
+    cold = ColdRequestLimit(
         clock=clock,
         deployment=deployment,
         allowance=lambda: ColdAllowance(**allowance),
         is_announced_decider=lambda service: announced,
         sees_most_daemons=lambda: True,
     )
+    return RequestLimits(cold=cold, stated=StatedLimits(clock=clock))
 
 
 class NoConnections(BackendConnections):
