Play replicas that state limits, which no daemon heeds yet

Callers saw nothing; replicas in need got as many requests as before they stated a limit. The emulator's backends now state a limit in their answers' heads and count the requests beyond one and a half times the limit and five in any four seconds, from three seconds after the first statement, over all daemons together. Two new faults: replicas_limited and daemons_cut_off.

--- a/emulator/experiment.py
+++ b/emulator/experiment.py
@@ -122,6 +122,12 @@
         "too many for cold": sum(
             p.counts.get("requests too many for cold", 0) for p in plays
         ),
+        "to limited": mean(
+            [p.counts.get("requests to limited", 0) for p in plays], 0
+        ),
+        "too many for limited": sum(
+            p.counts.get("requests too many for limited", 0) for p in plays
+        ),
         "sent on": max(p.sent_on for p in plays),
         "sound refused": sum(
             p.counts.get("sound quarantined", 0) for p in plays
--- a/emulator/links.py
+++ b/emulator/links.py
@@ -85,10 +85,76 @@
 COLD_OVERSHOOT = 1.5
 COLD_SLACK = 5.0
 COLD_WINDOW_MS = 1_000.0
+LIMIT_OVERSHOOT = 1.5
+LIMIT_SLACK = 5.0
+LIMIT_WINDOW_MS = 4_000.0
+LIMIT_KNOWN_MS = 3_000.0
+"""Within this time of its first statement all daemons know a limit."""
 EVACUATION_KNOWN_MS = 1_000.0
 """Within this time all daemons know that a data centre is evacuated."""
 
 
+FREE_OF_LIMIT = frozenset({"/report"})
+"""Calls that are no requests: what asks for the state of a replica."""
+
+
+class _StatedLimit:
+    """The limit that a replica states, and the requests that it gets."""
+
+    def __init__(self, *, world: World) -> None:
+        self._world = world
+        self._binds_from: Instant = math.inf
+        self._arrivals: collections.deque[Instant] = collections.deque()
+        self.requests_per_s: float | None = None
+
+    def set(self, requests_per_s: float | None) -> None:
+        """Changes the limit; it binds once daemons can know it."""
+        if requests_per_s is None:
+            self._binds_from = math.inf
+        elif self.requests_per_s is None:
+            self._binds_from = self._world.clock.now() + LIMIT_KNOWN_MS
+        self.requests_per_s = requests_per_s
+        self._arrivals.clear()
+
+    def count_arrival(self) -> None:
+        """Counts a request, and whether it is one too many."""
+        if self.requests_per_s is None:
+            return
+        now = self._world.clock.now()
+        self._world.counts["requests to limited"] += 1
+        if now < self._binds_from:
+            return
+        self._arrivals.append(now)
+        while self._arrivals[0] <= now - LIMIT_WINDOW_MS:
+            self._arrivals.popleft()
+        window_s = LIMIT_WINDOW_MS / MS_PER_SECOND
+        most = LIMIT_OVERSHOOT * self.requests_per_s * window_s + LIMIT_SLACK
+        if len(self._arrivals) > most:
+            self._world.counts["requests too many for limited"] += 1
+
+
+class _Stating(Answering):
+    """An answer whose head states the replica's limit."""
+
+    def __init__(self, *, answer: Answering, limit: _StatedLimit) -> None:
+        self._answer = answer
+        self._limit = limit
+
+    def head(self, status: int, **headers: str) -> None:
+        """Sends the head."""
+        if self._limit.requests_per_s is not None:
+            headers["limit"] = str(self._limit.requests_per_s)
+        self._answer.head(status, **headers)
+
+    def part(self, data: bytes) -> None:
+        """Sends a part of the body."""
+        self._answer.part(data)
+
+    def end(self) -> None:
+        """Ends the answer."""
+        self._answer.end()
+
+
 class Backend(abc.ABC):
     """An emulated backend server.
 
@@ -116,6 +182,7 @@
         self.cold_per_s = cold_per_s
         self._cold_until: Instant = 0.0
         self._arrivals: collections.deque[Instant] = collections.deque()
+        self._stated = _StatedLimit(world=world)
         self._calls: set[anyio.CancelScope] = set()
         self._crashing: set[str] = set()
         self._starts = 0
@@ -129,9 +196,16 @@
         """Makes it cold from now on."""
         self._cold_until = self.world.clock.now() + self.cold_ms
 
+    def state_limit(self, requests_per_s: float | None) -> None:
+        """States a limit in all answers from now on, or none."""
+        self._stated.set(requests_per_s)
+
     async def serve(self, call: Call, answer: Answering) -> None:
         """Answers one call, unless a crash ends it."""
         self._count_arrival()
+        if call.path not in FREE_OF_LIMIT:
+            self._stated.count_arrival()
+        answer = _Stating(answer=answer, limit=self._stated)
         with anyio.CancelScope() as scope:
             self._calls.add(scope)
             try:
@@ -183,6 +257,7 @@
         self._starts += 1
         self.name = f"{self.name.partition('~')[0]}~{self._starts}"
         self._arrivals.clear()
+        self.state_limit(None)
         self.turn_cold()
         self.gone = False
 
--- a/emulator/play.py
+++ b/emulator/play.py
@@ -4,6 +4,7 @@
 
 import collections
 import importlib
+import math
 import random
 import warnings
 from functools import partial
@@ -170,6 +171,8 @@
                 daemon.kill(powerless=False)
                 daemon.start()
                 await world.clock.sleep(for_ms)
+        case "daemons_cut_off":
+            await _cut_off(world, struck, daemons, for_ms)
         case "crashing_request":
             number = len(world.crashing)
             arrival = draw_crashing(world.scenario, fault, number, world.rng)
@@ -184,6 +187,8 @@
                     tasks.start_soon(partial(backend.crash, down_ms=for_ms))
         case "data_centre_evacuated":
             await _evacuate(world, links, fault.data_centre, for_ms)
+        case "replicas_limited":
+            await _limit_replicas(world, fault, links)
         case "replica_gone" | "replica_slow":
             backend = _choose(world, links, fault.service)
             backend.gone = fault.what == "replica_gone"
@@ -212,6 +217,43 @@
     del world.evacuated_at[data_centre]
 
 
+async def _cut_off(
+    world: World,
+    struck: list[EmulatedDaemon],
+    daemons: list[EmulatedDaemon],
+    for_ms: float,
+) -> None:
+    """Cuts daemons off from all others for a while."""
+    links = [
+        world.hub.link(*pair)
+        for one in struck
+        for other in daemons
+        if one is not other
+        for pair in ((one.name, other.name), (other.name, one.name))
+    ]
+    for link in links:
+        link.cut = True
+    await world.clock.sleep(for_ms)
+    for link in links:
+        link.cut = False
+
+
+async def _limit_replicas(world: World, fault: Fault, links: Links) -> None:
+    """Lets a share of a service's replicas state a limit for a while."""
+    present = [
+        backend
+        for backend in links.backends.values()
+        if backend.service == fault.service and not backend.gone
+    ]
+    count = math.ceil(fault.share * len(present))
+    limited = world.rng.sample(present, count)
+    for backend in limited:
+        backend.state_limit(fault.limit_per_s)
+    await world.clock.sleep(fault.for_s * MS_PER_SECOND)
+    for backend in limited:
+        backend.state_limit(None)
+
+
 def _choose(world: World, links: Links, service: str) -> Backend:
     """Returns one of a service's replicas that are there."""
     return world.rng.choice(
--- a/emulator/scenario.py
+++ b/emulator/scenario.py
@@ -177,16 +177,18 @@
 
     Attributes:
         what: `daemons_killed`, `daemons_lose_power`, `daemons_restarted` (in
-            turn, without an end in good order), `replica_gone`,
+            turn, without an end in good order), `daemons_cut_off` (from all
+            other daemons, not from replicas and callers), `replica_gone`,
             `replica_slow`, `replica_crashed`, `data_centre_cold` (its
             replicas go down and come back cold), `data_centre_evacuated` (its
             replicas are to get nothing for a while, and are cold after it),
-            or `crashing_request` (comes again and again, and crashes each
+            `replicas_limited` (state how many requests they take), or
+            `crashing_request` (comes again and again, and crashes each
             replica that begins to run it).
         at_s: When.
         for_s: How long; for a restart in turn the pause between two, for a
             crash the time until the replica is back under another name.
-        share: Part of the daemons.
+        share: Part of the daemons, or of the replicas that are limited.
         service: Whose replica it is.
         data_centre: Which data centre it is.
         times: How many times slower.
@@ -194,6 +196,7 @@
         every_s: Mean time between two arrivals of a crashing request.
         down_s: How long a replica is down that it has crashed.
         crash_after_ms: How long after its begin it crashes a replica.
+        limit_per_s: Requests per second that a limited replica takes.
     """
 
     what: str
@@ -207,6 +210,7 @@
     every_s: float = 0.5
     down_s: float = 3.0
     crash_after_ms: float = 60.0
+    limit_per_s: float = 1.0
 
 
 @attrs.frozen(kw_only=True)
--- a/features/steps/cold_emulated_steps.py
+++ b/features/steps/cold_emulated_steps.py
@@ -57,8 +57,8 @@
 
 @then("cold replicas get requests, and none gets more than it tolerates")
 def check_desks(context):
-    assert _total(context, OURS, "requests to cold") > 10
-    assert not _total(context, OURS, "requests too many for cold")
+    assert total(context, OURS, "requests to cold") > 10
+    assert not total(context, OURS, "requests too many for cold")
 
 
 def _play(context, policies):
@@ -91,28 +91,28 @@
     )
 
 
-def _total(context, policy, name):
+def total(context, policy, name):
     return sum(counts.get(name, 0) for counts in context.counts[policy])
 
 
 @then("no cold replica gets more than it tolerates")
 def check_tolerated(context):
-    assert not _total(context, OURS, "requests too many for cold")
+    assert not total(context, OURS, "requests too many for cold")
 
 
 @then("nothing reaches an evacuated data centre")
 def check_evacuated(context):
-    assert not _total(context, OURS, "requests to evacuated")
+    assert not total(context, OURS, "requests to evacuated")
 
 
 @then("cold replicas get more than they tolerate without a limit")
 def check_without(context):
-    assert _total(context, NO_LIMIT, "requests too many for cold")
-    assert not _total(context, OURS, "requests too many for cold")
+    assert total(context, NO_LIMIT, "requests too many for cold")
+    assert not total(context, OURS, "requests too many for cold")
 
 
 @then("they get some requests with ours, and none with nothing for cold ones")
 def check_some(context):
-    ours = _total(context, OURS, "requests to cold")
-    nothing = _total(context, NOTHING, "requests to cold")
+    ours = total(context, OURS, "requests to cold")
+    nothing = total(context, NOTHING, "requests to cold")
     assert ours > 10 * nothing, (ours, nothing)
