Keep the requests of all daemons within the limits that replicas state

Cause: the header was forwarded to callers and read by nobody. Class: a bound over all daemons that no daemon is in charge of; what a replica says of itself reaches one daemon, and all of them send.

Change: the decider of a service alone sends to its limited replicas, from a token bucket that is refilled at the limit. Daemons tell it what answers stated, with notifications and with each question for a replica, so that it never chooses for one that knows more; it tells all daemons, and probes carry the limits to those that missed it. Daemons ask it for a limited replica of a plain service, and leave limited ones out where they choose by themselves. Handles to free at a limited replica of a stage go once in two seconds and count. Broadcasts and the attachment are those of the quarantine, moved.

Why it holds: only an announced decider that sees most daemons takes tokens, and its bucket is empty at that moment. One decider sends at most four times the limit and its bucket in four seconds, two in a row another bucket, two that overlap for a second once more the limit: each is below one and a half times the limit and five.

With daemons as processes a replica limited to one a second gets one a second.

--- a/cactusdyke/membership/attachments.py
+++ b/cactusdyke/membership/attachments.py
@@ -51,6 +51,48 @@
         """
 
 
+class ChangeAttachment(Attachment):
+    """Sends each daemon one shared value, and again after each change.
+
+    This reaches daemons that started later, or were frozen or unreachable when
+    the change was sent to all.
+    """
+
+    def __init__(
+        self,
+        *,
+        version: Callable[[], int],
+        encode: Callable[[], Any],
+        merge: Callable[[Any, str], None],
+    ) -> None:
+        """Creates the attachment.
+
+        Args:
+            version: Grows with each change of the value, 0 before the first.
+            encode: Returns the value, None if there is none.
+            merge: Merges the value of another daemon, given its name.
+        """
+        self._version = version
+        self._encode = encode
+        self._merge = merge
+        self._sent: dict[str, tuple[int, int]] = {}
+
+    def write(self, receiver: Member | None) -> Any:
+        """Returns the value, None if there is none or it has been sent."""
+        version = self._version()
+        if receiver is None or not version:
+            return None
+        current = (receiver.incarnation, version)
+        if self._sent.get(receiver.name) == current:
+            return None
+        self._sent[receiver.name] = current
+        return self._encode()
+
+    def read(self, sender: Member, value: Any) -> None:
+        """Merges the value of the sender."""
+        self._merge(value, sender.name)
+
+
 @attrs.define(kw_only=True)
 class _Attached:
     version: tuple[int, int]
--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -174,6 +174,7 @@
         registry.keep(self._core.quarantine)
         self._core.quarantine.on_loaded(self._announce_when_ready)
         self._members.attach("crashes", self._core.quarantine.attachment)
+        self._members.attach("limits", self._core.limits_attachment)
         self._front = Front(
             host=self._settings.front.host,
             port=self._settings.front.port,
--- a/cactusdyke/serving/batcher.py
+++ b/cactusdyke/serving/batcher.py
@@ -21,7 +21,7 @@
 
     from anyio.abc import TaskGroup
 
-    from cactusdyke.clock import Clock
+    from cactusdyke.clock import Clock, Instant
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.dialect import Dialect
     from cactusdyke.serving.model import BatchSpec, Replica
@@ -38,6 +38,8 @@
 FREE_TIMEOUT_MS = 500.0
 FREE_INTERVAL_MS = 15.0
 """Time for which handles are collected, to be freed in one call a replica."""
+LIMITED_FREE_INTERVAL_MS = 2_000.0
+"""The same for a replica that states how few requests it takes."""
 MIN_RETRY_AFTER_MS = 200.0
 """About one call. Capacity is unlikely to be free sooner."""
 MAX_RETRY_AFTER_MS = 5_000.0
@@ -79,6 +81,8 @@
         self._queue = StageQueue(clock=clock, spec=spec)
         self._done_events: dict[int, anyio.Event] = {}
         self._to_free: dict[str, list[str]] = {}
+        self._freeing = False
+        self._next_free_at: dict[str, Instant] = {}
         self._checking = False
         self._memory_reports = MemoryReports(
             clock=clock,
@@ -152,7 +156,8 @@
         """Frees results that are no longer needed."""
         if not handles:
             return
-        if not self._to_free:
+        if not self._freeing:
+            self._freeing = True
             self._tasks.start_soon(self._send_frees)
         for handle in handles:
             address = self._dialect.replica_address_of(handle)
@@ -252,7 +257,7 @@
         return [replica.name for replica in usable]
 
     def _callable_replicas(self) -> list[str]:
-        """Returns the usable replicas without cold ones that need a pause."""
+        """Returns the usable replicas without those that need a pause."""
         exhausted = self._request_limits.exhausted(
             self._deployment.usable_replicas(self._service)
         )
@@ -416,13 +421,39 @@
                 done.set()
 
     async def _send_frees(self) -> None:
-        await self._clock.sleep(FREE_INTERVAL_MS)
-        to_free, self._to_free = self._to_free, {}
+        while self._to_free:
+            await self._clock.sleep(FREE_INTERVAL_MS)
+            due = self._take_due_frees()
+            if due:
+                self._tasks.start_soon(self._send_due_frees, due)
+        self._freeing = False
+
+    async def _send_due_frees(self, due: dict[str, list[str]]) -> None:
         async with anyio.create_task_group() as tasks:
-            for address, handles in to_free.items():
+            for address, handles in due.items():
                 tasks.start_soon(self._send_free, address, handles)
         self._start_calls()
 
+    def _take_due_frees(self) -> dict[str, list[str]]:
+        """Removes the handles to free now from the queue, by address.
+
+        A replica that states a limit is sent one call in a while, which counts
+        like any other request.
+        """
+        now = self._clock.now()
+        due: dict[str, list[str]] = {}
+        for address in list(self._to_free):
+            replica = self._deployment.replica_at(address)
+            if replica is not None and self._request_limits.states_limit(
+                replica
+            ):
+                if now < self._next_free_at.get(address, 0.0):
+                    continue
+                self._next_free_at[address] = now + LIMITED_FREE_INTERVAL_MS
+                self._request_limits.record(replica)
+            due[address] = self._to_free.pop(address)
+        return due
+
     async def _send_free(self, address: str, handles: list[str]) -> None:
         replica = next(
             (
--- a/cactusdyke/serving/cold_replicas.py
+++ b/cactusdyke/serving/cold_replicas.py
@@ -161,6 +161,10 @@
         self._sees_most_daemons = sees_most_daemons
         self._sent: dict[str, collections.deque[Instant]] = {}
 
+    def is_limited(self, replica: Replica) -> bool:
+        """Returns whether requests to a replica are limited as it is cold."""
+        return self._deployment.is_cold(replica)
+
     def exhausted(self, replicas: Sequence[Replica]) -> set[str]:
         """Returns the names of replicas that this daemon must not send to.
 
@@ -169,7 +173,7 @@
         """
         if not replicas or not self._is_limited(replicas[0].service):
             return set()
-        cold = [r for r in replicas if self._deployment.is_cold(r)]
+        cold = [r for r in replicas if self.is_limited(r)]
         if not cold:
             return set()
         service = cold[0].service
--- a/cactusdyke/serving/core.py
+++ b/cactusdyke/serving/core.py
@@ -19,6 +19,7 @@
 )
 from cactusdyke.serving.forwarder import Forwarder
 from cactusdyke.serving.health import ReplicaHealth
+from cactusdyke.serving.limit_exchange import LIMITS_PATH, LimitExchange
 from cactusdyke.serving.peer_watch import ALIVE_PATH, PeerWatch
 from cactusdyke.serving.quarantine import CRASHES_PATH, Quarantine
 from cactusdyke.serving.request_limits import RequestLimits
@@ -26,6 +27,7 @@
 from cactusdyke.serving.retry_policy import RetryPolicy
 from cactusdyke.serving.stages import StageRunner
 from cactusdyke.serving.stated_limits import StatedLimits
+from cactusdyke.serving.stated_request_limit import StatedRequestLimit
 
 if TYPE_CHECKING:
     import random
@@ -33,6 +35,7 @@
 
     from cactusdyke.clock import Clock
     from cactusdyke.kernel import Service
+    from cactusdyke.membership.attachments import Attachment
     from cactusdyke.observe.tracing import Tracing
     from cactusdyke.serving.cold_replicas import ColdAllowance
     from cactusdyke.serving.deployment import Deployment
@@ -78,20 +81,27 @@
             clock=clock, daemons=daemons, watch=self._watch
         )
         stated_limits = StatedLimits(clock=clock)
-        deployment.on_change(
-            lambda: stated_limits.remove_unknown(deployment.replica_names)
-        )
         metrics.watch_limits(stated_limits)
         decided = DecidedServices(clock=clock, deciders=self._deciders)
-        cold_limit = ColdRequestLimit(
+        request_limits = self._request_limits = RequestLimits(
             clock=clock,
-            deployment=deployment,
-            allowance=cold_allowance,
-            is_announced_decider=decided.announced,
-            sees_most_daemons=daemons.sees_most,
+            cold=ColdRequestLimit(
+                clock=clock,
+                deployment=deployment,
+                allowance=cold_allowance,
+                is_announced_decider=decided.announced,
+                sees_most_daemons=daemons.sees_most,
+            ),
+            stated=StatedRequestLimit(
+                clock=clock,
+                limits=stated_limits,
+                announced_since=decided.announced_since,
+                sees_most_daemons=daemons.sees_most,
+            ),
+            stated_limits=stated_limits,
         )
         deployment.on_change(
-            lambda: cold_limit.remove_unknown(deployment.replica_names)
+            lambda: request_limits.remove_unknown(deployment.replica_names)
         )
         self._decider = Decider(
             clock=clock,
@@ -99,7 +109,7 @@
             dialect=dialect,
             connections=connections,
             tracing=tracing,
-            request_limits=RequestLimits(cold=cold_limit, stated=stated_limits),
+            request_limits=request_limits,
         )
         self._interface = DeciderInterface(
             deciders=self._deciders, decider=self._decider
@@ -112,8 +122,16 @@
             decider=self._decider,
             decided=decided,
             deployment=deployment,
+            stated_limits=stated_limits,
             announce=announce,
         )
+        self._limit_exchange = LimitExchange(
+            clock=clock,
+            network=network,
+            daemons=daemons,
+            deciders=self._deciders,
+            limits=stated_limits,
+        )
         self._quarantine = Quarantine(
             clock=clock,
             network=network,
@@ -157,6 +175,7 @@
                     health=health,
                     daemon_count=daemons.estimated_count,
                 ),
+                request_limits=request_limits,
             ),
             health=health,
             budget=budget,
@@ -176,6 +195,11 @@
         """The quarantine of requests that crash replicas."""
         return self._quarantine
 
+    @property
+    def limits_attachment(self) -> Attachment:
+        """Attaches the limits of replicas to gossip messages."""
+        return self._limit_exchange.attachment
+
     @property
     def decided_service_hashes(self) -> frozenset[int]:
         """Hashes of the services that this daemon announces to decide for."""
@@ -192,6 +216,7 @@
             "peer_watch": self._watch,
             "decider": self._decider,
             "dispatch": self._dispatch,
+            "limit_exchange": self._limit_exchange,
             "quarantine": self._quarantine,
             "forwarder": self._forwarder,
         }
@@ -205,4 +230,5 @@
             ("POST", NOTIFICATIONS_PATH, self._interface.handle_notifications),
             ("GET", ALIVE_PATH, self._watch.handle),
             ("POST", CRASHES_PATH, self._quarantine.handle),
+            ("POST", LIMITS_PATH, self._limit_exchange.handle),
         ]
--- a/cactusdyke/serving/decided_services.py
+++ b/cactusdyke/serving/decided_services.py
@@ -44,6 +44,13 @@
         """Returns whether this daemon announces to decide for a service."""
         return service_hash(service) in self._service_hashes
 
+    def announced_since(self, service: str) -> Instant | None:
+        """Returns since when this daemon announces to decide, or None."""
+        since = self._since.get(service)
+        if since is None or not self.announced(service):
+            return None
+        return since + ANNOUNCE_DELAY_MS
+
     def update(self, services: Iterable[str]) -> bool:
         """Updates the set of services.
 
--- a/cactusdyke/serving/decider.py
+++ b/cactusdyke/serving/decider.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import anyio
 import attrs
@@ -14,7 +14,13 @@
 from cactusdyke.serving.stage_queue import Backlog, PieceGroup, PieceTask
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Mapping, Sequence
+    from collections.abc import (
+        Callable,
+        Collection,
+        Iterable,
+        Mapping,
+        Sequence,
+    )
 
     from anyio.abc import TaskGroup
     from result import Result
@@ -268,14 +274,14 @@
             self._request_limits.record(chosen)
         return chosen
 
-    def choose_cold(
+    def choose_limited(
         self, service: str, exclude: Collection[str]
     ) -> Replica | None:
-        """Chooses a cold replica of a service whose replicas are all cold.
+        """Chooses a replica that only the decider may send requests to.
 
         Args:
-            service: A service that daemons send requests to without a decider
-                as long as it has warm replicas.
+            service: A service that daemons send requests to without a decider,
+                except to limited replicas.
             exclude: Names of replicas that must not be used.
 
         Returns:
@@ -283,15 +289,15 @@
         """
         self._last_used_at[service] = self._clock.now()
         replicas = self._deployment.usable_replicas(service)
-        excluded = {*exclude, *self._request_limits.exhausted(replicas)}
-        chosen = min(
-            (r for r in replicas if r.name not in excluded),
-            key=self._request_limits.recent_count,
-            default=None,
-        )
-        if chosen is not None:
-            self._request_limits.record(chosen)
-        return chosen
+        return self._request_limits.choose_limited(replicas, exclude)
+
+    def merge_limits(self, values: Iterable[Any], *, source: str) -> None:
+        """Merges another daemon's reports of limits.
+
+        Raises:
+            TypeError, ValueError: The reports are malformed.
+        """
+        self._request_limits.merge_reports(values, source=source)
 
     def locate(self, service: str, generation: Generation) -> Replica | None:
         """Returns the engine that would be chosen now if it caches the subject.
--- a/cactusdyke/serving/decider_interface.py
+++ b/cactusdyke/serving/decider_interface.py
@@ -75,6 +75,7 @@
         if redirect and not body.get("insists"):
             return json_response({"moved": redirect})
         try:
+            self._merge_limits(body.get("limits", ()))
             replica = self._choose(body)
         except (AttributeError, KeyError, TypeError, ValueError) as error:
             return failure_response(malformed_message_failure(error))
@@ -83,7 +84,7 @@
     def _choose(self, body: dict[str, Any]) -> Replica | None:
         service = str(body["service"])
         if "generation" not in body:
-            return self._decider.choose_cold(service, set(body["exclude"]))
+            return self._decider.choose_limited(service, set(body["exclude"]))
         generation = decode_generation(body["generation"])
         if not body["id"]:
             return self._decider.locate(service, generation)
@@ -117,6 +118,8 @@
                 self._decider.record_first_token(service, subject)
             case "ended":
                 self._decider.record_end(service, subject, failed=bool(rest[0]))
+            case "limits":
+                self._merge_limits(subject)
             case "cancel":
                 self._decider.cancel(subject)
             case "briefing":
@@ -124,6 +127,9 @@
             case _:
                 raise ValueError(f"unknown kind of notification: {kind}")
 
+    def _merge_limits(self, reports: Any) -> None:
+        self._decider.merge_limits(reports, source="a daemon that asked")
+
     def _redirect(self, service: str) -> list[str] | None:
         """Returns a redirect to the decider if that is another daemon."""
         first = self._deciders.decider_by_membership(service)
--- a/cactusdyke/serving/dispatch.py
+++ b/cactusdyke/serving/dispatch.py
@@ -42,6 +42,7 @@
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.peer_watch import PeerWatch
     from cactusdyke.serving.request import Generation
+    from cactusdyke.serving.stated_limits import LimitReport, StatedLimits
     from cactusdyke.transport.network import Network
 
 STAGE_PATH = "/internal/v1/stage-group"
@@ -58,6 +59,8 @@
 MAX_ROUTING_ATTEMPTS = 4
 """Work that was returned or redirected this often is done by this daemon."""
 HANDOVER_INTERVAL_MS = 200.0
+LIMITED_RETRY_MS = 500.0
+"""Between two questions for a limited replica if there are others."""
 EARLY_FREE_BACKLOG_MS = 200.0
 """About the length of a call; below it memory is not the bottleneck."""
 EARLY_FREE_STABLE_MS = 3_000.0
@@ -89,6 +92,7 @@
         decider: Decider,
         decided: DecidedServices,
         deployment: Deployment,
+        stated_limits: StatedLimits,
         announce: Callable[[], None],
     ) -> None:
         self._clock = clock
@@ -97,6 +101,9 @@
         self._watch = watch
         self._decider = decider
         self._deployment = deployment
+        self._stated_limits = stated_limits
+        stated_limits.on_answer(self._notify_limit)
+        self._refused_until: dict[str, Instant] = {}
         self._announce = announce
         self._tracker = ResourceTracker(clock=clock)
         self._last_decider: dict[str, str] = {}
@@ -298,21 +305,27 @@
             decider=peer,
         )
 
-    async def choose_cold(
-        self, service: str, exclude: Collection[str]
+    async def choose_limited(
+        self, service: str, exclude: Collection[str], *, has_alternative: bool
     ) -> Replica | None:
-        """Asks the decider for a cold replica that tolerates a request.
+        """Asks the decider for a limited replica that tolerates a request.
 
         Args:
-            service: Service all of whose replicas are cold.
+            service: The service.
             exclude: Names of replicas that must not be used.
+            has_alternative: Whether another replica can be used. The decider is
+                then not asked again soon after it had none.
         """
+        now = self._clock.now()
+        if has_alternative and now < self._refused_until.get(service, 0.0):
+            return None
         peer = self._deciders.decider_of(service)
         if peer.is_local:
-            return self._decider.choose_cold(service, exclude)
+            return self._decider.choose_limited(service, exclude)
         body = {"service": service, "exclude": list(exclude)}
         replica = await self._fetch_choice(peer, service, body)
         if replica is None or not self._deployment.is_usable(replica):
+            self._refused_until[service] = now + LIMITED_RETRY_MS
             return None
         return replica
 
@@ -422,6 +435,11 @@
     ) -> Replica | None:
         """Returns the replica that a decider chooses, None if there is none."""
         answer: Result[dict[str, Any], Failure] | None = None
+        # The decider must know what this daemon knows before it chooses: a
+        # notification may be lost, and a new decider has had none.
+        reports = self._stated_limits.reports_of(service)
+        if reports:
+            body["limits"] = self._stated_limits.encode(reports)
         with self._clock.timeout(PLACEMENT_TIMEOUT_MS):
             answer = await self._fetch(
                 peer, PLACEMENT_PATH, body, PLACEMENT_TIMEOUT_MS
@@ -469,6 +487,12 @@
             )
         return parse_object(response.body)
 
+    def _notify_limit(self, report: LimitReport) -> None:
+        peer = self._deciders.decider_of(report.service)
+        if not peer.is_local:
+            values = self._stated_limits.encode([report])
+            self._notify(peer, ["limits", report.service, values])
+
     def _notify(self, peer: PeerDaemon, notification: list[Any]) -> None:
         queued = self._notifications.setdefault(peer.address, [])
         if len(queued) < MAX_NOTIFICATIONS:
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -413,15 +413,21 @@
         )
 
     async def _choose_replica(self, context: ServingContext) -> Replica | None:
-        """Chooses a replica here; asks the decider if all of them are cold."""
-        replica = self._retry_policy.choose(context)
-        if replica is not None or context.route.generates:
+        """Chooses a replica here; the decider is asked for limited ones."""
+        policy = self._retry_policy
+        if context.route.generates:
+            return policy.choose(context)
+        replica = policy.choose(context, among_limited=True)
+        if replica is not None and not policy.is_limited(replica):
             return replica
-        if not self._retry_policy.candidates(context):
+        if not policy.candidates(context):
             return None
-        return await self._dispatch.choose_cold(
-            context.service, self._retry_policy.excluded(context)
+        limited = await self._dispatch.choose_limited(
+            context.service,
+            policy.excluded(context),
+            has_alternative=policy.choose(context) is not None,
         )
+        return limited or policy.choose(context)
 
     @contextlib.asynccontextmanager
     async def _freeing_inputs(
--- a/cactusdyke/serving/quarantine.py
+++ b/cactusdyke/serving/quarantine.py
@@ -13,13 +13,13 @@
 from typing import TYPE_CHECKING, Any
 
 import anyio
-import orjson
-from result import Err, Ok
+from result import Err
 
 from cactusdyke import events
 from cactusdyke.errors import Failure, FailureKind
 from cactusdyke.kernel import Service
-from cactusdyke.membership.attachments import Attachment
+from cactusdyke.membership.attachments import ChangeAttachment
+from cactusdyke.serving import broadcast
 from cactusdyke.serving.crash_suspects import (
     MAX_SHARED_REQUESTS,
     MIN_SHARED_CRASHES,
@@ -28,14 +28,12 @@
 from cactusdyke.serving.state_readers import RankedReaders
 from cactusdyke.transport.exchange import ExchangeError
 from cactusdyke.transport.messages import (
-    JSON_TYPE,
     Request,
     Response,
     failure_response,
     json_response,
     parse_object,
 )
-from cactusdyke.transport.network import CallOptions
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -44,27 +42,23 @@
     from result import Result
 
     from cactusdyke.clock import Clock
-    from cactusdyke.membership.member import Member
+    from cactusdyke.membership.attachments import Attachment
     from cactusdyke.serving.metrics import ServingMetrics
     from cactusdyke.serving.model import Replica
-    from cactusdyke.serving.peers import PeerDaemon, PeerDaemons
+    from cactusdyke.serving.peers import PeerDaemons
     from cactusdyke.serving.request import ServingContext
     from cactusdyke.transport.exchange import BackendConnections
     from cactusdyke.transport.network import Network
 
 CRASHES_PATH = "/internal/v1/crashes"
-OK_STATUS = 200
 COALESCE_MS = 20.0
 """All connections to a crashing replica break within a few milliseconds."""
 RECHECK_DELAY_MS = 250.0
 """A process that ends may close its connections before it stops listening."""
-CALL_TIMEOUT_MS = 500.0
 RETRY_MS = 500.0
 SAVE_RETRY_MS = 2_000.0
 LOAD_TIMEOUT_MS = 1_000.0
 """How long a starting daemon waits for saved evidence before it serves."""
-MAX_CONCURRENT_CALLS = 16
-"""To other daemons; a host can spend one core at most on them."""
 
 
 class QuarantineStore(abc.ABC):
@@ -129,7 +123,11 @@
     @property
     def attachment(self) -> Attachment:
         """Attaches the evidence for all daemons to gossip messages."""
-        return _EvidenceAttachment(quarantine=self, suspects=self._suspects)
+        return ChangeAttachment(
+            version=lambda: self._suspects.shared_version,
+            encode=lambda: self.evidence,
+            merge=lambda evidence, _: self.merge(evidence),
+        )
 
     @property
     def evidence(self) -> dict[str, Any] | None:
@@ -293,7 +291,9 @@
                 if not collector.is_local
                 and self._reported_versions.get(collector.name) != version
             ]
-            for name in await self._post(outdated, evidence):
+            for name in await broadcast.post(
+                self._network, outdated, CRASHES_PATH, evidence
+            ):
                 self._reported_versions[name] = version
             # A daemon that becomes a collector later has to be sent it, too.
             with self._clock.timeout(RETRY_MS):
@@ -311,7 +311,9 @@
             evidence = self.evidence
             if evidence is not None and self._is_collector:
                 others = [d for d in self._daemons.all() if not d.is_local]
-                await self._post(others, evidence)
+                await broadcast.post(
+                    self._network, others, CRASHES_PATH, evidence
+                )
 
     async def _save(self) -> None:
         """Saves the evidence for all daemons if this one is a collector.
@@ -342,64 +344,3 @@
     @property
     def _is_collector(self) -> bool:
         return any(daemon.is_local for daemon in self._collectors.current())
-
-    async def _post(
-        self, daemons: list[PeerDaemon], evidence: Mapping[str, Any]
-    ) -> list[str]:
-        """Sends evidence to daemons; returns which accepted it."""
-        request = Request(
-            method="POST",
-            path=CRASHES_PATH,
-            headers={"content-type": JSON_TYPE},
-            body=orjson.dumps(evidence),
-        )
-        options = CallOptions(
-            connect_timeout_ms=CALL_TIMEOUT_MS,
-            progress_timeout_ms=CALL_TIMEOUT_MS,
-        )
-        limiter = anyio.CapacityLimiter(MAX_CONCURRENT_CALLS)
-        accepted: list[str] = []
-
-        async def post(daemon: PeerDaemon) -> None:
-            async with limiter:
-                answer = await self._network.fetch(
-                    daemon.address, request, options
-                )
-            if isinstance(answer, Ok) and answer.ok_value.status == OK_STATUS:
-                accepted.append(daemon.name)
-
-        async with anyio.create_task_group() as tasks:
-            for daemon in daemons:
-                tasks.start_soon(post, daemon)
-        return accepted
-
-
-class _EvidenceAttachment(Attachment):
-    """Sends each daemon the evidence once, and again after each change.
-
-    This reaches daemons that started later, or were frozen or unreachable when
-    the collectors sent it.
-    """
-
-    def __init__(
-        self, *, quarantine: Quarantine, suspects: CrashSuspects
-    ) -> None:
-        self._quarantine = quarantine
-        self._suspects = suspects
-        self._sent: dict[str, tuple[int, int]] = {}
-
-    def write(self, receiver: Member | None) -> Any:
-        """Returns the evidence, None if there is none or it has been sent."""
-        version = self._suspects.shared_version
-        if receiver is None or not version:
-            return None
-        current = (receiver.incarnation, version)
-        if self._sent.get(receiver.name) == current:
-            return None
-        self._sent[receiver.name] = current
-        return self._quarantine.evidence
-
-    def read(self, sender: Member, value: Any) -> None:
-        """Merges the evidence of the sender."""
-        del sender
-        self._quarantine.merge(value)
--- a/cactusdyke/serving/request_limits.py
+++ b/cactusdyke/serving/request_limits.py
@@ -2,23 +2,45 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import math
+from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Collection, Iterable, Sequence
 
-    from cactusdyke.clock import Instant
+    from cactusdyke.clock import Clock, Instant
     from cactusdyke.serving.cold_replicas import ColdRequestLimit
     from cactusdyke.serving.model import Replica
     from cactusdyke.serving.stated_limits import StatedLimits
+    from cactusdyke.serving.stated_request_limit import StatedRequestLimit
 
 
 class RequestLimits:
     """Joins the limit on cold replicas with those that replicas state."""
 
-    def __init__(self, *, cold: ColdRequestLimit, stated: StatedLimits) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        cold: ColdRequestLimit,
+        stated: StatedRequestLimit,
+        stated_limits: StatedLimits,
+    ) -> None:
+        self._clock = clock
         self._cold = cold
         self._stated = stated
+        self._stated_limits = stated_limits
+        self._sent_at: dict[str, Instant] = {}
+
+    def is_limited(self, replica: Replica) -> bool:
+        """Returns whether only the decider may send to a replica."""
+        return self._cold.is_limited(replica) or self._stated.is_limited(
+            replica
+        )
+
+    def states_limit(self, replica: Replica) -> bool:
+        """Returns whether a replica states how many requests it takes."""
+        return self._stated.is_limited(replica)
 
     def exhausted(self, replicas: Sequence[Replica]) -> set[str]:
         """Returns the names of replicas that this daemon must not send to.
@@ -26,15 +48,43 @@
         Args:
             replicas: Replicas of one service.
         """
-        return self._cold.exhausted(replicas)
+        return self._cold.exhausted(replicas) | self._stated.exhausted(replicas)
 
     def record(self, replica: Replica) -> None:
         """Records a request that this daemon decided to send to a replica."""
         self._cold.record(replica)
+        self._stated.record(replica)
+        if self.is_limited(replica):
+            self._sent_at[replica.name] = self._clock.now()
+
+    def choose_limited(
+        self, replicas: Sequence[Replica], exclude: Collection[str]
+    ) -> Replica | None:
+        """Chooses the limited replica that may get a request, and counts it.
+
+        Args:
+            replicas: Replicas of one service.
+            exclude: Names of replicas that must not be used.
 
-    def recent_count(self, replica: Replica) -> int:
-        """Returns how many requests were sent to a replica recently."""
-        return self._cold.recent_count(replica)
+        Returns:
+            Of several replicas the one that was not chosen for longest, or
+            None.
+        """
+        exhausted = self.exhausted(replicas)
+        chosen = min(
+            (
+                replica
+                for replica in replicas
+                if self.is_limited(replica)
+                and replica.name not in exhausted
+                and replica.name not in exclude
+            ),
+            key=lambda r: self._sent_at.get(r.name, -math.inf),
+            default=None,
+        )
+        if chosen is not None:
+            self.record(chosen)
+        return chosen
 
     def record_answer(
         self,
@@ -47,4 +97,22 @@
 
         See `StatedLimits.record_answer`.
         """
-        self._stated.record_answer(replica, requests_per_s, sent_at=sent_at)
+        self._stated_limits.record_answer(
+            replica, requests_per_s, sent_at=sent_at
+        )
+
+    def merge_reports(self, values: Iterable[Any], *, source: str) -> None:
+        """Merges another daemon's reports of limits, see `StatedLimits.merge`.
+
+        Raises:
+            TypeError, ValueError: The reports are malformed.
+        """
+        self._stated_limits.merge(values, source=source)
+
+    def remove_unknown(self, known_names: set[str]) -> None:
+        """Removes replicas that are not in `known_names`."""
+        self._cold.remove_unknown(known_names)
+        self._stated.remove_unknown(known_names)
+        self._stated_limits.remove_unknown(known_names)
+        for name in self._sent_at.keys() - known_names:
+            del self._sent_at[name]
--- a/cactusdyke/serving/retry_policy.py
+++ b/cactusdyke/serving/retry_policy.py
@@ -18,6 +18,7 @@
     from cactusdyke.serving.health import ReplicaHealth
     from cactusdyke.serving.model import Replica
     from cactusdyke.serving.request import ServingContext
+    from cactusdyke.serving.request_limits import RequestLimits
     from cactusdyke.serving.retry_budget import RetryBudget
 
 MAX_ATTEMPTS = 4
@@ -37,6 +38,7 @@
         health: ReplicaHealth,
         budget: RetryBudget,
         connection_share: ConnectionShare,
+        request_limits: RequestLimits,
     ) -> None:
         self._rng = rng
         self._data_centre = data_centre
@@ -44,6 +46,7 @@
         self._health = health
         self._budget = budget
         self._connection_share = connection_share
+        self._request_limits = request_limits
 
     def may_retry(self, context: ServingContext, result: AttemptResult) -> bool:
         """Returns whether to retry, and charges a retry to the budget.
@@ -94,6 +97,10 @@
             return usable
         return [r for r in usable if r.name in context.sent_to]
 
+    def is_limited(self, replica: Replica) -> bool:
+        """Returns whether the decider has to agree to a replica."""
+        return self._request_limits.is_limited(replica)
+
     def excluded(self, context: ServingContext) -> set[str]:
         """Returns the names of engines that a placement must not use."""
         usable = self._deployment.usable_replicas(context.service)
@@ -102,17 +109,26 @@
         failed = set(context.failed_replicas)
         return excluded if allowed <= failed else excluded | failed
 
-    def choose(self, context: ServingContext) -> Replica | None:
-        """Returns the warm replica with the least expected cost, or None.
+    def choose(
+        self, context: ServingContext, *, among_limited: bool = False
+    ) -> Replica | None:
+        """Returns the replica with the least expected cost, or None.
+
+        Only the decider of a service sends requests to its limited replicas,
+        as it knows how many all daemons send there.
 
-        Only the decider of a service sends requests to its cold replicas, as
-        it knows how many all daemons send there.
+        Args:
+            context: The request.
+            among_limited: Whether the choice includes replicas that state a
+                limit, to which the request may be sent if the decider agrees.
         """
+        limits = self._request_limits
         return balance.choose(
             [
                 replica
                 for replica in self.candidates(context)
-                if not self._deployment.is_cold(replica)
+                if not limits.is_limited(replica)
+                or (among_limited and limits.states_limit(replica))
             ],
             self._health,
             rng=self._rng,
--- a/cactusdyke/serving/stated_limits.py
+++ b/cactusdyke/serving/stated_limits.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
@@ -10,12 +10,19 @@
 from cactusdyke.clock import Instant
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
     from cactusdyke.clock import Clock
     from cactusdyke.serving.model import Replica
 
 ENDED_KEPT_MS = 10_000.0
 """How long the end of a limit is remembered: older answers arrive meanwhile."""
+DELIVERY_MS = 1_000.0
+"""Longest time that a report takes from one daemon to another."""
 OWN_ANSWER = "own answer"
+MAX_SHARED_REPORTS = 64
+"""Most reports in one message. The newest are sent; the decider of a service
+knows all of its limits from the daemons that ask it."""
 
 
 @attrs.frozen(kw_only=True)
@@ -60,6 +67,9 @@
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._reports: dict[str, LimitReport] = {}
+        self._version = 0
+        self._answer_hook: Callable[[LimitReport], None] = _ignore
+        self._change_hook: Callable[[LimitReport], None] = _ignore
 
     @property
     def count(self) -> int:
@@ -67,6 +77,19 @@
         reports = self._reports.values()
         return sum(r.requests_per_s is not None for r in reports)
 
+    @property
+    def version(self) -> int:
+        """Grows with every change of a limit."""
+        return self._version
+
+    def on_answer(self, hook: Callable[[LimitReport], None]) -> None:
+        """Sets the hook for each report that an answer to this daemon gave."""
+        self._answer_hook = hook
+
+    def on_change(self, hook: Callable[[LimitReport], None]) -> None:
+        """Sets the hook for each report that changed a limit."""
+        self._change_hook = hook
+
     def limit_of(self, replica: Replica) -> float | None:
         """Returns the requests per second that a replica takes, or None."""
         report = self._reports.get(replica.name)
@@ -100,6 +123,49 @@
             at=sent_at if requests_per_s is None else now,
         )
         self._apply(report, source=OWN_ANSWER)
+        self._answer_hook(report)
+
+    def reports_of(self, service: str) -> list[LimitReport]:
+        """Returns the reports on a service's replicas, recent ends included."""
+        return [r for r in self._reports.values() if r.service == service]
+
+    def encode_all(self) -> list[list[Any]]:
+        """Encodes the newest reports on all services."""
+        newest = sorted(self._reports.values(), key=lambda r: -r.at)
+        return self.encode(newest[:MAX_SHARED_REPORTS])
+
+    def encode(self, reports: Iterable[LimitReport]) -> list[list[Any]]:
+        """Encodes reports as JSON arrays, with their ages in milliseconds."""
+        now = self._clock.now()
+        return [
+            [r.replica, r.service, r.born, r.requests_per_s, round(now - r.at)]
+            for r in reports
+        ]
+
+    def merge(self, values: Iterable[Any], *, source: str) -> None:
+        """Merges another daemon's reports.
+
+        Args:
+            values: The reports as `encode` made them.
+            source: The daemon that sent them, for the log.
+
+        Raises:
+            TypeError, ValueError: The reports are malformed.
+        """
+        now = self._clock.now()
+        for replica, service, born, requests_per_s, age_ms in values:
+            ended = requests_per_s is None
+            # Age does not include the delivery: a report is about an earlier
+            # moment than it seems. An end must not be taken for a later one.
+            at = now - float(age_ms) - (DELIVERY_MS if ended else 0.0)
+            report = LimitReport(
+                replica=str(replica),
+                service=str(service),
+                born=int(born),
+                requests_per_s=None if ended else float(requests_per_s),
+                at=at,
+            )
+            self._apply(report, source=source)
 
     def remove_unknown(self, known_names: set[str]) -> None:
         """Removes replicas that are not in `known_names`."""
@@ -115,18 +181,26 @@
             return
         self._reports[report.replica] = report
         before = known.requests_per_s if known else None
-        if before != report.requests_per_s:
-            events.log(
-                events.Event.REPLICA_LIMIT_CHANGED,
-                backend_server=report.replica,
-                service=report.service,
-                before=before,
-                requests_per_s=report.requests_per_s,
-                source=source,
-            )
+        if before == report.requests_per_s:
+            return
+        self._version += 1
+        events.log(
+            events.Event.REPLICA_LIMIT_CHANGED,
+            backend_server=report.replica,
+            service=report.service,
+            before=before,
+            requests_per_s=report.requests_per_s,
+            source=source,
+        )
+        self._change_hook(report)
 
     def _remove_old_ends(self) -> None:
         oldest = self._clock.now() - ENDED_KEPT_MS
         for name, report in list(self._reports.items()):
             if report.requests_per_s is None and report.at < oldest:
                 del self._reports[name]
+
+
+def _ignore(report: LimitReport) -> None:
+    """Does nothing; the default of the hooks."""
+    del report
--- a/emulator/daemons.py
+++ b/emulator/daemons.py
@@ -237,6 +237,7 @@
             tracing=Tracing(daemon=self.name, kept=KEPT_SPANS),
         )
         members.attach("crashes", core.quarantine.attachment)
+        members.attach("limits", core.limits_attachment)
         for evidence in world.saved.values():
             core.quarantine.merge(evidence)
         core.quarantine.mark_loaded()
--- a/emulator/links.py
+++ b/emulator/links.py
@@ -142,9 +142,15 @@
 
     def head(self, status: int, **headers: str) -> None:
         """Sends the head."""
-        if self._limit.requests_per_s is not None:
-            headers["limit"] = str(self._limit.requests_per_s)
-        self._answer.head(status, **headers)
+        self._answer.head(status, **headers, **self._stated())
+
+    def whole(self, status: int, body: dict[str, Any], **headers: str) -> None:
+        """Sends a whole answer."""
+        self._answer.whole(status, body, **headers, **self._stated())
+
+    def _stated(self) -> dict[str, str]:
+        limit = self._limit.requests_per_s
+        return {} if limit is None else {"limit": str(limit)}
 
     def part(self, data: bytes) -> None:
         """Sends a part of the body."""
--- a/emulator/naive.py
+++ b/emulator/naive.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import math
+from typing import TYPE_CHECKING, Any
 
 from cactusdyke.serving.cold_replicas import ColdRequestLimit
 from cactusdyke.serving.stage_queue import StageQueue
+from cactusdyke.serving.stated_request_limit import StatedRequestLimit
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -46,3 +48,33 @@
     def exhausted(self, replicas: Sequence[Replica]) -> set[str]:
         """Returns every cold replica."""
         return {r.name for r in replicas if self._deployment.is_cold(r)}
+
+
+class LimitsIgnored(StatedRequestLimit):
+    """Sends to replicas that state a limit as to all others."""
+
+    def is_limited(self, replica: Replica) -> bool:
+        """Returns no."""
+        del replica
+        return False
+
+
+class NothingWhileLimited(StatedRequestLimit):
+    """Sends nothing to replicas that state a limit."""
+
+    def exhausted(self, replicas: Sequence[Replica]) -> set[str]:
+        """Returns every replica that states a limit."""
+        return {r.name for r in replicas if self.is_limited(r)}
+
+
+class OwnLimit(StatedRequestLimit):
+    """Keeps to limits by what this daemon sends, whoever decides."""
+
+    def __init__(self, **dependencies: Any) -> None:
+        super().__init__(
+            **{
+                **dependencies,
+                "announced_since": lambda service: -math.inf,
+                "sees_most_daemons": lambda: True,
+            }
+        )
--- a/features/steps/cold_emulated_steps.py
+++ b/features/steps/cold_emulated_steps.py
@@ -61,7 +61,7 @@
     assert not total(context, OURS, "requests too many for cold")
 
 
-def _play(context, policies):
+def play(context, policies):
     results = run(
         Experiment(scenarios={}, policies=policies),
         {"s": context.emulated},
@@ -76,13 +76,13 @@
 
 @when("it is played with two seeds")
 def played_twice(context):
-    _play(context, {})
+    play(context, {})
 
 
 @when("it is played with our limit, with none, and with nothing for cold ones")
 def played_three_ways(context):
     naive = {NO_LIMIT: "ColdLikeWarm", NOTHING: "NothingWhileCold"}
-    _play(
+    play(
         context,
         {
             name: Policy(replace={LIMIT: f"emulator.naive.{other}"})
--- a/features/steps/deciders_steps.py
+++ b/features/steps/deciders_steps.py
@@ -34,6 +34,7 @@
     encode_snapshot,
 )
 from cactusdyke.serving.stage_queue import StageQueue
+from cactusdyke.serving.stated_limits import StatedLimits
 from cactusdyke.transport.messages import json_response
 from features.steps.serving_steps import ManualClock
 from features.steps.stage_queue_steps import (
@@ -326,6 +327,7 @@
             decider=UnusedDecider(),
             decided=DecidedServices(clock=clock, deciders=deciders),
             deployment=Deployment(clock=clock),
+            stated_limits=StatedLimits(clock=clock),
             announce=lambda: None,
         )
         async with anyio.create_task_group() as tasks:
--- a/features/steps/limited_emulated_steps.py
+++ b/features/steps/limited_emulated_steps.py
@@ -5,12 +5,15 @@
 import pathlib
 
 import attrs
-from behave import given, then
+from behave import given, then, when
 
 from emulator.experiment import OURS
-from emulator.scenario import Fault, load_scenario
-from features.steps.cold_emulated_steps import total
+from emulator.scenario import Fault, Policy, load_scenario
+from features.steps.cold_emulated_steps import play, total
 
+LIMIT = "cactusdyke.serving.core.StatedRequestLimit"
+IGNORED = "as to others"
+NOTHING = "nothing while limited"
 SCENARIO = pathlib.Path("emulator/scenarios/limited.jsonc")
 TROUBLES = {
     "nothing more": (),
@@ -41,3 +44,27 @@
     assert total(context, OURS, "requests to limited") > 20
     too_many = total(context, OURS, "requests too many for limited")
     assert not too_many, too_many
+
+
+@when("it is played with our limit, with none, and with limited ones left out")
+def played_three_ways(context):
+    naive = {IGNORED: "LimitsIgnored", NOTHING: "NothingWhileLimited"}
+    play(
+        context,
+        {
+            name: Policy(replace={LIMIT: f"emulator.naive.{other}"})
+            for name, other in naive.items()
+        },
+    )
+
+
+@then("limited replicas get more than they state without a limit")
+def check_ignored(context):
+    assert total(context, IGNORED, "requests too many for limited")
+    assert not total(context, OURS, "requests too many for limited")
+
+
+@then("they get more requests with ours than if they are left out")
+def check_some(context):
+    ours = total(context, OURS, "requests to limited")
+    assert ours > 2 * total(context, NOTHING, "requests to limited"), ours
--- a/features/steps/quarantine_process_steps.py
+++ b/features/steps/quarantine_process_steps.py
@@ -36,7 +36,7 @@
 }
 
 
-def _routes():
+def platform_routes():
     stages = [
         {"service": "stage", "after": [], "bytes": 1_000},
         {"service": "stage", "after": [0], "bytes": 100},
@@ -122,7 +122,7 @@
                 replica.crashes_on = MARKER
                 replica.work_ms = 60.0
         await world.add_replica("s1", "stage")
-        world.configure(_routes())
+        world.configure(platform_routes())
         context.processes = dict(
             zip(DAEMONS, await world.start_processes(*DAEMONS), strict=True)
         )
--- /dev/null
+++ b/features/support/limit_fleet.py
@@ -0,0 +1,271 @@
+"""Daemons that send requests to engines that state limits, on a hub."""
+
+from __future__ import annotations
+
+import collections
+import random
+
+import anyio
+import attrs
+import prometheus_client
+
+from cactusdyke.membership.member import Member
+from cactusdyke.observe.tracing import Tracing
+from cactusdyke.serving.cold_replicas import ColdAllowance
+from cactusdyke.serving.core import ServingCore
+from cactusdyke.serving.deployment import Deployment
+from cactusdyke.serving.metrics import ServingMetrics
+from cactusdyke.serving.model import (
+    CallerLimits,
+    EngineSpec,
+    Replica,
+    ReplicaState,
+    ServiceSpec,
+    ServingConfiguration,
+)
+from cactusdyke.serving.planned_stop import StopTimes
+from cactusdyke.serving.request import Generation, PromptPart
+from cactusdyke.serving.retry_budget import RetryAllowance
+from cactusdyke.transport.routes import Routes
+from features.support.quarantine_fleet import AcceptingStore
+from features.support.serving_values import NoConnections
+from features.support.state_fleet import FixedDaemons, peer
+from standins.hub import Hub
+
+SERVICE = "models"
+ENGINES = 9
+LIMITED = ("e0", "e1", "e2")
+FIRST_TOKEN_MS = 200.0
+DETECTION_MS = 1_500.0
+"""After this time the others take a daemon that ended for dead."""
+PROBE_INTERVAL_S = 1.0
+
+
+def engine(number):
+    return Replica(
+        name=f"e{number}",
+        service=SERVICE,
+        address=f"e{number}:1",
+        data_centre="north",
+        state=ReplicaState.READY,
+        slots=64,
+    )
+
+
+@attrs.frozen
+class Arrival:
+    """A request at an engine that stated a limit, and who sent it."""
+
+    at_ms: float
+    replica: str
+    daemon: str
+
+
+class LimitFleet:
+    """Daemons of one deployment whose requests come at random."""
+
+    def __init__(self, *, count, requests_per_s):
+        self.hub = Hub()
+        self.cores = {}
+        self.arrivals = []
+        self.limit = None
+        self.counts = collections.Counter()
+        self._requests_per_s = requests_per_s
+        self._members = set(range(count))
+        self._views = {}
+        self._rng = random.Random(1)
+
+    async def __aenter__(self):
+        await self.hub.__aenter__()
+        for number in sorted(self._members):
+            self._start(number)
+        self._update_views()
+        self.hub.start(self._probe)
+        self.hub.start(self._send_requests)
+        return self
+
+    async def __aexit__(self, *error):
+        await self.hub.__aexit__(*error)
+
+    def decider(self):
+        """Returns the number of the daemon that decides for the engines."""
+        first = min(self._members)
+        return int(self.cores[f"d{first}"].decider_of(SERVICE)[1:])
+
+    def known_limits(self):
+        """Returns how many limits the decider knows."""
+        decider = self.cores[f"d{self.decider()}"]
+        return decider._request_limits._stated_limits.count
+
+    async def stop(self, number):
+        """Ends a daemon that has announced that it leaves."""
+        self._members.discard(number)
+        self._update_views()
+        await anyio.sleep(0.5)
+        self.hub.kill(f"d{number}")
+
+    async def kill(self, number):
+        """Ends a daemon; the others notice it later."""
+        self.hub.kill(f"d{number}")
+        self.cores.pop(f"d{number}", None)
+        await anyio.sleep(DETECTION_MS / 1_000)
+        self._members.discard(number)
+        self._update_views()
+
+    async def freeze(self, number, for_s):
+        """Stops a daemon for a while."""
+        self.hub.freeze(f"d{number}")
+        await anyio.sleep(for_s)
+        self.hub.wake(f"d{number}")
+
+    async def cut_off(self, numbers, for_s):
+        """Cuts daemons off from all others for a while."""
+        links = [
+            self.hub.link(*pair)
+            for number in numbers
+            for other in self._members - set(numbers)
+            for pair in (
+                (f"d{number}", f"d{other}"),
+                (f"d{other}", f"d{number}"),
+            )
+        ]
+        for link in links:
+            link.cut = True
+        await anyio.sleep(for_s)
+        for link in links:
+            link.cut = False
+
+    def _start(self, number):
+        name = f"d{number}"
+        clock = self.hub.clock_of(name)
+        own = peer(number, is_local=True)
+        view = self._views[name] = FixedDaemons((own,))
+        deployment = Deployment(clock=clock)
+        spec = ServiceSpec(
+            name=SERVICE,
+            max_connections=10_000,
+            engine=EngineSpec(slots=64, kv_tokens=600_000),
+        )
+        deployment.apply(
+            ServingConfiguration(
+                version=1,
+                routes=(),
+                services={SERVICE: spec},
+                customers=(),
+                limits=CallerLimits(),
+            ),
+            source="test",
+        )
+        deployment.replace_replicas(engine(n) for n in range(ENGINES))
+        core = ServingCore(
+            clock=clock,
+            rng=random.Random(number),
+            network=self.hub.network(name),
+            connections=NoConnections(),
+            dialect=None,
+            deployment=deployment,
+            daemons=view,
+            data_centre="north",
+            retry_allowance=RetryAllowance,
+            cold_allowance=ColdAllowance,
+            stop_times=StopTimes,
+            announce=lambda: None,
+            quarantine_store=AcceptingStore(),
+            metrics=ServingMetrics(prometheus_client.CollectorRegistry()),
+            tracing=Tracing(daemon=name, kept=1),
+        )
+        self.cores[name] = core
+        routes = Routes()
+        for method, path, handler in core.peer_routes:
+            routes.add(method, path, handler)
+
+        async def handle(request):
+            self.counts[request.path] += 1
+            return await routes.handle(request)
+
+        self.hub.listen(f"{name}:1", handle, owner=name)
+        for service in core.services.values():
+            self.hub.start(service.run)
+
+    def _update_views(self):
+        daemons = [peer(n) for n in sorted(self._members)]
+        for name, view in self._views.items():
+            view._daemons = tuple(
+                attrs.evolve(d, is_local=d.name == name) for d in daemons
+            )
+
+    async def _send_requests(self):
+        number = 0
+        while True:
+            wait_s = self._rng.expovariate(self._requests_per_s)
+            await anyio.sleep(wait_s)
+            name = f"d{self._rng.choice(sorted(self._members))}"
+            if name in self.cores:
+                self.hub.start(self._request, name, number)
+                number += 1
+
+    async def _request(self, name, number):
+        """Sends a request as a daemon does, and answers it as an engine."""
+        core = self.cores[name]
+        subject = f"subject-{number % 40}"
+        generation = Generation(
+            model="m",
+            prompt_tokens=700,
+            output_tokens=20,
+            parts=(
+                PromptPart(name=subject, tokens=600),
+                PromptPart(name=f"own-{number}", tokens=100),
+            ),
+        )
+        await self.hub.awake(name)
+        chosen = await core._dispatch.place(
+            SERVICE, f"{name}/{number}", generation, (), {}
+        )
+        await self.hub.awake(name)
+        if chosen is None:
+            self.counts["no engine"] += 1
+            return
+        sent_at = self.hub.clock.now()
+        states = chosen.replica.name in LIMITED
+        if states and self.limit is not None:
+            self.arrivals.append(
+                Arrival(at_ms=sent_at, replica=chosen.replica.name, daemon=name)
+            )
+        await anyio.sleep(FIRST_TOKEN_MS / 1_000)
+        await self.hub.awake(name)
+        core._request_limits.record_answer(
+            chosen.replica, self.limit if states else None, sent_at=sent_at
+        )
+        core._dispatch.notify_first_token(chosen)
+        core._dispatch.notify_end(chosen, failed=False)
+
+    async def _probe(self):
+        """Passes attachments in both directions between random pairs."""
+        while True:
+            await anyio.sleep(PROBE_INTERVAL_S)
+            names = [f"d{n}" for n in sorted(self._members)]
+            for name in names:
+                other = self._rng.choice(names)
+                links = (
+                    self.hub.link(name, other),
+                    self.hub.link(other, name),
+                )
+                known = name in self.cores and other in self.cores
+                if known and name != other and not any(x.cut for x in links):
+                    self._exchange(name, other)
+                    self._exchange(other, name)
+
+    def _exchange(self, sender, receiver):
+        value = self.cores[sender].limits_attachment.write(_member(receiver))
+        if value is not None:
+            self.cores[receiver].limits_attachment.read(_member(sender), value)
+
+
+def _member(name):
+    return Member(
+        name=name,
+        address=f"{name}:1",
+        data_centre="north",
+        region="",
+        incarnation=1,
+    )
--- a/features/support/serving_values.py
+++ b/features/support/serving_values.py
@@ -6,6 +6,7 @@
 from cactusdyke.serving.request import ClientRequest, ServingContext
 from cactusdyke.serving.request_limits import RequestLimits
 from cactusdyke.serving.stated_limits import StatedLimits
+from cactusdyke.serving.stated_request_limit import StatedRequestLimit
 from cactusdyke.transport.exchange import BackendConnections, ExchangeError
 
 
@@ -52,14 +53,24 @@
         announced: Whether the daemon has announced that it is the decider.
         allowance: What all daemons may send to a cold replica.
     """
-    cold = ColdRequestLimit(
+    stated_limits = StatedLimits(clock=clock)
+    return RequestLimits(
         clock=clock,
-        deployment=deployment,
-        allowance=lambda: ColdAllowance(**allowance),
-        is_announced_decider=lambda service: announced,
-        sees_most_daemons=lambda: True,
+        cold=ColdRequestLimit(
+            clock=clock,
+            deployment=deployment,
+            allowance=lambda: ColdAllowance(**allowance),
+            is_announced_decider=lambda service: announced,
+            sees_most_daemons=lambda: True,
+        ),
+        stated=StatedRequestLimit(
+            clock=clock,
+            limits=stated_limits,
+            announced_since=lambda service: 0.0 if announced else None,
+            sees_most_daemons=lambda: True,
+        ),
+        stated_limits=stated_limits,
     )
-    return RequestLimits(cold=cold, stated=StatedLimits(clock=clock))
 
 
 class NoConnections(BackendConnections):
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -48,6 +48,9 @@
         crashing_arrivals: When it was sent such a request.
         crashes: When it crashed, and with which requests under way.
         on_start: Called after it has come back, with the id that it had.
+        limit: Requests per second that it states in its answers; None for no
+            limit.
+        arrivals: When it was sent requests and stage calls.
     """
 
     def __init__(self, *, name: str) -> None:
@@ -72,6 +75,8 @@
         self.crashing_arrivals: list[float] = []
         self.crashes: list[tuple[float, list[str]]] = []
         self.on_start: Callable[[str], None] = lambda before: None
+        self.limit: str | None = None
+        self.arrivals: list[float] = []
         self._under_way: list[str] = []
         self._process = anyio.CancelScope()
         self._handles = 0
@@ -172,6 +177,8 @@
         self.bodies.append(body)
         if self._is_crashing(path, body):
             self.crashing_arrivals.append(anyio.current_time())
+        if path != "/-/report":
+            self.arrivals.append(anyio.current_time())
         expected = headers.get("x-expect-replica", self.name)
         if expected != self.name:
             await stream.send(_plain(421, b"", {"X-Replica-Id": self.name}))
@@ -202,7 +209,12 @@
         if "gone" in self.faults:
             self.faults.discard("gone")
             answers = [{"reason": "gone"} for _ in items]
-        await stream.send(_plain(200, orjson.dumps({"items": answers})))
+        body = orjson.dumps({"items": answers})
+        await stream.send(_plain(200, body, self._stated()))
+
+    def _stated(self) -> dict[str, str]:
+        """Returns the headers that state the limit."""
+        return {} if self.limit is None else {"Server-Limit": self.limit}
 
     async def _run(
         self, stream: Any, headers: dict[str, str], path: str
@@ -254,6 +266,7 @@
             "X-Attempt-Id": told,
             "X-Response-Stamp": SIGNATURE.decode(),
             "X-Replica-Load": "3,1,6",
+            **self._stated(),
         }
         answer = _plain(status, body, headers)
         if "cut" in self.faults:
@@ -280,7 +293,9 @@
             + request_id.encode()
             + b"\r\nX-Response-Stamp: "
             + SIGNATURE
-            + b"\r\n\r\n"
+            + b"\r\n"
+            + _lines(self._stated())
+            + b"\r\n"
         )
         for number in range(first, self.events):
             await anyio.sleep(self.event_ms / 1000.0)
@@ -306,6 +321,10 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
+def _lines(headers: dict[str, str]) -> bytes:
+    return "".join(f"{n}: {v}\r\n" for n, v in headers.items()).encode()
+
+
 def _chunk(data: bytes, *, whole: int | None = None) -> bytes:
     size = f"{whole or len(data):x}\r\n".encode()
     return size + data + (b"\r\n" if whole is None else b"")
