Test deciders that follow each other within a second of taking over

Two guards could be taken out unnoticed: that the bucket of a daemon is empty as it becomes the decider, and as it hears of a limit. Four daemons now decide for a second each at a limit of 0.25 a second, 6.5 requests are tolerated in four seconds.

--- a/features/replica_limits/stated_limits.feature
+++ b/features/replica_limits/stated_limits.feature
@@ -17,3 +17,14 @@
       | states 1, and starts again                           | none  |
       | states a limit that cannot be read                   | 0     |
       | states 1, and refuses a later request without        | 1     |
+
+  Scenario Outline: deciders that follow each other within seconds and <know> a limit
+    # Guards against deciders that each begin with what the one before has spent.
+    Given four daemons that <know> a limit of 0.25 a second
+    When each is the decider for a second and sends what it may
+    Then together they send no more than is tolerated in four seconds
+
+    Examples: knowledge
+      | know         |
+      | long knew    |
+      | have to hear |
--- a/features/steps/stated_limits_steps.py
+++ b/features/steps/stated_limits_steps.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import attrs
-from behave import then, when
+from behave import given, then, when
 
 from cactusdyke.platform.wire import PlatformDialect
 from cactusdyke.serving.attempt import AttemptRunner
 from cactusdyke.serving.model import Replica, ReplicaState
 from cactusdyke.serving.stated_limits import StatedLimits
+from cactusdyke.serving.stated_request_limit import StatedRequestLimit
 from cactusdyke.transport.answer_parser import AnswerHead
 from features.support.decider_machine import SERVICE, HandClock
 from features.support.serving_values import client_request
@@ -99,3 +100,74 @@
 def check_limit(context, limit):
     known = context.limits.limit_of(context.replica)
     assert known == (None if limit == "none" else float(limit)), known
+
+
+LIMIT_PER_S = 0.25
+TOLERATED = 1.5 * LIMIT_PER_S * 4 + 5
+LONG_MS = 60_000.0
+TURN_MS = 1_000.0
+ASK_INTERVAL_MS = 100.0
+
+
+class Successor:
+    """A daemon that is the announced decider from some moment on."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._since = None
+        self._limits = StatedLimits(clock=clock)
+        self._gate = StatedRequestLimit(
+            clock=clock,
+            limits=self._limits,
+            announced_since=lambda service: self._since,
+            sees_most_daemons=lambda: True,
+        )
+
+    def hear(self):
+        self._limits.record_answer(REPLICA, LIMIT_PER_S, sent_at=0.0)
+        self._gate.exhausted([REPLICA])
+
+    def begin(self):
+        self._since = self._clock.now()
+
+    def end(self):
+        self._since = None
+
+    def send(self):
+        """Sends a request if it may; returns how many it sent."""
+        if self._gate.exhausted([REPLICA]):
+            return 0
+        self._gate.record(REPLICA)
+        return 1
+
+
+@given("four daemons that {know} a limit of 0.25 a second")
+def successors(context, know):
+    context.clock = HandClock()
+    context.successors = [Successor(context.clock) for _ in range(4)]
+    context.hears_late = know == "have to hear"
+    if not context.hears_late:
+        for successor in context.successors:
+            successor.begin()
+            successor.hear()
+        context.clock.ms += LONG_MS
+        for successor in context.successors:
+            successor.end()
+
+
+@when("each is the decider for a second and sends what it may")
+def in_turn(context):
+    context.sent = 0
+    for successor in context.successors:
+        successor.begin()
+        if context.hears_late:
+            successor.hear()
+        for _ in range(int(TURN_MS / ASK_INTERVAL_MS)):
+            context.sent += successor.send()
+            context.clock.ms += ASK_INTERVAL_MS
+        successor.end()
+
+
+@then("together they send no more than is tolerated in four seconds")
+def check_successors(context):
+    assert context.sent <= TOLERATED, context.sent
