Send requests to a plain service in the fleets whose replicas state limits

Taking out the broadcast of limits was noticed by no scenario: the fleets had engines only, which the decider chooses. Half of the requests now go to a plain service whose replicas each daemon chooses by itself until it knows better.

--- a/features/steps/limit_fleet_steps.py
+++ b/features/steps/limit_fleet_steps.py
@@ -10,7 +10,7 @@
 from features.support.limit_fleet import LIMITED, LimitFleet
 from standins import virtual
 
-REQUESTS_PER_S = 60.0
+REQUESTS_PER_S = 90.0
 WINDOW_MS = 4_000.0
 KNOWN_MS = 3_000.0
 OVERSHOOT = 1.5
--- a/features/support/limit_fleet.py
+++ b/features/support/limit_fleet.py
@@ -34,27 +34,35 @@
 
 SERVICE = "models"
 ENGINES = 9
-LIMITED = ("e0", "e1", "e2")
+DESK = "desk"
+DESKS = 3
+LIMITED = ("e0", "e1", "e2", "p0")
 FIRST_TOKEN_MS = 200.0
 DETECTION_MS = 1_500.0
 """After this time the others take a daemon that ended for dead."""
 PROBE_INTERVAL_S = 1.0
 
 
-def engine(number):
+def replica(name, service):
     return Replica(
-        name=f"e{number}",
-        service=SERVICE,
-        address=f"e{number}:1",
+        name=name,
+        service=service,
+        address=f"{name}:1",
         data_centre="north",
         state=ReplicaState.READY,
         slots=64,
     )
 
 
+REPLICAS = (
+    *(replica(f"e{number}", SERVICE) for number in range(ENGINES)),
+    *(replica(f"p{number}", DESK) for number in range(DESKS)),
+)
+
+
 @attrs.frozen
 class Arrival:
-    """A request at an engine that stated a limit, and who sent it."""
+    """A request at a replica that stated a limit, and who sent it."""
 
     at_ms: float
     replica: str
@@ -141,22 +149,23 @@
         own = peer(number, is_local=True)
         view = self._views[name] = FixedDaemons((own,))
         deployment = Deployment(clock=clock)
-        spec = ServiceSpec(
+        engines = ServiceSpec(
             name=SERVICE,
             max_connections=10_000,
             engine=EngineSpec(slots=64, kv_tokens=600_000),
         )
+        desks = ServiceSpec(name=DESK, max_connections=10_000)
         deployment.apply(
             ServingConfiguration(
                 version=1,
                 routes=(),
-                services={SERVICE: spec},
+                services={SERVICE: engines, DESK: desks},
                 customers=(),
                 limits=CallerLimits(),
             ),
             source="test",
         )
-        deployment.replace_replicas(engine(n) for n in range(ENGINES))
+        deployment.replace_replicas(REPLICAS)
         core = ServingCore(
             clock=clock,
             rng=random.Random(number),
@@ -205,8 +214,26 @@
                 number += 1
 
     async def _request(self, name, number):
-        """Sends a request as a daemon does, and answers it as an engine."""
+        """Sends a request as a daemon does, and answers it as a replica."""
         core = self.cores[name]
+        await self.hub.awake(name)
+        if number % 2:
+            await self._look(core, name)
+        else:
+            await self._generate(core, name, number)
+
+    async def _look(self, core, name):
+        """Sends a request to a plain service, in turn to each replica."""
+        desks = core._decider._deployment.usable_replicas(DESK)
+        chosen = self._rng.choice(desks)
+        if core._request_limits.is_limited(chosen):
+            chosen = await core._dispatch.choose_limited(
+                DESK, (), has_alternative=True
+            )
+        if chosen is not None:
+            await self._answer(core, name, chosen)
+
+    async def _generate(self, core, name, number):
         subject = f"subject-{number % 40}"
         generation = Generation(
             model="m",
@@ -217,7 +244,6 @@
                 PromptPart(name=f"own-{number}", tokens=100),
             ),
         )
-        await self.hub.awake(name)
         chosen = await core._dispatch.place(
             SERVICE, f"{name}/{number}", generation, (), {}
         )
@@ -225,19 +251,23 @@
         if chosen is None:
             self.counts["no engine"] += 1
             return
+        await self._answer(core, name, chosen.replica)
+        core._dispatch.notify_first_token(chosen)
+        core._dispatch.notify_end(chosen, failed=False)
+
+    async def _answer(self, core, name, replica):
+        """Answers a request with the limit that the replica states."""
         sent_at = self.hub.clock.now()
-        states = chosen.replica.name in LIMITED
+        states = replica.name in LIMITED
         if states and self.limit is not None:
             self.arrivals.append(
-                Arrival(at_ms=sent_at, replica=chosen.replica.name, daemon=name)
+                Arrival(at_ms=sent_at, replica=replica.name, daemon=name)
             )
         await anyio.sleep(FIRST_TOKEN_MS / 1_000)
         await self.hub.awake(name)
         core._request_limits.record_answer(
-            chosen.replica, self.limit if states else None, sent_at=sent_at
+            replica, self.limit if states else None, sent_at=sent_at
         )
-        core._dispatch.notify_first_token(chosen)
-        core._dispatch.notify_end(chosen, failed=False)
 
     async def _probe(self):
         """Passes attachments in both directions between random pairs."""
