Let news pass one daemon a round in the fleets, and test freed handles

Without any report to the decider, and without the broadcast, the fleets still held: their probes passed news on to a chain of daemons within one round. Values are now written for all pairs before any is read.

A handle every 20 ms for eight seconds is now freed in at most three calls in four seconds; without the guard there are 400 calls, and the scenario fails.

--- a/features/replica_limits/stated_limits.feature
+++ b/features/replica_limits/stated_limits.feature
@@ -28,3 +28,11 @@
       | know         |
       | long knew    |
       | have to hear |
+
+  Scenario: handles are freed at a limited replica of a stage within its limit
+    # Guards against a call for each piece that is freed, beside the calls that the
+    # limit allows.
+    Given a decider of a stage service with one limited and one other replica
+    When a handle of each is freed every 20 ms for eight seconds
+    Then the limited one is called for it at most three times in four seconds
+    And no handle is left out at either
--- a/features/steps/stated_limits_steps.py
+++ b/features/steps/stated_limits_steps.py
@@ -2,17 +2,28 @@
 
 from __future__ import annotations
 
+import collections
+import contextlib
+
+import anyio
 import attrs
+import orjson
 from behave import given, then, when
 
+from cactusdyke.clock import EventLoopClock
 from cactusdyke.platform.wire import PlatformDialect
 from cactusdyke.serving.attempt import AttemptRunner
+from cactusdyke.serving.batcher import StageBatcher
 from cactusdyke.serving.model import Replica, ReplicaState
 from cactusdyke.serving.stated_limits import StatedLimits
 from cactusdyke.serving.stated_request_limit import StatedRequestLimit
 from cactusdyke.transport.answer_parser import AnswerHead
+from cactusdyke.transport.exchange import BackendConnections, Exchange
+from features.steps.stage_queue_steps import batch_spec
+from features.support import cold_machine
 from features.support.decider_machine import SERVICE, HandClock
-from features.support.serving_values import client_request
+from features.support.serving_values import client_request, request_limits
+from standins.virtual import run_virtual
 
 REPLICA = Replica(
     name="r1",
@@ -171,3 +182,94 @@
 @then("together they send no more than is tolerated in four seconds")
 def check_successors(context):
     assert context.sent <= TOLERATED, context.sent
+
+
+FREE_INTERVAL_S = 0.02
+FREED = 400
+LIMITED_STAGE = attrs.evolve(REPLICA, name="limited", address="limited:1")
+OTHER_STAGE = attrs.evolve(REPLICA, name="other", address="other:1")
+
+
+class CountedFrees(BackendConnections):
+    """Accepts handles to free, and records when and which."""
+
+    def __init__(self):
+        self.called_at = collections.defaultdict(list)
+        self.handles = collections.defaultdict(list)
+
+    @contextlib.asynccontextmanager
+    async def connect(self, address):
+        yield _FreeExchange(connections=self, address=address)
+
+
+class _FreeExchange(Exchange):
+    def __init__(self, *, connections, address):
+        self._connections = connections
+        self._address = address
+
+    @property
+    def sent(self):
+        return True
+
+    async def send(self, method, target, headers, body):
+        now_ms = anyio.current_time() * 1_000
+        self._connections.called_at[self._address].append(now_ms)
+        handles = orjson.loads(body)["handles"]
+        self._connections.handles[self._address] += handles
+
+    async def head(self):
+        return AnswerHead(status=200, headers=[])
+
+    async def body(self):
+        yield b""
+
+
+@given("a decider of a stage service with one limited and one other replica")
+def stage_with_limited(context):
+    context.frees = CountedFrees()
+
+
+async def _free_often(connections):
+    clock = EventLoopClock()
+    deployment = cold_machine.deployment_with_cold_replica(
+        clock, (LIMITED_STAGE, OTHER_STAGE)
+    )
+    limits = request_limits(clock, deployment)
+    limits.record_answer(LIMITED_STAGE, 1.0, sent_at=clock.now())
+    async with anyio.create_task_group() as tasks:
+        batcher = StageBatcher(
+            service=SERVICE,
+            spec=batch_spec(),
+            clock=clock,
+            deployment=deployment,
+            dialect=PlatformDialect(),
+            connections=connections,
+            tasks=tasks,
+            free_inputs=lambda service, handles: False,
+            request_limits=limits,
+        )
+        for number in range(FREED):
+            batcher.free([f"limited:1/{number}", f"other:1/{number}"])
+            await anyio.sleep(FREE_INTERVAL_S)
+        await anyio.sleep(3.0)
+        tasks.cancel_scope.cancel()
+
+
+@when("a handle of each is freed every 20 ms for eight seconds")
+def freed_often(context):
+    run_virtual(_free_often, context.frees)
+
+
+@then("the limited one is called for it at most three times in four seconds")
+def check_free_calls(context):
+    called_at = context.frees.called_at["limited:1"]
+    for first in called_at:
+        count = sum(first <= at < first + 4_000.0 for at in called_at)
+        assert count <= 3, called_at
+
+
+@then("no handle is left out at either")
+def check_freed(context):
+    for address in ("limited:1", "other:1"):
+        freed = context.frees.handles[address]
+        assert freed == [f"{address}/{n}" for n in range(FREED)], len(freed)
--- a/features/support/limit_fleet.py
+++ b/features/support/limit_fleet.py
@@ -274,6 +274,7 @@
         while True:
             await anyio.sleep(PROBE_INTERVAL_S)
             names = [f"d{n}" for n in sorted(self._members)]
+            sent = []
             for name in names:
                 other = self._rng.choice(names)
                 links = (
@@ -282,13 +283,19 @@
                 )
                 known = name in self.cores and other in self.cores
                 if known and name != other and not any(x.cut for x in links):
-                    self._exchange(name, other)
-                    self._exchange(other, name)
-
-    def _exchange(self, sender, receiver):
-        value = self.cores[sender].limits_attachment.write(_member(receiver))
-        if value is not None:
-            self.cores[receiver].limits_attachment.read(_member(sender), value)
+                    sent += [
+                        self._write(name, other),
+                        self._write(other, name),
+                    ]
+            # Read only after all are written: news passes one daemon a round.
+            for sender, receiver, value in sent:
+                if value is not None:
+                    attachment = self.cores[receiver].limits_attachment
+                    attachment.read(_member(sender), value)
+
+    def _write(self, sender, receiver):
+        attachment = self.cores[sender].limits_attachment
+        return sender, receiver, attachment.write(_member(receiver))
 
 
 def _member(name):
