Use the usual terms in the adapter for the users' platform

Comments and doc strings of platform/ used words that a newcomer has to learn (told, informed, wire towards, life) and left out why a value matters. They now say what is decoded, encoded, served or kept; two local names are spelled out.

--- a/cactusdyke/platform/__init__.py
+++ b/cactusdyke/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Translates between the users' platform and the product; nothing else."""
+"""The adapter for the users' platform: its protocol, settings and store."""
--- a/cactusdyke/platform/__main__.py
+++ b/cactusdyke/platform/__main__.py
@@ -5,7 +5,7 @@
 import gc
 import sys
 
-# Imports leave hardly any garbage; looking for it takes a tenth of a start.
+# Imports leave hardly any garbage; collecting it takes a tenth of a start.
 gc.disable()
 
 from cactusdyke.platform.program import main  # noqa: E402
--- a/cactusdyke/platform/addresses.py
+++ b/cactusdyke/platform/addresses.py
@@ -1,4 +1,4 @@
-"""Answers callers' question for addresses, and the platform's for readiness."""
+"""Serves the directory of daemons for callers, and the readiness check."""
 
 from __future__ import annotations
 
@@ -16,19 +16,19 @@
 READY_PATH = "/-/ready"
 MOST_ADDRESSES = 64
 TTL_S = 2
-"""Short: a daemon that dies is in callers' answers for so long; each question
-costs a millisecond of a processor."""
+"""Callers keep the address of a dead daemon for this long. Each request for
+addresses costs a millisecond of processor time."""
 
 
 class Addresses:
-    """The two small interfaces beside the front."""
+    """Handlers of the directory and of the readiness check."""
 
     def __init__(self, *, view: MemberView, ready: Callable[[], bool]) -> None:
         self._view = view
         self._ready = ready
 
     async def resolve(self, request: Request) -> Response:
-        """Returns where callers may connect."""
+        """Returns the addresses that a caller may connect to."""
         zone = request.query.get("zone", "")
         daemons = daemons_for_caller(
             self._view.daemons_for_callers(), zone, max_count=MOST_ADDRESSES
@@ -39,6 +39,6 @@
         return json_response({"addresses": addresses, "ttl_s": TTL_S})
 
     async def ready(self, request: Request) -> Response:
-        """Returns 200 while callers may be sent here."""
+        """Returns 200 while this daemon accepts new callers."""
         del request
         return json_response({}, status=200 if self._ready() else 503)
--- a/cactusdyke/platform/decode.py
+++ b/cactusdyke/platform/decode.py
@@ -1,4 +1,4 @@
-"""Decodes what operator and replicas write into the product's own values."""
+"""Decodes the objects that the operator and replicas write to the store."""
 
 from __future__ import annotations
 
@@ -38,7 +38,7 @@
 
 
 def configuration(spec: Any) -> Result[ServingConfiguration, Failure]:
-    """Decodes the operator's configuration, whole or not at all."""
+    """Decodes the operator's configuration; one error rejects all of it."""
     try:
         services = [_service(value) for value in spec["services"]]
         limits = spec.get("limits") or {}
--- a/cactusdyke/platform/follow.py
+++ b/cactusdyke/platform/follow.py
@@ -27,7 +27,7 @@
 
 
 class DeploymentState(FollowedState):
-    """State of one kind in the store that a deployment consists of."""
+    """A copy of one kind of objects, which is applied to a deployment."""
 
     kind: ClassVar[str]
 
@@ -39,7 +39,7 @@
 
 
 class ConfigurationState(DeploymentState):
-    """Puts the operator's newest configuration in force."""
+    """Applies the operator's newest configuration."""
 
     kind = CONFIGURATION_KIND
 
@@ -85,7 +85,7 @@
 
 
 class ReplicaState(DeploymentState):
-    """Keeps the list of replicas, each entry decoded alone."""
+    """Keeps the list of replicas; a malformed entry rejects only itself."""
 
     kind = REPLICAS_KIND
 
--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -1,4 +1,4 @@
-"""The daemon on the users' platform: the product's services on its adapters."""
+"""Composes and runs the daemon on the users' platform."""
 
 from __future__ import annotations
 
@@ -58,12 +58,13 @@
 METRICS_PATH = "/metrics"
 SPANS_PATH = "/internal/v1/spans"
 KEPT_SPANS = 2_000
-"""Some minutes of a busy daemon, in 3 MB of the 200 that a small host has."""
+"""Spans of some minutes on a busy daemon. They take 3 MB of memory; a small
+host has 200."""
 MOST_STATE_BYTES = 16 << 20
 
 
 class Daemon:
-    """One daemon: services, listeners and their life."""
+    """One daemon: its services and listeners, from start to planned stop."""
 
     def __init__(
         self,
@@ -96,7 +97,7 @@
 
     @property
     def ready(self) -> bool:
-        """Whether callers may be sent here."""
+        """Whether this daemon accepts new callers."""
         informed = self._deployment.ready and self._core.quarantine.loaded
         return informed and not self._stopping.started
 
@@ -295,7 +296,7 @@
         ]
 
     async def _spans(self, request: Request) -> Response:
-        """Tells the spans of this daemon for a request's id."""
+        """Returns the spans that this daemon kept of a request."""
         span = request_span(request.query.get("request_id", ""))
         return json_response({"spans": self._tracing.find(trace_id(span))})
 
@@ -324,7 +325,7 @@
         )
 
     async def stop(self) -> int:
-        """Serves callers that still hold the address; returns what it cut."""
+        """Stops gracefully; returns how many requests were cut."""
         return await self._stopping.run(
             self._front,
             drain=self._kernel.drain,
@@ -332,7 +333,7 @@
         )
 
     async def _look_at_settings(self) -> None:
-        """Finds settings that change without a signal."""
+        """Reloads settings that change without a signal."""
         known = _content(self._settings_path)
         while True:
             await self._clock.sleep(SETTINGS_LOOK_MS)
@@ -368,9 +369,9 @@
     """Runs one daemon until a planned stop has ended.
 
     Args:
-        settings: What the platform says of it.
+        settings: The decoded settings.
         settings_path: The file they were read from.
-        metrics_port: Where its metrics are asked for, 0 for nowhere but on
+        metrics_port: Port that serves metrics; 0 to serve them only on
             the port between daemons.
     """
     clock = SystemClock()
--- a/cactusdyke/platform/registry.py
+++ b/cactusdyke/platform/registry.py
@@ -30,13 +30,13 @@
 
 
 class DaemonRegistry(Service, HostList, QuarantineStore):
-    """One object for each daemon, written at its start and removed at its end.
+    """Keeps one object per daemon, created at its start, deleted at its stop.
 
-    Membership is kept by the daemons themselves; the store only tells a
-    daemon whose seeds are all gone where to begin. One write a start.
+    Daemons find each other by gossip. Only a daemon whose seeds are all gone
+    needs the registered addresses. Each start costs one write.
 
-    The object also holds the evidence against requests that crash replicas,
-    which daemons that start read with the list and no further call.
+    The object also holds the evidence against requests that crash replicas, so
+    that a daemon that starts reads both with one call.
     """
 
     def __init__(
@@ -57,11 +57,11 @@
         return self._registered
 
     def keep(self, quarantine: Quarantine) -> None:
-        """Keeps the evidence of a quarantine from now on."""
+        """Saves the evidence of a quarantine with this daemon's object."""
         self._quarantine = quarantine
 
     async def read(self) -> Result[tuple[ListedHost, ...], Failure]:
-        """Returns the daemons registered; some may be gone."""
+        """Returns the registered daemons, of which some may no longer run."""
         answer = await self._store.list(KIND)
         self._tried.set()
         if isinstance(answer, Err):
@@ -86,9 +86,10 @@
         )
 
     async def run(self) -> None:
-        """Registers this daemon, again and again until that is done.
+        """Registers this daemon, with retries.
 
-        Its object of before is read first: the evidence in it may be the last.
+        The object of its previous run is read first: it may hold the only copy
+        of the evidence.
         """
         await self._tried.wait()
         while True:
@@ -99,7 +100,7 @@
             await self._clock.sleep(RETRY_MS)
 
     async def save_quarantine(self) -> Result[None, Failure]:
-        """Writes this daemon's object, with the evidence that it knows."""
+        """Writes this daemon's object with all evidence that it has."""
         if self._stopping:
             return Ok(None)
         spec: dict[str, Any] = {
@@ -116,13 +117,13 @@
             self._quarantine.mark_loaded()
 
     def _load_evidence(self, entry: StoreObject) -> None:
-        told = isinstance(entry.spec, dict) and "crashes" in entry.spec
-        if not told or self._quarantine is None:
+        has_evidence = isinstance(entry.spec, dict) and "crashes" in entry.spec
+        if not has_evidence or self._quarantine is None:
             return
         try:
             saved = entry.spec["crashes"]
-            passed_ms = max(0.0, self._clock.wall() - float(saved["at"]))
-            self._quarantine.merge(saved["evidence"], passed_ms)
+            elapsed_ms = max(0.0, self._clock.wall() - float(saved["at"]))
+            self._quarantine.merge(saved["evidence"], elapsed_ms)
         except (KeyError, TypeError, ValueError) as error:
             events.log(
                 events.Event.SERVING_ENTRY_REJECTED,
--- a/cactusdyke/platform/settings.py
+++ b/cactusdyke/platform/settings.py
@@ -1,4 +1,4 @@
-"""The platform's settings file, decoded into what the product is told."""
+"""Decodes the platform's settings file."""
 
 from __future__ import annotations
 
@@ -35,14 +35,14 @@
 
 @attrs.frozen(kw_only=True)
 class PlatformSettings:
-    """What one process learns from the platform.
+    """The settings of one process.
 
     Attributes:
         node: The daemon's name.
         zone: The data centre that the host stands in.
         region: The region of the data centre.
         front: Where callers connect.
-        ready: Where the platform asks whether the daemon is ready.
+        ready: Address of the readiness check.
         directory: Where callers ask for addresses.
         peer: Where other daemons connect; `control` on the wire, which
             nobody else calls.
@@ -95,7 +95,7 @@
 
 
 def path() -> str:
-    """Returns where the settings file lies."""
+    """Returns the path of the settings file."""
     return os.environ.get(PATH_VARIABLE, "/etc/cactusdyke/settings.yaml")
 
 
--- a/cactusdyke/platform/store.py
+++ b/cactusdyke/platform/store.py
@@ -1,4 +1,4 @@
-"""The client of the platform's store, in its form of objects by kind."""
+"""Client of the platform's store, which holds objects by kind and name."""
 
 from __future__ import annotations
 
@@ -28,8 +28,8 @@
 CONNECT_TIMEOUT_MS = 500.0
 CALL_TIMEOUT_MS = 1_500.0
 WATCH_MARGIN_MS = 600.0
-"""How much longer than it may wait a watch may take; the store answers in a
-few milliseconds, a watch that takes longer has gone silent."""
+"""Added to the longest wait of a watch. The store answers within milliseconds;
+a watch without an answer by then is on a silent connection."""
 MOST_PAGES = 1_000
 
 
@@ -54,8 +54,8 @@
             body = answer.ok_value
             page = [_object(item) for item in body.get("items") or ()]
             objects.extend(item for item in page if item is not None)
-            # Pages are read one after the other. What changes meanwhile is
-            # told by a watch from the first page's revision.
+            # Objects may change while the pages are read. A watch that starts
+            # at the first page's revision reports these changes.
             if revision is None:
                 revision = _revision(body)
             if not body.get("has_more") or not page or page[-1] is None:
--- a/cactusdyke/platform/wire.py
+++ b/cactusdyke/platform/wire.py
@@ -1,4 +1,4 @@
-"""The platform's wire towards callers and replicas."""
+"""Encodes and decodes the messages of callers and replicas."""
 
 from __future__ import annotations
 
@@ -70,7 +70,7 @@
         b"last-event-id",
     }
 )
-"""Headers that only the system sets, whatever a caller sends."""
+"""Headers that only the system sets; a caller's own values are dropped."""
 _NOT_FOR_CALLERS = frozenset({b"x-replica-load", b"x-replica-id"})
 
 _REASONS = {
@@ -81,12 +81,12 @@
 
 
 class PlatformDialect(Dialect):
-    """What callers and replicas of the platform speak."""
+    """The protocol of the platform's callers and replicas."""
 
     def decode_request(
         self, request: ReadRequest
     ) -> Result[ClientRequest, Failure]:
-        """Returns a caller's request as the core knows it."""
+        """Decodes a caller's request."""
         values = _Values(request.headers)
         if not request.target.startswith("/"):
             return Err(_bad("the path does not begin with a slash"))
@@ -119,7 +119,7 @@
     def encode_failure(
         self, failure: Failure, request_id: str
     ) -> tuple[int, Headers, bytes]:
-        """Returns status, headers and one line that says why."""
+        """Returns status, headers and a body with one line of explanation."""
         headers: Headers = [(b"Content-Type", b"text/plain; charset=utf-8")]
         if request_id:
             headers.append((ID, request_id.encode("latin-1")))
@@ -138,7 +138,7 @@
         handles: Sequence[str],
         resume_after: int | None,
     ) -> EncodedCall:
-        """Returns the request to send to a replica."""
+        """Encodes a request to a replica."""
         request = context.request
         headers = [
             *request.headers,
@@ -166,7 +166,7 @@
     def decode_answer(
         self, context: ServingContext, head: AnswerHead
     ) -> AnswerVerdict:
-        """Returns what the head of an answer says."""
+        """Decodes the head of an answer."""
         content_type = head.get(b"content-type") or b""
         return AnswerVerdict(
             kind=_kind(context, head),
@@ -193,7 +193,7 @@
     def encode_pieces(
         self, replica: Replica, pieces: Sequence[tuple[Piece, float]]
     ) -> EncodedCall:
-        """Returns a call for pieces."""
+        """Encodes a call that computes pieces."""
         items = []
         for piece, remaining_ms in pieces:
             item: dict[str, object] = {
@@ -226,11 +226,11 @@
         return [_piece_result(item) for item in items]
 
     def encode_free(self, address: str, handles: Sequence[str]) -> EncodedCall:
-        """Returns a call that frees results."""
+        """Encodes a call that frees results."""
         return _json_call(address, "/-/stage-free", {"handles": list(handles)})
 
     def encode_memory_query(self, replica: Replica) -> EncodedCall:
-        """Returns a call that asks a stage replica for its free memory."""
+        """Encodes a query of a stage replica's free memory."""
         return EncodedCall(
             method="GET",
             target="/-/report",
@@ -241,9 +241,9 @@
     def decode_memory_report(
         self, head: AnswerHead, body: bytes
     ) -> MemoryReport | None:
-        """Returns a replica's free memory, None if it is not told.
+        """Returns a replica's free memory, None if it is not reported.
 
-        It was seen in whole megabytes, rounded down.
+        Replicas report whole megabytes, rounded down.
         """
         try:
             value = (
@@ -265,24 +265,24 @@
 
 
 class _EventStreamReader(EventReader):
-    """Cuts text/event-stream at the empty lines that end events."""
+    """Splits a body of type text/event-stream into its events."""
 
     def __init__(self) -> None:
         self._rest = b""
 
     @property
     def remainder(self) -> bytes:
-        """What was fed behind the last whole event."""
+        """The bytes after the last complete event."""
         return self._rest
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Takes bytes and returns the events that they complete."""
+        """Appends bytes and returns the events that they complete."""
         *whole, self._rest = (self._rest + data).split(b"\n\n")
         return [_event(part + b"\n\n") for part in whole if part.strip()]
 
 
 class _Values:
-    """A request's headers, each value once."""
+    """Access to a request's headers by name, as text."""
 
     def __init__(self, headers: Headers) -> None:
         self._values = dict(headers)
@@ -313,7 +313,7 @@
 
 
 def _without(headers: Headers, dropped: frozenset[bytes]) -> Headers:
-    """Drops headers, and those that `Connection` says concern it alone."""
+    """Drops headers, and those that `Connection` names as hop-by-hop."""
     named = {
         part.strip().lower()
         for name, value in headers
@@ -419,7 +419,7 @@
 
 
 def _rate(value: bytes) -> float:
-    """Returns a number of requests per second, 0 if it is none."""
+    """Decodes a number of requests per second; 0 if it is malformed."""
     try:
         rate = float(value)
     except ValueError:
