Log which replicas a daemon does not reach

The logs of the incident could not tell a host without paths from replicas that fail: they named failed attempts only. CD4322 names each replica to which no connection could be made, how many are not reached, and when the last connection to any replica was made; CD4323 its return; cactusdyke_unreachable_replicas counts them. A host that is cut off names all replicas and an old last connection, a lost replica is named alone by all daemons. Nothing decides by it yet. Four scenarios.

--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -244,6 +244,19 @@
         " daemons together, or none any more; `source` says who has heard it.",
         "Look at the replica's own log for why it is in need.",
     )
+    REPLICA_UNREACHABLE = (
+        4322,
+        "No connection to a replica could be made from this daemon;"
+        " `last_connection_ms` says how long ago one to any replica was made,"
+        " `unreachable` how many replicas are not reached now.",
+        "If daemons name different replicas look at the replicas; if one"
+        " daemon names all of them look at its network.",
+    )
+    REPLICA_REACHED_AGAIN = (
+        4323,
+        "A connection to a replica that was not reached could be made again.",
+        "",
+    )
     METRICS_NOT_SERVED = (
         1007,
         "The port for metrics can't be listened on; all else goes on.",
--- a/cactusdyke/serving/core.py
+++ b/cactusdyke/serving/core.py
@@ -22,6 +22,8 @@
 from cactusdyke.serving.limit_exchange import LIMITS_PATH, LimitExchange
 from cactusdyke.serving.peer_watch import ALIVE_PATH, PeerWatch
 from cactusdyke.serving.quarantine import CRASHES_PATH, Quarantine
+from cactusdyke.serving.replica_connections import ReplicaConnections
+from cactusdyke.serving.replica_paths import ReplicaPaths
 from cactusdyke.serving.request_limits import RequestLimits
 from cactusdyke.serving.retry_budget import RetryBudget
 from cactusdyke.serving.retry_policy import RetryPolicy
@@ -80,6 +82,12 @@
         self._deciders = DeciderDirectory(
             clock=clock, daemons=daemons, watch=self._watch
         )
+        paths = ReplicaPaths(clock=clock)
+        metrics.watch_paths(paths)
+        deployment.on_change(
+            lambda: paths.remove_unknown(deployment.replica_addresses)
+        )
+        connections = ReplicaConnections(direct=connections, paths=paths)
         stated_limits = StatedLimits(clock=clock)
         metrics.watch_limits(stated_limits)
         decided = DecidedServices(clock=clock, deciders=self._deciders)
--- a/cactusdyke/serving/deployment.py
+++ b/cactusdyke/serving/deployment.py
@@ -213,6 +213,11 @@
         """The names of all known replicas."""
         return set(self._replicas)
 
+    @property
+    def replica_addresses(self) -> set[str]:
+        """The addresses of all known replicas."""
+        return {replica.address for replica in self._replicas.values()}
+
     def replica(self, name: str) -> Replica | None:
         """Returns a replica by name, None if unknown."""
         return self._replicas.get(name)
--- a/cactusdyke/serving/metrics.py
+++ b/cactusdyke/serving/metrics.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from cactusdyke.serving.deployment import Deployment
+    from cactusdyke.serving.replica_paths import ReplicaPaths
     from cactusdyke.serving.stated_limits import StatedLimits
 
 SECONDS_BUCKETS = (0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 1.5, 2.0, 4.0, 8.0, 15.0)
@@ -67,6 +68,11 @@
             "Replicas that state how many requests they take.",
             registry=registry,
         )
+        self._unreachable = prometheus_client.Gauge(
+            "cactusdyke_unreachable_replicas",
+            "Replicas that this daemon could not connect to.",
+            registry=registry,
+        )
         self._quarantined = prometheus_client.Gauge(
             "cactusdyke_quarantined",
             "Requests that no replica gets, as replicas crash under them.",
@@ -82,6 +88,10 @@
         """Reads the gauge of limited replicas when asked for."""
         self._limited.set_function(lambda: limits.count)
 
+    def watch_paths(self, paths: ReplicaPaths) -> None:
+        """Reads the gauge of unreachable replicas when asked for."""
+        self._unreachable.set_function(lambda: paths.unreachable_count)
+
     def replica_crashed(self, service: str) -> None:
         """Counts a replica that crashed under requests of this daemon."""
         self._crashes.labels(service).inc()
--- /dev/null
+++ b/features/steps/replica_paths_steps.py
@@ -0,0 +1,126 @@
+"""Steps for the paths from a daemon to replicas."""
+
+from __future__ import annotations
+
+import contextlib
+
+import anyio
+import eliot.testing
+from behave import given, then, when
+
+from cactusdyke import events
+from cactusdyke.clock import EventLoopClock
+from cactusdyke.serving.replica_connections import ReplicaConnections
+from cactusdyke.serving.replica_paths import ReplicaPaths
+from cactusdyke.transport.exchange import BackendConnections, ExchangeError
+from standins.virtual import run_virtual
+
+REPLICAS = ("a", "b", "c")
+WAIT_S = 0.4
+
+
+class _Replicas(BackendConnections):
+    """Replicas of which some are not reached."""
+
+    def __init__(self):
+        self.lost = set()
+
+    @contextlib.asynccontextmanager
+    async def connect(self, address):
+        if address in self.lost:
+            await anyio.sleep(WAIT_S)
+            raise ExchangeError(f"{address}: no connection", sent=False)
+        yield None
+
+
+@given("a daemon that has reached three replicas")
+def reached(context):
+    context.replicas = _Replicas()
+    context.paths = ReplicaPaths(clock=EventLoopClock())
+    context.connections = ReplicaConnections(
+        direct=context.replicas, paths=context.paths
+    )
+
+
+async def _connect(context, names):
+    for name in names:
+        with contextlib.suppress(ExchangeError):
+            async with context.connections.connect(name):
+                pass
+
+
+async def _lose(context, names):
+    await _connect(context, REPLICAS)
+    context.replicas.lost = set(names)
+    await _connect(context, REPLICAS)
+
+
+async def _one_lost(context):
+    await _lose(context, "a")
+
+
+async def _cut(context):
+    await _lose(context, REPLICAS)
+
+
+async def _healed(context):
+    await _lose(context, REPLICAS)
+    context.replicas.lost = set()
+    await _connect(context, "a")
+
+
+async def _removed(context):
+    await _lose(context, "a")
+    context.paths.remove_unknown({"b", "c"})
+    assert context.paths.unreachable_count == 0
+
+
+STORIES = {
+    "one replica is lost": _one_lost,
+    "the host is cut from all replicas": _cut,
+    "such a cut has ended": _healed,
+    "a lost replica is removed": _removed,
+}
+
+
+@when("one replica is lost")
+@when("the host is cut from all replicas")
+@when("such a cut has ended")
+@when("a lost replica is removed")
+def story(context):
+    name = context.active_outline["what"]
+    logger = eliot.MemoryLogger()
+    before = eliot.testing.swap_logger(logger)
+    try:
+        run_virtual(STORIES[name], context)
+    finally:
+        eliot.testing.swap_logger(before)
+    context.lines = logger.messages
+
+
+def _lines(context, event):
+    kind = f"{event.code}:{event.name.lower()}"
+    return [m for m in context.lines if m["message_type"] == kind]
+
+
+@then(
+    "its log names {unreachable} as unreachable, and {again} as reached again"
+)
+def names(context, unreachable, again):
+    for event, expected in (
+        (events.Event.REPLICA_UNREACHABLE, unreachable),
+        (events.Event.REPLICA_REACHED_AGAIN, again),
+    ):
+        named = [m["address"] for m in _lines(context, event)]
+        assert named == [n for n in expected.split(", ") if n != "none"], named
+
+
+@then("the last connection was made {when_text}")
+def last_connection(context, when_text):
+    lines = _lines(context, events.Event.REPLICA_UNREACHABLE)
+    waits = [line["last_connection_ms"] for line in lines]
+    # Each connection that fails takes its whole timeout.
+    expected = [round((n + 1) * WAIT_S * 1_000) for n in range(len(waits))]
+    assert waits == expected, waits
+    if when_text == "before the others":
+        assert len(waits) == len(REPLICAS), waits
