Play daemons that are cut off from all replicas, which refuse their callers

The emulator cuts daemons off from replicas while callers and other daemons reach them: connections hang, are reset, or are spared while new ones are refused; some daemons, a data centre, or the decider of a service. It counts first tries at cut daemons and elsewhere, requests that ran twice or ran although they were refused, and streams that are not whole.

--- a/cactusdyke/serving/replica_paths.py
+++ b/cactusdyke/serving/replica_paths.py
@@ -6,10 +6,9 @@
 from typing import TYPE_CHECKING
 
 from cactusdyke import events
-from cactusdyke.clock import Instant
 
 if TYPE_CHECKING:
-    from cactusdyke.clock import Clock
+    from cactusdyke.clock import Clock, Instant
 
 
 class ReplicaPaths:
--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -23,6 +23,8 @@
 WAY_MS = 3.0
 ASK_AGAIN_MS = 2_000.0
 GAP_MS = 300.0
+CUT_KNOWN_MS = 3_000.0
+"""Within this time all daemons have adapted to a cut from replicas."""
 MOST_RETRY_SHARE = 1 / 3
 """Of the time left that a caller stays away when it is told to."""
 
@@ -109,6 +111,7 @@
         self._daemons = daemons
         self._known = list(daemons)
         self._numbers = itertools.count()
+        self._refused: set[str] = set()
         self.outcomes: list[Outcome] = []
 
     async def run(self, arrivals: list[Arrival]) -> None:
@@ -122,6 +125,9 @@
                     await self._clock.sleep(at - self._clock.now())
                     requests.start_soon(self._one, arrival)
             tasks.cancel_scope.cancel()
+        self._world.counts["refused and ran"] += sum(
+            self._world.executions[name] > 0 for name in self._refused
+        )
 
     async def _ask_for_addresses(self, scope: anyio.CancelScope) -> None:
         while not scope.cancel_called:
@@ -147,11 +153,17 @@
                 await self._no_connection(daemon, left_ms)
                 continue
             got = _Got(clock=self._clock)
+            request = self._request(arrival, left_ms)
             await self._clock.sleep(WAY_MS)
+            sent_at = self._clock.now()
             with self._clock.timeout(left_ms):
-                await daemon.answer(self._request(arrival, left_ms), got)
+                await daemon.answer(request, got)
             await self._clock.sleep(WAY_MS)
-            if self._take(outcome, got, began):
+            served = self._take(outcome, got, began)
+            if outcome.tries == 1:
+                self._count_first_try(daemon, sent_at, served=served)
+            self._check_runs(arrival, _request_id(request), got)
+            if served:
                 break
             if not await self._comes_back(outcome, got, began):
                 break
@@ -178,6 +190,30 @@
             await daemon.answer(request, got)
         self._world.counts["crashing refused"] += got.quarantined
 
+    def _count_first_try(
+        self, daemon: EmulatedDaemon, sent_at: Instant, *, served: bool
+    ) -> None:
+        """Counts a first try while daemons are cut off from replicas."""
+        cuts = self._world.cut_from_replicas
+        if not cuts or sent_at < CUT_KNOWN_MS + max(
+            cut.since for cut in cuts.values()
+        ):
+            return
+        where = "at cut" if daemon.name in cuts else "elsewhere"
+        self._world.counts[f"first tries {where}"] += 1
+        self._world.counts[f"first tries served {where}"] += served
+
+    def _check_runs(self, arrival: Arrival, name: str, got: _Got) -> None:
+        """Counts requests that ran though they must not have."""
+        if arrival.kind.runs_once:
+            self._world.counts["ran twice"] += self._world.executions[name] > 1
+            if got.status == 503 and got.complete:
+                self._refused.add(name)
+        if got.status == 200 and got.complete and arrival.events:
+            numbers = [int(word) for word in got.body.split()[1::2]]
+            is_whole = numbers == list(range(arrival.events))
+            self._world.counts["streams not whole"] += not is_whole
+
     def _pick(self, avoid: set[str]) -> EmulatedDaemon:
         others = [d for d in self._known if d.name not in avoid]
         return self._world.rng.choice(others or self._known)
@@ -234,4 +270,8 @@
             left_ms = outcome.arrival.patience_ms - passed_ms
             await self._clock.sleep(min(told_ms, left_ms * MOST_RETRY_SHARE))
             return True
-        return kind.resumable or not kind.events
+        return not kind.runs_once
+
+
+def _request_id(request: ReadRequest) -> str:
+    return dict(request.headers)[b"id"].decode()
--- a/emulator/deployment.py
+++ b/emulator/deployment.py
@@ -76,13 +76,9 @@
 
 def _route(kind: Kind) -> Route:
     streaming = kind.events > 0
-    repeat = RepeatPolicy.IDEMPOTENT
-    if streaming:
-        repeat = (
-            RepeatPolicy.RESUMABLE
-            if kind.resumable
-            else RepeatPolicy.AT_MOST_ONCE
-        )
+    repeat = RepeatPolicy.RESUMABLE if streaming else RepeatPolicy.IDEMPOTENT
+    if kind.runs_once:
+        repeat = RepeatPolicy.AT_MOST_ONCE
     return Route(
         name=kind.name,
         host="emulated",
--- a/emulator/links.py
+++ b/emulator/links.py
@@ -15,13 +15,15 @@
 from cactusdyke.clock import MS_PER_SECOND, Instant
 from cactusdyke.transport.answer_parser import AnswerHead
 from cactusdyke.transport.exchange import (
+    CONNECT_TIMEOUT_MS,
     BackendConnections,
     Exchange,
     ExchangeError,
 )
+from emulator.world import ReplicaCut
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Iterator
 
     from cactusdyke.transport.answer_parser import Headers
     from emulator.world import World
@@ -247,6 +249,8 @@
 
     def begun(self, call: Call) -> None:
         """Notes that a request has begun to run."""
+        if "id" in call.body:
+            self.world.executions[call.body["id"]] += 1
         if call.crash is not None:
             self._crashing.add(call.crash.name)
             self.world.hub.start(self._crash_under, call.crash)
@@ -287,11 +291,38 @@
     def __init__(self, *, world: World) -> None:
         self._world = world
         self.backends: dict[str, Backend] = {}
+        self._open: collections.defaultdict[str, set[_Exchange]] = (
+            collections.defaultdict(set)
+        )
 
     def add(self, backend: Backend) -> None:
         """Lets a backend server be reached."""
         self.backends[backend.address] = backend
 
+    def cut(self, daemon: str, how: str) -> None:
+        """Cuts a daemon off from all replicas."""
+        self._world.cut_from_replicas[daemon] = ReplicaCut(
+            how=how, since=self._world.clock.now()
+        )
+        for exchange in tuple(self._open[daemon]):
+            if how == "hang":
+                exchange.fall_silent()
+            elif how == "reset":
+                exchange.break_off()
+
+    def heal(self, daemon: str) -> None:
+        """Ends such a cut; connections that hung stay silent."""
+        self._world.cut_from_replicas.pop(daemon, None)
+
+    @contextlib.contextmanager
+    def opened(self, daemon: str, exchange: _Exchange) -> Iterator[None]:
+        """Notes an open connection between a daemon and a replica."""
+        self._open[daemon].add(exchange)
+        try:
+            yield
+        finally:
+            self._open[daemon].discard(exchange)
+
     def of(self, daemon: str, data_centre: str) -> BackendConnections:
         """Returns the connections as one daemon sees them."""
         return _Connections(
@@ -313,8 +344,12 @@
 
     @contextlib.asynccontextmanager
     async def connect(self, address: str) -> AsyncIterator[Exchange]:
+        cut = self._world.cut_from_replicas.get(self._daemon)
+        if cut is not None and cut.how == "hang":
+            await self._world.clock.sleep(CONNECT_TIMEOUT_MS)
+            raise ExchangeError(f"{address}: no connection in time", sent=False)
         backend = self._links.backends.get(address)
-        if backend is None or backend.gone:
+        if backend is None or backend.gone or cut is not None:
             raise ExchangeError(
                 f"{address}: nobody there", sent=False, refused=True
             )
@@ -323,7 +358,8 @@
         self._world.counts["connections"] += 1
         exchange = _Exchange(world=self._world, backend=backend, way_ms=way_ms)
         try:
-            yield exchange
+            with self._links.opened(self._daemon, exchange):
+                yield exchange
         finally:
             exchange.left.set()
 
@@ -338,6 +374,7 @@
         self._backend = backend
         self._way_ms = way_ms
         self._sent = False
+        self._silent = False
         self._answer, self._arrived = anyio.create_memory_object_stream[
             AnswerHead | bytes | None
         ](math.inf)
@@ -348,6 +385,15 @@
         """Whether a byte of the request was handed over."""
         return self._sent
 
+    def fall_silent(self) -> None:
+        """Lets nothing more pass in either direction."""
+        self._silent = True
+
+    def break_off(self) -> None:
+        """Resets the connection; the replica sees it close."""
+        self.left.set()
+        self._answer.close()
+
     async def send(
         self, method: str, target: str, headers: Headers, body: bytes
     ) -> None:
@@ -364,6 +410,8 @@
 
     async def _serve(self, call: Call) -> None:
         await self._world.clock.sleep(self._way_ms)
+        if self._silent or self.left.is_set():
+            return
         with self._answer:
             await self._backend.serve(call, _Answer(parts=self._answer))
 
@@ -383,9 +431,12 @@
 
     async def _next(self) -> AnswerHead | bytes | None:
         try:
-            return await self._arrived.receive()
+            part = await self._arrived.receive()
         except anyio.EndOfStream:
             raise self._broken() from None
+        if self._silent:
+            await anyio.sleep_forever()
+        return part
 
     def _broken(self) -> ExchangeError:
         return ExchangeError(
--- a/emulator/play.py
+++ b/emulator/play.py
@@ -173,6 +173,13 @@
                 await world.clock.sleep(for_ms)
         case "daemons_cut_off":
             await _cut_off(world, struck, daemons, for_ms)
+        case "daemons_cut_from_replicas":
+            struck = _choose_cut(world, fault, daemons)
+            for daemon in struck:
+                links.cut(daemon.name, fault.how)
+            await world.clock.sleep(for_ms)
+            for daemon in struck:
+                links.heal(daemon.name)
         case "crashing_request":
             number = len(world.crashing)
             arrival = draw_crashing(world.scenario, fault, number, world.rng)
@@ -238,6 +245,22 @@
         link.cut = False
 
 
+def _choose_cut(
+    world: World, fault: Fault, daemons: list[EmulatedDaemon]
+) -> list[EmulatedDaemon]:
+    """Returns the daemons of a cut, a service's decider among them."""
+    there = [d for d in daemons if fault.data_centre in {"", d.data_centre}]
+    count = math.ceil(fault.share * len(there))
+    struck = world.rng.sample(there, count)
+    core = next(d.core for d in daemons if d.core is not None)
+    if fault.service and core is not None:
+        name = core.decider_of(fault.service)
+        decider = next(d for d in daemons if d.name == name)
+        if decider not in struck:
+            struck[0] = decider
+    return struck
+
+
 async def _limit_replicas(world: World, fault: Fault, links: Links) -> None:
     """Lets a share of a service's replicas state a limit for a while."""
     present = [
--- a/emulator/scenario.py
+++ b/emulator/scenario.py
@@ -141,6 +141,7 @@
         shared: Parts of the prompt that others have as well, in order.
         events: Mean events of the answer, 0 for a whole answer.
         resumable: Whether a broken stream may go on elsewhere.
+        repeatable: Whether a whole answer may be asked for more than once.
         retries: How often a caller tries again.
         stages: Its stages.
     """
@@ -157,9 +158,15 @@
     shared: tuple[SharedPart, ...] = ()
     events: float = 0.0
     resumable: bool = False
+    repeatable: bool = True
     retries: int = 1
     stages: tuple[Stage, ...] = ()
 
+    @property
+    def runs_once(self) -> bool:
+        """Whether a request may run once at most."""
+        return not (self.resumable if self.events else self.repeatable)
+
 
 @attrs.frozen(kw_only=True)
 class Burst:
@@ -178,7 +185,9 @@
     Attributes:
         what: `daemons_killed`, `daemons_lose_power`, `daemons_restarted` (in
             turn, without an end in good order), `daemons_cut_off` (from all
-            other daemons, not from replicas and callers), `replica_gone`,
+            other daemons, not from replicas and callers),
+            `daemons_cut_from_replicas` (from all replicas, not from callers
+            and other daemons), `replica_gone`,
             `replica_slow`, `replica_crashed`, `data_centre_cold` (its
             replicas go down and come back cold), `data_centre_evacuated` (its
             replicas are to get nothing for a while, and are cold after it),
@@ -189,8 +198,12 @@
         for_s: How long; for a restart in turn the pause between two, for a
             crash the time until the replica is back under another name.
         share: Part of the daemons, or of the replicas that are limited.
-        service: Whose replica it is.
-        data_centre: Which data centre it is.
+        service: Whose replica it is; for a cut from replicas, the service
+            whose decider is among the daemons that are cut.
+        data_centre: Which data centre it is; for a cut from replicas, where
+            the daemons that are cut are, if not anywhere.
+        how: What a cut from replicas does to connections: `hang`, `reset`, or
+            `spare` for those that are open.
         times: How many times slower.
         kind: Of which kind a crashing request is.
         every_s: Mean time between two arrivals of a crashing request.
@@ -211,6 +224,7 @@
     down_s: float = 3.0
     crash_after_ms: float = 60.0
     limit_per_s: float = 1.0
+    how: str = "hang"
 
 
 @attrs.frozen(kw_only=True)
--- a/emulator/world.py
+++ b/emulator/world.py
@@ -54,6 +54,19 @@
         return sum(at > known_at for at in self.arrivals)
 
 
+@attrs.frozen(kw_only=True)
+class ReplicaCut:
+    """A cut between one daemon and all replicas.
+
+    Attributes:
+        how: What it does to connections: hang, reset, or spare open ones.
+        since: When it began.
+    """
+
+    how: str
+    since: Instant
+
+
 class World:
     """One play: its clock, its random numbers and what is counted."""
 
@@ -71,6 +84,8 @@
         self.saved: dict[str, Mapping[str, Any]] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.evacuated_at: dict[str, Instant] = {}
+        self.cut_from_replicas: dict[str, ReplicaCut] = {}
+        self.executions: collections.Counter[str] = collections.Counter()
         self.busy_ms = 0.0
         self.wasted_ms = 0.0
 
