Reach replicas through other daemons where the own paths are lost

Callers of hosts that had lost their paths to all replicas were refused at nearly all first tries, and callers of all hosts if such a host decided for a stage.

Cause: a daemon had one path to a replica, its own. It tried replica after replica over the same broken path; a decider failed the pieces of all daemons.

A connection that cannot be made is now made by another daemon, as an HTTP CONNECT tunnel on the port between daemons. Only the connection is made there: the daemon that has the request writes it and reads the answer, so it alone knows whether it may have run, and deadlines, limits, budgets and orders of tokens are where they were. Engines, stages, reports and plain services use the same connections. Whose fault a failure is follows from whether another daemon reaches the replica: a cut daemon reports no failure, no crash and no slow call of a replica that others reach. Daemons that are cut off say so with gossip and are not asked; one that fails without reaching any replica gives no verdict. Lost paths are tried again twice a second.

--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -257,6 +257,17 @@
         "A connection to a replica that was not reached could be made again.",
         "",
     )
+    REPLICA_PATHS_LOST = (
+        4324,
+        "This daemon reaches no replica, other daemons do; it connects through"
+        " them.",
+        "Look at the network between this host and the replicas.",
+    )
+    REPLICA_PATHS_REGAINED = (
+        4325,
+        "This daemon reaches replicas by itself again.",
+        "",
+    )
     METRICS_NOT_SERVED = (
         1007,
         "The port for metrics can't be listened on; all else goes on.",
--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -47,6 +47,7 @@
 from cactusdyke.transport.http_network import HttpNetwork
 from cactusdyke.transport.messages import Request, Response, json_response
 from cactusdyke.transport.routes import Routes
+from cactusdyke.transport.tunnel import SocketTunnels, TunnelGate
 
 if TYPE_CHECKING:
     from cactusdyke.clock import Clock
@@ -136,6 +137,7 @@
                 registry.registered_count, len(self._settings.seeds) + 1
             ),
             busy=lambda: load.busy,
+            cut_off=lambda: self._core.cut_off,
         )
         kinds: list[type[DeploymentState]] = [ConfigurationState, ReplicaState]
         if self._settings.follows_evacuations:
@@ -160,6 +162,7 @@
             rng=rng,
             network=network,
             connections=SocketConnections(clock=clock),
+            tunnels=SocketTunnels(clock=clock),
             dialect=PlatformDialect(),
             deployment=self._deployment,
             daemons=self._view,
@@ -213,7 +216,9 @@
         ) as signals:
             async with self._kernel, anyio.create_task_group() as tasks:
                 for endpoint, routes in self._interfaces():
-                    tasks.start_soon(self._server(endpoint, routes).serve)
+                    gate = self._tunnel_gate_at(endpoint)
+                    server = self._server(endpoint, routes, gate)
+                    tasks.start_soon(server.serve)
                 metrics = self._metrics_server()
                 if metrics is not None:
                     tasks.start_soon(metrics.serve)
@@ -279,12 +284,23 @@
             )
             return None
 
-    def _server(self, endpoint: Endpoint, routes: Routes) -> DirectServer:
+    def _tunnel_gate_at(self, endpoint: Endpoint) -> TunnelGate | None:
+        """Returns what admits tunnels, which only other daemons ask for."""
+        is_internal = endpoint == self._settings.peer
+        return self._core.tunnel_gate if is_internal else None
+
+    def _server(
+        self,
+        endpoint: Endpoint,
+        routes: Routes,
+        tunnels: TunnelGate | None = None,
+    ) -> DirectServer:
         return DirectServer(
             host=endpoint.host,
             port=endpoint.port,
             handler=routes.handle,
             max_body_bytes=MOST_STATE_BYTES,
+            tunnels=tunnels,
         )
 
     def _peer_routes(self) -> list[tuple[str, str, Handler]]:
--- a/cactusdyke/serving/attempt.py
+++ b/cactusdyke/serving/attempt.py
@@ -118,6 +118,18 @@
         self._dialect = dialect
         self._stated_limits = stated_limits
 
+    def is_replica_to_blame(
+        self, replica: Replica, result: AttemptResult | None
+    ) -> bool:
+        """Returns whether a failure tells something of the replica.
+
+        An answer does; the lack of one may be due to this daemon's path.
+        """
+        answered = result is not None and result.verdict is not None
+        return answered or not self._connections.is_path_in_doubt(
+            replica.address
+        )
+
     async def fetch(
         self,
         context: ServingContext,
--- a/cactusdyke/serving/batcher.py
+++ b/cactusdyke/serving/batcher.py
@@ -322,7 +322,7 @@
                 held_bytes=round(self._queue.held_bytes(batch.replica_name)),
                 crossed_bytes=round(self._transferred_bytes(batch)),
             )
-        if refused:
+        if refused or (results is None and self._is_path_in_doubt(replica)):
             settled = self._queue.call_refused(batch)
         else:
             settled = self._queue.call_ended(batch, results)
@@ -335,6 +335,12 @@
         self._settle([task.group for task in settled])
         self._start_calls()
 
+    def _is_path_in_doubt(self, replica: Replica | None) -> bool:
+        """Returns whether a failed call may not be the replica's fault."""
+        return replica is not None and self._connections.is_path_in_doubt(
+            replica.address
+        )
+
     async def _free_when_fetched(self, batch: Batch) -> None:
         """Frees the inputs of a call once it has had time to fetch them.
 
--- a/cactusdyke/serving/core.py
+++ b/cactusdyke/serving/core.py
@@ -22,6 +22,9 @@
 from cactusdyke.serving.limit_exchange import LIMITS_PATH, LimitExchange
 from cactusdyke.serving.peer_watch import ALIVE_PATH, PeerWatch
 from cactusdyke.serving.quarantine import CRASHES_PATH, Quarantine
+from cactusdyke.serving.reach_check import ReachCheck
+from cactusdyke.serving.relay import Relay
+from cactusdyke.serving.relay_choice import RelayChoice
 from cactusdyke.serving.replica_connections import ReplicaConnections
 from cactusdyke.serving.replica_paths import ReplicaPaths
 from cactusdyke.serving.request_limits import RequestLimits
@@ -50,6 +53,7 @@
     from cactusdyke.transport.exchange import BackendConnections
     from cactusdyke.transport.messages import Handler
     from cactusdyke.transport.network import Network
+    from cactusdyke.transport.tunnel import TunnelGate, Tunnels
 
 
 class ServingCore:
@@ -66,6 +70,7 @@
         rng: random.Random,
         network: Network,
         connections: BackendConnections,
+        tunnels: Tunnels,
         dialect: Dialect,
         deployment: Deployment,
         daemons: PeerDaemons,
@@ -82,12 +87,38 @@
         self._deciders = DeciderDirectory(
             clock=clock, daemons=daemons, watch=self._watch
         )
-        paths = ReplicaPaths(clock=clock)
-        metrics.watch_paths(paths)
+        paths = self._paths = ReplicaPaths(clock=clock)
         deployment.on_change(
             lambda: paths.remove_unknown(deployment.replica_addresses)
         )
-        connections = ReplicaConnections(direct=connections, paths=paths)
+        check = ReachCheck(
+            clock=clock,
+            rng=rng,
+            direct=connections,
+            deployment=deployment,
+            paths=paths,
+        )
+        self._relay = Relay(
+            clock=clock,
+            check=check,
+            deployment=deployment,
+            paths=paths,
+            stop_times=stop_times,
+        )
+        metrics.watch_paths(paths)
+        metrics.watch_relay(self._relay)
+        self._connections = replica_connections = ReplicaConnections(
+            clock=clock,
+            direct=connections,
+            tunnels=tunnels,
+            check=check,
+            paths=paths,
+            relays=RelayChoice(
+                clock=clock, rng=rng, daemons=daemons, watch=self._watch
+            ),
+            deployment=deployment,
+            metrics=metrics,
+        )
         stated_limits = StatedLimits(clock=clock)
         metrics.watch_limits(stated_limits)
         decided = DecidedServices(clock=clock, deciders=self._deciders)
@@ -115,7 +146,7 @@
             clock=clock,
             deployment=deployment,
             dialect=dialect,
-            connections=connections,
+            connections=replica_connections,
             tracing=tracing,
             request_limits=request_limits,
         )
@@ -143,7 +174,7 @@
         self._quarantine = Quarantine(
             clock=clock,
             network=network,
-            connections=connections,
+            connections=replica_connections,
             daemons=daemons,
             store=quarantine_store,
             metrics=metrics,
@@ -169,7 +200,7 @@
             attempts=AttemptRunner(
                 clock=clock,
                 dialect=dialect,
-                connections=connections,
+                connections=replica_connections,
                 stated_limits=stated_limits,
             ),
             retry_policy=RetryPolicy(
@@ -203,6 +234,16 @@
         """The quarantine of requests that crash replicas."""
         return self._quarantine
 
+    @property
+    def tunnel_gate(self) -> TunnelGate:
+        """Decides which connections are made for other daemons."""
+        return self._relay
+
+    @property
+    def cut_off(self) -> bool:
+        """Whether this daemon has lost its own paths to all replicas."""
+        return self._paths.cut_off
+
     @property
     def limits_attachment(self) -> Attachment:
         """Attaches the limits of replicas to gossip messages."""
@@ -222,6 +263,8 @@
         """The services to run, by name, in the order in which they start."""
         return {
             "peer_watch": self._watch,
+            "relay": self._relay,
+            "replica_connections": self._connections,
             "decider": self._decider,
             "dispatch": self._dispatch,
             "limit_exchange": self._limit_exchange,
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -360,7 +360,8 @@
             for data_centre, size in inputs.items()
             if data_centre != replica.data_centre
         )
-        attempt_succeeded = False
+        result: AttemptResult | None = None
+        succeeded = False
         began = self._clock.now()
         context.attempt_started_at = began
         self._health.record_start(replica.name)
@@ -381,21 +382,22 @@
                         context, replica, reply, state, handles, on_first_event
                     )
                 span.set_attribute("detail", result.detail)
-            attempt_succeeded = result.verdict is not None and (
-                result.verdict.succeeded
-            )
+            succeeded = result.verdict is not None and result.verdict.succeeded
             self._record_attempt(
                 context, replica, result, self._clock.now() - began
             )
             if result.delivered:
                 return None, result
-            if attempt_succeeded and result.body is not None:
+            if succeeded and result.body is not None:
                 return await self._deliver(context, result, reply), None
             return None, result
         finally:
             self._health.record_end(replica.name)
             if placed is not None:
-                self._dispatch.notify_end(placed, failed=not attempt_succeeded)
+                failed = not succeeded and (
+                    self._attempts.is_replica_to_blame(replica, result)
+                )
+                self._dispatch.notify_end(placed, failed=failed)
 
     async def _place(
         self, context: ServingContext, inputs: Mapping[str, float]
@@ -534,7 +536,8 @@
                 self._health.record_success(replica.name, took_ms)
             return
         context.failed_replicas.append(replica.name)
-        if not (result.refused or result.inputs_gone):
+        to_blame = self._attempts.is_replica_to_blame(replica, result)
+        if to_blame and not (result.refused or result.inputs_gone):
             self._health.record_failure(replica.name)
         self._metrics.attempt_failed(context.service)
         events.log(
--- a/cactusdyke/serving/member_view.py
+++ b/cactusdyke/serving/member_view.py
@@ -38,6 +38,7 @@
         decided_hashes: Callable[[], frozenset[int]],
         min_count: Callable[[], int],
         busy: Callable[[], bool] = lambda: False,
+        cut_off: Callable[[], bool] = lambda: False,
     ) -> None:
         self._clock = clock
         self._started_at = clock.now()
@@ -48,6 +49,7 @@
         self._decided_hashes = decided_hashes
         self._min_count = min_count
         self._busy = busy
+        self._cut_off = cut_off
         self._announced: dict[str, Mapping[str, Any]] = {}
         self._cache: dict[str, tuple[Mapping[str, Any], PeerDaemon]] = {}
         self._daemons: tuple[PeerDaemon, ...] = ()
@@ -104,6 +106,7 @@
             size_class=self._size_class,
             decided_hashes=self._decided_hashes(),
             busy=self._busy(),
+            cut_off=self._cut_off(),
             is_local=True,
         )
 
@@ -131,6 +134,7 @@
             "s": int(self._is_warmed_up()),
             "w": self._size_class,
             "b": int(self._busy()),
+            "c": int(self._cut_off()),
             "d": sorted(self._decided_hashes())[:MAX_ANNOUNCED_HASHES],
         }
 
@@ -152,4 +156,5 @@
         size_class=int(announced.get("w", 0)),
         decided_hashes=frozenset(announced.get("d", ())),
         busy=bool(announced.get("b")),
+        cut_off=bool(announced.get("c")),
     )
--- a/cactusdyke/serving/metrics.py
+++ b/cactusdyke/serving/metrics.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from cactusdyke.serving.deployment import Deployment
+    from cactusdyke.serving.relay import Relay
     from cactusdyke.serving.replica_paths import ReplicaPaths
     from cactusdyke.serving.stated_limits import StatedLimits
 
@@ -73,6 +74,16 @@
             "Replicas that this daemon could not connect to.",
             registry=registry,
         )
+        self._relayed = prometheus_client.Counter(
+            "cactusdyke_relayed_connections",
+            "Connections to replicas that were made through other daemons.",
+            registry=registry,
+        )
+        self._tunnels = prometheus_client.Gauge(
+            "cactusdyke_open_tunnels",
+            "Connections to replicas that are open for other daemons.",
+            registry=registry,
+        )
         self._quarantined = prometheus_client.Gauge(
             "cactusdyke_quarantined",
             "Requests that no replica gets, as replicas crash under them.",
@@ -92,6 +103,14 @@
         """Reads the gauge of unreachable replicas when asked for."""
         self._unreachable.set_function(lambda: paths.unreachable_count)
 
+    def watch_relay(self, relay: Relay) -> None:
+        """Reads the gauge of open tunnels when asked for."""
+        self._tunnels.set_function(lambda: relay.open_count)
+
+    def connection_relayed(self) -> None:
+        """Counts a connection that was made through another daemon."""
+        self._relayed.inc()
+
     def replica_crashed(self, service: str) -> None:
         """Counts a replica that crashed under requests of this daemon."""
         self._crashes.labels(service).inc()
--- a/cactusdyke/serving/peers.py
+++ b/cactusdyke/serving/peers.py
@@ -27,6 +27,7 @@
         size_class: Class of its host's processor and link; larger is better.
         decided_hashes: Hashes of the services it announces as decided by it.
         busy: Whether its processor has little time left.
+        cut_off: Whether it has lost its own paths to all replicas.
         is_local: Whether it is this daemon itself.
     """
 
@@ -39,6 +40,7 @@
     size_class: int = 0
     decided_hashes: frozenset[int] = frozenset()
     busy: bool = False
+    cut_off: bool = False
     is_local: bool = False
 
 
--- a/cactusdyke/serving/quarantine.py
+++ b/cactusdyke/serving/quarantine.py
@@ -233,7 +233,9 @@
                 is_down = await self._is_down(replica)
         finally:
             digests = self._broken_digests.pop(replica.name)
-        if not is_down:
+        # A refusal may also come from a path that breaks. By now it is known
+        # whether another daemon reaches the replica.
+        if not is_down or self._connections.is_path_lost(replica.address):
             return
         events.log(
             events.Event.REPLICA_CRASHED,
--- a/cactusdyke/transport/direct_server.py
+++ b/cactusdyke/transport/direct_server.py
@@ -24,6 +24,7 @@
 )
 from cactusdyke.transport.safe_handler import respond
 from cactusdyke.transport.tcp_stream import listen
+from cactusdyke.transport.tunnel import TunnelGate, serve_tunnel
 
 MAX_HEAD_BYTES = 65_536
 READ_TIMEOUT_S = 10.0
@@ -42,15 +43,24 @@
         port: The port to listen on, 0 for any.
         handler: Answers the requests; its answers must not be streams.
         max_body_bytes: Largest body of a request.
+        tunnels: Decides which connections are made for callers that ask for a
+            tunnel (CONNECT); None makes none.
 
     Raises:
         OSError: The address can't be bound.
     """
 
     def __init__(
-        self, *, host: str, port: int, handler: Handler, max_body_bytes: int
+        self,
+        *,
+        host: str,
+        port: int,
+        handler: Handler,
+        max_body_bytes: int,
+        tunnels: TunnelGate | None = None,
     ) -> None:
         self._socket = listen(host, port)
+        self._tunnels = tunnels
         self._handler = handler
         self._max_body_bytes = max_body_bytes
         self._connections: set[_Connection] = set()
@@ -71,6 +81,7 @@
                 answers=answers,
                 max_body_bytes=self._max_body_bytes,
                 connections=self._connections,
+                tunnels=self._tunnels,
             ),
             sock=self._socket,
         )
@@ -96,7 +107,10 @@
         answers: set[asyncio.Task[None]],
         max_body_bytes: int,
         connections: set[_Connection],
+        tunnels: TunnelGate | None,
     ) -> None:
+        self._tunnels = tunnels
+        self._tunnel_address = ""
         self._handler = handler
         self._answers = answers
         self._max_body_bytes = max_body_bytes
@@ -140,10 +154,12 @@
             return
         try:
             self._parser.feed_data(data)
-        except (
-            httptools.HttpParserError,
-            httptools.HttpParserUpgrade,
-        ) as error:
+        except httptools.HttpParserUpgrade as error:
+            if self._tunnel_address and error.args[0] == len(data):
+                self._start_tunnel()
+            else:
+                self._refuse(FailureKind.BAD_REQUEST, "no upgrade is known")
+        except httptools.HttpParserError as error:
             self._refuse(FailureKind.BAD_REQUEST, f"no HTTP request: {error}")
 
     def pause_writing(self) -> None:
@@ -187,6 +203,10 @@
         """Takes the end of a request; called by the parser."""
         if self._refused:
             return
+        if self._parser.get_method() == b"CONNECT":
+            if self._tunnels is not None and not self._answering:
+                self._tunnel_address = self._url.decode("latin-1")
+            return
         path, _, query = self._url.partition(b"?")
         request = Request(
             method=self._parser.get_method().decode("latin-1"),
@@ -221,6 +241,25 @@
         self._answers.add(answer)
         answer.add_done_callback(self._answers.discard)
 
+    def _start_tunnel(self) -> None:
+        assert self._transport is not None
+        self._answering = True
+        self._set_timer(None)
+        self._transport.pause_reading()
+        tunnel = asyncio.get_running_loop().create_task(
+            self._serve_tunnel(self._transport)
+        )
+        self._answers.add(tunnel)
+        tunnel.add_done_callback(self._answers.discard)
+
+    async def _serve_tunnel(self, transport: asyncio.Transport) -> None:
+        assert self._tunnels is not None
+        refusal = await serve_tunnel(
+            transport, self._tunnel_address, self._tunnels
+        )
+        if refusal is not None:
+            self._write(refusal, keep_alive=False)
+
     async def _answer(self, request: Request, keep_alive: bool) -> None:
         response = await respond(self._handler, request)
         self._write(response, keep_alive=keep_alive)
--- a/cactusdyke/transport/exchange.py
+++ b/cactusdyke/transport/exchange.py
@@ -117,6 +117,19 @@
             ExchangeError: No connection could be made; nothing was sent.
         """
 
+    def is_path_lost(self, address: str) -> bool:
+        """Returns whether only other daemons reach the backend server."""
+        del address
+        return False
+
+    def is_path_in_doubt(self, address: str) -> bool:
+        """Returns whether a failure just now may have been the path's fault.
+
+        The backend server is not to blame for it then.
+        """
+        del address
+        return False
+
 
 class SocketExchange(Exchange):
     """An exchange on a TCP connection, and the next one if all was read.
--- a/cactusdyke/transport/sockets.py
+++ b/cactusdyke/transport/sockets.py
@@ -35,6 +35,11 @@
     bytes then end it after UNACKNOWLEDGED_MS, an idle one by its probes.
     """
     raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    guard_socket_against_silence(raw)
+
+
+def guard_socket_against_silence(raw: socket.socket) -> None:
+    """Does the same for a socket."""
     for level, option, value in AGAINST_SILENCE:
         raw.setsockopt(level, option, value)
 
@@ -46,4 +51,9 @@
     an orderly close would make it look complete; a reset does not.
     """
     raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    reset_socket_on_close(raw)
+
+
+def reset_socket_on_close(raw: socket.socket) -> None:
+    """Does the same for a socket."""
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/emulator/daemons.py
+++ b/emulator/daemons.py
@@ -121,6 +121,7 @@
         self.core = None
         self.powerless = powerless
         self._world.hub.kill(self.name)
+        self._links.break_off(self.name)
         self._scope.cancel()
         if not powerless:
             self.break_open()
@@ -212,12 +213,14 @@
             ready=lambda: True,
             decided_hashes=lambda: core.decided_service_hashes,
             min_count=lambda: len(self._hosts),
+            cut_off=lambda: core.cut_off,
         )
         core = ServingCore(
             clock=clock,
             rng=rng,
             network=network,
             connections=self._links.of(self.name, self.data_centre),
+            tunnels=self._links.tunnels(self.name),
             dialect=EmulatedDialect(scenario=world.scenario),
             deployment=deployment,
             daemons=view,
@@ -260,6 +263,7 @@
         tasks.start_soon(self._follow_replicas, deployment)
         members.announce()
         self.core = core
+        self._links.gates[self.name] = core.tunnel_gate
 
     async def _handle_peer(
         self, core: ServingCore, routes: Routes, request: Request
--- a/emulator/links.py
+++ b/emulator/links.py
@@ -20,6 +20,12 @@
     Exchange,
     ExchangeError,
 )
+from cactusdyke.transport.tunnel import (
+    TUNNEL_TIMEOUT_MS,
+    TunnelGate,
+    Tunnels,
+    TunnelUnavailableError,
+)
 from emulator.world import ReplicaCut
 
 if TYPE_CHECKING:
@@ -291,6 +297,7 @@
     def __init__(self, *, world: World) -> None:
         self._world = world
         self.backends: dict[str, Backend] = {}
+        self.gates: dict[str, TunnelGate] = {}
         self._open: collections.defaultdict[str, set[_Exchange]] = (
             collections.defaultdict(set)
         )
@@ -323,6 +330,16 @@
         finally:
             self._open[daemon].discard(exchange)
 
+    def break_off(self, daemon: str) -> None:
+        """Breaks a daemon's connections to replicas, as its process ends."""
+        self.gates.pop(daemon, None)
+        for exchange in tuple(self._open[daemon]):
+            exchange.break_off()
+
+    def tunnels(self, daemon: str) -> Tunnels:
+        """Returns the tunnels through others as one daemon opens them."""
+        return _Tunnels(world=self._world, links=self, daemon=daemon)
+
     def of(self, daemon: str, data_centre: str) -> BackendConnections:
         """Returns the connections as one daemon sees them."""
         return _Connections(
@@ -364,6 +381,42 @@
             exchange.left.set()
 
 
+class _Tunnels(Tunnels):
+    def __init__(self, *, world: World, links: Links, daemon: str) -> None:
+        self._world = world
+        self._links = links
+        self._daemon = daemon
+
+    @contextlib.asynccontextmanager
+    async def connect(
+        self, relay: str, address: str
+    ) -> AsyncIterator[Exchange]:
+        name = relay.partition(":")[0]
+        hub = self._world.hub
+        links = (hub.link(self._daemon, name), hub.link(name, self._daemon))
+        gate = self._links.gates.get(name)
+        if gate is None or any(link.cut for link in links):
+            await self._world.clock.sleep(TUNNEL_TIMEOUT_MS)
+            raise TunnelUnavailableError(f"{relay}: no connection in time")
+        here = self._world.place(int(self._daemon[1:]))
+        there = self._world.place(int(name[1:]))
+        await self._world.clock.sleep(2 * self._world.way_ms(here, there))
+        with gate.admit(address):
+            direct = self._links.of(name, there)
+            async with contextlib.AsyncExitStack() as stack:
+                try:
+                    exchange = await stack.enter_async_context(
+                        direct.connect(address)
+                    )
+                except ExchangeError as error:
+                    if await gate.reaches_others(address):
+                        raise
+                    raise TunnelUnavailableError(relay) from error
+                gate.record_connected(address)
+                self._world.counts[f"tunnels through {name}"] += 1
+                yield exchange
+
+
 class _Exchange(Exchange):
     """The daemon's end of a connection."""
 
--- a/features/steps/replica_paths_steps.py
+++ b/features/steps/replica_paths_steps.py
@@ -3,16 +3,25 @@
 from __future__ import annotations
 
 import contextlib
+import random
 
 import anyio
 import eliot.testing
+import prometheus_client
 from behave import given, then, when
 
 from cactusdyke import events
 from cactusdyke.clock import EventLoopClock
+from cactusdyke.serving.deployment import Deployment
+from cactusdyke.serving.metrics import ServingMetrics
+from cactusdyke.serving.peer_watch import PeerWatch
+from cactusdyke.serving.reach_check import ReachCheck
+from cactusdyke.serving.relay_choice import RelayChoice
 from cactusdyke.serving.replica_connections import ReplicaConnections
 from cactusdyke.serving.replica_paths import ReplicaPaths
 from cactusdyke.transport.exchange import BackendConnections, ExchangeError
+from features.support.serving_values import NoTunnels
+from features.support.state_fleet import FixedDaemons, peer
 from standins.virtual import run_virtual
 
 REPLICAS = ("a", "b", "c")
@@ -37,8 +46,28 @@
 def reached(context):
     context.replicas = _Replicas()
     context.paths = ReplicaPaths(clock=EventLoopClock())
+    clock = EventLoopClock()
+    context.deployment = Deployment(clock=clock)
     context.connections = ReplicaConnections(
-        direct=context.replicas, paths=context.paths
+        clock=clock,
+        direct=context.replicas,
+        tunnels=NoTunnels(),
+        check=ReachCheck(
+            clock=clock,
+            rng=random.Random(1),
+            direct=context.replicas,
+            deployment=context.deployment,
+            paths=context.paths,
+        ),
+        paths=context.paths,
+        relays=RelayChoice(
+            clock=clock,
+            rng=random.Random(1),
+            daemons=FixedDaemons((peer(0, is_local=True),)),
+            watch=PeerWatch(clock=clock, network=None),
+        ),
+        deployment=context.deployment,
+        metrics=ServingMetrics(prometheus_client.CollectorRegistry()),
     )
 
 
--- a/features/support/limit_fleet.py
+++ b/features/support/limit_fleet.py
@@ -28,7 +28,7 @@
 from cactusdyke.serving.retry_budget import RetryAllowance
 from cactusdyke.transport.routes import Routes
 from features.support.quarantine_fleet import AcceptingStore
-from features.support.serving_values import NoConnections
+from features.support.serving_values import NoConnections, NoTunnels
 from features.support.state_fleet import FixedDaemons, peer
 from standins.hub import Hub
 
@@ -171,6 +171,7 @@
             rng=random.Random(number),
             network=self.hub.network(name),
             connections=NoConnections(),
+            tunnels=NoTunnels(),
             dialect=None,
             deployment=deployment,
             daemons=view,
--- a/features/support/serving_values.py
+++ b/features/support/serving_values.py
@@ -8,6 +8,7 @@
 from cactusdyke.serving.stated_limits import StatedLimits
 from cactusdyke.serving.stated_request_limit import StatedRequestLimit
 from cactusdyke.transport.exchange import BackendConnections, ExchangeError
+from cactusdyke.transport.tunnel import Tunnels, TunnelUnavailableError
 
 
 def client_request(pieces=(), **changes):
@@ -78,3 +79,10 @@
 
     def connect(self, address):
         raise ExchangeError(f"{address}: connection refused", sent=False)
+
+
+class NoTunnels(Tunnels):
+    """Has no daemon that makes connections for others."""
+
+    def connect(self, relay, address):
+        raise TunnelUnavailableError(f"{relay}: connection refused")
