Play brittle replicas, which fall over under clumps of requests

The emulator knows replicas that state how many requests they may refuse in a second, let fewer wait from three seconds later on, and fall over for three seconds if they refuse more.

--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -168,6 +168,8 @@
             if not await self._comes_back(outcome, got, began):
                 break
         self.outcomes.append(outcome)
+        self._world.counts["asked"] += 1
+        self._world.counts["answered"] += outcome.how in {"on_time", "late"}
 
     async def repeat(
         self, arrival: Arrival, *, every_ms: float, for_ms: float
--- a/emulator/engines.py
+++ b/emulator/engines.py
@@ -101,7 +101,8 @@
         self._present = 0
 
     async def _serve(self, call: Call, answer: Answering) -> None:
-        if self._present >= 2 * self._spec.slots:
+        waiting = 1 if self.brittleness.waits_less else self._spec.slots
+        if self._present >= self._spec.slots + waiting:
             answer.whole(503, {}, ran="no")
             return
         self._present += 1
--- a/emulator/links.py
+++ b/emulator/links.py
@@ -29,7 +29,7 @@
 from emulator.world import ReplicaCut
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Iterator
+    from collections.abc import AsyncIterator, Callable, Iterator
 
     from cactusdyke.transport.answer_parser import Headers
     from emulator.world import World
@@ -96,6 +96,10 @@
 LIMIT_OVERSHOOT = 1.5
 LIMIT_SLACK = 5.0
 LIMIT_WINDOW_MS = 4_000.0
+BRITTLE_WINDOW_MS = 1_000.0
+FALLEN_MS = 3_000.0
+"""How long a brittle replica is down that has fallen over."""
+UNAVAILABLE_STATUS = 503
 LIMIT_KNOWN_MS = 3_000.0
 """Within this time of its first statement all daemons know a limit."""
 EVACUATION_KNOWN_MS = 1_000.0
@@ -141,12 +145,56 @@
             self._world.counts["requests too many for limited"] += 1
 
 
+class _Brittleness:
+    """Falls over if a brittle replica has to refuse too many requests."""
+
+    def __init__(self, *, world: World, fall: Callable[[], None]) -> None:
+        self._world = world
+        self._fall = fall
+        self._binds_from: Instant = math.inf
+        self._refused: collections.deque[Instant] = collections.deque()
+        self.most_refused: int | None = None
+
+    @property
+    def waits_less(self) -> bool:
+        """Whether the replica lets fewer requests wait than it did."""
+        return self._world.clock.now() >= self._binds_from
+
+    def set(self, most_refused: int | None) -> None:
+        """Begins or ends it; it binds once daemons can know it."""
+        known_at = self._world.clock.now() + LIMIT_KNOWN_MS
+        self._binds_from = math.inf if most_refused is None else known_at
+        self.most_refused = most_refused
+        self._refused.clear()
+
+    def count_refusal(self) -> None:
+        """Counts a request that was refused for want of room."""
+        if self.most_refused is None or not self.waits_less:
+            return
+        now = self._world.clock.now()
+        self._world.counts["refused by brittle"] += 1
+        self._refused.append(now)
+        while self._refused[0] <= now - BRITTLE_WINDOW_MS:
+            self._refused.popleft()
+        if len(self._refused) > self.most_refused:
+            self._refused.clear()
+            self._world.counts["brittle fallen over"] += 1
+            self._fall()
+
+
 class _Stating(Answering):
-    """An answer whose head states the replica's limit."""
+    """An answer whose head states what the replica takes."""
 
-    def __init__(self, *, answer: Answering, limit: _StatedLimit) -> None:
+    def __init__(
+        self,
+        *,
+        answer: Answering,
+        limit: _StatedLimit,
+        brittleness: _Brittleness,
+    ) -> None:
         self._answer = answer
         self._limit = limit
+        self._brittleness = brittleness
 
     def head(self, status: int, **headers: str) -> None:
         """Sends the head."""
@@ -154,11 +202,16 @@
 
     def whole(self, status: int, body: dict[str, Any], **headers: str) -> None:
         """Sends a whole answer."""
+        if status == UNAVAILABLE_STATUS:
+            self._brittleness.count_refusal()
         self._answer.whole(status, body, **headers, **self._stated())
 
     def _stated(self) -> dict[str, str]:
-        limit = self._limit.requests_per_s
-        return {} if limit is None else {"limit": str(limit)}
+        stated = {
+            "limit": self._limit.requests_per_s,
+            "brittle": self._brittleness.most_refused,
+        }
+        return {k: str(v) for k, v in stated.items() if v is not None}
 
     def part(self, data: bytes) -> None:
         """Sends a part of the body."""
@@ -198,6 +251,10 @@
         self._cold_until: Instant = 0.0
         self._arrivals: collections.deque[Instant] = collections.deque()
         self._stated = _StatedLimit(world=world)
+        self.brittleness = _Brittleness(
+            world=world,
+            fall=lambda: world.hub.start(self._crash_if_there, FALLEN_MS),
+        )
         self._calls: set[anyio.CancelScope] = set()
         self._crashing: set[str] = set()
         self._starts = 0
@@ -225,7 +282,9 @@
         self._count_arrival()
         if call.path not in FREE_OF_LIMIT:
             self._stated.count_arrival()
-        answer = _Stating(answer=answer, limit=self._stated)
+        answer = _Stating(
+            answer=answer, limit=self._stated, brittleness=self.brittleness
+        )
         with anyio.CancelScope() as scope:
             self._calls.add(scope)
             try:
@@ -253,11 +312,11 @@
         most = self.cold_per_s * COLD_OVERSHOOT + COLD_SLACK
         if len(self._arrivals) > most:
             self.world.counts["requests too many for cold"] += 1
-            self.world.hub.start(self._crash_if_there)
+            self.world.hub.start(self._crash_if_there, self.cold_ms)
 
-    async def _crash_if_there(self) -> None:
+    async def _crash_if_there(self, down_ms: float) -> None:
         if not self.gone:
-            await self.crash(down_ms=self.cold_ms)
+            await self.crash(down_ms=down_ms)
 
     def begun(self, call: Call) -> None:
         """Notes that a request has begun to run."""
--- a/emulator/play.py
+++ b/emulator/play.py
@@ -199,6 +199,13 @@
             backend.silent_until = world.clock.now() + for_ms
         case "replicas_limited":
             await _limit_replicas(world, fault, links)
+        case "replicas_brittle":
+            brittle = _choose_share(world, fault, links)
+            for backend in brittle:
+                backend.brittleness.set(fault.most_refused)
+            await world.clock.sleep(for_ms)
+            for backend in brittle:
+                backend.brittleness.set(None)
         case "replica_gone" | "replica_slow":
             backend = _choose(world, links, fault.service)
             backend.gone = fault.what == "replica_gone"
@@ -266,18 +273,23 @@
 
 async def _limit_replicas(world: World, fault: Fault, links: Links) -> None:
     """Lets a share of a service's replicas state a limit for a while."""
+    limited = _choose_share(world, fault, links)
+    for backend in limited:
+        backend.state_limit(fault.limit_per_s)
+    await world.clock.sleep(fault.for_s * MS_PER_SECOND)
+    for backend in limited:
+        backend.state_limit(None)
+
+
+def _choose_share(world: World, fault: Fault, links: Links) -> list[Backend]:
+    """Returns a share of a service's replicas that are there."""
     present = [
         backend
         for backend in links.backends.values()
         if backend.service == fault.service and not backend.gone
     ]
     count = math.ceil(fault.share * len(present))
-    limited = world.rng.sample(present, count)
-    for backend in limited:
-        backend.state_limit(fault.limit_per_s)
-    await world.clock.sleep(fault.for_s * MS_PER_SECOND)
-    for backend in limited:
-        backend.state_limit(None)
+    return world.rng.sample(present, count)
 
 
 def _choose(world: World, links: Links, service: str) -> Backend:
--- a/emulator/scenario.py
+++ b/emulator/scenario.py
@@ -193,17 +193,21 @@
             `data_centre_cold` (its replicas go down and come back cold),
             `data_centre_evacuated` (its replicas are to get nothing for a
             while, and are cold after it),
-            `replicas_limited` (state how many requests they take), or
+            `replicas_limited` (state how many requests they take),
+            `replicas_brittle` (state how many they may refuse in a second
+            before they fall over, and let fewer wait), or
             `crashing_request` (comes again and again, and crashes each
             replica that begins to run it).
         at_s: When.
         for_s: How long; for a restart in turn the pause between two, for a
             crash the time until the replica is back under another name.
-        share: Part of the daemons, or of the replicas that are limited.
+        share: Part of the daemons, or of the replicas that are limited or
+            brittle.
         service: Whose replica it is; for a cut from replicas, the service
             whose decider is among the daemons that are cut.
         data_centre: Which data centre it is; for a cut from replicas, where
             the daemons that are cut are, if not anywhere.
+        most_refused: How many requests a brittle replica may refuse.
         how: What a cut from replicas does to connections: `hang`, `reset`, or
             `spare` for those that are open.
         times: How many times slower.
@@ -226,6 +230,7 @@
     down_s: float = 3.0
     crash_after_ms: float = 60.0
     limit_per_s: float = 1.0
+    most_refused: int = 3
     how: str = "hang"
 
 
