Send brittle replicas no more than they have slots for

Replicas that say that they are brittle fell over: daemons chose them by themselves, and together sent more than they had room for. Nothing read the statement.

As with cold and limited replicas only the announced decider of a service sends to brittle ones, on the side of a partition with most daemons. It knows what all daemons have in flight there (for plain services it is told of each end) and sends no more than the slots, as what a replica lets wait may shrink. A decider that has just taken over sends one request a second to each for a second: it does not know what its predecessor sent. The statement travels with the reports of limits, as a sixth field that is left out for other replicas.

Not shown: deciders that change under brittle plain replicas, and processes.

--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -241,7 +241,8 @@
     REPLICA_LIMIT_CHANGED = (
         4321,
         "A replica states another limit on the requests that it takes from all"
-        " daemons together, or none any more; `source` says who has heard it.",
+        " daemons together, or none any more, or says that it is brittle"
+        " (`refusals_per_s`); `source` says who has heard it.",
         "Look at the replica's own log for why it is in need.",
     )
     REPLICA_UNREACHABLE = (
--- a/cactusdyke/platform/wire.py
+++ b/cactusdyke/platform/wire.py
@@ -179,6 +179,7 @@
             is_event_stream=content_type.startswith(b"text/event-stream"),
             load=_load(head.get(b"x-replica-load")),
             stated_limit=self.decode_stated_limit(head),
+            stated_refusals=self.decode_stated_refusals(head),
         )
 
     def decode_stated_limit(self, head: AnswerHead) -> float | None:
@@ -186,6 +187,11 @@
         value = head.get(b"server-limit")
         return None if value is None else _rate(value)
 
+    def decode_stated_refusals(self, head: AnswerHead) -> float | None:
+        """Returns how many refusals a brittle replica bears, None if any."""
+        value = head.get(b"server-brittle")
+        return None if value is None else _rate(value)
+
     def event_reader(self) -> EventReader:
         """Returns a reader for one stream."""
         return _EventStreamReader()
--- a/cactusdyke/serving/attempt.py
+++ b/cactusdyke/serving/attempt.py
@@ -254,10 +254,16 @@
             AnswerKind.WRONG_REPLICA,
         }
         # A replica that refuses or fails a request may leave the limit out.
-        states = verdict.stated_limit is not None
+        states = (
+            verdict.stated_limit is not None
+            or verdict.stated_refusals is not None
+        )
         if is_own and (states or verdict.succeeded):
             self._stated_limits.record_answer(
-                replica, verdict.stated_limit, sent_at=sent_at
+                replica,
+                verdict.stated_limit,
+                refusals_per_s=verdict.stated_refusals,
+                sent_at=sent_at,
             )
         return verdict
 
--- a/cactusdyke/serving/batcher.py
+++ b/cactusdyke/serving/batcher.py
@@ -416,8 +416,11 @@
             return None
         results = self._dialect.decode_pieces(head, body, len(batch.tasks))
         limit = self._dialect.decode_stated_limit(head)
-        if limit is not None or results is not None:
-            self._request_limits.record_answer(replica, limit, sent_at=sent_at)
+        refusals = self._dialect.decode_stated_refusals(head)
+        if not (limit is None and refusals is None and results is None):
+            self._request_limits.record_answer(
+                replica, limit, refusals_per_s=refusals, sent_at=sent_at
+            )
         return results
 
     def _settle(self, groups: Sequence[PieceGroup]) -> None:
--- a/cactusdyke/serving/core.py
+++ b/cactusdyke/serving/core.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from cactusdyke.serving.attempt import AttemptRunner
+from cactusdyke.serving.brittle_replicas import BrittleRequestLimit
 from cactusdyke.serving.cold_replicas import ColdRequestLimit
 from cactusdyke.serving.connection_share import ConnectionShare
 from cactusdyke.serving.decided_services import DecidedServices
@@ -46,6 +47,7 @@
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.dialect import Dialect
     from cactusdyke.serving.metrics import ServingMetrics
+    from cactusdyke.serving.model import Replica
     from cactusdyke.serving.peers import PeerDaemons
     from cactusdyke.serving.planned_stop import StopTimes
     from cactusdyke.serving.quarantine import QuarantineStore
@@ -137,6 +139,13 @@
                 announced_since=decided.announced_since,
                 sees_most_daemons=daemons.sees_most,
             ),
+            brittle=BrittleRequestLimit(
+                clock=clock,
+                limits=stated_limits,
+                announced_since=decided.announced_since,
+                sees_most_daemons=daemons.sees_most,
+                in_flight=self._in_flight,
+            ),
             stated_limits=stated_limits,
         )
         deployment.on_change(
@@ -258,6 +267,9 @@
         """Returns the name of a service's decider in this daemon's view."""
         return self._deciders.decider_by_membership(service).name
 
+    def _in_flight(self, replica: Replica) -> int:
+        return self._decider.in_flight(replica)
+
     @property
     def services(self) -> dict[str, Service]:
         """The services to run, by name, in the order in which they start."""
--- a/cactusdyke/serving/decider.py
+++ b/cactusdyke/serving/decider.py
@@ -10,6 +10,7 @@
 
 from cactusdyke.kernel import Service
 from cactusdyke.serving.batcher import StageBatcher
+from cactusdyke.serving.brittle_replicas import RequestsInFlight
 from cactusdyke.serving.placement import EnginePlacer
 from cactusdyke.serving.stage_queue import Backlog, PieceGroup, PieceTask
 
@@ -76,7 +77,9 @@
         self._batchers: dict[str, StageBatcher] = {}
         self._placers: dict[str, EnginePlacer] = {}
         self._groups: dict[str, _ActiveGroup] = {}
+        self._plain_requests = RequestsInFlight(clock=clock)
         self._last_used_at: dict[str, Instant] = {}
+        self._asked_for_at: dict[str, Instant] = {}
         self._tasks: TaskGroup | None = None
         self._free_inputs: FreeInputs = _free_nothing
 
@@ -90,8 +93,11 @@
         now = self._clock.now()
         return [
             service
-            for service, at in self._last_used_at.items()
-            if now - at < ACTIVE_SERVICE_MS
+            for service in self._last_used_at.keys() | self._asked_for_at.keys()
+            if now - self._last_used_at.get(service, -math.inf)
+            < ACTIVE_SERVICE_MS
+            or now - self._asked_for_at.get(service, -math.inf)
+            < ACTIVE_SERVICE_MS
         ]
 
     async def run(self) -> None:
@@ -274,14 +280,25 @@
             self._request_limits.record(chosen)
         return chosen
 
+    def in_flight(self, replica: Replica) -> int:
+        """Returns how many requests this daemon has sent to a replica.
+
+        Calls of stages are not among them: their queue counts them itself.
+        """
+        placer = self._placers.get(replica.service)
+        if placer is not None:
+            return placer.running(replica.name)
+        return self._plain_requests.count(replica.name)
+
     def choose_limited(
-        self, service: str, exclude: Collection[str]
+        self, service: str, placement_id: str, exclude: Collection[str]
     ) -> Replica | None:
         """Chooses a replica that only the decider may send requests to.
 
         Args:
             service: A service that daemons send requests to without a decider,
                 except to limited replicas.
+            placement_id: Identifies the attempt in `record_end`.
             exclude: Names of replicas that must not be used.
 
         Returns:
@@ -289,7 +306,10 @@
         """
         self._last_used_at[service] = self._clock.now()
         replicas = self._deployment.usable_replicas(service)
-        return self._request_limits.choose_limited(replicas, exclude)
+        chosen = self._request_limits.choose_limited(replicas, exclude)
+        if chosen is not None:
+            self._plain_requests.start(placement_id, chosen.name)
+        return chosen
 
     def merge_limits(self, values: Iterable[Any], *, source: str) -> None:
         """Merges another daemon's reports of limits.
@@ -299,6 +319,13 @@
         """
         self._request_limits.merge_reports(values, source=source)
 
+    def record_use(self, service: str) -> None:
+        """Records that daemons will ask this decider for replicas of a service.
+
+        A daemon announces only services that it has scheduled work for.
+        """
+        self._asked_for_at[service] = self._clock.now()
+
     def locate(self, service: str, generation: Generation) -> Replica | None:
         """Returns the engine that would be chosen now if it caches the subject.
 
@@ -350,8 +377,11 @@
     def record_end(
         self, service: str, placement_id: str, *, failed: bool
     ) -> None:
-        """Records that a placed request has ended at its engine."""
-        self._placer(service).record_end(placement_id, failed=failed)
+        """Records that a request has ended at its replica."""
+        self._plain_requests.end(placement_id)
+        placer = self._placers.get(service)
+        if placer is not None:
+            placer.record_end(placement_id, failed=failed)
 
     def _placer(self, service: str) -> EnginePlacer:
         placer = self._placers.get(service)
--- a/cactusdyke/serving/decider_interface.py
+++ b/cactusdyke/serving/decider_interface.py
@@ -84,7 +84,9 @@
     def _choose(self, body: dict[str, Any]) -> Replica | None:
         service = str(body["service"])
         if "generation" not in body:
-            return self._decider.choose_limited(service, set(body["exclude"]))
+            return self._decider.choose_limited(
+                service, str(body.get("id", "")), set(body["exclude"])
+            )
         generation = decode_generation(body["generation"])
         if not body["id"]:
             return self._decider.locate(service, generation)
@@ -120,6 +122,7 @@
                 self._decider.record_end(service, subject, failed=bool(rest[0]))
             case "limits":
                 self._merge_limits(subject)
+                self._decider.record_use(service)
             case "cancel":
                 self._decider.cancel(subject)
             case "briefing":
--- a/cactusdyke/serving/dialect.py
+++ b/cactusdyke/serving/dialect.py
@@ -68,6 +68,8 @@
         load: The replica's load, None if it is not reported.
         stated_limit: Requests per second that the replica takes from all
             daemons together, None if it states no limit.
+        stated_refusals: Requests that the replica may refuse in a second before
+            it falls over, None if it states nothing of it.
     """
 
     kind: AnswerKind
@@ -76,6 +78,7 @@
     is_event_stream: bool
     load: ReplicaLoad | None
     stated_limit: float | None = None
+    stated_refusals: float | None = None
 
     @property
     def succeeded(self) -> bool:
@@ -216,6 +219,15 @@
             together. It is 0 if the stated value cannot be read.
         """
 
+    @abc.abstractmethod
+    def decode_stated_refusals(self, head: AnswerHead) -> float | None:
+        """Returns how many refusals a brittle replica bears, None if any.
+
+        Returns:
+            Requests that it may refuse in a second before it falls over. It is
+            0 if the stated value cannot be read.
+        """
+
     @abc.abstractmethod
     def event_reader(self) -> EventReader:
         """Returns a reader for one stream."""
--- a/cactusdyke/serving/dispatch.py
+++ b/cactusdyke/serving/dispatch.py
@@ -70,8 +70,8 @@
 
 
 @attrs.frozen(kw_only=True)
-class ChosenEngine:
-    """An engine chosen for a request, and the daemon that chose it."""
+class ChosenReplica:
+    """A replica chosen for a request, and the decider that chose it."""
 
     replica: Replica
     service: str
@@ -267,7 +267,7 @@
         generation: Generation,
         exclude: Collection[str],
         inputs: Mapping[str, float],
-    ) -> ChosenEngine | None:
+    ) -> ChosenReplica | None:
         """Chooses an engine for a request.
 
         Args:
@@ -298,7 +298,7 @@
         self._tracker.record_placement(
             service, placement_id, replica.name, generation
         )
-        return ChosenEngine(
+        return ChosenReplica(
             replica=replica,
             service=service,
             placement_id=placement_id,
@@ -306,12 +306,18 @@
         )
 
     async def choose_limited(
-        self, service: str, exclude: Collection[str], *, has_alternative: bool
-    ) -> Replica | None:
+        self,
+        service: str,
+        placement_id: str,
+        exclude: Collection[str],
+        *,
+        has_alternative: bool,
+    ) -> ChosenReplica | None:
         """Asks the decider for a limited replica that tolerates a request.
 
         Args:
             service: The service.
+            placement_id: Identifies the attempt in later notifications.
             exclude: Names of replicas that must not be used.
             has_alternative: Whether another replica can be used. The decider is
                 then not asked again soon after it had none.
@@ -321,13 +327,26 @@
             return None
         peer = self._deciders.decider_of(service)
         if peer.is_local:
-            return self._decider.choose_limited(service, exclude)
-        body = {"service": service, "exclude": list(exclude)}
-        replica = await self._fetch_choice(peer, service, body)
+            replica = self._decider.choose_limited(
+                service, placement_id, exclude
+            )
+        else:
+            body = {
+                "service": service,
+                "id": placement_id,
+                "exclude": list(exclude),
+            }
+            replica = await self._fetch_choice(peer, service, body)
+            if replica is None:
+                self._refused_until[service] = now + LIMITED_RETRY_MS
         if replica is None or not self._deployment.is_usable(replica):
-            self._refused_until[service] = now + LIMITED_RETRY_MS
             return None
-        return replica
+        return ChosenReplica(
+            replica=replica,
+            service=service,
+            placement_id=placement_id,
+            decider=peer,
+        )
 
     async def locate(self, service: str, generation: Generation) -> str:
         """Returns the data centre of the engine that caches a subject.
@@ -348,7 +367,7 @@
         """Returns a result's data centre; empty if its replica was removed."""
         return self._decider.data_centre_of(handle)
 
-    def notify_first_token(self, chosen: ChosenEngine) -> None:
+    def notify_first_token(self, chosen: ChosenReplica) -> None:
         """Notifies the decider of a request's first token."""
         self._tracker.record_first_token(chosen.service, chosen.placement_id)
         if chosen.decider.is_local:
@@ -361,7 +380,7 @@
                 ["started", chosen.service, chosen.placement_id],
             )
 
-    def notify_end(self, chosen: ChosenEngine, *, failed: bool) -> None:
+    def notify_end(self, chosen: ChosenReplica, *, failed: bool) -> None:
         """Notifies the decider that a request has ended at its engine."""
         self._tracker.record_end(chosen.service, chosen.placement_id)
         if chosen.decider.is_local:
@@ -489,7 +508,9 @@
 
     def _notify_limit(self, report: LimitReport) -> None:
         peer = self._deciders.decider_of(report.service)
-        if not peer.is_local:
+        if peer.is_local:
+            self._decider.record_use(report.service)
+        else:
             values = self._stated_limits.encode([report])
             self._notify(peer, ["limits", report.service, values])
 
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -38,7 +38,7 @@
     from cactusdyke.serving.attempt import AttemptRunner
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.dialect import Dialect
-    from cactusdyke.serving.dispatch import ChosenEngine, Dispatch
+    from cactusdyke.serving.dispatch import ChosenReplica, Dispatch
     from cactusdyke.serving.health import ReplicaHealth
     from cactusdyke.serving.metrics import ServingMetrics
     from cactusdyke.serving.model import Customer, Replica, Route
@@ -347,10 +347,7 @@
         handles: list[str],
     ) -> tuple[Failure | None, AttemptResult | None]:
         inputs = self._stages.input_bytes_by_data_centre(context, results)
-        placed = await self._place(context, inputs)
-        replica = (
-            placed.replica if placed else await self._choose_replica(context)
-        )
+        placed, replica = await self._choose_replica(context, inputs)
         if replica is None:
             return request_failures.no_replica(context), None
         context.attempts += 1
@@ -401,7 +398,7 @@
 
     async def _place(
         self, context: ServingContext, inputs: Mapping[str, float]
-    ) -> ChosenEngine | None:
+    ) -> ChosenReplica | None:
         """Asks the decider for an engine, if the request needs one."""
         generation = context.request.generation
         if generation is None or not context.route.generates:
@@ -414,22 +411,33 @@
             inputs,
         )
 
-    async def _choose_replica(self, context: ServingContext) -> Replica | None:
-        """Chooses a replica here; the decider is asked for limited ones."""
+    async def _choose_replica(
+        self, context: ServingContext, inputs: Mapping[str, float]
+    ) -> tuple[ChosenReplica | None, Replica | None]:
+        """Chooses a replica, or lets the decider choose.
+
+        Returns:
+            The decider's choice, if it chose, and the replica; None if no
+            replica can be used.
+        """
         policy = self._retry_policy
         if context.route.generates:
-            return policy.choose(context)
+            placed = await self._place(context, inputs)
+            return placed, placed.replica if placed else policy.choose(context)
         replica = policy.choose(context, among_limited=True)
         if replica is not None and not policy.is_limited(replica):
-            return replica
+            return None, replica
         if not policy.candidates(context):
-            return None
+            return None, None
         limited = await self._dispatch.choose_limited(
             context.service,
+            f"{context.request.request_id}/{context.attempts}",
             policy.excluded(context),
             has_alternative=policy.choose(context) is not None,
         )
-        return limited or policy.choose(context)
+        if limited is not None:
+            return limited, limited.replica
+        return None, policy.choose(context)
 
     @contextlib.asynccontextmanager
     async def _freeing_inputs(
--- a/cactusdyke/serving/metrics.py
+++ b/cactusdyke/serving/metrics.py
@@ -69,6 +69,11 @@
             "Replicas that state how many requests they take.",
             registry=registry,
         )
+        self._brittle = prometheus_client.Gauge(
+            "cactusdyke_brittle_replicas",
+            "Replicas that say that they fall over if they refuse too much.",
+            registry=registry,
+        )
         self._unreachable = prometheus_client.Gauge(
             "cactusdyke_unreachable_replicas",
             "Replicas that this daemon could not connect to.",
@@ -98,6 +103,7 @@
     def watch_limits(self, limits: StatedLimits) -> None:
         """Reads the gauge of limited replicas when asked for."""
         self._limited.set_function(lambda: limits.count)
+        self._brittle.set_function(lambda: limits.brittle_count)
 
     def watch_paths(self, paths: ReplicaPaths) -> None:
         """Reads the gauge of unreachable replicas when asked for."""
--- a/cactusdyke/serving/request_limits.py
+++ b/cactusdyke/serving/request_limits.py
@@ -9,6 +9,7 @@
     from collections.abc import Collection, Iterable, Sequence
 
     from cactusdyke.clock import Clock, Instant
+    from cactusdyke.serving.brittle_replicas import BrittleRequestLimit
     from cactusdyke.serving.cold_replicas import ColdRequestLimit
     from cactusdyke.serving.model import Replica
     from cactusdyke.serving.stated_limits import StatedLimits
@@ -16,7 +17,7 @@
 
 
 class RequestLimits:
-    """Joins the limit on cold replicas with those that replicas state."""
+    """Joins the limits on cold, limited and brittle replicas."""
 
     def __init__(
         self,
@@ -24,23 +25,25 @@
         clock: Clock,
         cold: ColdRequestLimit,
         stated: StatedRequestLimit,
+        brittle: BrittleRequestLimit,
         stated_limits: StatedLimits,
     ) -> None:
         self._clock = clock
         self._cold = cold
         self._stated = stated
+        self._brittle = brittle
         self._stated_limits = stated_limits
         self._sent_at: dict[str, Instant] = {}
 
     def is_limited(self, replica: Replica) -> bool:
         """Returns whether only the decider may send to a replica."""
-        return self._cold.is_limited(replica) or self._stated.is_limited(
-            replica
-        )
+        return self._cold.is_limited(replica) or self.states_limit(replica)
 
     def states_limit(self, replica: Replica) -> bool:
-        """Returns whether a replica states how many requests it takes."""
-        return self._stated.is_limited(replica)
+        """Returns whether a replica states a limit or that it is brittle."""
+        return self._stated.is_limited(replica) or self._brittle.is_limited(
+            replica
+        )
 
     def exhausted(self, replicas: Sequence[Replica]) -> set[str]:
         """Returns the names of replicas that this daemon must not send to.
@@ -48,12 +51,14 @@
         Args:
             replicas: Replicas of one service.
         """
-        return self._cold.exhausted(replicas) | self._stated.exhausted(replicas)
+        limits = (self._cold, self._stated, self._brittle)
+        return set().union(*(limit.exhausted(replicas) for limit in limits))
 
     def record(self, replica: Replica) -> None:
         """Records a request that this daemon decided to send to a replica."""
         self._cold.record(replica)
         self._stated.record(replica)
+        self._brittle.record(replica)
         if self.is_limited(replica):
             self._sent_at[replica.name] = self._clock.now()
 
@@ -91,14 +96,18 @@
         replica: Replica,
         requests_per_s: float | None,
         *,
+        refusals_per_s: float | None = None,
         sent_at: Instant,
     ) -> None:
-        """Records what an answer said of its replica's limit.
+        """Records what an answer said of how much its replica takes.
 
         See `StatedLimits.record_answer`.
         """
         self._stated_limits.record_answer(
-            replica, requests_per_s, sent_at=sent_at
+            replica,
+            requests_per_s,
+            refusals_per_s=refusals_per_s,
+            sent_at=sent_at,
         )
 
     def merge_reports(self, values: Iterable[Any], *, source: str) -> None:
@@ -113,6 +122,7 @@
         """Removes replicas that are not in `known_names`."""
         self._cold.remove_unknown(known_names)
         self._stated.remove_unknown(known_names)
+        self._brittle.remove_unknown(known_names)
         self._stated_limits.remove_unknown(known_names)
         for name in self._sent_at.keys() - known_names:
             del self._sent_at[name]
--- a/emulator/deployment.py
+++ b/emulator/deployment.py
@@ -151,6 +151,6 @@
         address=backend.address,
         data_centre=backend.data_centre,
         state=ReplicaState.READY,
-        slots=1,
+        slots=backend.slots,
         cold_left_ms=backend.cold_left_ms,
     )
--- a/emulator/dialect.py
+++ b/emulator/dialect.py
@@ -127,6 +127,7 @@
             is_event_stream=head.get(b"events") == b"yes",
             load=None,
             stated_limit=self.decode_stated_limit(head),
+            stated_refusals=self.decode_stated_refusals(head),
         )
 
     def decode_stated_limit(self, head: AnswerHead) -> float | None:
@@ -134,6 +135,11 @@
         value = head.get(b"limit")
         return None if value is None else float(value)
 
+    def decode_stated_refusals(self, head: AnswerHead) -> float | None:
+        """Returns how many refusals a brittle replica bears, None if any."""
+        value = head.get(b"brittle")
+        return None if value is None else float(value)
+
     def event_reader(self) -> EventReader:
         """Returns a reader for one stream."""
         return _Events()
--- a/emulator/engines.py
+++ b/emulator/engines.py
@@ -97,6 +97,7 @@
     def __init__(self, *, world: World, spec: PlainService, **place: Any):
         super().__init__(world=world, **place)
         self._spec = spec
+        self.slots = spec.slots
         self._slots = anyio.Semaphore(spec.slots)
         self._present = 0
 
--- a/emulator/links.py
+++ b/emulator/links.py
@@ -245,6 +245,7 @@
         self.address = f"{name}:1"
         self.gone = False
         self.slow = 1.0
+        self.slots = 1
         self.silent_until: Instant = 0.0
         self.cold_ms = cold_s * MS_PER_SECOND
         self.cold_per_s = cold_per_s
--- a/features/steps/cold_replica_steps.py
+++ b/features/steps/cold_replica_steps.py
@@ -248,7 +248,7 @@
 def ask_sixty(context):
     context.chosen = collections.Counter()
     for _ in range(60):
-        chosen = context.decider.choose_limited(SERVICE, ())
+        chosen = context.decider.choose_limited(SERVICE, "a", ())
         context.chosen[chosen.name if chosen else None] += 1
         context.clock.ms += 15.0
 
--- a/features/support/limit_fleet.py
+++ b/features/support/limit_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 import random
 
 import anyio
@@ -79,6 +80,7 @@
         self.limit = None
         self.counts = collections.Counter()
         self._requests_per_s = requests_per_s
+        self._ids = itertools.count()
         self._members = set(range(count))
         self._views = {}
         self._rng = random.Random(1)
@@ -228,9 +230,10 @@
         desks = core._decider._deployment.usable_replicas(DESK)
         chosen = self._rng.choice(desks)
         if core._request_limits.is_limited(chosen):
-            chosen = await core._dispatch.choose_limited(
-                DESK, (), has_alternative=True
+            limited = await core._dispatch.choose_limited(
+                DESK, f"{name}/{next(self._ids)}", (), has_alternative=True
             )
+            chosen = limited.replica if limited else None
         if chosen is not None:
             await self._answer(core, name, chosen)
 
--- a/features/support/serving_values.py
+++ b/features/support/serving_values.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from cactusdyke.serving.brittle_replicas import BrittleRequestLimit
 from cactusdyke.serving.cold_replicas import ColdAllowance, ColdRequestLimit
 from cactusdyke.serving.request import ClientRequest, ServingContext
 from cactusdyke.serving.request_limits import RequestLimits
@@ -70,6 +71,13 @@
             announced_since=lambda service: 0.0 if announced else None,
             sees_most_daemons=lambda: True,
         ),
+        brittle=BrittleRequestLimit(
+            clock=clock,
+            limits=stated_limits,
+            announced_since=lambda service: 0.0 if announced else None,
+            sees_most_daemons=lambda: True,
+            in_flight=lambda replica: 0,
+        ),
         stated_limits=stated_limits,
     )
 
