--- a/features/replica_paths/paths.feature
+++ b/features/replica_paths/paths.feature
@@ -14,3 +14,21 @@
       | the host is cut from all replicas | a, b, c     | none  | before the others |
       | such a cut has ended              | a, b, c     | a     | a moment ago      |
       | a lost replica is removed         | a           | none  | a moment ago      |
+
+  Scenario Outline: a daemon that <trouble> <acts>
+    # Guards against a sound replica that is blamed for a path, and against a path
+    # that is blamed, and avoided, for a replica that is down.
+    Given a daemon among others that <trouble>
+    When it connects to each replica, and again a second later
+    Then its last connections are made <acts>
+    And the replicas to blame are <blamed>
+
+    Examples: verdicts
+      | trouble                                         | acts                              | blamed  |
+      | reaches all replicas                            | by itself                         | a, b, c |
+      | has lost the path to one replica                | through others for a              | b, c    |
+      | has lost the paths to all replicas              | through others for a, b, c        | none    |
+      | is refused by all replicas that others reach    | through others for a, b, c        | none    |
+      | meets a replica that is down                    | by itself, and to a not at all    | a, b, c |
+      | has lost all paths as the others have           | not at all                        | none    |
+      | had lost all paths, which are back              | by itself                         | a, b, c |
--- a/features/steps/replica_paths_steps.py
+++ b/features/steps/replica_paths_steps.py
@@ -14,12 +14,14 @@
 from cactusdyke.clock import EventLoopClock
 from cactusdyke.serving.deployment import Deployment
 from cactusdyke.serving.metrics import ServingMetrics
+from cactusdyke.serving.model import Replica, ReplicaState
 from cactusdyke.serving.peer_watch import PeerWatch
 from cactusdyke.serving.reach_check import ReachCheck
 from cactusdyke.serving.relay_choice import RelayChoice
 from cactusdyke.serving.replica_connections import ReplicaConnections
 from cactusdyke.serving.replica_paths import ReplicaPaths
 from cactusdyke.transport.exchange import BackendConnections, ExchangeError
+from cactusdyke.transport.tunnel import Tunnels, TunnelUnavailableError
 from features.support.serving_values import NoTunnels
 from features.support.state_fleet import FixedDaemons, peer
 from standins.virtual import run_virtual
@@ -33,12 +35,15 @@
 
     def __init__(self):
         self.lost = set()
+        self.refused = False
 
     @contextlib.asynccontextmanager
     async def connect(self, address):
         if address in self.lost:
-            await anyio.sleep(WAIT_S)
-            raise ExchangeError(f"{address}: no connection", sent=False)
+            await anyio.sleep(0 if self.refused else WAIT_S)
+            raise ExchangeError(
+                f"{address}: no connection", sent=False, refused=self.refused
+            )
         yield None
 
 
@@ -153,3 +158,109 @@
     assert waits == expected, waits
     if when_text == "before the others":
         assert len(waits) == len(REPLICAS), waits
+
+
+class _Others(Tunnels):
+    """Two other daemons, which reach the replicas or do not."""
+
+    def __init__(self):
+        self.cut_off = False
+        self.down = set()
+
+    @contextlib.asynccontextmanager
+    async def connect(self, relay, address):
+        if self.cut_off:
+            raise TunnelUnavailableError(relay)
+        if address in self.down:
+            raise ExchangeError(address, sent=False, refused=True)
+        yield "tunnel"
+
+
+TROUBLE = {
+    "reaches all replicas": {},
+    "has lost the path to one replica": {"lost": "a"},
+    "has lost the paths to all replicas": {"lost": "abc"},
+    "is refused by all replicas that others reach": {
+        "lost": "abc",
+        "refused": True,
+    },
+    "meets a replica that is down": {"lost": "a", "refused": True, "down": "a"},
+    "has lost all paths as the others have": {"lost": "abc", "cut_off": True},
+    "had lost all paths, which are back": {"lost": "abc", "heals": True},
+}
+ACTS = {
+    "by itself": ("direct", "direct", "direct"),
+    "through others for a": ("tunnel", "direct", "direct"),
+    "through others for a, b, c": ("tunnel", "tunnel", "tunnel"),
+    "by itself, and to a not at all": ("none", "direct", "direct"),
+    "not at all": ("none", "none", "none"),
+}
+SETTLED_S = 1.2
+"""Two rounds of trying lost paths, each as long as a connection may take."""
+
+
+@given("a daemon among others that {trouble}")
+def among_others(context, trouble):
+    reached(context)
+    context.trouble = TROUBLE[trouble]
+    context.others = _Others()
+    context.others.cut_off = context.trouble.get("cut_off", False)
+    context.others.down = set(context.trouble.get("down", ""))
+    context.connections._tunnels = context.others
+    context.connections._relays._daemons = FixedDaemons(
+        (peer(0, is_local=True), peer(1), peer(2))
+    )
+
+
+def _replica(address):
+    return Replica(
+        name=address,
+        service="s",
+        address=address,
+        data_centre="north",
+        state=ReplicaState.READY,
+        slots=1,
+    )
+
+
+async def _how_reached(context, address):
+    try:
+        async with context.connections.connect(address) as exchange:
+            return exchange or "direct"
+    except ExchangeError:
+        return "none"
+
+
+@when("it connects to each replica, and again a second later")
+def connects_twice(context):
+    async def story():
+        context.deployment.replace_replicas(map(_replica, REPLICAS))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(context.connections.run)
+            context.replicas.lost = set(context.trouble.get("lost", ""))
+            context.replicas.refused = context.trouble.get("refused", False)
+            for address in REPLICAS:
+                await _how_reached(context, address)
+            if context.trouble.get("heals"):
+                context.replicas.lost = set()
+            await anyio.sleep(SETTLED_S)
+            context.how = [await _how_reached(context, a) for a in REPLICAS]
+            context.blamed = [
+                address
+                for address in REPLICAS
+                if not context.connections.is_path_in_doubt(address)
+            ]
+            tasks.cancel_scope.cancel()
+
+    run_virtual(story)
+
+
+@then("its last connections are made {acts}")
+def last_made(context, acts):
+    assert tuple(context.how) == ACTS[acts], context.how
+
+
+@then("the replicas to blame are {blamed}")
+def to_blame(context, blamed):
+    expected = [] if blamed == "none" else blamed.split(", ")
+    assert context.blamed == expected, context.blamed
