Forget the connections of tunnels that have ended

A daemon that made connections for others kept a small object of each for as long as it ran, as the end of a tunnel is told to the tunnel's own protocol. Found by reading; the scenario of an asker that leaves now counts the connections and failed with one left.

--- a/cactusdyke/transport/direct_server.py
+++ b/cactusdyke/transport/direct_server.py
@@ -254,9 +254,13 @@
 
     async def _serve_tunnel(self, transport: asyncio.Transport) -> None:
         assert self._tunnels is not None
-        refusal = await serve_tunnel(
-            transport, self._tunnel_address, self._tunnels
-        )
+        try:
+            refusal = await serve_tunnel(
+                transport, self._tunnel_address, self._tunnels
+            )
+        finally:
+            # The tunnel's own protocol is told of the connection's end.
+            self._connections.discard(self)
         if refusal is not None:
             self._write(refusal, keep_alive=False)
 
--- a/features/steps/tunnel_steps.py
+++ b/features/steps/tunnel_steps.py
@@ -107,6 +107,7 @@
     )
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(server.serve)
+        context.relay = server
         yield f"127.0.0.1:{server.port}", f"127.0.0.1:{port}"
         tasks.cancel_scope.cancel()
     listener.close()
@@ -162,7 +163,7 @@
                 await context.server.ended.wait()
             context.ended = context.server.ended.is_set()
             await anyio.sleep(ENDS_WITHIN_S)
-            context.left = context.gate.open
+            context.left = context.gate.open + len(context.relay._connections)
 
     anyio.run(story)
 
