--- a/features/silent_connections/silent_connections.feature
+++ b/features/silent_connections/silent_connections.feature
@@ -29,7 +29,7 @@
     # Guards against requests that are given up, or sent again although they may
     # run once only, as a sound replica pauses.
     Given daemons and replicas of which one of <service> is silent twice for 1.2 s
-    When requests are played beside it with two seeds
+    When they are played with two seeds
     Then no request fails or is refused, and none runs twice
 
     Examples: services
--- a/features/steps/silent_hosts_steps.py
+++ b/features/steps/silent_hosts_steps.py
@@ -3,18 +3,15 @@
 from __future__ import annotations
 
 import math
-import pathlib
 import socket
 
 import attrs
 from behave import given, then, when
 
 from cactusdyke.transport import sockets
-from emulator.experiment import OURS, run
-from emulator.scenario import Experiment, Fault, load_scenario
+from emulator.scenario import Fault, load_scenario
+from features.steps.cut_daemons_steps import SCENARIO
 
-SCENARIO = pathlib.Path("emulator/scenarios/cut-from-replicas.jsonc")
-SEEDS = (1, 2)
 SILENCE_S = 1.2
 SILENT_MS = 1_500
 STEP_MS = 50
@@ -38,17 +35,6 @@
     context.emulated = attrs.evolve(scenario, seconds=8, faults=faults)
 
 
-@when("requests are played beside it with two seeds")
-def played(context):
-    results = run(
-        Experiment(scenarios={}),
-        {"s": context.emulated},
-        seeds=SEEDS,
-        jobs=len(SEEDS),
-    )
-    context.plays = [results["s", OURS, seed] for seed in SEEDS]
-
-
 @then("no request fails or is refused, and none runs twice")
 def all_served(context):
     for play in context.plays:
