Log which software versions wrote a stream, and what it resumes

The logs of the incident name the replicas that a stream was sent to, but not whose events the caller holds, nor whether a request takes up the stream of an earlier one. So they cannot tell a stream that was mixed within one answer from one that a caller took up at another daemon.

A replica's software version is now decoded from its entry, and the line that ends a stream (CD4301 to CD4304) gives stream_versions, in order, resumes and resume_after. No decision looks at them.

--- a/cactusdyke/platform/decode.py
+++ b/cactusdyke/platform/decode.py
@@ -79,6 +79,7 @@
                 data_centre=_text(spec.get("zone") or ""),
                 state=ReplicaState(spec["state"]),
                 slots=int(spec.get("capacity") or 1),
+                version=_text(spec.get("version", "")),
                 born=born if isinstance(born, int) else 0,
                 cold_left_ms=_duration(spec.get("cold_left_ms")),
             )
--- a/cactusdyke/platform/wire.py
+++ b/cactusdyke/platform/wire.py
@@ -111,6 +111,7 @@
                     piece_key=values.text(b"x-piece-key"),
                     resume_after=_resume(values.text(b"last-event-id")),
                     arrived_at=request.arrived_at,
+                    resumes=values.text(b"resumes"),
                 )
             )
         except ValueError as error:
--- a/cactusdyke/serving/attempt.py
+++ b/cactusdyke/serving/attempt.py
@@ -90,6 +90,8 @@
         longest_gap_ms: The longest time between two events.
         last_event_at: When the last event was forwarded.
         event_count: How many events were forwarded.
+        versions: Software versions of the replicas whose events were
+            forwarded, in order.
         on_head: Called just before the head is sent.
     """
 
@@ -99,8 +101,14 @@
     longest_gap_ms: float = 0.0
     last_event_at: Instant = 0.0
     event_count: int = 0
+    versions: list[str] = attrs.field(factory=list)
     on_head: Callable[[], None] = lambda: None
 
+    def record_version(self, version: str) -> None:
+        """Records that events of a replica with a version are forwarded."""
+        if not self.versions or self.versions[-1] != version:
+            self.versions.append(version)
+
 
 class AttemptRunner:
     """Sends requests to replicas, and classifies and forwards the answers."""
@@ -207,6 +215,7 @@
                         verdict,
                         reply,
                         state,
+                        version=replica.version,
                         timeout_scope=timeout_scope,
                         gap_timeout_ms=gap_timeout_ms,
                         on_first_event=on_first_event,
@@ -293,6 +302,7 @@
         reply: Reply,
         state: StreamState,
         *,
+        version: str,
         timeout_scope: anyio.CancelScope,
         gap_timeout_ms: float,
         on_first_event: Callable[[], None],
@@ -308,6 +318,7 @@
                     is_first = False
                     on_first_event()
                 self._check_order(events, state, exchange)
+                state.record_version(version)
                 now = self._clock.now()
                 timeout_scope.deadline = (
                     anyio.current_time() + gap_timeout_ms / MS_PER_SECOND
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -267,7 +267,7 @@
             self._durations.record(context.route, duration)
             self._log.answered(context, state)
             return
-        self._log.failed(failure, context.request.request_id, context)
+        self._log.failed(failure, context.request.request_id, context, state)
         if state.head_sent:
             raise BrokenOffError
         await self._fail(failure, context.request.request_id, reply)
--- a/cactusdyke/serving/model.py
+++ b/cactusdyke/serving/model.py
@@ -202,6 +202,8 @@
         data_centre: The data centre that it runs in.
         state: Whether it accepts new work.
         slots: Number of requests that it processes at the same time.
+        version: Version of its software, not of its weights; empty if it is
+            not reported.
         born: Start of the incarnation, Unix milliseconds, 0 if not reported.
         cold_left_ms: How long it stays cold, in milliseconds from the report;
             None if it does not report it.
@@ -213,5 +215,6 @@
     data_centre: str
     state: ReplicaState
     slots: int
+    version: str = ""
     born: int = 0
     cold_left_ms: float | None = None
--- a/cactusdyke/serving/request.py
+++ b/cactusdyke/serving/request.py
@@ -61,6 +61,8 @@
         piece_counts: Number of pieces of each stage.
         piece_key: Identifies the content that stages without inputs process.
         resume_after: Number of the last event that the caller has received.
+        resumes: The caller's id of the attempt that brought the first event of
+            the stream that it resumes; empty if it names none.
         arrived_at: Instant at which the head was read.
     """
 
@@ -78,6 +80,7 @@
     piece_key: str
     resume_after: int | None
     arrived_at: Instant
+    resumes: str = ""
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/cactusdyke/serving/request_log.py
+++ b/cactusdyke/serving/request_log.py
@@ -58,6 +58,7 @@
             gap_ms=round(state.longest_gap_ms),
             crossed_bytes=round(context.transferred_bytes),
             took_ms=round(took_ms),
+            **_stream_fields(context, state),
         )
 
     def failed(
@@ -65,6 +66,7 @@
         failure: Failure,
         request_id: str,
         context: ServingContext | None,
+        state: StreamState | None = None,
     ) -> None:
         """Logs and counts a request that ended with a failure."""
         took_ms = 0.0
@@ -81,6 +83,7 @@
                 "parts_ms": _parts_ms(context, 0.0),
                 "waited_ms": round(context.waited_ms),
                 "results_made": _results_by_service(context),
+                **_stream_fields(context, state),
             }
         route = context.route.name if context else ""
         self._metrics.request_ended(route, failure.kind.code, took_ms)
@@ -127,9 +130,23 @@
             parts_ms=_parts_ms(context, 0.0),
             results_made=_results_by_service(context),
             took_ms=round(took_ms),
+            **_stream_fields(context, state),
         )
 
 
+def _stream_fields(
+    context: ServingContext, state: StreamState | None
+) -> dict[str, object]:
+    """Returns what tells which replicas' software wrote a stream."""
+    if not context.route.streaming:
+        return {}
+    return {
+        "stream_versions": state.versions if state else [],
+        "resumes": context.request.resumes,
+        "resume_after": context.request.resume_after,
+    }
+
+
 def _parts_ms(context: ServingContext, first_at: Instant) -> dict[str, int]:
     """Returns how long each part of a request took, by service.
 
