Play engines of several software versions, whose streams are mixed

Callers get whole streams whose events come from two software versions of the engines. The emulator now plays releases and rollbacks, replicas that come back under their id with other software, entries that come late, engines that break streams off, and callers that take a stream up at another daemon. A replica whose id has changed answers 421, as on the users' platform.

--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -12,10 +12,13 @@
 from cactusdyke.transport.front_interface import ReadRequest, Reply
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cactusdyke.clock import Clock, Instant
     from cactusdyke.transport.front_interface import Headers
     from emulator.arrivals import Arrival
     from emulator.daemons import EmulatedDaemon
+    from emulator.links import Links
     from emulator.world import World
 
 CONNECT_MS = 1_000.0
@@ -25,6 +28,8 @@
 GAP_MS = 300.0
 CUT_KNOWN_MS = 3_000.0
 """Within this time all daemons have adapted to a cut from replicas."""
+REFUSAL_MS = 1_000.0
+"""Within this time a caller hears that its stream cannot go on."""
 MOST_RETRY_SHARE = 1 / 3
 """Of the time left that a caller stays away when it is told to."""
 
@@ -102,10 +107,52 @@
         self.last_at = now
 
 
+@attrs.define(kw_only=True)
+class _Stream:
+    """What a caller holds of a stream, over all its tries.
+
+    Attributes:
+        begun_by: Id of the try that brought the first event, empty before.
+        first_at: When the first event came.
+        versions: Software versions of its events, in order.
+        numbers: Their numbers.
+    """
+
+    begun_by: str = ""
+    first_at: Instant | None = None
+    versions: list[str] = attrs.field(factory=list)
+    numbers: list[int] = attrs.field(factory=list)
+
+    @property
+    def version(self) -> str:
+        """The software version that began it."""
+        return self.versions[0]
+
+    @property
+    def mixed(self) -> bool:
+        """Whether it holds events of two software versions."""
+        return len(set(self.versions)) > 1
+
+    def extend(self, name: str, got: _Got) -> bool:
+        """Adds the events of a try; returns whether there are any."""
+        events = got.body.decode().split("\n\n")[:-1]
+        if not self.begun_by and events:
+            self.begun_by = name
+            self.first_at = got.first_at
+        for event in events:
+            _, number, version = event.split()
+            self.numbers.append(int(number))
+            self.versions.append(version)
+        return bool(events)
+
+
 class Callers:
     """Makes the requests of a play."""
 
-    def __init__(self, *, world: World, daemons: list[EmulatedDaemon]) -> None:
+    def __init__(
+        self, *, world: World, daemons: list[EmulatedDaemon], links: Links
+    ) -> None:
+        self._links = links
         self._world = world
         self._clock = world.clock
         self._daemons = daemons
@@ -141,6 +188,7 @@
     async def _one(self, arrival: Arrival) -> None:
         began = self._clock.now()
         outcome = Outcome(arrival=arrival, how="failed")
+        stream = _Stream()
         avoid: set[str] = set()
         for _ in range(1 + arrival.kind.retries):
             left_ms = arrival.patience_ms - (self._clock.now() - began)
@@ -153,21 +201,28 @@
                 await self._no_connection(daemon, left_ms)
                 continue
             got = _Got(clock=self._clock)
-            request = self._request(arrival, left_ms)
+            request = self._request(arrival, left_ms, stream)
             await self._clock.sleep(WAY_MS)
             sent_at = self._clock.now()
+            count = self._stream_counter(arrival, daemon, stream)
             with self._clock.timeout(left_ms):
                 await daemon.answer(request, got)
+            if arrival.kind.resumable and got.status in {0, 200}:
+                count(stream.extend(_request_id(request), got) or got.complete)
+            elif arrival.kind.resumable:
+                count(served=False)
+                self._count_late_refusal(stream, sent_at)
             await self._clock.sleep(WAY_MS)
-            served = self._take(outcome, got, began)
+            served = self._take(outcome, got, began, stream)
             if outcome.tries == 1:
                 self._count_first_try(daemon, sent_at, served=served)
-            self._check_runs(arrival, _request_id(request), got)
+            self._check_runs(arrival, _request_id(request), got, stream)
             if served:
                 break
             if not await self._comes_back(outcome, got, began):
                 break
         self.outcomes.append(outcome)
+        self._world.counts["streams of two versions"] += stream.mixed
         self._world.counts["asked"] += 1
         self._world.counts["answered"] += outcome.how in {"on_time", "late"}
 
@@ -188,7 +243,7 @@
             return
         got = _Got(clock=self._clock)
         with self._clock.timeout(arrival.patience_ms):
-            request = self._request(arrival, arrival.patience_ms)
+            request = self._request(arrival, arrival.patience_ms, _Stream())
             await daemon.answer(request, got)
         self._world.counts["crashing refused"] += got.quarantined
 
@@ -205,15 +260,47 @@
         self._world.counts[f"first tries {where}"] += 1
         self._world.counts[f"first tries served {where}"] += served
 
-    def _check_runs(self, arrival: Arrival, name: str, got: _Got) -> None:
+    def _stream_counter(
+        self, arrival: Arrival, daemon: EmulatedDaemon, stream: _Stream
+    ) -> Callable[[bool], None]:
+        """Returns what counts whether a new or resumed stream was served.
+
+        Counted are tries at daemons that have been undisturbed for a while, and
+        of resumed streams those whose software version two replicas have.
+        """
+        serving = sum(
+            backend.serves and backend.version == stream.version
+            for backend in self._links.backends.values()
+            if stream.begun_by and backend.service == arrival.kind.service
+        )
+        counted = daemon.in_touch and (not stream.begun_by or serving > 1)
+        kind = "resumed" if stream.begun_by else "new"
+
+        def count(served: bool) -> None:
+            if counted:
+                self._world.counts[f"{kind} streams tried"] += 1
+                self._world.counts[f"{kind} streams served"] += served
+
+        return count
+
+    def _count_late_refusal(self, stream: _Stream, sent_at: Instant) -> None:
+        """Counts streams whose caller waited to hear that they cannot go on."""
+        waited_ms = self._clock.now() - sent_at
+        late = bool(stream.begun_by) and waited_ms > REFUSAL_MS
+        self._world.counts["resumed streams refused late"] += late
+
+    def _check_runs(
+        self, arrival: Arrival, name: str, got: _Got, stream: _Stream
+    ) -> None:
         """Counts requests that ran though they must not have."""
         if arrival.kind.runs_once:
             self._world.counts["ran twice"] += self._world.executions[name] > 1
             if got.status == 503 and got.complete:
                 self._refused.add(name)
         if got.status == 200 and got.complete and arrival.events:
-            numbers = [int(word) for word in got.body.split()[1::2]]
-            is_whole = numbers == list(range(arrival.events))
+            if not arrival.kind.resumable:
+                stream.extend(name, got)
+            is_whole = stream.numbers == list(range(arrival.events))
             self._world.counts["streams not whole"] += not is_whole
 
     def _pick(self, avoid: set[str]) -> EmulatedDaemon:
@@ -227,7 +314,9 @@
         await self._clock.sleep(min(wait_ms, left_ms))
         self._learn_addresses()
 
-    def _request(self, arrival: Arrival, left_ms: float) -> ReadRequest:
+    def _request(
+        self, arrival: Arrival, left_ms: float, stream: _Stream
+    ) -> ReadRequest:
         kind = arrival.kind.name
         name = f"{kind}:{arrival.number}:{next(self._numbers)}"
         body = {
@@ -236,6 +325,8 @@
             "events": arrival.events,
             "pieces": arrival.pieces,
             "crash": arrival.crash,
+            "resumes": stream.begun_by,
+            "after": stream.numbers[-1] if stream.numbers else None,
         }
         return ReadRequest(
             method="POST",
@@ -248,15 +339,18 @@
             arrived_at=self._clock.now(),
         )
 
-    def _take(self, outcome: Outcome, got: _Got, began: Instant) -> bool:
+    def _take(
+        self, outcome: Outcome, got: _Got, began: Instant, stream: _Stream
+    ) -> bool:
         """Judges an answer; returns whether the caller is content."""
-        if not (got.complete and got.status == 200 and got.first_at):
+        first_at = stream.first_at or got.first_at
+        if not (got.complete and got.status == 200 and first_at):
             outcome.how = "refused" if got.status == 503 else "failed"
             if got.quarantined:
                 self._world.counts["sound quarantined"] += 1
             return False
         kind = outcome.arrival.kind
-        outcome.first_ms = got.first_at + WAY_MS - began
+        outcome.first_ms = first_at + WAY_MS - began
         on_time = outcome.first_ms <= kind.objective_ms
         smooth = got.longest_gap_ms <= GAP_MS or not kind.events
         outcome.how = "on_time" if on_time and smooth else "late"
--- a/emulator/daemons.py
+++ b/emulator/daemons.py
@@ -40,6 +40,7 @@
     from emulator.world import World
 
 MS_PER_SECOND = 1_000.0
+CONTACT_MS = 3_000.0
 KEPT_SPANS = 10
 
 
@@ -100,12 +101,19 @@
         self._open: set[anyio.Event] = set()
         self.core: ServingCore | None = None
         self.powerless = False
+        self.disturbed_until = 0.0
 
     @property
     def up(self) -> bool:
         """Whether it answers callers."""
         return self.core is not None
 
+    @property
+    def in_touch(self) -> bool:
+        """Whether it has been undisturbed for a while."""
+        undisturbed_ms = self._world.clock.now() - self.disturbed_until
+        return self.up and undisturbed_ms > CONTACT_MS
+
     def start(self) -> None:
         """Starts a new process on the host."""
         self._scope = anyio.CancelScope()
@@ -171,6 +179,7 @@
                 async with anyio.create_task_group() as tasks:
                     self._tasks = tasks
                     self._compose(tasks)
+                    self.disturbed_until = self._world.clock.now()
                     await anyio.sleep_forever()
         except* RuntimeError:
             if not scope.cancel_called:
--- a/emulator/deployment.py
+++ b/emulator/deployment.py
@@ -19,7 +19,7 @@
     WeightedService,
 )
 from emulator.engines import Engine, PlainServer
-from emulator.links import Backend, Links
+from emulator.links import Backend, Links, ListedEntry
 from emulator.stage_replicas import WAITING_CALLS, EmulatedStageReplica
 from emulator.world import MB
 
@@ -115,14 +115,24 @@
             links.add(EmulatedStageReplica(world=world, spec=stage, **place))
     for name, engine in world.scenario.engine_services.items():
         for number in range(engine.replicas):
-            place = _place(world, name, number) | _cold(engine)
-            links.add(Engine(world=world, spec=engine, **place))
+            add_engine(world, links, name, number, version=engine.version)
     for name, plain in world.scenario.plain_services.items():
         for number in range(plain.replicas):
             place = _place(world, name, number) | _cold(plain)
             links.add(PlainServer(world=world, spec=plain, **place))
 
 
+def add_engine(
+    world: World, links: Links, service: str, number: int, *, version: str
+) -> Engine:
+    """Starts one engine."""
+    spec = world.scenario.engine_services[service]
+    place = _place(world, service, number) | _cold(spec)
+    engine = Engine(world=world, spec=spec, version=version, **place)
+    links.add(engine)
+    return engine
+
+
 def _cold(spec: EngineService | PlainService) -> dict[str, Any]:
     return {"cold_s": spec.cold_s, "cold_per_s": spec.cold_per_s}
 
@@ -137,16 +147,19 @@
 
 def replicas(links: Links) -> list[Replica]:
     """Returns the replicas that the platform lists now."""
+    listed = [(b, b.entry) for b in links.backends.values()]
     return [
-        _replica(backend)
-        for backend in links.backends.values()
-        if not backend.gone
+        _replica(backend, entry)
+        for backend, entry in listed
+        if entry is not None
     ]
 
 
-def _replica(backend: Backend) -> Replica:
+def _replica(backend: Backend, entry: ListedEntry) -> Replica:
     return Replica(
-        name=backend.name,
+        name=entry.name,
+        version=entry.version,
+        born=entry.born,
         service=backend.service,
         address=backend.address,
         data_centre=backend.data_centre,
--- a/emulator/dialect.py
+++ b/emulator/dialect.py
@@ -32,6 +32,10 @@
     from cactusdyke.transport.front_interface import ReadRequest
     from emulator.scenario import Scenario
 
+_NOT_RUN = {
+    409: AnswerKind.INPUTS_GONE,
+    421: AnswerKind.WRONG_REPLICA,
+}
 _REASONS = {
     "late": PieceFailure.LATE,
     "gone": PieceFailure.INPUT_GONE,
@@ -75,8 +79,9 @@
                 generation=generation if body["events"] else None,
                 piece_counts=tuple(body["pieces"]),
                 piece_key=request_id,
-                resume_after=None,
+                resume_after=body["after"],
                 arrived_at=request.arrived_at,
+                resumes=body["resumes"],
             )
         )
 
@@ -109,6 +114,7 @@
             "events": sent["events"],
             "crash": sent["crash"],
             "after": -1 if resume_after is None else resume_after,
+            "expect": replica.name,
         }
         return _call("/run", body)
 
@@ -118,8 +124,7 @@
         """Returns what the head of an answer says."""
         kind = AnswerKind.ANSWER
         if head.get(b"ran") == b"no":
-            gone = head.status == 409
-            kind = AnswerKind.INPUTS_GONE if gone else AnswerKind.REFUSED
+            kind = _NOT_RUN.get(head.status, AnswerKind.REFUSED)
         return AnswerVerdict(
             kind=kind,
             status=head.status,
@@ -204,7 +209,7 @@
         """Takes bytes and returns the events that they complete."""
         *whole, self._rest = (self._rest + data).split(b"\n\n")
         return [
-            StreamEvent(number=int(part[4:]), data=part + b"\n\n")
+            StreamEvent(number=int(part.split()[1]), data=part + b"\n\n")
             for part in whole
         ]
 
--- a/emulator/engines.py
+++ b/emulator/engines.py
@@ -28,6 +28,9 @@
 
     async def _serve(self, call: Call, answer: Answering) -> None:
         body = call.body
+        if call.path == "/report":
+            answer.whole(200, {"born": self.born})
+            return
         if self._running >= self._spec.slots:
             answer.whole(503, {}, ran="no")
             return
@@ -77,7 +80,12 @@
         self.begun(call)
         await self.world.clock.sleep(self._spec.first_ms)
         answer.head(200, events="yes")
-        for number in range(call.body["after"] + 1, call.body["events"]):
+        first, end = call.body["after"] + 1, call.body["events"]
+        breaks_at = end
+        share = self._spec.breaking_share
+        if share and self.world.rng.random() < share:
+            breaks_at = self.world.rng.randrange(first, end + 1)
+        for number in range(first, end):
             step_ms = (
                 self._spec.step_ms
                 + self._spec.step_ms_per_request * self._running
@@ -85,9 +93,9 @@
             await self.world.clock.sleep(
                 step_ms * self._spec.event_tokens * self.slow
             )
-            if call.left.is_set() or self.gone:
+            if call.left.is_set() or self.gone or number == breaks_at:
                 return
-            answer.part(f"id: {number}\n\n".encode())
+            answer.part(f"id: {number} {self.version}\n\n".encode())
         answer.end()
 
 
--- a/emulator/links.py
+++ b/emulator/links.py
@@ -100,6 +100,7 @@
 FALLEN_MS = 3_000.0
 """How long a brittle replica is down that has fallen over."""
 UNAVAILABLE_STATUS = 503
+WRONG_REPLICA_STATUS = 421
 LIMIT_KNOWN_MS = 3_000.0
 """Within this time of its first statement all daemons know a limit."""
 EVACUATION_KNOWN_MS = 1_000.0
@@ -222,6 +223,15 @@
         self._answer.end()
 
 
+@attrs.frozen(kw_only=True)
+class ListedEntry:
+    """What the platform's list says of a replica beyond its place."""
+
+    name: str
+    version: str
+    born: int
+
+
 class Backend(abc.ABC):
     """An emulated backend server.
 
@@ -235,11 +245,15 @@
         name: str,
         service: str,
         data_centre: str,
+        version: str = "v1",
         cold_s: float = 0.0,
         cold_per_s: float = 0.0,
     ) -> None:
         self.world = world
         self.name = name
+        self.version = version
+        self.born = round(world.clock.now()) + 1
+        self.draining = False
         self.service = service
         self.data_centre = data_centre
         self.address = f"{name}:1"
@@ -259,6 +273,27 @@
         self._calls: set[anyio.CancelScope] = set()
         self._crashing: set[str] = set()
         self._starts = 0
+        self._old_entry: ListedEntry | None = None
+        self._old_entry_until: Instant = 0.0
+
+    @property
+    def entry(self) -> ListedEntry | None:
+        """Its entry in the platform's list, None if it has none."""
+        if self.world.clock.now() < self._old_entry_until:
+            return self._old_entry
+        if self.gone or self.draining:
+            return None
+        return ListedEntry(name=self.name, version=self.version, born=self.born)
+
+    @property
+    def serves(self) -> bool:
+        """Whether it takes new requests."""
+        return not (self.gone or self.draining)
+
+    def list_late(self, late_ms: float, entry: ListedEntry | None) -> None:
+        """Keeps an entry in the list for a while, whatever happens to it."""
+        self._old_entry = entry
+        self._old_entry_until = self.world.clock.now() + late_ms
 
     @property
     def cold_left_ms(self) -> float:
@@ -281,6 +316,9 @@
     async def serve(self, call: Call, answer: Answering) -> None:
         """Answers one call, unless a crash ends it."""
         self._count_arrival()
+        if call.body.get("expect", self.name) != self.name:
+            answer.whole(WRONG_REPLICA_STATUS, {}, ran="no")
+            return
         if call.path not in FREE_OF_LIMIT:
             self._stated.count_arrival()
         answer = _Stating(
@@ -327,8 +365,24 @@
             self._crashing.add(call.crash.name)
             self.world.hub.start(self._crash_under, call.crash)
 
-    async def crash(self, *, down_ms: float) -> None:
-        """Ends the process; returns once it is back under another name."""
+    async def crash(
+        self,
+        *,
+        down_ms: float,
+        version: str = "",
+        listed_late_ms: float | None = None,
+    ) -> None:
+        """Ends the process; returns once it is back.
+
+        Args:
+            down_ms: How long it is down.
+            version: Software version that it comes back with, as before if
+                empty.
+            listed_late_ms: How long after its start its entry is updated. It
+                then keeps its name; None for another name.
+        """
+        if listed_late_ms is not None:
+            self.list_late(down_ms + listed_late_ms, self.entry)
         self.gone = True
         for name in self._crashing:
             self.world.crashing[name].crashes.append(self.world.clock.now())
@@ -337,7 +391,10 @@
         self._forget()
         await self.world.clock.sleep(down_ms)
         self._starts += 1
-        self.name = f"{self.name.partition('~')[0]}~{self._starts}"
+        self.version = version or self.version
+        self.born = round(self.world.clock.now()) + 1
+        if listed_late_ms is None:
+            self.name = f"{self.name.partition('~')[0]}~{self._starts}"
         self._arrivals.clear()
         self.state_limit(None)
         self.turn_cold()
@@ -349,6 +406,14 @@
         if self.name == name and not self.gone:
             await self.crash(down_ms=crash.down_ms)
 
+    async def leave(self, *, after_ms: float) -> None:
+        """Takes no new requests from now on, and ends some time later."""
+        self.draining = True
+        await self.world.clock.sleep(after_ms)
+        self.gone = True
+        for scope in self._calls:
+            scope.cancel()
+
     def _forget(self) -> None:  # noqa: B027
         """Drops what does not outlive the process."""
 
--- a/emulator/play.py
+++ b/emulator/play.py
@@ -31,6 +31,8 @@
 WINDOW_MS = 2_000.0
 LOOK_EVERY_MS = 50.0
 CRASHES = 3
+DRAIN_MS = 2_000.0
+"""A replica that leaves serves for this long after it has said so."""
 SETTLED_MS = 1_000.0
 """What daemons have to hear of the third crash under one request."""
 
@@ -135,7 +137,7 @@
         for daemon in daemons:
             daemon.start()
         await world.clock.sleep(WARM_UP_MS)
-        callers = Callers(world=world, daemons=daemons)
+        callers = Callers(world=world, daemons=daemons, links=links)
         async with anyio.create_task_group() as tasks:
             for fault in scenario.faults:
                 struck = (world, fault, daemons, links, callers)
@@ -157,6 +159,8 @@
     for_ms = fault.for_s * MS_PER_SECOND
     count = round(fault.share * len(daemons))
     struck = world.rng.sample(daemons, count)
+    if fault.service and fault.what == "daemons_killed":
+        struck = _choose_cut(world, fault, daemons)
     match fault.what:
         case "daemons_killed" | "daemons_lose_power":
             powerless = fault.what == "daemons_lose_power"
@@ -197,6 +201,14 @@
         case "replica_silent":
             backend = _choose(world, links, fault.service)
             backend.silent_until = world.clock.now() + for_ms
+        case "release":
+            await _release(world, fault, links)
+        case "replica_reinstalled":
+            await _choose(world, links, fault.service).crash(
+                down_ms=for_ms,
+                version=fault.version,
+                listed_late_ms=fault.listed_late_s * MS_PER_SECOND,
+            )
         case "replicas_limited":
             await _limit_replicas(world, fault, links)
         case "replicas_brittle":
@@ -250,9 +262,13 @@
     ]
     for link in links:
         link.cut = True
+    for daemon in struck:
+        daemon.disturbed_until = math.inf
     await world.clock.sleep(for_ms)
     for link in links:
         link.cut = False
+    for daemon in struck:
+        daemon.disturbed_until = world.clock.now()
 
 
 def _choose_cut(
@@ -271,6 +287,24 @@
     return struck
 
 
+async def _release(world: World, fault: Fault, links: Links) -> None:
+    """Replaces a share of a service's engines in turn by another version."""
+    leaving = [
+        backend
+        for backend in _choose_share(world, fault, links)
+        if backend.version != fault.version
+    ]
+    numbers = sum(b.service == fault.service for b in links.backends.values())
+    late_ms = fault.listed_late_s * MS_PER_SECOND
+    for number, backend in enumerate(leaving, start=numbers):
+        started = deployment.add_engine(
+            world, links, fault.service, number, version=fault.version
+        )
+        started.list_late(late_ms, None)
+        await world.clock.sleep(fault.for_s * MS_PER_SECOND)
+        world.hub.start(partial(backend.leave, after_ms=DRAIN_MS))
+
+
 async def _limit_replicas(world: World, fault: Fault, links: Links) -> None:
     """Lets a share of a service's replicas state a limit for a while."""
     limited = _choose_share(world, fault, links)
@@ -286,7 +320,7 @@
     present = [
         backend
         for backend in links.backends.values()
-        if backend.service == fault.service and not backend.gone
+        if backend.service == fault.service and backend.serves
     ]
     count = math.ceil(fault.share * len(present))
     return world.rng.sample(present, count)
@@ -298,7 +332,7 @@
         [
             backend
             for backend in links.backends.values()
-            if backend.service == service and not backend.gone
+            if backend.service == service and backend.serves
         ]
     )
 
--- a/emulator/scenario.py
+++ b/emulator/scenario.py
@@ -52,6 +52,8 @@
         step_ms_per_request: What each other request adds.
         event_tokens: Tokens in one event of a stream.
         first_ms: From a prompt read to its first event.
+        version: Version of the software of its replicas at the begin.
+        breaking_share: Streams that break off in their middle.
         cold_s: How long a replica is cold after it has come back.
         cold_per_s: Requests a second that a cold one tolerates; 0 for any.
     """
@@ -64,6 +66,8 @@
     step_ms_per_request: float = 0.0
     event_tokens: int = 1
     first_ms: float = 30.0
+    version: str = "v1"
+    breaking_share: float = 0.0
     cold_s: float = 0.0
     cold_per_s: float = 0.0
 
@@ -193,6 +197,9 @@
             `data_centre_cold` (its replicas go down and come back cold),
             `data_centre_evacuated` (its replicas are to get nothing for a
             while, and are cold after it),
+            `release` (a share of a service's replicas is replaced in turn by
+            replicas of another software version), `replica_reinstalled` (ends,
+            and comes back under its id with another software version),
             `replicas_limited` (state how many requests they take),
             `replicas_brittle` (state how many they may refuse in a second
             before they fall over, and let fewer wait), or
@@ -203,8 +210,8 @@
             crash the time until the replica is back under another name.
         share: Part of the daemons, or of the replicas that are limited or
             brittle.
-        service: Whose replica it is; for a cut from replicas, the service
-            whose decider is among the daemons that are cut.
+        service: Whose replica it is; for a cut from replicas and for daemons
+            that are killed, the service whose decider is among them.
         data_centre: Which data centre it is; for a cut from replicas, where
             the daemons that are cut are, if not anywhere.
         most_refused: How many requests a brittle replica may refuse.
@@ -216,6 +223,9 @@
         down_s: How long a replica is down that it has crashed.
         crash_after_ms: How long after its begin it crashes a replica.
         limit_per_s: Requests per second that a limited replica takes.
+        version: Software version of the replicas that start.
+        listed_late_s: How long after its start a replica's entry is updated in
+            the platform's list.
     """
 
     what: str
@@ -232,6 +242,8 @@
     limit_per_s: float = 1.0
     most_refused: int = 3
     how: str = "hang"
+    version: str = ""
+    listed_late_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
