Give work to a replica that restarted while the list was not watched

A replica that turned out to be leaving got no more work for good if it came back under its id and the list was then read as a whole, as after a lost watch: only a single changed entry ended the mark. Callers lost the capacity of that replica. Found by reading, for engines that come back under their id. The scenario failed before ({'r2'} in place of both) and passes now.

--- a/cactusdyke/serving/deployment.py
+++ b/cactusdyke/serving/deployment.py
@@ -184,9 +184,10 @@
 
     def replace_replicas(self, replicas: Iterable[Replica]) -> None:
         """Replaces all known replicas."""
-        self._replicas = {replica.name: replica for replica in replicas}
+        before, self._replicas = self._replicas, {r.name: r for r in replicas}
         self._replicas_received = True
         for replica in self._replicas.values():
+            self._forget_leaving_if_restarted(before.get(replica.name), replica)
             self._cold.record(replica)
         self._index()
 
@@ -195,14 +196,18 @@
         known = self._replicas.get(replica.name)
         if known == replica:
             return
-        if known is not None and known.born != replica.born:
-            # It has restarted under its id, so it is no longer leaving.
-            self._leaving.pop(replica.name, None)
+        self._forget_leaving_if_restarted(known, replica)
         self._replicas[replica.name] = replica
         self._cold.record(replica)
         if known is None or not _differ_in_cold_time_only(known, replica):
             self._index()
 
+    def _forget_leaving_if_restarted(
+        self, known: Replica | None, replica: Replica
+    ) -> None:
+        if known is not None and known.born != replica.born:
+            self._leaving.pop(replica.name, None)
+
     def remove_replica(self, name: str) -> None:
         """Removes a replica that has left."""
         if self._replicas.pop(name, None) is not None:
--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -22,6 +22,13 @@
     Then only the other one may be used
     And it may be used again once the list shows a new start under its id
 
+  Scenario: a replica that restarted while the list was not watched gets work
+    # Guards against a replica that is taken for leaving for good: it restarts
+    # under its id, and the list is read as a whole instead of followed.
+    Given a deployment with two replicas of a service
+    When one of them turns out to have another's address
+    Then it may be used again once a whole list shows a new start under its id
+
   Scenario: a customer's priority takes precedence over its route's
     # With the customer's priority alone, where all customers have the same, an
     # urgent request queues behind one that can wait.
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -221,6 +221,16 @@
     assert names == {"r1", "r2"}, names
 
 
+@then("it may be used again once a whole list shows a new start under its id")
+def check_restarted_in_list(context):
+    listed = [context.first, replica("r2")]
+    context.deployment.replace_replicas(listed)
+    check_other(context)
+    context.deployment.replace_replicas([replica("r1", born=9), replica("r2")])
+    names = {r.name for r in context.deployment.usable_replicas("plain")}
+    assert names == {"r1", "r2"}, names
+
+
 def _spend_retries(assumed_daemons):
     clock = ManualClock()
     allowance = RetryAllowance(ratio=0.2, slack=52, window_ms=10_000)
