Let streams go on only at the software version that began them

Cause: nothing that chooses a replica knew of versions. The retry policy, the placement at the decider and the caller's next attempt at another daemon each took any usable replica; what a caller says that it resumes was not read.

Change: serving/stream_continuation.py alone says where a begun stream goes on. The first forwarded event binds a stream to its replica's service and version. The retry policy's candidates, placements (which name the version to the decider; the asker checks the answer) and the patience with a silent replica follow it. As the first event is forwarded the origin is told to four other daemons, which follow from the stream's id, the best of each data centre first; a daemon where a caller takes the stream up asks eight. An origin that nobody knows, that two daemons know differently, or whose replica came back under its id with other software is unknown, and the stream is refused as not run, with what to do. Before a begun stream goes to a replica whose entry tells its start, the replica is asked for it, as its entry may be out of date.

--- a/cactusdyke/errors.py
+++ b/cactusdyke/errors.py
@@ -64,6 +64,10 @@
     NOT_SENT = (502, "Try another backend server; nothing was handed over")
     CONNECTION_LOST = (502, "Treat the outcome as unknown")
     STAGE_INPUT_GONE = (503, "Send the request again; its inputs are remade")
+    STREAM_LOST = (
+        503,
+        "Resume it after retry_after_ms at another address, or begin it again",
+    )
     TIMED_OUT = (408, "Send the whole request again, and faster")
     HEADERS_TOO_LARGE = (431, "Send smaller headers")
     INVALID = (422, "Correct the named values")
--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -269,6 +269,11 @@
         "This daemon reaches replicas by itself again.",
         "",
     )
+    STREAM_NOT_CONTINUED = (
+        4326,
+        "A stream that a caller took up could not go on.",
+        "Keep two replicas of a software version until its streams have ended.",
+    )
     METRICS_NOT_SERVED = (
         1007,
         "The port for metrics can't be listened on; all else goes on.",
--- a/cactusdyke/platform/wire.py
+++ b/cactusdyke/platform/wire.py
@@ -237,7 +237,7 @@
         return _json_call(address, "/-/stage-free", {"handles": list(handles)})
 
     def encode_memory_query(self, replica: Replica) -> EncodedCall:
-        """Encodes a query of a stage replica's free memory."""
+        """Encodes a query of a replica's free memory and start."""
         return EncodedCall(
             method="GET",
             target="/-/report",
@@ -266,6 +266,14 @@
             max_free_bytes=(value + whole) * BYTES_PER_MB,
         )
 
+    def decode_born(self, head: AnswerHead, body: bytes) -> int | None:
+        """Returns the start of a replica, None if it is not reported."""
+        try:
+            born = orjson.loads(body)["born"] if head.status == 200 else None
+        except (orjson.JSONDecodeError, KeyError, TypeError):
+            return None
+        return born if isinstance(born, int) else None
+
     def replica_address_of(self, handle: str) -> str:
         """Returns the address of the replica that holds a result."""
         return handle.partition("/")[0]
--- a/cactusdyke/serving/attempt.py
+++ b/cactusdyke/serving/attempt.py
@@ -215,7 +215,6 @@
                         verdict,
                         reply,
                         state,
-                        version=replica.version,
                         timeout_scope=timeout_scope,
                         gap_timeout_ms=gap_timeout_ms,
                         on_first_event=on_first_event,
@@ -302,7 +301,6 @@
         reply: Reply,
         state: StreamState,
         *,
-        version: str,
         timeout_scope: anyio.CancelScope,
         gap_timeout_ms: float,
         on_first_event: Callable[[], None],
@@ -314,11 +312,10 @@
                 events = reader.feed(chunk)
                 if not events:
                     continue
+                self._check_order(events, state, exchange)
                 if is_first:
                     is_first = False
                     on_first_event()
-                self._check_order(events, state, exchange)
-                state.record_version(version)
                 now = self._clock.now()
                 timeout_scope.deadline = (
                     anyio.current_time() + gap_timeout_ms / MS_PER_SECOND
--- a/cactusdyke/serving/core.py
+++ b/cactusdyke/serving/core.py
@@ -34,6 +34,9 @@
 from cactusdyke.serving.stages import StageRunner
 from cactusdyke.serving.stated_limits import StatedLimits
 from cactusdyke.serving.stated_request_limit import StatedRequestLimit
+from cactusdyke.serving.stream_continuation import StreamContinuation
+from cactusdyke.serving.stream_exchange import STREAMS_PATH, StreamExchange
+from cactusdyke.serving.stream_origins import StreamOrigins
 
 if TYPE_CHECKING:
     import random
@@ -188,6 +191,18 @@
             store=quarantine_store,
             metrics=metrics,
         )
+        origins = StreamOrigins(clock=clock)
+        self._stream_exchange = StreamExchange(
+            clock=clock, network=network, daemons=daemons, origins=origins
+        )
+        continuation = StreamContinuation(
+            clock=clock,
+            deployment=deployment,
+            dialect=dialect,
+            connections=replica_connections,
+            origins=origins,
+            exchange=self._stream_exchange,
+        )
         health = ReplicaHealth(clock=clock)
         budget = RetryBudget(
             clock=clock,
@@ -224,10 +239,12 @@
                     daemon_count=daemons.estimated_count,
                 ),
                 request_limits=request_limits,
+                continuation=continuation,
             ),
             health=health,
             budget=budget,
             quarantine=self._quarantine,
+            continuation=continuation,
             stop=stop_times,
             metrics=metrics,
             tracing=tracing,
@@ -280,6 +297,7 @@
             "decider": self._decider,
             "dispatch": self._dispatch,
             "limit_exchange": self._limit_exchange,
+            "stream_exchange": self._stream_exchange,
             "quarantine": self._quarantine,
             "forwarder": self._forwarder,
         }
@@ -294,4 +312,5 @@
             ("GET", ALIVE_PATH, self._watch.handle),
             ("POST", CRASHES_PATH, self._quarantine.handle),
             ("POST", LIMITS_PATH, self._limit_exchange.handle),
+            ("POST", STREAMS_PATH, self._stream_exchange.handle),
         ]
--- a/cactusdyke/serving/decider.py
+++ b/cactusdyke/serving/decider.py
@@ -250,6 +250,7 @@
         generation: Generation,
         exclude: Collection[str],
         inputs: Mapping[str, float],
+        version: str = "",
     ) -> Replica | None:
         """Chooses an engine for a request and counts the request there.
 
@@ -259,6 +260,7 @@
             generation: Parameters of the generation, with the prompt's parts.
             exclude: Names of engines that failed this request.
             inputs: Bytes of stage results to fetch, by data centre.
+            version: Software version that the engine must have, empty for any.
 
         Returns:
             The engine; None if there is none or the service has no engines.
@@ -268,12 +270,17 @@
             return None
         self._last_used_at[service] = self._clock.now()
         engines = self._deployment.usable_replicas(service)
+        others = {e.name for e in engines if version not in {"", e.version}}
         chosen = self._placer(service).place(
             placement_id,
             generation,
             engines,
             spec.engine,
-            exclude={*exclude, *self._request_limits.exhausted(engines)},
+            exclude={
+                *exclude,
+                *others,
+                *self._request_limits.exhausted(engines),
+            },
             inputs=inputs,
         )
         if chosen is not None:
--- a/cactusdyke/serving/decider_interface.py
+++ b/cactusdyke/serving/decider_interface.py
@@ -96,6 +96,7 @@
             generation,
             set(body["exclude"]),
             {str(k): float(v) for k, v in body["inputs"].items()},
+            str(body.get("version", "")),
         )
 
     async def handle_notifications(self, request: Request) -> Response:
--- a/cactusdyke/serving/dialect.py
+++ b/cactusdyke/serving/dialect.py
@@ -264,7 +264,7 @@
 
     @abc.abstractmethod
     def encode_memory_query(self, replica: Replica) -> EncodedCall:
-        """Returns a call that queries a stage replica's free memory."""
+        """Returns a call that queries a replica's free memory and start."""
 
     @abc.abstractmethod
     def decode_memory_report(
@@ -275,6 +275,14 @@
         The value is some hundred milliseconds old.
         """
 
+    @abc.abstractmethod
+    def decode_born(self, head: AnswerHead, body: bytes) -> int | None:
+        """Returns the start of a replica that was queried for its memory.
+
+        Returns:
+            Unix milliseconds as in its entry; None if it is not reported.
+        """
+
     @abc.abstractmethod
     def replica_address_of(self, handle: str) -> str:
         """Returns the address of the replica that holds a result."""
--- a/cactusdyke/serving/dispatch.py
+++ b/cactusdyke/serving/dispatch.py
@@ -267,6 +267,7 @@
         generation: Generation,
         exclude: Collection[str],
         inputs: Mapping[str, float],
+        version: str = "",
     ) -> ChosenReplica | None:
         """Chooses an engine for a request.
 
@@ -276,6 +277,7 @@
             generation: Parameters of the generation, with the prompt's parts.
             exclude: Names of engines that failed the request.
             inputs: Bytes of stage results to fetch, by data centre.
+            version: Software version that the engine must have, empty for any.
 
         Returns:
             The chosen engine; None if there is none.
@@ -285,13 +287,25 @@
         replica: Replica | None = None
         if not peer.is_local:
             replica = await self._place_at(
-                peer, service, placement_id, generation, exclude, inputs
+                peer,
+                service,
+                placement_id,
+                generation,
+                exclude,
+                inputs,
+                version,
             )
             peer = self._deciders.decider_of(service)
-        if replica is None or not self._deployment.is_usable(replica):
+        # The decider may know another entry of the replica than this daemon,
+        # or be of a release that ignores the version.
+        if (
+            replica is None
+            or not self._deployment.is_usable(replica)
+            or version not in {"", replica.version}
+        ):
             peer = local
             replica = self._decider.place(
-                service, placement_id, generation, exclude, inputs
+                service, placement_id, generation, exclude, inputs, version
             )
         if replica is None:
             return None
@@ -439,6 +453,7 @@
         generation: Generation,
         exclude: Collection[str],
         inputs: Mapping[str, float],
+        version: str = "",
     ) -> Replica | None:
         body: dict[str, Any] = {
             "service": service,
@@ -447,6 +462,8 @@
             "exclude": list(exclude),
             "inputs": {dc: round(size) for dc, size in inputs.items()},
         }
+        if version:
+            body["version"] = version
         return await self._fetch_choice(peer, service, body)
 
     async def _fetch_choice(
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -48,6 +48,7 @@
     from cactusdyke.serving.retry_budget import RetryBudget
     from cactusdyke.serving.retry_policy import RetryPolicy
     from cactusdyke.serving.stages import StageRunner
+    from cactusdyke.serving.stream_continuation import StreamContinuation
 
 FIRST_EVENT_PATIENCE_SHARE = 0.95
 """Share of a caller's patience for the first event within which the event is
@@ -88,6 +89,7 @@
         health: ReplicaHealth,
         budget: RetryBudget,
         quarantine: Quarantine,
+        continuation: StreamContinuation,
         stop: Callable[[], StopTimes],
         metrics: ServingMetrics,
         tracing: Tracing,
@@ -106,6 +108,7 @@
         )
         self._budget = budget
         self._quarantine = quarantine
+        self._continuation = continuation
         self._stop = stop
         self._metrics = metrics
         self._tracing = tracing
@@ -292,7 +295,10 @@
         Returns:
             Why there is no answer, or None if the answer was delivered.
         """
+        refusal = await self._continuation.resume(context)
         self._budget.record_request(context.service)
+        if refusal is not None:
+            return refusal
         last_answer: AttemptResult | None = None
         while True:
             handles = await self._run_stages(context, results)
@@ -348,6 +354,12 @@
     ) -> tuple[Failure | None, AttemptResult | None]:
         inputs = self._stages.input_bytes_by_data_centre(context, results)
         placed, replica = await self._choose_replica(context, inputs)
+        while replica is not None and await self._continuation.has_restarted(
+            context, replica
+        ):
+            if placed is not None:
+                self._dispatch.notify_end(placed, failed=False)
+            placed, replica = await self._choose_replica(context, inputs)
         if replica is None:
             return request_failures.no_replica(context), None
         context.attempts += 1
@@ -364,6 +376,8 @@
         self._health.record_start(replica.name)
 
         def on_first_event() -> None:
+            state.record_version(replica.version)
+            self._continuation.begin(context, replica)
             if placed is not None:
                 self._dispatch.notify_first_token(placed)
             self._stages.free(context, results)
@@ -409,6 +423,7 @@
             generation,
             self._retry_policy.excluded(context),
             inputs,
+            context.origin.version if context.origin else "",
         )
 
     async def _choose_replica(
@@ -512,7 +527,12 @@
                 if may_repeat
                 else NO_TIMEOUT_MS
             ),
-            gap_timeout_ms=GAP_TIMEOUT_MS if may_repeat else NO_TIMEOUT_MS,
+            gap_timeout_ms=(
+                GAP_TIMEOUT_MS
+                if may_repeat
+                and self._retry_policy.can_resume_elsewhere(context, replica)
+                else NO_TIMEOUT_MS
+            ),
             on_first_event=on_first_event,  # type: ignore[arg-type]
         )
 
--- a/cactusdyke/serving/model.py
+++ b/cactusdyke/serving/model.py
@@ -84,6 +84,11 @@
     generates: bool
     stages: tuple[StageSpec, ...] = ()
 
+    @property
+    def resumable(self) -> bool:
+        """Whether another replica may go on with a stream."""
+        return self.streaming and self.repeat_policy is RepeatPolicy.RESUMABLE
+
 
 @attrs.frozen(kw_only=True)
 class EngineSpec:
--- a/cactusdyke/serving/request.py
+++ b/cactusdyke/serving/request.py
@@ -10,6 +10,7 @@
 from cactusdyke.clock import Clock, Instant
 from cactusdyke.errors import Ran
 from cactusdyke.serving.model import Customer, Route
+from cactusdyke.serving.stream_origins import StreamOrigin
 
 
 @attrs.frozen(kw_only=True)
@@ -120,6 +121,7 @@
         attempt_started_at: When its last attempt began.
         transferred_bytes: Estimate of the bytes that engines fetched for it
             from other data centres.
+        origin: The software that began its stream, None before the first event.
     """
 
     request: ClientRequest
@@ -144,6 +146,17 @@
     results_computed: dict[int, int] = attrs.field(factory=dict)
     attempt_started_at: Instant = 0.0
     transferred_bytes: float = 0.0
+    origin: StreamOrigin | None = None
+
+    @property
+    def stream_id(self) -> str:
+        """The caller's id of the attempt that brought the first event.
+
+        Empty if the request resumes a stream without naming it.
+        """
+        if self.request.resume_after is None:
+            return self.request.request_id
+        return self.request.resumes
 
     @functools.cached_property
     def digest(self) -> str:
--- a/cactusdyke/serving/retry_policy.py
+++ b/cactusdyke/serving/retry_policy.py
@@ -20,6 +20,7 @@
     from cactusdyke.serving.request import ServingContext
     from cactusdyke.serving.request_limits import RequestLimits
     from cactusdyke.serving.retry_budget import RetryBudget
+    from cactusdyke.serving.stream_continuation import StreamContinuation
 
 MAX_ATTEMPTS = 4
 """Upper bound on every route's own limit: a request that failed this often is
@@ -39,6 +40,7 @@
         budget: RetryBudget,
         connection_share: ConnectionShare,
         request_limits: RequestLimits,
+        continuation: StreamContinuation,
     ) -> None:
         self._rng = rng
         self._data_centre = data_centre
@@ -47,6 +49,7 @@
         self._budget = budget
         self._connection_share = connection_share
         self._request_limits = request_limits
+        self._continuation = continuation
 
     def may_retry(self, context: ServingContext, result: AttemptResult) -> bool:
         """Returns whether to retry, and charges a retry to the budget.
@@ -80,11 +83,28 @@
         if len(sent_to) >= min(context.route.max_attempts, MAX_ATTEMPTS):
             return False
         usable = self._deployment.usable_replicas(context.service)
-        return any(other.name not in sent_to for other in usable)
+        return any(
+            other.name not in sent_to
+            and self._continuation.allows(context, other)
+            for other in usable
+        )
+
+    def can_resume_elsewhere(
+        self, context: ServingContext, replica: Replica
+    ) -> bool:
+        """Returns whether another replica could continue a replica's stream."""
+        usable = self._deployment.usable_replicas(context.service)
+        return self.can_fail_over(context, replica) and any(
+            other.name != replica.name
+            and other.name not in context.sent_to
+            and self._continuation.can_follow(other, replica)
+            for other in usable
+        )
 
     def candidates(self, context: ServingContext) -> list[Replica]:
         """Returns the replicas that the request may be sent to now.
 
+        A stream that has begun may only go to its own software version.
         Once it was sent to as many replicas as its route allows, only those
         replicas remain candidates.
         """
@@ -92,6 +112,7 @@
             replica
             for replica in self._deployment.usable_replicas(context.service)
             if self._connection_share.has_capacity(replica)
+            and self._continuation.allows(context, replica)
         ]
         if len(context.sent_to) < context.route.max_attempts:
             return usable
--- /dev/null
+++ b/cactusdyke/serving/stream_continuation.py
@@ -0,0 +1,184 @@
+"""Decides where a stream that has begun may go on.
+
+Replicas of several software versions may serve side by side. What two versions
+write does not fit together and replicas do not check it, so a stream goes on
+only at the version that began it: in one answer, and over a caller's attempts
+at different daemons. If that version is not known the stream does not go on.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cactusdyke import events
+from cactusdyke.errors import Failure, FailureKind
+from cactusdyke.serving.stream_origins import StreamOrigin
+from cactusdyke.transport.exchange import ExchangeError
+
+if TYPE_CHECKING:
+    from cactusdyke.clock import Clock
+    from cactusdyke.serving.deployment import Deployment
+    from cactusdyke.serving.dialect import Dialect
+    from cactusdyke.serving.model import Replica
+    from cactusdyke.serving.request import ServingContext
+    from cactusdyke.serving.stream_exchange import StreamExchange
+    from cactusdyke.serving.stream_origins import StreamOrigins
+    from cactusdyke.transport.exchange import BackendConnections
+
+REPORT_TIMEOUT_MS = 300.0
+MAX_REPORT_BYTES = 65_536
+UNKNOWN_RETRY_AFTER_MS = 100
+"""Another daemon may know the stream."""
+GONE_RETRY_AFTER_MS = 500
+
+
+class StreamContinuation:
+    """Knows the origins of streams and which replicas can continue them."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        deployment: Deployment,
+        dialect: Dialect,
+        connections: BackendConnections,
+        origins: StreamOrigins,
+        exchange: StreamExchange,
+    ) -> None:
+        self._clock = clock
+        self._deployment = deployment
+        self._dialect = dialect
+        self._connections = connections
+        self._origins = origins
+        self._exchange = exchange
+        deployment.on_change(self._follow_versions)
+
+    async def resume(self, context: ServingContext) -> Failure | None:
+        """Finds the origin of the stream that a request resumes, if it does.
+
+        Returns:
+            Why the stream cannot go on now, None if it can or is a new one.
+        """
+        if context.request.resume_after is None or not context.route.streaming:
+            return None
+        stream_id = context.stream_id
+        origin = self._origins.find(stream_id)
+        if origin is None and stream_id:
+            origin = await self._exchange.find(stream_id)
+        if origin is None or not origin.version:
+            return self._refusal(
+                context,
+                "no daemon that answers knows which software began the stream",
+                UNKNOWN_RETRY_AFTER_MS,
+            )
+        targets = {target.service for target in context.route.targets}
+        if origin.service not in targets:
+            return self._refusal(
+                context,
+                f"the route no longer leads to {origin.service}, which began"
+                " the stream",
+                GONE_RETRY_AFTER_MS,
+            )
+        context.service = origin.service
+        context.origin = origin
+        usable = self._deployment.usable_replicas(origin.service)
+        if any(self.allows(context, replica) for replica in usable):
+            return None
+        return self._refusal(
+            context,
+            f"no replica of {origin.service} has the software version"
+            f" {origin.version}, which began the stream",
+            GONE_RETRY_AFTER_MS,
+        )
+
+    def begin(self, context: ServingContext, replica: Replica) -> None:
+        """Records that a replica's first event is about to be forwarded."""
+        if context.origin is None:
+            context.origin = StreamOrigin(
+                service=replica.service,
+                version=replica.version,
+                replica=replica.name,
+            )
+        if not context.route.resumable:
+            return
+        # A resumed stream is told again: daemons that knew it may have ended.
+        context.origin = self._origins.put(context.stream_id, context.origin)
+        self._exchange.tell(context.stream_id, context.origin)
+
+    def allows(self, context: ServingContext, replica: Replica) -> bool:
+        """Returns whether a request may go to a replica."""
+        origin = context.origin
+        if origin is None:
+            return True
+        return (
+            bool(origin.version)
+            and replica.version == origin.version
+            and replica.service == origin.service
+        )
+
+    def can_follow(self, replica: Replica, before: Replica) -> bool:
+        """Returns whether a replica could continue a stream of another one."""
+        return bool(before.version) and replica.version == before.version
+
+    async def has_restarted(
+        self, context: ServingContext, replica: Replica
+    ) -> bool:
+        """Returns whether another process has a replica's id than is listed.
+
+        It may be of another software version. Asked only before a stream goes
+        on, and only of replicas whose entry tells their start.
+        """
+        if context.origin is None or not replica.born:
+            return False
+        born: int | None = None
+        call = self._dialect.encode_memory_query(replica)
+        with self._clock.timeout(REPORT_TIMEOUT_MS):
+            try:
+                async with self._connections.connect(
+                    replica.address
+                ) as exchange:
+                    await exchange.send(
+                        call.method, call.target, call.headers, call.body
+                    )
+                    head = await exchange.head()
+                    body = await exchange.whole_body(most=MAX_REPORT_BYTES)
+                    born = self._dialect.decode_born(head, body)
+            except ExchangeError:
+                return False
+        if born is None or born == replica.born:
+            return False
+        self._deployment.mark_leaving(
+            replica, reason="another process has its id now"
+        )
+        return True
+
+    def _refusal(
+        self, context: ServingContext, detail: str, retry_after_ms: int
+    ) -> Failure:
+        events.log(
+            events.Event.STREAM_NOT_CONTINUED,
+            request_id=context.request.request_id,
+            resumes=context.stream_id,
+            service=context.service,
+            version=context.origin.version if context.origin else "",
+            detail=detail,
+        )
+        return Failure(
+            kind=FailureKind.STREAM_LOST,
+            detail=detail,
+            retry_after_ms=retry_after_ms,
+        )
+
+    def _follow_versions(self) -> None:
+        """Forgets the version of streams whose replica's id has another now.
+
+        A stream that was sent there before its entry changed may already have
+        been begun by the new software.
+        """
+        for stream_id, origin in self._origins.begun_here():
+            replica = self._deployment.replica(origin.replica)
+            if replica is None or replica.version == origin.version:
+                continue
+            if origin.version:
+                origin.version = ""
+                self._exchange.tell(stream_id, origin)
--- /dev/null
+++ b/cactusdyke/serving/stream_exchange.py
@@ -0,0 +1,185 @@
+"""Tells other daemons how streams began, and asks them.
+
+A caller that takes a stream up comes to any daemon, often because the one that
+began the stream has ended. So each origin is told to a few others as the first
+event is forwarded. Which ones follows from the stream's id and the members. A
+daemon that takes the stream up asks more of them, as members may have changed.
+"""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import orjson
+import xxhash
+from result import Err, Ok
+
+from cactusdyke.errors import Failure, FailureKind
+from cactusdyke.kernel import Service
+from cactusdyke.serving.stream_origins import StreamOrigin
+from cactusdyke.transport.messages import (
+    JSON_TYPE,
+    Request,
+    Response,
+    failure_response,
+    json_response,
+    parse_object,
+)
+from cactusdyke.transport.network import CallOptions
+
+if TYPE_CHECKING:
+    from cactusdyke.clock import Clock
+    from cactusdyke.serving.peers import PeerDaemon, PeerDaemons
+    from cactusdyke.serving.stream_origins import StreamOrigins
+    from cactusdyke.transport.network import Network
+
+STREAMS_PATH = "/internal/v1/streams"
+TOLD_DAEMONS = 4
+ASKED_DAEMONS = 8
+COALESCE_MS = 8.0
+TELL_TIMEOUT_MS = 500.0
+ASK_TIMEOUT_MS = 250.0
+MAX_QUEUED = 2_000
+"""Origins queued for each daemon; further ones are dropped."""
+OK_STATUS = 200
+
+
+class StreamExchange(Service):
+    """Sends origins to other daemons and finds those that others know."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        network: Network,
+        daemons: PeerDaemons,
+        origins: StreamOrigins,
+    ) -> None:
+        self._clock = clock
+        self._network = network
+        self._daemons = daemons
+        self._origins = origins
+        self._queued: dict[str, list[list[str]]] = {}
+        self._added = anyio.Event()
+
+    async def run(self) -> None:
+        """Sends queued origins until it is cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await self._added.wait()
+                await self._clock.sleep(COALESCE_MS)
+                self._added = anyio.Event()
+                queued, self._queued = self._queued, {}
+                for address, begun in queued.items():
+                    tasks.start_soon(self._send, address, begun)
+
+    def tell(self, stream_id: str, origin: StreamOrigin) -> None:
+        """Tells a few other daemons how a stream began.
+
+        Nothing waits for their answers: a stream whose origin is lost cannot be
+        taken up elsewhere, which is safe.
+        """
+        for daemon in self._ranked(stream_id)[:TOLD_DAEMONS]:
+            queued = self._queued.setdefault(daemon.address, [])
+            if len(queued) < MAX_QUEUED:
+                queued.append([stream_id, origin.service, origin.version])
+        self._added.set()
+
+    async def find(self, stream_id: str) -> StreamOrigin | None:
+        """Asks other daemons how a stream began; None if none knows."""
+        found: list[StreamOrigin] = []
+
+        async def ask(daemon: PeerDaemon) -> None:
+            origin = await self._ask(daemon, stream_id)
+            if origin is not None:
+                found.append(origin)
+                tasks.cancel_scope.cancel()
+
+        with self._clock.timeout(ASK_TIMEOUT_MS):
+            async with anyio.create_task_group() as tasks:
+                for daemon in self._ranked(stream_id)[:ASKED_DAEMONS]:
+                    tasks.start_soon(ask, daemon)
+        return self._origins.put(stream_id, found[0]) if found else None
+
+    async def handle(self, request: Request) -> Response:
+        """Remembers the origins that another daemon tells, or answers it."""
+        value = request.json()
+        if isinstance(value, Err):
+            return failure_response(value.err_value)
+        try:
+            body = value.ok_value
+            if "find" in body:
+                return json_response({"origin": self._encoded(body["find"])})
+            for stream_id, service, version in body["begun"]:
+                origin = StreamOrigin(
+                    service=str(service), version=str(version)
+                )
+                self._origins.put(str(stream_id), origin)
+        except (KeyError, TypeError, ValueError) as error:
+            return failure_response(
+                Failure(
+                    kind=FailureKind.BAD_REQUEST,
+                    detail=f"the streams can't be read: {error!r}",
+                )
+            )
+        return json_response({})
+
+    def _encoded(self, stream_id: str) -> list[str] | None:
+        origin = self._origins.find(stream_id)
+        return [origin.service, origin.version] if origin else None
+
+    def _ranked(self, stream_id: str) -> list[PeerDaemon]:
+        """Returns the other daemons, the best of each data centre first.
+
+        Daemons that see the same members agree without a message, and the loss
+        of a data centre leaves the origins that are told in others.
+        """
+        others = sorted(
+            (d for d in self._daemons.all() if not d.is_local),
+            key=lambda d: xxhash.xxh3_64_intdigest(
+                f"{stream_id}@{d.name}".encode()
+            ),
+        )
+        counts: collections.Counter[str] = collections.Counter()
+        places: dict[str, int] = {}
+        for daemon in others:
+            places[daemon.name] = counts[daemon.data_centre]
+            counts[daemon.data_centre] += 1
+        return sorted(others, key=lambda d: places[d.name])
+
+    async def _send(self, address: str, begun: list[list[str]]) -> None:
+        options = CallOptions(
+            connect_timeout_ms=TELL_TIMEOUT_MS,
+            progress_timeout_ms=TELL_TIMEOUT_MS,
+        )
+        await self._network.fetch(address, _request({"begun": begun}), options)
+
+    async def _ask(
+        self, daemon: PeerDaemon, stream_id: str
+    ) -> StreamOrigin | None:
+        options = CallOptions(
+            connect_timeout_ms=ASK_TIMEOUT_MS,
+            progress_timeout_ms=ASK_TIMEOUT_MS,
+        )
+        answer = await self._network.fetch(
+            daemon.address, _request({"find": stream_id}), options
+        )
+        if isinstance(answer, Err) or answer.ok_value.status != OK_STATUS:
+            return None
+        body = answer.ok_value.body
+        value = parse_object(body if isinstance(body, bytes) else b"")
+        match value:
+            case Ok({"origin": [str(service), str(version)]}):
+                return StreamOrigin(service=service, version=version)
+        return None
+
+
+def _request(body: Any) -> Request:
+    return Request(
+        method="POST",
+        path=STREAMS_PATH,
+        headers={"content-type": JSON_TYPE},
+        body=orjson.dumps(body),
+    )
--- a/emulator/dialect.py
+++ b/emulator/dialect.py
@@ -181,7 +181,7 @@
         return _call("/free", {"handles": list(handles)})
 
     def encode_memory_query(self, replica: Replica) -> EncodedCall:
-        """Returns a call that asks a stage replica for its free memory."""
+        """Returns a call that asks a replica for its memory and start."""
         return _call("/report", {})
 
     def decode_memory_report(
@@ -191,6 +191,10 @@
         told = orjson.loads(body)["free_mb"] * MB
         return MemoryReport(min_free_bytes=told, max_free_bytes=told + MB)
 
+    def decode_born(self, head: AnswerHead, body: bytes) -> int | None:
+        """Returns the start of a replica."""
+        return int(orjson.loads(body)["born"])
+
     def replica_address_of(self, handle: str) -> str:
         """Returns the address of the replica that holds a result."""
         return handle.partition("/")[0]
--- /dev/null
+++ b/features/stream_versions/fleets.feature
@@ -0,0 +1,29 @@
+Feature: daemons know how the streams of others began
+
+  Scenario Outline: <count> daemons, of which <what>
+    # Guards against streams that cannot be taken up, or go on at any version, as
+    # only the daemon that began them knew their software version.
+    Given <count> daemons that begin streams
+    When of these <what>
+    Then most of the streams are known elsewhere, and none with another version
+
+    Examples: fleets
+      | count | what                     |
+      | 6     | half end at once         |
+      | 64    | half end at once         |
+      | 195   | half end at once         |
+      | 348   | half end at once         |
+      | 64    | a data centre ends       |
+      | 195   | many restart in turn     |
+
+  Scenario: the origin of a stream that two daemons know differently is unknown
+    # Guards against a version that is guessed where two daemons disagree.
+    Given what a daemon remembers of a stream of version v1
+    When it is told that the stream began with version v2
+    Then the stream's version is not known
+
+  Scenario: what daemons remember of streams is bounded in time and number
+    # Guards against memory that grows with each stream.
+    Given what a daemon remembers of a stream of version v1
+    When it remembers many more, and a minute passes
+    Then it remembers none of them
