--- /dev/null
+++ b/features/stream_versions/processes.feature
@@ -0,0 +1,20 @@
+Feature: callers take streams up at other daemons, as processes
+
+  Scenario: the daemon that began streams is killed
+    # Guards against streams that end with their daemon, or go on at replicas of
+    # other software.
+    Given three daemons, two engines of v1 and three of v2 as processes
+    When streams begin at one daemon, which is killed, and go on at the others
+    Then nearly all go on, each at the software version that began it
+
+  Scenario: the replicas of a stream's software version are gone
+    # Guards against a caller that waits for a stream that cannot go on.
+    Given three daemons, two engines of v1 and three of v2 as processes
+    When all engines of v1 leave and callers take their streams up elsewhere
+    Then they are told at once that these did not run, and why
+
+  Scenario: nobody knows the stream that a caller takes up
+    # Guards against a version that is guessed.
+    Given three daemons, two engines of v1 and three of v2 as processes
+    When callers take up streams that no daemon began
+    Then they are told at once that these did not run, and why
