Save how streams began while no other daemon can be told

Cause: origins were told to other daemons only, and none was reached.

As long as nothing that a daemon tells is accepted for 300 ms, it saves its streams' origins as one object in the platform's store, ten times a second at most. A daemon that asked in vain reads these objects, and once others accept something again all recent origins are told.

--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -274,6 +274,11 @@
         "A stream that a caller took up could not go on.",
         "Keep two replicas of a software version until its streams have ended.",
     )
+    ORIGINS_UNAVAILABLE = (
+        4327,
+        "The store did not take or give what tells how streams began.",
+        "Check the platform's store; streams of isolated daemons cannot go on.",
+    )
     METRICS_NOT_SERVED = (
         1007,
         "The port for metrics can't be listened on; all else goes on.",
--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -31,6 +31,7 @@
 from cactusdyke.platform.registry import DaemonRegistry
 from cactusdyke.platform.settings import Endpoint
 from cactusdyke.platform.store import StoreClient
+from cactusdyke.platform.stream_store import PlatformOriginStore
 from cactusdyke.platform.wire import PlatformDialect
 from cactusdyke.serving.core import ServingCore
 from cactusdyke.serving.deployment import Deployment
@@ -172,6 +173,9 @@
             stop_times=lambda: self._stopping.times,
             announce=self._members.announce,
             quarantine_store=registry,
+            origin_store=PlatformOriginStore(
+                store=store, daemon=self._settings.node
+            ),
             metrics=metrics,
             tracing=self._tracing,
         )
--- a/cactusdyke/serving/core.py
+++ b/cactusdyke/serving/core.py
@@ -37,6 +37,7 @@
 from cactusdyke.serving.stream_continuation import StreamContinuation
 from cactusdyke.serving.stream_exchange import STREAMS_PATH, StreamExchange
 from cactusdyke.serving.stream_origins import StreamOrigins
+from cactusdyke.serving.untold_origins import UntoldOrigins
 
 if TYPE_CHECKING:
     import random
@@ -55,6 +56,7 @@
     from cactusdyke.serving.planned_stop import StopTimes
     from cactusdyke.serving.quarantine import QuarantineStore
     from cactusdyke.serving.retry_budget import RetryAllowance
+    from cactusdyke.serving.untold_origins import OriginStore
     from cactusdyke.transport.exchange import BackendConnections
     from cactusdyke.transport.messages import Handler
     from cactusdyke.transport.network import Network
@@ -85,6 +87,7 @@
         stop_times: Callable[[], StopTimes],
         announce: Callable[[], None],
         quarantine_store: QuarantineStore,
+        origin_store: OriginStore,
         metrics: ServingMetrics,
         tracing: Tracing,
     ) -> None:
@@ -192,8 +195,15 @@
             metrics=metrics,
         )
         origins = StreamOrigins(clock=clock)
+        self._untold_origins = UntoldOrigins(
+            clock=clock, origins=origins, store=origin_store
+        )
         self._stream_exchange = StreamExchange(
-            clock=clock, network=network, daemons=daemons, origins=origins
+            clock=clock,
+            network=network,
+            daemons=daemons,
+            origins=origins,
+            untold=self._untold_origins,
         )
         continuation = StreamContinuation(
             clock=clock,
@@ -298,6 +308,7 @@
             "dispatch": self._dispatch,
             "limit_exchange": self._limit_exchange,
             "stream_exchange": self._stream_exchange,
+            "untold_origins": self._untold_origins,
             "quarantine": self._quarantine,
             "forwarder": self._forwarder,
         }
--- a/cactusdyke/serving/stream_exchange.py
+++ b/cactusdyke/serving/stream_exchange.py
@@ -33,12 +33,14 @@
     from cactusdyke.clock import Clock
     from cactusdyke.serving.peers import PeerDaemon, PeerDaemons
     from cactusdyke.serving.stream_origins import StreamOrigins
+    from cactusdyke.serving.untold_origins import UntoldOrigins
     from cactusdyke.transport.network import Network
 
 STREAMS_PATH = "/internal/v1/streams"
 TOLD_DAEMONS = 4
 ASKED_DAEMONS = 8
 COALESCE_MS = 8.0
+CONNECT_TIMEOUT_MS = 250.0
 TELL_TIMEOUT_MS = 500.0
 ASK_TIMEOUT_MS = 250.0
 MAX_QUEUED = 2_000
@@ -56,11 +58,14 @@
         network: Network,
         daemons: PeerDaemons,
         origins: StreamOrigins,
+        untold: UntoldOrigins,
     ) -> None:
         self._clock = clock
         self._network = network
         self._daemons = daemons
         self._origins = origins
+        self._untold = untold
+        untold.on_regained(self._tell_again)
         self._queued: dict[str, list[list[str]]] = {}
         self._added = anyio.Event()
 
@@ -81,7 +86,11 @@
         Nothing waits for their answers: a stream whose origin is lost cannot be
         taken up elsewhere, which is safe.
         """
-        for daemon in self._ranked(stream_id)[:TOLD_DAEMONS]:
+        receivers = self._ranked(stream_id)[:TOLD_DAEMONS]
+        if not receivers and self._daemons.estimated_count() > 1:
+            self._untold.record_result(accepted=False)
+        self._untold.record_begin()
+        for daemon in receivers:
             queued = self._queued.setdefault(daemon.address, [])
             if len(queued) < MAX_QUEUED:
                 queued.append([stream_id, origin.service, origin.version])
@@ -101,7 +110,8 @@
             async with anyio.create_task_group() as tasks:
                 for daemon in self._ranked(stream_id)[:ASKED_DAEMONS]:
                     tasks.start_soon(ask, daemon)
-        return self._origins.put(stream_id, found[0]) if found else None
+        origin = found[0] if found else await self._untold.find(stream_id)
+        return self._origins.put(stream_id, origin) if origin else None
 
     async def handle(self, request: Request) -> Response:
         """Remembers the origins that another daemon tells, or answers it."""
@@ -151,10 +161,20 @@
 
     async def _send(self, address: str, begun: list[list[str]]) -> None:
         options = CallOptions(
-            connect_timeout_ms=TELL_TIMEOUT_MS,
+            connect_timeout_ms=CONNECT_TIMEOUT_MS,
             progress_timeout_ms=TELL_TIMEOUT_MS,
         )
-        await self._network.fetch(address, _request({"begun": begun}), options)
+        answer = await self._network.fetch(
+            address, _request({"begun": begun}), options
+        )
+        self._untold.record_result(
+            accepted=isinstance(answer, Ok)
+            and answer.ok_value.status == OK_STATUS
+        )
+
+    def _tell_again(self) -> None:
+        for stream_id, origin in self._origins.begun_here():
+            self.tell(stream_id, origin)
 
     async def _ask(
         self, daemon: PeerDaemon, stream_id: str
--- a/emulator/daemons.py
+++ b/emulator/daemons.py
@@ -22,6 +22,7 @@
 from cactusdyke.serving.planned_stop import StopTimes
 from cactusdyke.serving.quarantine import QuarantineStore
 from cactusdyke.serving.retry_budget import RetryAllowance
+from cactusdyke.serving.untold_origins import EncodedOrigin, OriginStore
 from cactusdyke.settings import Settings
 from cactusdyke.transport.front_interface import BrokenOffError
 from cactusdyke.transport.messages import Response
@@ -33,6 +34,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from cactusdyke.clock import Clock
     from cactusdyke.errors import Failure
     from cactusdyke.transport.front_interface import ReadRequest, Reply
     from cactusdyke.transport.messages import Request
@@ -41,6 +43,7 @@
 
 MS_PER_SECOND = 1_000.0
 CONTACT_MS = 3_000.0
+STORE_MS = 4.0
 KEPT_SPANS = 10
 
 
@@ -77,6 +80,30 @@
         return Ok(None)
 
 
+class _SavedOrigins(OriginStore):
+    """The origins of streams in the platform's store."""
+
+    def __init__(
+        self, *, clock: Clock, saved: dict[str, list[EncodedOrigin]], name: str
+    ) -> None:
+        self._clock = clock
+        self._saved = saved
+        self._name = name
+
+    async def save_origins(
+        self, begun: list[EncodedOrigin]
+    ) -> Result[None, Failure]:
+        """Saves the daemon's origins."""
+        await self._clock.sleep(STORE_MS)
+        self._saved[self._name] = begun
+        return Ok(None)
+
+    async def read_origins(self) -> Result[list[EncodedOrigin], Failure]:
+        """Returns what all daemons have saved."""
+        await self._clock.sleep(STORE_MS)
+        return Ok([one for begun in self._saved.values() for one in begun])
+
+
 class EmulatedDaemon:
     """One host's daemon, which may die and come back."""
 
@@ -245,6 +272,9 @@
                 name=self.name,
                 evidence=lambda: core.quarantine.evidence,
             ),
+            origin_store=_SavedOrigins(
+                clock=clock, saved=world.saved_origins, name=self.name
+            ),
             metrics=ServingMetrics(registry),
             tracing=Tracing(daemon=self.name, kept=KEPT_SPANS),
         )
--- a/emulator/world.py
+++ b/emulator/world.py
@@ -82,6 +82,7 @@
             collections.defaultdict(Crashing)
         )
         self.saved: dict[str, Mapping[str, Any]] = {}
+        self.saved_origins: dict[str, list[list[str]]] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.evacuated_at: dict[str, Instant] = {}
         self.cut_from_replicas: dict[str, ReplicaCut] = {}
--- a/features/steps/stream_fleet_steps.py
+++ b/features/steps/stream_fleet_steps.py
@@ -5,11 +5,16 @@
 import anyio
 from behave import given, then, when
 
+from cactusdyke.platform import stream_store
+from cactusdyke.platform.store import StoreClient
+from cactusdyke.platform.stream_store import PlatformOriginStore
 from cactusdyke.serving import stream_origins
 from cactusdyke.serving.stream_origins import StreamOrigin, StreamOrigins
 from features.steps.serving_steps import ManualClock
 from features.support.stream_fleet import StreamFleet
 from standins import virtual
+from standins.hub import Hub
+from standins.platform_store import PlatformStore
 
 STREAMS_PER_S = 200.0
 BEGIN_S = 2.0
@@ -17,6 +22,12 @@
 MOST = 0.9
 RESTARTED = 20
 RESTART_PAUSE_S = 0.2
+CUT = {
+    "two are cut off and end": 2,
+    "ten are cut off and end": 10,
+    "ten were cut off a while": 10,
+}
+"""How many daemons are cut off from all others as streams begin."""
 
 
 @given("{count:d} daemons that begin streams")
@@ -28,9 +39,19 @@
 def trouble(context, what):
     async def run():
         async with StreamFleet(count=context.count) as fleet:
+            cut = fleet.sample(CUT.get(what, 0) / context.count)
+            fleet.cut_off(cut, cut=True)
             await fleet.begin_streams(per_s=STREAMS_PER_S, for_s=BEGIN_S)
             await anyio.sleep(SETTLED_S)
+            struck = cut
             match what:
+                case "ten were cut off a while":
+                    fleet.cut_off(cut, cut=False)
+                    await fleet.begin_streams(per_s=STREAMS_PER_S, for_s=1.0)
+                    await anyio.sleep(SETTLED_S)
+                    fleet.saved.clear()
+                case "two are cut off and end" | "ten are cut off and end":
+                    await fleet.kill(cut, detected=False)
                 case "half end at once":
                     struck = fleet.sample(0.5)
                     await fleet.kill(struck, detected=False)
@@ -91,3 +112,37 @@
 def remembers_none(context):
     assert context.origins.find("stream-99") is None
     assert context.origins.count == 0
+
+
+@given("a store in which two daemons save how streams began")
+def saving(context):
+    context.saved = [["s1", "models", "v1"], ["s2", "models", "v2"]]
+
+
+@when("an object that cannot be read is beside theirs")
+def unreadable(context):
+    async def run():
+        async with Hub() as hub:
+            store = PlatformStore(clock=hub.clock)
+            hub.listen("store:1", store.routes.handle, owner="store")
+
+            def origins(name):
+                client = StoreClient(
+                    address="store:1",
+                    network=hub.network(name),
+                    clock=hub.clock,
+                )
+                return PlatformOriginStore(store=client, daemon=name)
+
+            for number, origin in enumerate(context.saved):
+                (await origins(f"d{number}").save_origins([origin])).unwrap()
+            store.put(stream_store.KIND, "d8", {"begun": [["s3", 5], "s4"]})
+            store.put(stream_store.KIND, "d9", ["other"])
+            context.read = (await origins("d3").read_origins()).unwrap()
+
+    virtual.run_virtual(run)
+
+
+@then("a third daemon reads both, and nothing else")
+def reads_both(context):
+    assert sorted(context.read) == context.saved, context.read
--- a/features/stream_versions/fleets.feature
+++ b/features/stream_versions/fleets.feature
@@ -15,6 +15,15 @@
       | 348   | half end at once         |
       | 64    | a data centre ends       |
       | 195   | many restart in turn     |
+      | 6     | two are cut off and end  |
+      | 64    | ten are cut off and end  |
+      | 64    | ten were cut off a while |
+
+  Scenario: what the store holds of streams can be read by all daemons
+    # Guards against one unreadable object that hides how all streams began.
+    Given a store in which two daemons save how streams began
+    When an object that cannot be read is beside theirs
+    Then a third daemon reads both, and nothing else
 
   Scenario: the origin of a stream that two daemons know differently is unknown
     # Guards against a version that is guessed where two daemons disagree.
--- a/features/support/limit_fleet.py
+++ b/features/support/limit_fleet.py
@@ -183,6 +183,7 @@
             stop_times=StopTimes,
             announce=lambda: None,
             quarantine_store=AcceptingStore(),
+            origin_store=AcceptingStore(),
             metrics=ServingMetrics(prometheus_client.CollectorRegistry()),
             tracing=Tracing(daemon=name, kept=1),
         )
--- a/features/support/quarantine_fleet.py
+++ b/features/support/quarantine_fleet.py
@@ -20,6 +20,7 @@
     Quarantine,
     QuarantineStore,
 )
+from cactusdyke.serving.untold_origins import OriginStore
 from cactusdyke.transport.exchange import BackendConnections, ExchangeError
 from cactusdyke.transport.routes import Routes
 from features.support.state_fleet import FixedDaemons, peer
@@ -57,12 +58,18 @@
         yield None
 
 
-class AcceptingStore(QuarantineStore):
+class AcceptingStore(QuarantineStore, OriginStore):
     """A store that accepts every write and keeps nothing."""
 
     async def save_quarantine(self):
         return Ok(None)
 
+    async def save_origins(self, begun):
+        return Ok(None)
+
+    async def read_origins(self):
+        return Ok([])
+
 
 class QuarantineFleet:
     """Daemons of one deployment, which probe one another at random."""
--- a/features/support/stream_fleet.py
+++ b/features/support/stream_fleet.py
@@ -7,9 +7,11 @@
 
 import anyio
 import attrs
+from result import Ok
 
 from cactusdyke.serving.stream_exchange import StreamExchange
 from cactusdyke.serving.stream_origins import StreamOrigin, StreamOrigins
+from cactusdyke.serving.untold_origins import OriginStore, UntoldOrigins
 from features.support.state_fleet import FixedDaemons, peer
 from standins.hub import Hub
 
@@ -29,10 +31,26 @@
     version: str
 
 
+class _SharedStore(OriginStore):
+    """The platform's store as all daemons reach it."""
+
+    def __init__(self, name, saved):
+        self._name = name
+        self._saved = saved
+
+    async def save_origins(self, begun):
+        self._saved[self._name] = begun
+        return Ok(None)
+
+    async def read_origins(self):
+        return Ok([one for begun in self._saved.values() for one in begun])
+
+
 class StreamFleet:
     """Daemons that begin streams at random, and others that take them up.
 
     Attributes:
+        saved: What daemons that could tell nobody saved in the store.
         counts: What was counted: messages and bytes between daemons, streams
             that were taken up, found, and found with another version.
     """
@@ -40,6 +58,7 @@
     def __init__(self, *, count, seed=1):
         self.hub = Hub()
         self.counts = collections.Counter()
+        self.saved = {}
         self._rng = random.Random(seed)
         self._members = set(range(count))
         self._listed = set(range(count))
@@ -89,6 +108,14 @@
             self._listed -= set(numbers)
             self._update_views()
 
+    def cut_off(self, numbers, *, cut):
+        """Cuts daemons off from all others, or ends the cut."""
+        for number in numbers:
+            for other in self._members - {number}:
+                for pair in ((number, other), (other, number)):
+                    names = [f"d{one}" for one in pair]
+                    self.hub.link(*names).cut = cut
+
     async def restart(self, number, *, pause_s):
         """Restarts a daemon, which leaves and comes back without memory."""
         self._listed.discard(number)
@@ -131,11 +158,17 @@
         name = f"d{number}"
         clock = self.hub.clock_of(name)
         view = self._views[number] = FixedDaemons((peer(number),))
+        origins = StreamOrigins(clock=clock)
         exchange = StreamExchange(
             clock=clock,
             network=self.hub.network(name),
             daemons=view,
-            origins=StreamOrigins(clock=clock),
+            origins=origins,
+            untold=UntoldOrigins(
+                clock=clock,
+                origins=origins,
+                store=_SharedStore(name, self.saved),
+            ),
         )
         self._exchanges[number] = exchange
 
@@ -146,6 +179,7 @@
 
         self.hub.listen(f"{name}:1", handle, owner=name)
         self.hub.start(exchange.run)
+        self.hub.start(exchange._untold.run)
 
     def _update_views(self):
         daemons = [peer(n) for n in sorted(self._listed)]
