Save origins only if no daemon accepts them, and read the store once

A daemon wrote its streams' origins to the store, and told them all again, whenever a single other daemon had lost its power and its failure came after the others had accepted. And callers who took up unknown streams while the store was silent waited for one another: twenty for six seconds.

--- a/cactusdyke/serving/stream_exchange.py
+++ b/cactusdyke/serving/stream_exchange.py
@@ -39,7 +39,7 @@
 STREAMS_PATH = "/internal/v1/streams"
 TOLD_DAEMONS = 4
 ASKED_DAEMONS = 8
-COALESCE_MS = 8.0
+COALESCE_MS = 2.0
 CONNECT_TIMEOUT_MS = 250.0
 TELL_TIMEOUT_MS = 500.0
 ASK_TIMEOUT_MS = 250.0
@@ -88,7 +88,8 @@
         """
         receivers = self._ranked(stream_id)[:TOLD_DAEMONS]
         if not receivers and self._daemons.estimated_count() > 1:
-            self._untold.record_result(accepted=False)
+            now = self._clock.now()
+            self._untold.record_result(accepted=False, sent_at=now)
         self._untold.record_begin()
         for daemon in receivers:
             queued = self._queued.setdefault(daemon.address, [])
@@ -164,12 +165,14 @@
             connect_timeout_ms=CONNECT_TIMEOUT_MS,
             progress_timeout_ms=TELL_TIMEOUT_MS,
         )
+        sent_at = self._clock.now()
         answer = await self._network.fetch(
             address, _request({"begun": begun}), options
         )
         self._untold.record_result(
             accepted=isinstance(answer, Ok)
-            and answer.ok_value.status == OK_STATUS
+            and answer.ok_value.status == OK_STATUS,
+            sent_at=sent_at,
         )
 
     def _tell_again(self) -> None:
--- a/cactusdyke/serving/untold_origins.py
+++ b/cactusdyke/serving/untold_origins.py
@@ -82,12 +82,17 @@
         """Sets the hook that is called when others can be told again."""
         self._regained = hook
 
-    def record_result(self, *, accepted: bool) -> None:
-        """Records whether a daemon accepted origins."""
-        self._failing = not accepted
+    def record_result(self, *, accepted: bool, sent_at: Instant) -> None:
+        """Records whether a daemon accepted origins.
+
+        That one does not means nothing if another one has since they were sent.
+        """
         if not accepted:
-            self._changed.set()
+            if self._accepted_at < sent_at:
+                self._failing = True
+                self._changed.set()
             return
+        self._failing = False
         self._accepted_at = self._clock.now()
         if self._saving:
             self._saving = False
@@ -115,6 +120,7 @@
             if self._clock.now() - self._read_at > READ_VALID_MS:
                 with self._clock.timeout(READ_TIMEOUT_MS):
                     await self._read_all()
+                self._read_at = self._clock.now()
         return self._read.get(stream_id)
 
     async def _save(self) -> bool:
@@ -133,7 +139,6 @@
         if isinstance(answer, Err):
             _log_unavailable(answer.err_value)
             return
-        self._read_at = self._clock.now()
         self._read = {
             stream_id: StreamOrigin(service=service, version=version)
             for stream_id, service, version in answer.ok_value
--- a/features/steps/stream_fleet_steps.py
+++ b/features/steps/stream_fleet_steps.py
@@ -5,11 +5,13 @@
 import anyio
 from behave import given, then, when
 
+from cactusdyke.clock import EventLoopClock
 from cactusdyke.platform import stream_store
 from cactusdyke.platform.store import StoreClient
 from cactusdyke.platform.stream_store import PlatformOriginStore
 from cactusdyke.serving import stream_origins
 from cactusdyke.serving.stream_origins import StreamOrigin, StreamOrigins
+from cactusdyke.serving.untold_origins import OriginStore, UntoldOrigins
 from features.steps.serving_steps import ManualClock
 from features.support.stream_fleet import StreamFleet
 from standins import virtual
@@ -17,6 +19,7 @@
 from standins.platform_store import PlatformStore
 
 STREAMS_PER_S = 200.0
+FEW_STREAMS_PER_S = 4.0
 BEGIN_S = 2.0
 SETTLED_S = 0.1
 MOST = 0.9
@@ -146,3 +149,55 @@
 @then("a third daemon reads both, and nothing else")
 def reads_both(context):
     assert sorted(context.read) == context.saved, context.read
+
+
+@when("one is without power and the others take it for alive")
+def one_ends(context):
+    async def run():
+        async with StreamFleet(count=context.count) as fleet:
+            fleet.lose_power(3)
+            await fleet.begin_streams(per_s=FEW_STREAMS_PER_S, for_s=20.0)
+            context.saved = fleet.saved
+
+    virtual.run_virtual(run)
+
+
+@then("none of them saves anything in the store")
+def nothing_saved(context):
+    assert not context.saved, context.saved
+
+
+class _SilentStore(OriginStore):
+    async def save_origins(self, begun):
+        await anyio.sleep_forever()
+
+    async def read_origins(self):
+        await anyio.sleep_forever()
+
+
+@given("a daemon whose store does not answer")
+def silent_store(context):
+    context.store = _SilentStore()
+
+
+@when("twenty callers take up streams that nobody knows")
+def twenty_callers(context):
+    async def run():
+        clock = EventLoopClock()
+        untold = UntoldOrigins(
+            clock=clock,
+            origins=StreamOrigins(clock=clock),
+            store=context.store,
+        )
+        began = clock.now()
+        async with anyio.create_task_group() as tasks:
+            for number in range(20):
+                tasks.start_soon(untold.find, f"s{number}")
+        context.took_ms = clock.now() - began
+
+    virtual.run_virtual(run)
+
+
+@then("all of them are told within a second")
+def told_within_a_second(context):
+    assert context.took_ms < 1_000, context.took_ms
--- a/features/stream_versions/fleets.feature
+++ b/features/stream_versions/fleets.feature
@@ -25,6 +25,18 @@
     When an object that cannot be read is beside theirs
     Then a third daemon reads both, and nothing else
 
+  Scenario: one daemon that has ended makes no other one save its streams
+    # Guards against writes to the store whenever a single daemon ends.
+    Given 6 daemons that begin streams
+    When one is without power and the others take it for alive
+    Then none of them saves anything in the store
+
+  Scenario: a store that does not answer holds no caller up
+    # Guards against callers that wait for one another as the store is away.
+    Given a daemon whose store does not answer
+    When twenty callers take up streams that nobody knows
+    Then all of them are told within a second
+
   Scenario: the origin of a stream that two daemons know differently is unknown
     # Guards against a version that is guessed where two daemons disagree.
     Given what a daemon remembers of a stream of version v1
--- a/features/support/stream_fleet.py
+++ b/features/support/stream_fleet.py
@@ -116,6 +116,11 @@
                     names = [f"d{one}" for one in pair]
                     self.hub.link(*names).cut = cut
 
+    def lose_power(self, number):
+        """Lets a daemon say nothing more; the others don't notice."""
+        self.cut_off([number], cut=True)
+        self._members.discard(number)
+
     async def restart(self, number, *, pause_s):
         """Restarts a daemon, which leaves and comes back without memory."""
         self._listed.discard(number)
