Choose the replica of an attempt in a class of its own

The forwarder chose engines, plain and limited replicas, told deciders of their choices and asked for a replica's start, in 60 lines between sending and retrying. ReplicaChoice does it now, for all kinds of requests, and every choice passes StreamContinuation.admits just before it is used: the choice may have taken time, in which a stream's origin became unknown.

--- a/cactusdyke/serving/core.py
+++ b/cactusdyke/serving/core.py
@@ -26,6 +26,7 @@
 from cactusdyke.serving.reach_check import ReachCheck
 from cactusdyke.serving.relay import Relay
 from cactusdyke.serving.relay_choice import RelayChoice
+from cactusdyke.serving.replica_choice import ReplicaChoice
 from cactusdyke.serving.replica_connections import ReplicaConnections
 from cactusdyke.serving.replica_paths import ReplicaPaths
 from cactusdyke.serving.request_limits import RequestLimits
@@ -219,12 +220,30 @@
             allowance=retry_allowance,
             daemon_count=daemons.estimated_count,
         )
+        retry_policy = RetryPolicy(
+            rng=rng,
+            data_centre=data_centre,
+            deployment=deployment,
+            health=health,
+            budget=budget,
+            connection_share=ConnectionShare(
+                deployment=deployment,
+                health=health,
+                daemon_count=daemons.estimated_count,
+            ),
+            request_limits=request_limits,
+            continuation=continuation,
+        )
         self._forwarder = Forwarder(
             clock=clock,
             rng=rng,
             dialect=dialect,
             deployment=deployment,
-            dispatch=self._dispatch,
+            choice=ReplicaChoice(
+                dispatch=self._dispatch,
+                retry_policy=retry_policy,
+                continuation=continuation,
+            ),
             stages=StageRunner(
                 clock=clock,
                 rng=rng,
@@ -237,20 +256,7 @@
                 connections=replica_connections,
                 stated_limits=stated_limits,
             ),
-            retry_policy=RetryPolicy(
-                rng=rng,
-                data_centre=data_centre,
-                deployment=deployment,
-                health=health,
-                budget=budget,
-                connection_share=ConnectionShare(
-                    deployment=deployment,
-                    health=health,
-                    daemon_count=daemons.estimated_count,
-                ),
-                request_limits=request_limits,
-                continuation=continuation,
-            ),
+            retry_policy=retry_policy,
             health=health,
             budget=budget,
             quarantine=self._quarantine,
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -31,19 +31,19 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import AsyncIterator, Callable, Mapping
+    from collections.abc import AsyncIterator, Callable
 
     from cactusdyke.clock import Clock
     from cactusdyke.observe.tracing import Tracing
     from cactusdyke.serving.attempt import AttemptRunner
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.dialect import Dialect
-    from cactusdyke.serving.dispatch import ChosenReplica, Dispatch
     from cactusdyke.serving.health import ReplicaHealth
     from cactusdyke.serving.metrics import ServingMetrics
     from cactusdyke.serving.model import Customer, Replica, Route
     from cactusdyke.serving.planned_stop import StopTimes
     from cactusdyke.serving.quarantine import Quarantine
+    from cactusdyke.serving.replica_choice import ReplicaChoice
     from cactusdyke.serving.request import ClientRequest
     from cactusdyke.serving.retry_budget import RetryBudget
     from cactusdyke.serving.retry_policy import RetryPolicy
@@ -82,7 +82,7 @@
         rng: random.Random,
         dialect: Dialect,
         deployment: Deployment,
-        dispatch: Dispatch,
+        choice: ReplicaChoice,
         stages: StageRunner,
         attempts: AttemptRunner,
         retry_policy: RetryPolicy,
@@ -98,7 +98,7 @@
         self._rng = rng
         self._dialect = dialect
         self._deployment = deployment
-        self._dispatch = dispatch
+        self._choice = choice
         self._stages = stages
         self._attempts = attempts
         self._retry_policy = retry_policy
@@ -353,15 +353,10 @@
         handles: list[str],
     ) -> tuple[Failure | None, AttemptResult | None]:
         inputs = self._stages.input_bytes_by_data_centre(context, results)
-        placed, replica = await self._choose_replica(context, inputs)
-        while replica is not None and await self._continuation.has_restarted(
-            context, replica
-        ):
-            if placed is not None:
-                self._dispatch.notify_end(placed, failed=False)
-            placed, replica = await self._choose_replica(context, inputs)
-        if replica is None:
+        choice = await self._choice.choose(context, inputs)
+        if choice is None:
             return request_failures.no_replica(context), None
+        replica = choice.replica
         context.attempts += 1
         context.current_replica = replica.name
         context.transferred_bytes += sum(
@@ -378,8 +373,7 @@
         def on_first_event() -> None:
             state.record_version(replica.version)
             self._continuation.begin(context, replica)
-            if placed is not None:
-                self._dispatch.notify_first_token(placed)
+            self._choice.record_first_token(choice)
             self._stages.free(context, results)
 
         try:
@@ -404,55 +398,10 @@
             return None, result
         finally:
             self._health.record_end(replica.name)
-            if placed is not None:
-                failed = not succeeded and (
-                    self._attempts.is_replica_to_blame(replica, result)
-                )
-                self._dispatch.notify_end(placed, failed=failed)
-
-    async def _place(
-        self, context: ServingContext, inputs: Mapping[str, float]
-    ) -> ChosenReplica | None:
-        """Asks the decider for an engine, if the request needs one."""
-        generation = context.request.generation
-        if generation is None or not context.route.generates:
-            return None
-        return await self._dispatch.place(
-            context.service,
-            f"{context.request.request_id}/{context.attempts}",
-            generation,
-            self._retry_policy.excluded(context),
-            inputs,
-            context.origin.version if context.origin else "",
-        )
-
-    async def _choose_replica(
-        self, context: ServingContext, inputs: Mapping[str, float]
-    ) -> tuple[ChosenReplica | None, Replica | None]:
-        """Chooses a replica, or lets the decider choose.
-
-        Returns:
-            The decider's choice, if it chose, and the replica; None if no
-            replica can be used.
-        """
-        policy = self._retry_policy
-        if context.route.generates:
-            placed = await self._place(context, inputs)
-            return placed, placed.replica if placed else policy.choose(context)
-        replica = policy.choose(context, among_limited=True)
-        if replica is not None and not policy.is_limited(replica):
-            return None, replica
-        if not policy.candidates(context):
-            return None, None
-        limited = await self._dispatch.choose_limited(
-            context.service,
-            f"{context.request.request_id}/{context.attempts}",
-            policy.excluded(context),
-            has_alternative=policy.choose(context) is not None,
-        )
-        if limited is not None:
-            return limited, limited.replica
-        return None, policy.choose(context)
+            failed = not succeeded and (
+                self._attempts.is_replica_to_blame(replica, result)
+            )
+            self._choice.end(choice, failed=failed)
 
     @contextlib.asynccontextmanager
     async def _freeing_inputs(
--- a/cactusdyke/serving/stream_continuation.py
+++ b/cactusdyke/serving/stream_continuation.py
@@ -120,17 +120,27 @@
         """Returns whether a replica could continue a stream of another one."""
         return bool(before.version) and replica.version == before.version
 
-    async def has_restarted(
-        self, context: ServingContext, replica: Replica
-    ) -> bool:
-        """Returns whether another process has a replica's id than is listed.
+    async def admits(self, context: ServingContext, replica: Replica) -> bool:
+        """Returns whether a chosen replica may be sent a request now.
 
-        It may be of another software version. Asked only before a stream goes
-        on, and only of replicas whose entry tells their start.
+        The choice may have taken time, and the replica's entry may be out of
+        date: another process may have its id, with other software. It is asked
+        for its start, but only if it is to continue a stream.
         """
-        if context.origin is None or not replica.born:
+        if not self.allows(context, replica):
             return False
-        born: int | None = None
+        if context.origin is None or not replica.born:
+            return True
+        born = await self._query_born(replica)
+        if born is None or born == replica.born:
+            return True
+        self._deployment.mark_leaving(
+            replica, reason="another process has its id now"
+        )
+        return False
+
+    async def _query_born(self, replica: Replica) -> int | None:
+        """Returns the start that a replica reports, None if it does not."""
         call = self._dialect.encode_memory_query(replica)
         with self._clock.timeout(REPORT_TIMEOUT_MS):
             try:
@@ -142,15 +152,10 @@
                     )
                     head = await exchange.head()
                     body = await exchange.whole_body(most=MAX_REPORT_BYTES)
-                    born = self._dialect.decode_born(head, body)
+                    return self._dialect.decode_born(head, body)
             except ExchangeError:
-                return False
-        if born is None or born == replica.born:
-            return False
-        self._deployment.mark_leaving(
-            replica, reason="another process has its id now"
-        )
-        return True
+                return None
+        return None
 
     def _refusal(
         self, context: ServingContext, detail: str, retry_after_ms: int
