--- a/features/steps/cut_daemons_steps.py
+++ b/features/steps/cut_daemons_steps.py
@@ -7,8 +7,8 @@
 import attrs
 from behave import given, then, when
 
-from emulator.experiment import OURS, run
-from emulator.scenario import Experiment, load_scenario
+from emulator.scenario import load_scenario
+from features.support.emulated_plays import play_seeds
 
 SCENARIO = pathlib.Path("emulator/scenarios/cut-from-replicas.jsonc")
 SEEDS = (1, 2)
@@ -44,13 +44,7 @@
 
 @when("they are played with two seeds")
 def played(context):
-    results = run(
-        Experiment(scenarios={}),
-        {"s": context.emulated},
-        seeds=SEEDS,
-        jobs=len(SEEDS),
-    )
-    context.plays = [results["s", OURS, seed] for seed in SEEDS]
+    context.plays = play_seeds(context.emulated, SEEDS)
 
 
 def _share(play, where):
--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -7,8 +7,8 @@
 import attrs
 from behave import given, then, when
 
-from emulator.experiment import OURS, run
-from emulator.scenario import Experiment, Fault, load_scenario
+from emulator.scenario import Fault, load_scenario
+from features.support.emulated_plays import play_seeds
 
 SCENARIO = pathlib.Path("emulator/scenarios/versions.jsonc")
 SEEDS = (1, 2)
@@ -94,13 +94,7 @@
 
 @when("their streams are played with two seeds")
 def played(context):
-    results = run(
-        Experiment(scenarios={}),
-        {"s": context.emulated},
-        seeds=SEEDS,
-        jobs=len(SEEDS),
-    )
-    context.plays = [results["s", OURS, seed] for seed in SEEDS]
+    context.plays = play_seeds(context.emulated, SEEDS)
 
 
 @then("no stream holds events of two software versions")
