Test further guards of streams that go on: five were noticed by nothing

Taken out one by one in a scratch copy, the second telling of an origin, the service of the origin, the route's targets, the patience with the last engine of a version, the fail-over between versions and the choice of daemons by data centre were noticed by no scenario. Each of them now fails one.

--- a/features/steps/stream_choices_steps.py
+++ b/features/steps/stream_choices_steps.py
@@ -6,14 +6,18 @@
 import attrs
 from behave import given, then, when
 
+from cactusdyke.errors import FailureKind, Ran
 from cactusdyke.serving.deployment import Deployment
-from cactusdyke.serving.model import RepeatPolicy
+from cactusdyke.serving.model import RepeatPolicy, WeightedService
 from cactusdyke.serving.request import Generation, PromptPart
+from cactusdyke.serving.retry_policy import RetryPolicy
 from cactusdyke.serving.stream_continuation import StreamContinuation
-from cactusdyke.serving.stream_origins import StreamOrigins
+from cactusdyke.serving.stream_origins import StreamOrigin, StreamOrigins
 from features.steps.serving_steps import ManualClock, route
 from features.support import serving_values
 from features.support.limit_fleet import REPLICAS, SERVICE, LimitFleet
+from features.support.state_fleet import DATA_CENTRES, peer
+from features.support.stream_fleet import StreamFleet
 from standins import virtual
 
 DAEMONS = 6
@@ -96,7 +100,7 @@
         self.told.append((stream_id, origin.version))
 
 
-def _begin(context, version):
+def _start(context, version):
     clock = ManualClock()
     context.engines = [
         attrs.evolve(replica, version=version, born=1)
@@ -105,16 +109,31 @@
     context.deployment = Deployment(clock=clock)
     context.deployment.replace_replicas(context.engines)
     context.others = _ToldOrigins()
+    context.origins = StreamOrigins(clock=clock)
     context.continuation = StreamContinuation(
         clock=clock,
         deployment=context.deployment,
         dialect=None,
         connections=None,
-        origins=StreamOrigins(clock=clock),
+        origins=context.origins,
         exchange=context.others,
     )
-    talk = route(streaming=True, repeat_policy=RepeatPolicy.RESUMABLE)
-    context.request = serving_values.serving_context(talk)
+
+
+def _talk(*services):
+    return route(
+        streaming=True,
+        repeat_policy=RepeatPolicy.RESUMABLE,
+        max_attempts=3,
+        targets=tuple(
+            WeightedService(service=service, weight=1.0) for service in services
+        ),
+    )
+
+
+def _begin(context, version):
+    _start(context, version)
+    context.request = serving_values.serving_context(_talk(SERVICE))
     context.continuation.begin(context.request, context.engines[0])
 
 
@@ -153,3 +172,114 @@
     other = context.engines[1]
     assert not context.continuation.allows(context.request, other)
     assert context.others.told == [("request", "v1"), ("request", "")]
+
+
+@given("a daemon that knows a stream that began at an engine of v1")
+def known_stream(context):
+    _start(context, "v1")
+    origin = StreamOrigin(service=SERVICE, version="v1")
+    context.origins.put("first", origin)
+
+
+def _take_up(context, *services):
+    context.request = serving_values.serving_context(
+        _talk(*services), resume_after=3, resumes="first"
+    )
+    context.refusal = anyio.run(context.continuation.resume, context.request)
+
+
+@when("a caller takes the stream up and gets an event")
+def taken_up(context):
+    _take_up(context, SERVICE)
+    assert context.refusal is None, context.refusal
+    context.continuation.begin(context.request, context.engines[1])
+
+
+@then("others are told of the stream under the id of its first attempt")
+def told_again(context):
+    assert context.others.told == [("first", "v1")], context.others.told
+
+
+@when("its route splits traffic, and chance names the other service")
+def split(context):
+    _take_up(context, "other", SERVICE)
+
+
+@then("the stream goes on at the service that began it")
+def same_service(context):
+    assert context.refusal is None, context.refusal
+    assert context.request.service == SERVICE
+
+
+@when("its route leads to another service alone")
+def other_route(context):
+    _take_up(context, "other")
+
+
+@then("the stream is refused as not run")
+def refused(context):
+    assert context.refusal.kind is FailureKind.STREAM_LOST
+    assert context.refusal.ran is Ran.NOT_RUN
+
+
+@given("a stream at the only engine of v1 beside engines of v2")
+def only_engine(context):
+    _begin(context, "v1")
+    context.deployment.put_replica(
+        attrs.evolve(context.engines[1], version="v2")
+    )
+    context.policy = RetryPolicy(
+        rng=None,
+        data_centre="",
+        deployment=context.deployment,
+        health=None,
+        budget=None,
+        connection_share=None,
+        request_limits=None,
+        continuation=context.continuation,
+    )
+
+
+@when("the engine falls silent")
+def falls_silent(context):
+    # How long it may be silent is set before its first event.
+    context.request.origin = None
+
+
+@then("the stream is given time, and less once another engine has v1")
+def patience(context):
+    engine = context.engines[0]
+    begun = attrs.evolve(
+        context.request,
+        origin=StreamOrigin(service=SERVICE, version="v1"),
+    )
+    assert context.policy.can_fail_over(context.request, engine)
+    assert not context.policy.can_fail_over(begun, engine)
+    assert not context.policy.can_resume_elsewhere(context.request, engine)
+    context.deployment.put_replica(
+        attrs.evolve(context.engines[1], version="v1", born=3)
+    )
+    assert context.policy.can_resume_elsewhere(context.request, engine)
+
+
+@when("one of them tells how a stream began")
+def one_tells(context):
+    async def run():
+        async with StreamFleet(count=context.count) as fleet:
+            exchange = fleet._exchanges[0]
+            origin = StreamOrigin(service=SERVICE, version="v1")
+            context.told = []
+            for number in range(QUESTIONS):
+                exchange.tell(f"s{number}", origin)
+                context.told.append(set(exchange._queued))
+                exchange._queued.clear()
+
+    virtual.run_virtual(run, seed=1)
+
+
+@then("daemons of each data centre are told")
+def told_everywhere(context):
+    for addresses in context.told:
+        numbers = [int(a.partition(":")[0][1:]) for a in addresses]
+        places = {peer(number).data_centre for number in numbers}
+        assert places == set(DATA_CENTRES), addresses
--- a/features/stream_versions/choices.feature
+++ b/features/stream_versions/choices.feature
@@ -26,3 +26,35 @@
     Given a stream that began at an engine of v1
     When the engine's entry tells another start and v2
     Then the stream may not go on at other engines of v1, and others are told
+
+  Scenario: a stream that is taken up is told to others again
+    # Guards against a stream that cannot be taken up a second time, as the
+    # daemons that knew how it began have ended meanwhile.
+    Given a daemon that knows a stream that began at an engine of v1
+    When a caller takes the stream up and gets an event
+    Then others are told of the stream under the id of its first attempt
+
+  Scenario: a stream goes on at the service that began it
+    # Guards against a stream that goes on at another target of its route.
+    Given a daemon that knows a stream that began at an engine of v1
+    When its route splits traffic, and chance names the other service
+    Then the stream goes on at the service that began it
+
+  Scenario: a stream whose service its route no longer names
+    # Guards against requests at a service that the route does not lead to.
+    Given a daemon that knows a stream that began at an engine of v1
+    When its route leads to another service alone
+    Then the stream is refused as not run
+
+  Scenario: a silent engine that is the last of its version
+    # Guards against a stream that is broken off for a silence, although no
+    # other engine could go on with it.
+    Given a stream at the only engine of v1 beside engines of v2
+    When the engine falls silent
+    Then the stream is given time, and less once another engine has v1
+
+  Scenario: streams are told to daemons in all data centres
+    # Guards against streams that cannot go on after the loss of a data centre.
+    Given 64 daemons that begin streams
+    When one of them tells how a stream began
+    Then daemons of each data centre are told
