Test two guards of lost paths that no scenario noticed

The presumption that all paths are lost after two, and the cut that a daemon announces: both were noticed by none of the scenarios when they were taken out, as others stand behind them. Each fails a scenario now. Two more (a failed stage call that counts as no try, a failed attempt that is not told to the decider) are still noticed by none.

--- a/features/replica_paths/paths.feature
+++ b/features/replica_paths/paths.feature
@@ -32,3 +32,15 @@
       | meets a replica that is down                    | by itself, and to a not at all    | a, b, c |
       | has lost all paths as the others have           | not at all                        | none    |
       | had lost all paths, which are back              | by itself                         | a, b, c |
+
+  Scenario: paths to replicas that were not tried count as lost with two others
+    # Guards against callers of a cut host that wait for each path to time out.
+    Given a daemon that has reached three replicas
+    When other daemons reach two of them that it has lost
+    Then the path to the third counts as lost, until one is reached again
+
+  Scenario: a daemon that says that it is cut off is not asked to connect
+    # Guards against callers of a cut host that wait for another cut host.
+    Given six daemons of which three say that they are cut off
+    When a daemon looks for others that reach replicas
+    Then it finds the two that have not said so
--- a/features/steps/replica_paths_steps.py
+++ b/features/steps/replica_paths_steps.py
@@ -264,3 +264,60 @@
 def to_blame(context, blamed):
     expected = [] if blamed == "none" else blamed.split(", ")
     assert context.blamed == expected, context.blamed
+
+
+@when("other daemons reach two of them that it has lost")
+def two_lost(context):
+    async def run():
+        await anyio.sleep(1)
+        context.paths.record_connected("c")
+        await anyio.sleep(1)
+        for name in ("a", "b"):
+            context.paths.record_failed(name, detail="no connection")
+            context.paths.record_relayed(name)
+        context.lost = context.paths.is_lost("c")
+        await anyio.sleep(1)
+        context.paths.record_connected("b")
+        context.lost_later = context.paths.is_lost("c")
+
+    run_virtual(run)
+
+
+@then("the path to the third counts as lost, until one is reached again")
+def third_lost(context):
+    assert context.lost
+    assert not context.lost_later
+
+
+@given("six daemons of which three say that they are cut off")
+def three_cut_off(context):
+    context.daemons = FixedDaemons(
+        (
+            peer(0, is_local=True),
+            *(peer(n, cut_off=True) for n in range(1, 4)),
+            *(peer(n) for n in range(4, 6)),
+        )
+    )
+
+
+@when("a daemon looks for others that reach replicas")
+def look_for_relays(context):
+    clock = EventLoopClock()
+    relays = RelayChoice(
+        clock=clock,
+        rng=random.Random(1),
+        daemons=context.daemons,
+        watch=PeerWatch(clock=clock, network=None),
+    )
+
+    async def run():
+        context.found = [
+            {d.name for d in relays.candidates("north")} for _ in range(10)
+        ]
+
+    run_virtual(run)
+
+
+@then("it finds the two that have not said so")
+def finds_two(context):
+    assert context.found == [{"d4", "d5"}] * 10, context.found
