Test that a stage's calls on a path in doubt use up no attempts

The third of four guards of lost paths that no scenario noticed: taken out, pieces whose calls break off six times fail; with it they are computed. The fourth (a failed attempt that is not told to the decider) is still noticed by none.

--- a/features/replica_paths/paths.feature
+++ b/features/replica_paths/paths.feature
@@ -44,3 +44,10 @@
     Given six daemons of which three say that they are cut off
     When a daemon looks for others that reach replicas
     Then it finds the two that have not said so
+
+  Scenario: a failed call of a stage counts as no attempt if its path is in doubt
+    # Guards against requests of all daemons that fail as the decider of a stage
+    # is cut off: their pieces use up their attempts on its broken paths.
+    Given a stage service whose calls break off six times
+    When the path to its replica is in doubt, and when it is not
+    Then a request's pieces are computed in the first case alone
--- a/features/steps/stage_retry_steps.py
+++ b/features/steps/stage_retry_steps.py
@@ -40,6 +40,8 @@
     "finds no memory": NO_MEMORY_PAUSE_MS,
     "meets a replica that is replaced": JOINS_AFTER_MS,
 }
+BROKEN_CALLS = 6
+"""More than the attempts that a piece has."""
 LEAVES = "meets a replica that leaves"
 
 
@@ -90,6 +92,26 @@
         return 421, []
 
 
+class LostPath(FailingOnce):
+    """Breaks off calls as the path to the replica may be the cause."""
+
+    def __init__(self, *, in_doubt):
+        super().__init__(way="breaks off")
+        self._in_doubt = in_doubt
+
+    def is_path_in_doubt(self, address):
+        return self._in_doubt
+
+    async def call(self, address, items):
+        self.began_at.append(anyio.current_time() * 1_000)
+        if len(self.began_at) > BROKEN_CALLS:
+            return 200, [
+                {"handle": f"{address}/{n}"} for n in range(len(items))
+            ]
+        self.failed_at = anyio.current_time() * 1_000
+        raise ExchangeError(f"{address}: connection closed", sent=True)
+
+
 class _Exchange(Exchange):
     def __init__(self, *, connections, address):
         self._connections = connections
@@ -134,9 +156,9 @@
     idle_sleeps: int
 
 
-async def _run_request(way):
+async def _run_request(way, connections=None):
     clock = WatchedClock()
-    connections = FailingOnce(way=way)
+    connections = connections or FailingOnce(way=way)
     deployment = Deployment(clock=clock)
     deployment.replace_replicas([replica("m1")])
     answer = None
@@ -222,3 +244,22 @@
 def check_idle(context):
     sleeps = {way: s.idle_sleeps for way, s in context.outcomes.items()}
     assert set(sleeps.values()) == {0}, sleeps
+
+
+@given("a stage service whose calls break off six times")
+def six_broken_calls(context):
+    context.outcomes = {}
+
+
+@when("the path to its replica is in doubt, and when it is not")
+def path_in_doubt(context):
+    for in_doubt in (True, False):
+        context.outcomes[in_doubt] = run_virtual(
+            _run_request, "breaks off", LostPath(in_doubt=in_doubt)
+        )
+
+
+@then("a request's pieces are computed in the first case alone")
+def computed_in_doubt(context):
+    assert isinstance(context.outcomes[True].answer, Ok), context.outcomes
+    assert not isinstance(context.outcomes[False].answer, Ok), context.outcomes
