Log what replicas say of themselves, and whose state a daemon follows

Callers saw requests at replicas that had said they leave, or had asked for rest, and requests handled by an old configuration. The logs could tell none of the hypotheses apart: no line named either header, and none a failed read.

CD4001, CD4301, CD4302, CD4311 and CD4314 now name what the replica said (`leaves`, `rest_ms`, `replicas_said`). CD2208 tells the age of the state when a daemon changes its source, and CD2211 each failed read with its source, the reason, the age of the state and the wait that follows.

`Retry-After` is read on 503 only, in seconds with fractions; a date, a value below or equal to zero, one that cannot be read, and several values say nothing. Nothing acts on either header yet.

--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -166,9 +166,16 @@
     )
     SERVING_STATE_SOURCE = (
         2208,
-        "This daemon hears of the platform's store from another source now.",
+        "This daemon hears of the platform's store from another source now;"
+        " `age_ms` says how old its state is.",
         "",
     )
+    SERVING_STATE_NOT_READ = (
+        2211,
+        "A read of the platform's state failed, at `source`; `age_ms` says how"
+        " old the state here is, `retry_ms` when the next read comes.",
+        "Look at the store if it is named, or else at the daemon named.",
+    )
     DATA_CENTRE_EVACUATED = (
         2209,
         "The operator evacuates a data centre; its backend servers get no new"
--- a/cactusdyke/platform/wire.py
+++ b/cactusdyke/platform/wire.py
@@ -21,6 +21,7 @@
     PieceFailure,
     PieceResult,
     ReplicaLoad,
+    ReplicaStatement,
     StreamEvent,
 )
 from cactusdyke.serving.request import ClientRequest, Generation, PromptPart
@@ -37,6 +38,7 @@
 BYTES_PER_MB = 1_000_000.0
 SIGNATURE = b"x-response-stamp"
 NOT_RUN = b"x-not-executed"
+UNAVAILABLE_STATUS = 503
 
 _ONE_CONNECTION = frozenset(
     {
@@ -181,6 +183,7 @@
             load=_load(head.get(b"x-replica-load")),
             stated_limit=self.decode_stated_limit(head),
             stated_refusals=self.decode_stated_refusals(head),
+            statement=self.decode_statement(head),
         )
 
     def decode_stated_limit(self, head: AnswerHead) -> float | None:
@@ -193,6 +196,16 @@
         value = head.get(b"server-brittle")
         return None if value is None else _rate(value)
 
+    def decode_statement(self, head: AnswerHead) -> ReplicaStatement:
+        """Returns what a replica says of itself in the head of an answer."""
+        rest_ms: float | None = None
+        if head.status == UNAVAILABLE_STATUS:
+            rest_ms = _rest_ms(head)
+        return ReplicaStatement(
+            leaves=(head.get(b"server-leaving") or b"").strip() == b"1",
+            rest_ms=rest_ms,
+        )
+
     def event_reader(self) -> EventReader:
         """Returns a reader for one stream."""
         return _EventStreamReader()
@@ -442,5 +455,20 @@
     return rate if math.isfinite(rate) and rate > 0 else 0.0
 
 
+def _rest_ms(head: AnswerHead) -> float | None:
+    """Decodes the time for which a replica wants nothing, None if unreadable.
+
+    Several values are as unreadable as none: they contradict each other.
+    """
+    values = [v for n, v in head.headers if n.lower() == b"retry-after"]
+    try:
+        seconds = float(values[0]) if len(values) == 1 else 0.0
+    except ValueError:
+        return None
+    if not math.isfinite(seconds) or seconds <= 0:
+        return None
+    return seconds * MS_PER_SECOND
+
+
 def _bad(detail: str) -> Failure:
     return Failure(kind=FailureKind.BAD_REQUEST, detail=detail)
--- a/cactusdyke/serving/batcher.py
+++ b/cactusdyke/serving/batcher.py
@@ -283,13 +283,14 @@
         results: list[PieceResult] | None = None
         detail = "the replica is gone"
         refused = False
+        said: dict[str, object] = {}
         if replica is not None:
             timeout_ms = max(
                 MIN_CALL_TIMEOUT_MS, MAX_CALL_SLOWDOWN * batch.expected_ms
             )
             try:
                 with self._clock.timeout(timeout_ms) as scope:
-                    results = await self._exchange(replica, batch)
+                    results = await self._exchange(replica, batch, said)
                     refused = results is None
                     detail = "the replica refused the call"
                 if scope.cancelled_caught:
@@ -306,6 +307,7 @@
                 pieces=len(batch.tasks),
                 took_ms=round(took_ms),
                 detail=detail,
+                **said,
             )
         else:
             computed = sum(1 for result in results if result.handle)
@@ -321,6 +323,7 @@
                 waiting=self._queue.queued_count,
                 held_bytes=round(self._queue.held_bytes(batch.replica_name)),
                 crossed_bytes=round(self._transferred_bytes(batch)),
+                **said,
             )
         if refused or (results is None and self._is_path_in_doubt(replica)):
             settled = self._queue.call_refused(batch)
@@ -394,8 +397,9 @@
         return transferred
 
     async def _exchange(
-        self, replica: Replica, batch: Batch
+        self, replica: Replica, batch: Batch, said: dict[str, object]
     ) -> list[PieceResult] | None:
+        """Makes a call; puts what the replica says of itself into `said`."""
         now = self._clock.now()
         call = self._dialect.encode_pieces(
             replica, [(t.piece, t.group.deadline_at - now) for t in batch.tasks]
@@ -408,6 +412,7 @@
             if any(task.piece.inputs for task in batch.tasks):
                 self._tasks.start_soon(self._free_when_fetched, batch)
             head = await exchange.head()
+            said.update(self._dialect.decode_statement(head).fields)
             body = await exchange.whole_body(most=MAX_ANSWER_BYTES)
         if head.status == 421:
             self._deployment.mark_leaving(
--- a/cactusdyke/serving/dialect.py
+++ b/cactusdyke/serving/dialect.py
@@ -56,6 +56,30 @@
     slots: int
 
 
+@attrs.frozen(kw_only=True)
+class ReplicaStatement:
+    """What a replica says of itself in the head of an answer.
+
+    Attributes:
+        leaves: Whether it is about to end and wants no new work.
+        rest_ms: How long it wants nothing more from this daemon, None if it
+            does not say so.
+    """
+
+    leaves: bool = False
+    rest_ms: float | None = None
+
+    @property
+    def fields(self) -> dict[str, object]:
+        """What log events tell of it; empty if the replica said nothing."""
+        fields: dict[str, object] = {}
+        if self.leaves:
+            fields["leaves"] = True
+        if self.rest_ms is not None:
+            fields["rest_ms"] = round(self.rest_ms)
+        return fields
+
+
 @attrs.frozen(kw_only=True)
 class AnswerVerdict:
     """The decoded head of an answer.
@@ -70,6 +94,7 @@
             daemons together, None if it states no limit.
         stated_refusals: Requests that the replica may refuse in a second before
             it falls over, None if it states nothing of it.
+        statement: What else the replica says of itself.
     """
 
     kind: AnswerKind
@@ -79,6 +104,7 @@
     load: ReplicaLoad | None
     stated_limit: float | None = None
     stated_refusals: float | None = None
+    statement: ReplicaStatement = ReplicaStatement()
 
     @property
     def succeeded(self) -> bool:
@@ -228,6 +254,13 @@
             0 if the stated value cannot be read.
         """
 
+    @abc.abstractmethod
+    def decode_statement(self, head: AnswerHead) -> ReplicaStatement:
+        """Returns what a replica says of itself in the head of an answer.
+
+        A value that cannot be read counts as nothing said.
+        """
+
     @abc.abstractmethod
     def event_reader(self) -> EventReader:
         """Returns a reader for one stream."""
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -507,6 +507,9 @@
         if result.sent and replica.name not in context.sent_to:
             context.sent_to.append(replica.name)
         verdict = result.verdict
+        said = verdict.statement.fields if verdict is not None else {}
+        if said:
+            context.replicas_said[replica.name] = said
         if verdict is not None and verdict.load is not None:
             self._health.record_load(replica.name, verdict.load)
         if result.connection_broken:
@@ -537,6 +540,7 @@
             ran=str(result.ran),
             took_ms=round(took_ms),
             detail=result.detail,
+            **said,
             **(
                 {"digest": context.digest, "parts": context.shared_parts}
                 if result.connection_broken
--- a/cactusdyke/serving/request.py
+++ b/cactusdyke/serving/request.py
@@ -124,6 +124,8 @@
         origin: The software that began its stream, None before the first event.
         answer_began_at: When the first event of the current attempt came, None
             before it.
+        replicas_said: What replicas said of themselves in answers to its
+            attempts, by name, for log events.
     """
 
     request: ClientRequest
@@ -150,6 +152,7 @@
     transferred_bytes: float = 0.0
     origin: StreamOrigin | None = None
     answer_began_at: Instant | None = None
+    replicas_said: dict[str, dict[str, object]] = attrs.field(factory=dict)
 
     @property
     def stream_id(self) -> str:
--- a/cactusdyke/serving/request_log.py
+++ b/cactusdyke/serving/request_log.py
@@ -58,6 +58,7 @@
             gap_ms=round(state.longest_gap_ms),
             crossed_bytes=round(context.transferred_bytes),
             took_ms=round(took_ms),
+            **_said_fields(context),
             **_stream_fields(context, state),
         )
 
@@ -83,6 +84,7 @@
                 "parts_ms": _parts_ms(context, 0.0),
                 "waited_ms": round(context.waited_ms),
                 "results_made": _results_by_service(context),
+                **_said_fields(context),
                 **_stream_fields(context, state),
             }
         route = context.route.name if context else ""
@@ -134,6 +136,12 @@
         )
 
 
+def _said_fields(context: ServingContext) -> dict[str, object]:
+    """Returns what replicas said of themselves, nothing if none did."""
+    said = context.replicas_said
+    return {"replicas_said": said} if said else {}
+
+
 def _stream_fields(
     context: ServingContext, state: StreamState | None
 ) -> dict[str, object]:
--- a/cactusdyke/serving/state_exchange.py
+++ b/cactusdyke/serving/state_exchange.py
@@ -127,7 +127,11 @@
                 await self._reads_store.wait()
             read = await state.read(wait_ms=LONG_POLL_MS)
             if isinstance(read, Err):
-                await self._clock.sleep(self._retry_ms())
+                retry_ms = self._retry_ms()
+                self._log_failed_read(
+                    "the store", read.err_value.detail, retry_ms, state.name
+                )
+                await self._clock.sleep(retry_ms)
             elif read.ok_value:
                 await self._clock.sleep(COALESCE_MS)
 
@@ -176,7 +180,27 @@
             self._reads_store = anyio.Event()
         if source != self._source:
             self._source = source
-            events.log(events.Event.SERVING_STATE_SOURCE, source=source)
+            events.log(
+                events.Event.SERVING_STATE_SOURCE,
+                source=source,
+                age_ms=round(self._age_ms),
+            )
+
+    @property
+    def _age_ms(self) -> float:
+        return max(state.age_ms for state in self._states.values())
+
+    def _log_failed_read(
+        self, source: str, detail: str, retry_ms: float, kind: str = ""
+    ) -> None:
+        events.log(
+            events.Event.SERVING_STATE_NOT_READ,
+            source=source,
+            kind=kind,
+            detail=detail,
+            age_ms=round(self._age_ms),
+            retry_ms=round(retry_ms),
+        )
 
     async def _poll_any(self) -> None:
         others = [d for d in self._readers.current() if not d.is_local]
@@ -202,9 +226,13 @@
         with self._clock.timeout(timeout_ms):
             answer = await self._network.fetch(peer.address, request, options)
         if answer is None or isinstance(answer, Err):
+            detail = answer.err_value.detail if answer else "no answer"
+            self._log_failed_read(peer.name, detail, 0.0)
             return False
         body = answer.ok_value.body
         if answer.ok_value.status != 200 or not isinstance(body, bytes):
+            detail = f"status {answer.ok_value.status}"
+            self._log_failed_read(peer.name, detail, 0.0)
             return False
         try:
             for name, value in parse_object(body).unwrap()["states"].items():
--- a/emulator/dialect.py
+++ b/emulator/dialect.py
@@ -16,6 +16,7 @@
     MemoryReport,
     PieceFailure,
     PieceResult,
+    ReplicaStatement,
     StreamEvent,
 )
 from cactusdyke.serving.request import ClientRequest, Generation, PromptPart
@@ -133,6 +134,7 @@
             load=None,
             stated_limit=self.decode_stated_limit(head),
             stated_refusals=self.decode_stated_refusals(head),
+            statement=self.decode_statement(head),
         )
 
     def decode_stated_limit(self, head: AnswerHead) -> float | None:
@@ -145,6 +147,14 @@
         value = head.get(b"brittle")
         return None if value is None else float(value)
 
+    def decode_statement(self, head: AnswerHead) -> ReplicaStatement:
+        """Returns what a replica says of itself."""
+        rest_ms = head.get(b"rest_ms")
+        return ReplicaStatement(
+            leaves=head.get(b"leaves") == b"yes",
+            rest_ms=None if rest_ms is None else float(rest_ms),
+        )
+
     def event_reader(self) -> EventReader:
         """Returns a reader for one stream."""
         return _Events()
