Reproduce replicas that leave or rest, and readers of the store that are lost

Callers saw requests at replicas whose answers had said that they leave or want rest, and requests handled by an old configuration.

Emulated replicas and the stand-in now say both, on any answer: entries lapse and return, ids start again, daemons restart, are killed, cut from each other or from all replicas, replicas crash. The emulator counts what reaches a replica from a daemon that it had told, unless that daemon has started since. Fleets of 6 to 348 daemons lose their readers: dead, cut, slow, refused by the store.

Store and daemons of these fleets now take 1 ms to answer, as virtual time stands still otherwise while a daemon asks again at once.

--- a/emulator/daemons.py
+++ b/emulator/daemons.py
@@ -220,6 +220,7 @@
     def _compose(self, tasks: Any) -> None:
         world = self._world
         clock = world.clock
+        world.started_at[self.name] = clock.now()
         rng = random.Random(world.rng.random())
         network = world.hub.network(self.name)
         deployment = Deployment(clock=clock)
--- a/emulator/links.py
+++ b/emulator/links.py
@@ -26,6 +26,7 @@
     Tunnels,
     TunnelUnavailableError,
 )
+from emulator.statements import UNAVAILABLE_STATUS, Statements
 from emulator.world import ReplicaCut
 
 if TYPE_CHECKING:
@@ -60,11 +61,13 @@
         left: Set when the caller has closed the connection.
         crash: What it does to a replica that begins to run it, if that is
             a crash.
+        daemon: Name of the daemon whose host makes the connection.
     """
 
     path: str
     body: dict[str, Any]
     left: anyio.Event
+    daemon: str = ""
     crash: Crash | None = None
 
 
@@ -99,7 +102,6 @@
 BRITTLE_WINDOW_MS = 1_000.0
 FALLEN_MS = 3_000.0
 """How long a brittle replica is down that has fallen over."""
-UNAVAILABLE_STATUS = 503
 WRONG_REPLICA_STATUS = 421
 LIMIT_KNOWN_MS = 3_000.0
 """Within this time of its first statement all daemons know a limit."""
@@ -190,29 +192,34 @@
         self,
         *,
         answer: Answering,
+        daemon: str,
         limit: _StatedLimit,
         brittleness: _Brittleness,
+        statements: Statements,
     ) -> None:
         self._answer = answer
+        self._daemon = daemon
+        self._statements = statements
         self._limit = limit
         self._brittleness = brittleness
 
     def head(self, status: int, **headers: str) -> None:
         """Sends the head."""
-        self._answer.head(status, **headers, **self._stated())
+        self._answer.head(status, **headers, **self._stated(status))
 
     def whole(self, status: int, body: dict[str, Any], **headers: str) -> None:
         """Sends a whole answer."""
         if status == UNAVAILABLE_STATUS:
             self._brittleness.count_refusal()
-        self._answer.whole(status, body, **headers, **self._stated())
+        self._answer.whole(status, body, **headers, **self._stated(status))
 
-    def _stated(self) -> dict[str, str]:
+    def _stated(self, status: int) -> dict[str, str]:
         stated = {
             "limit": self._limit.requests_per_s,
             "brittle": self._brittleness.most_refused,
         }
-        return {k: str(v) for k, v in stated.items() if v is not None}
+        limits = {k: str(v) for k, v in stated.items() if v is not None}
+        return limits | self._statements.headers(status, self._daemon)
 
     def part(self, data: bytes) -> None:
         """Sends a part of the body."""
@@ -266,6 +273,7 @@
         self._cold_until: Instant = 0.0
         self._arrivals: collections.deque[Instant] = collections.deque()
         self._stated = _StatedLimit(world=world)
+        self.statements = Statements(world=world)
         self.brittleness = _Brittleness(
             world=world,
             fall=lambda: world.hub.start(self._crash_if_there, FALLEN_MS),
@@ -321,9 +329,17 @@
             return
         if call.path not in FREE_OF_LIMIT:
             self._stated.count_arrival()
+            self.statements.count_arrival(call.daemon)
         answer = _Stating(
-            answer=answer, limit=self._stated, brittleness=self.brittleness
+            answer=answer,
+            daemon=call.daemon,
+            limit=self._stated,
+            brittleness=self.brittleness,
+            statements=self.statements,
         )
+        if call.path not in FREE_OF_LIMIT and self.statements.draws_refusal():
+            answer.whole(UNAVAILABLE_STATUS, {}, ran="no")
+            return
         with anyio.CancelScope() as scope:
             self._calls.add(scope)
             if call.crash is not None:
@@ -398,6 +414,7 @@
             self.name = f"{self.name.partition('~')[0]}~{self._starts}"
         self._arrivals.clear()
         self.state_limit(None)
+        self.statements.clear()
         self.turn_cold()
         self.gone = False
 
@@ -508,7 +525,12 @@
         if wait_ms > CONNECT_TIMEOUT_MS:
             raise ExchangeError(f"{address}: no connection in time", sent=False)
         self._world.counts["connections"] += 1
-        exchange = _Exchange(world=self._world, backend=backend, way_ms=way_ms)
+        exchange = _Exchange(
+            world=self._world,
+            backend=backend,
+            daemon=self._daemon,
+            way_ms=way_ms,
+        )
         try:
             with self._links.opened(self._daemon, exchange):
                 yield exchange
@@ -556,10 +578,11 @@
     """The daemon's end of a connection."""
 
     def __init__(
-        self, *, world: World, backend: Backend, way_ms: float
+        self, *, world: World, backend: Backend, daemon: str, way_ms: float
     ) -> None:
         self._world = world
         self._backend = backend
+        self._daemon = daemon
         self._way_ms = way_ms
         self._sent = False
         self._silent = False
@@ -599,7 +622,13 @@
         if crash is not None:
             crashing = self._world.crashing[crash.name]
             crashing.arrivals.append(self._world.clock.now())
-        call = Call(path=target, body=value, left=self.left, crash=crash)
+        call = Call(
+            path=target,
+            body=value,
+            left=self.left,
+            crash=crash,
+            daemon=self._daemon,
+        )
         self._world.hub.start(self._serve, call)
 
     async def _serve(self, call: Call) -> None:
--- a/emulator/play.py
+++ b/emulator/play.py
@@ -31,6 +31,11 @@
 WINDOW_MS = 2_000.0
 LOOK_EVERY_MS = 50.0
 DRAIN_MS = 2_000.0
+LAPSE_MS = 600.0
+"""How long an entry is missing that lapses and returns unchanged."""
+RESTART_MS = 400.0
+LISTED_MS = 300.0
+"""From a start to the new entry of a replica that keeps its name."""
 """A replica that leaves serves for this long after it has said so."""
 
 
@@ -222,6 +227,16 @@
             await world.clock.sleep(for_ms)
             for backend in brittle:
                 backend.brittleness.set(None)
+        case "replicas_leave":
+            await _leave_unlisted(world, fault, links)
+        case "replicas_rest":
+            resting = _choose_share(world, fault, links)
+            for backend in resting:
+                backend.statements.rest_ms = fault.rest_s * MS_PER_SECOND
+                backend.statements.refuses = fault.refuses
+            await world.clock.sleep(for_ms)
+            for backend in resting:
+                backend.statements.refuses = 0.0
         case "replica_gone" | "replica_slow":
             backend = _choose(world, links, fault.service)
             backend.gone = fault.what == "replica_gone"
@@ -337,6 +352,28 @@
         backend.state_limit(None)
 
 
+async def _leave_unlisted(world: World, fault: Fault, links: Links) -> None:
+    """Lets replicas say that they leave, while the list has them as before.
+
+    In the middle their entries lapse for a moment and return unchanged. Each
+    ends, and is back as another process: half of them under the same name.
+    """
+    leaving = _choose_share(world, fault, links)
+    for backend in leaving:
+        backend.statements.leaves = True
+    await world.clock.sleep(fault.for_s * MS_PER_SECOND / 2)
+    for backend in leaving:
+        backend.list_late(LAPSE_MS, None)
+    await world.clock.sleep(fault.for_s * MS_PER_SECOND / 2)
+    for number, backend in enumerate(leaving):
+        crash = partial(
+            backend.crash,
+            down_ms=RESTART_MS,
+            listed_late_ms=LISTED_MS if number % 2 else None,
+        )
+        world.hub.start(crash)
+
+
 def _choose_share(world: World, fault: Fault, links: Links) -> list[Backend]:
     """Returns a share of a service's replicas that are there."""
     present = [
--- a/emulator/scenario.py
+++ b/emulator/scenario.py
@@ -206,6 +206,9 @@
             `replicas_limited` (state how many requests they take),
             `replicas_brittle` (state how many they may refuse in a second
             before they fall over, and let fewer wait),
+            `replicas_leave` (say in their answers that they leave, while the
+            platform's list has them as before, and are replaced in the end),
+            `replicas_rest` (refuse some requests and ask for rest then),
             `crashing_request` (comes again and again, and crashes each
             replica that begins to run it), or `crashing_part` (requests that
             share one part of their prompts and are otherwise all different;
@@ -226,6 +229,8 @@
         kind: Of which kind a crashing request is.
         harmless_s: How long requests with a crashing part crash nothing.
         parts: How many parts a crashing part is; they always come together.
+        refuses: Share of requests that replicas refuse which ask for rest.
+        rest_s: How long they want no more requests from a daemon then.
         every_s: Mean time between two arrivals of a crashing request.
         down_s: How long a replica is down that it has crashed.
         crash_after_ms: How long after its begin it crashes a replica.
@@ -253,6 +258,8 @@
     listed_late_s: float = 0.0
     harmless_s: float = 0.0
     parts: int = 1
+    refuses: float = 0.5
+    rest_s: float = 1.5
 
 
 @attrs.frozen(kw_only=True)
--- a/emulator/world.py
+++ b/emulator/world.py
@@ -93,6 +93,7 @@
         self.evacuated: frozenset[str] = frozenset()
         self.evacuated_at: dict[str, Instant] = {}
         self.cut_from_replicas: dict[str, ReplicaCut] = {}
+        self.started_at: dict[str, Instant] = {}
         self.executions: collections.Counter[str] = collections.Counter()
         self.busy_ms = 0.0
         self.wasted_ms = 0.0
--- /dev/null
+++ b/features/configuration_reach/reach.feature
@@ -0,0 +1,34 @@
+Feature: a change of the store reaches every daemon in time
+
+  Scenario Outline: <count> daemons and <trouble>
+    # Guards against followers that lose their sources together, and then neither
+    # read the store nor ask a daemon that has.
+    Given <count> daemons whose changes must be in force within <bound> ms
+    When things change beside <trouble>
+    Then every daemon that can know a change has it within half of that time
+
+    Examples: readers in trouble
+      | count | bound | trouble                                      |
+      | 6     | 2000  | readers that die                             |
+      | 6     | 2000  | readers that the store refuses               |
+      | 6     | 2000  | readers that are cut from the store          |
+      | 6     | 2000  | readers that are slow                        |
+      | 60    | 3000  | readers that die                             |
+      | 60    | 3000  | readers that the store refuses               |
+      | 60    | 3000  | readers that are cut from the store          |
+      | 60    | 3000  | readers that are unreachable for all         |
+      | 60    | 3000  | readers that are slow                        |
+      | 60    | 3000  | answers of the store that take long          |
+      | 60    | 3000  | most daemons being refused by the store      |
+      | 195   | 3000  | readers that die                             |
+      | 195   | 3000  | readers that the store refuses               |
+      | 348   | 3000  | readers that die                             |
+      | 348   | 3000  | most daemons being refused by the store      |
+
+  Scenario: a store that is away for ten seconds
+    # Guards against followers that ask one another, or the store, again and again
+    # while nobody can know anything new.
+    Given 60 daemons whose changes must be in force within 3000 ms
+    When things change beside the store being away for ten seconds
+    Then every daemon that can know a change has it within half of that time
+    And each daemon asks for state no more than 6 times a second meanwhile
--- a/features/steps/cold_emulated_steps.py
+++ b/features/steps/cold_emulated_steps.py
@@ -72,6 +72,7 @@
         policy: [results["s", policy, seed].counts for seed in SEEDS]
         for policy in (OURS, *policies)
     }
+    context.hows = [results["s", OURS, seed].hows for seed in SEEDS]
 
 
 @when("it is played with two seeds")
--- a/features/steps/limit_process_steps.py
+++ b/features/steps/limit_process_steps.py
@@ -42,7 +42,7 @@
     context.service, context.request = KINDS[kind]
 
 
-async def _send_for(world, request, seconds, numbers, statuses):
+async def send_for(world, request, seconds, numbers, statuses):
     async def send(number):
         status, _, _ = await world.request(
             daemon=DAEMONS[number % len(DAEMONS)],
@@ -73,14 +73,14 @@
         numbers = itertools.count()
         context.statuses = []
         sending = (world, context.request)
-        await _send_for(*sending, 2.0, numbers, context.statuses)
+        await send_for(*sending, 2.0, numbers, context.statuses)
         limited = world.replicas[f"{context.service}0"]
         limited.limit = "1"
         context.limited_at = anyio.current_time()
-        await _send_for(*sending, LIMITED_S, numbers, context.statuses)
+        await send_for(*sending, LIMITED_S, numbers, context.statuses)
         limited.limit = None
         context.ended_at = anyio.current_time()
-        await _send_for(*sending, AFTER_S, numbers, context.statuses)
+        await send_for(*sending, AFTER_S, numbers, context.statuses)
         context.arrivals = limited.arrivals
 
     play(story)
--- a/features/support/state_fleet.py
+++ b/features/support/state_fleet.py
@@ -18,6 +18,7 @@
 
 DATA_CENTRES = ("north", "east", "south")
 KIND = "things"
+HANDLING_MS = 1.0
 
 
 def peer(number: int, *, data_centres=DATA_CENTRES, **values) -> PeerDaemon:
@@ -63,14 +64,18 @@
 class StateFleet:
     """A store, and daemons that are all members of one deployment."""
 
-    def __init__(self, *, count: int, seed: int = 1) -> None:
+    def __init__(
+        self, *, count: int, seed: int = 1, apply_ms: float = 2_000.0
+    ) -> None:
         self.hub = Hub()
         self.store = PlatformStore(clock=self.hub.clock)
         self.states: dict[str, Things] = {}
         self.exchanges: dict[str, StateExchange] = {}
         self.attempts: collections.Counter[str] = collections.Counter()
         self.rejected: set[str] = set()
+        self.asked: collections.Counter[str] = collections.Counter()
         self._count = count
+        self._apply_ms = apply_ms
         self._rng = random.Random(seed)
 
     async def __aenter__(self) -> StateFleet:
@@ -141,5 +146,11 @@
         routes.add("GET", STATE_PATH, exchange.handle)
         self.states[own.name] = state
         self.exchanges[own.name] = exchange
-        self.hub.listen(own.address, routes.handle, owner=own.name)
+
+        async def handle(request: Request) -> Response:
+            self.asked[own.name] += 1
+            await self.hub.clock.sleep(HANDLING_MS)
+            return await routes.handle(request)
+
+        self.hub.listen(own.address, handle, owner=own.name)
         self.hub.start(exchange.run)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -51,6 +51,9 @@
         limit: Requests per second that it states in its answers; None for no
             limit.
         arrivals: When it was sent requests and stage calls.
+        leaves: Whether it says in all answers that it leaves.
+        rest: Seconds of rest that it asks for as it refuses every request;
+            None to refuse none.
     """
 
     def __init__(self, *, name: str) -> None:
@@ -77,6 +80,8 @@
         self.on_start: Callable[[str], None] = lambda before: None
         self.limit: str | None = None
         self.arrivals: list[float] = []
+        self.leaves = False
+        self.rest: str | None = None
         self._under_way: list[str] = []
         self._process = anyio.CancelScope()
         self._handles = 0
@@ -177,6 +182,8 @@
             for name, value in head.headers
         }
         path = head.target.decode()
+        if self.leaves:
+            stream = _LeavingStream(stream=stream)
         self.heads.append(headers)
         self.bodies.append(body)
         if self._is_crashing(path, body, headers):
@@ -187,7 +194,14 @@
         if expected != self.name:
             await stream.send(_plain(421, b"", {"X-Replica-Id": self.name}))
             return
-        if path == "/-/stage-run":
+        if self.rest is not None and path != "/-/report":
+            told = {
+                "X-Not-Executed": "1",
+                "X-Attempt-Id": headers.get("x-attempt-id", ""),
+                "Retry-After": self.rest,
+            }
+            await stream.send(_plain(503, b"", told))
+        elif path == "/-/stage-run":
             await self._run_pieces(stream, body)
         elif path == "/-/report":
             self.reports += 1
@@ -322,6 +336,26 @@
             await stream.send(b"0\r\n\r\n")
 
 
+class _LeavingStream:
+    """Adds to the head of an answer that its replica leaves."""
+
+    def __init__(self, *, stream: Any) -> None:
+        self._stream = stream
+        self._head_sent = False
+
+    async def send(self, data: bytes) -> None:
+        """Sends bytes of the answer."""
+        if not self._head_sent:
+            self._head_sent = True
+            data = data.replace(b"\r\n", b"\r\nServer-Leaving: 1\r\n", 1)
+        await self._stream.send(data)
+
+    async def receive(self) -> bytes:
+        """Receives bytes of the request."""
+        received: bytes = await self._stream.receive()
+        return received
+
+
 def _plain(
     status: int, body: bytes, headers: dict[str, str] | None = None
 ) -> bytes:
