Send nothing to replicas that said they leave or want rest

Callers saw requests served by a replica more than 6 s after its answers had said that it leaves, and 503 after four attempts within 150 ms at a replica that had asked for 3 s of rest.

Cause: nobody read the two headers, and no module knew what a replica says. The platform's list was the only source for a leaving replica, and its mark was dropped with a lapsed entry; a retry goes back to replicas that refused.

It is asked before every send: candidates of attempts, failing over and resuming, the decider's choice as it arrives, the moment between connecting and sending, calls of stages, freeing of results (put off until the rest ends), memory reports, questions for a start, connections relayed for others. The asker tells the decider which names to leave out, so a decider that does not know yet cannot offer them again and again. A withheld attempt blames nobody.

If all replicas of a service rest, a request is refused at once as not run, with the shortest rest as Retry-After; so are stages whose deadline is before it. A daemon that relayed a refused connection is told of the rest, as the replica saw its host; it answers 429 (not wanted) to further tunnels there, which does not make it a bad relay.

Stated limits, brittle and cold replicas, evacuations and health stay apart: they bound or weigh what is sent, and are asked of replicas that accept.

Emulated stage replicas tell their start in reports, as the platform's do.

--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -183,6 +183,7 @@
         self._core.quarantine.on_loaded(self._announce_when_ready)
         self._members.attach("crash-evidence", self._core.quarantine.attachment)
         self._members.attach("limits", self._core.limits_attachment)
+        self._members.attach("leaving", self._core.statements_attachment)
         self._front = Front(
             host=self._settings.front.host,
             port=self._settings.front.port,
--- a/cactusdyke/serving/attempt.py
+++ b/cactusdyke/serving/attempt.py
@@ -20,6 +20,7 @@
     from cactusdyke.clock import Clock
     from cactusdyke.serving.dialect import Dialect, StreamEvent
     from cactusdyke.serving.model import Replica
+    from cactusdyke.serving.replica_statements import ReplicaStatements
     from cactusdyke.serving.request import ServingContext
     from cactusdyke.serving.stated_limits import StatedLimits
     from cactusdyke.transport.answer_parser import AnswerHead
@@ -47,6 +48,7 @@
         connection_broken: Whether the exchange failed before the answer was
             complete, after a byte was sent.
         unframed: Whether the answer ended with its connection.
+        withheld: Whether nothing was sent as the replica accepts nothing now.
     """
 
     ran: Ran
@@ -57,6 +59,7 @@
     sent: bool = True
     connection_broken: bool = False
     unframed: bool = False
+    withheld: bool = False
 
     @property
     def inputs_gone(self) -> bool:
@@ -124,11 +127,13 @@
         dialect: Dialect,
         connections: BackendConnections,
         stated_limits: StatedLimits,
+        statements: ReplicaStatements,
     ) -> None:
         self._clock = clock
         self._connections = connections
         self._dialect = dialect
         self._stated_limits = stated_limits
+        self._statements = statements
 
     def is_replica_to_blame(
         self, replica: Replica, result: AttemptResult | None
@@ -137,6 +142,8 @@
 
         An answer does; the lack of one may be due to this daemon's path.
         """
+        if result is not None and result.withheld:
+            return False
         answered = result is not None and result.verdict is not None
         return answered or not self._connections.is_path_in_doubt(
             replica.address
@@ -158,6 +165,9 @@
                 async with self._connections.connect(
                     replica.address
                 ) as exchange:
+                    # Connecting takes time, in which another answer may come.
+                    if not self._statements.accepts(replica):
+                        return _WITHHELD
                     sent_at = self._clock.now()
                     await self._send(exchange, context, replica, handles, None)
                     head = await exchange.head()
@@ -201,6 +211,8 @@
                 async with self._connections.connect(
                     replica.address
                 ) as exchange:
+                    if not self._statements.accepts(replica):
+                        return _WITHHELD
                     sent = True
                     sent_at = self._clock.now()
                     await self._send(
@@ -261,12 +273,14 @@
         head: AnswerHead,
         sent_at: Instant,
     ) -> AnswerVerdict:
-        """Decodes the head of an answer and records the limit it states."""
+        """Decodes the head of an answer and records what it states."""
         verdict = self._dialect.decode_answer(context, head)
         is_own = verdict.kind not in {
             AnswerKind.FOREIGN,
             AnswerKind.WRONG_REPLICA,
         }
+        if is_own:
+            self._statements.record(replica, verdict.statement)
         # A replica that refuses or fails a request may leave the limit out.
         states = (
             verdict.stated_limit is not None
@@ -402,6 +416,14 @@
             state.last_event_number = event.number
 
 
+_WITHHELD = AttemptResult(
+    ran=Ran.NOT_RUN,
+    detail="the replica leaves, or has asked for rest",
+    sent=False,
+    withheld=True,
+)
+
+
 def _timed_out(timeout_ms: float) -> AttemptResult:
     return AttemptResult(
         ran=Ran.UNKNOWN, detail=f"no answer in {timeout_ms:.0f} ms"
--- a/cactusdyke/serving/batcher.py
+++ b/cactusdyke/serving/batcher.py
@@ -186,6 +186,7 @@
         replica_names = self._usable_replicas()
         ahead = self._queue.ahead_of(group) + len(group.tasks)
         backlog_ms = self._queue.backlog_ms(replica_names, ahead)
+        backlog_ms = max(backlog_ms, self._rest_left_ms())
         left_ms = group.deadline_at - self._clock.now()
         if replica_names and backlog_ms + self._queue.spec.call_ms <= left_ms:
             return None
@@ -226,7 +227,7 @@
 
     def _retry_after_ms(self) -> int:
         """Estimates when there is capacity for a request refused now."""
-        backlog_ms = self._queue.backlog().all_ms
+        backlog_ms = max(self._queue.backlog().all_ms, self._rest_left_ms())
         return int(min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, backlog_ms)))
 
     def _log_abandoned(self, group: PieceGroup, reason: str) -> None:
@@ -258,10 +259,24 @@
 
     def _callable_replicas(self) -> list[str]:
         """Returns the usable replicas without those that need a pause."""
-        exhausted = self._request_limits.exhausted(
+        usable = self._deployment.usable_replicas(self._service)
+        exhausted = self._request_limits.exhausted(usable)
+        accepting = {
+            replica.name
+            for replica in usable
+            if self._deployment.statements.accepts(replica)
+        }
+        return [
+            name
+            for name in self._usable_replicas()
+            if name in accepting and name not in exhausted
+        ]
+
+    def _rest_left_ms(self) -> float:
+        """Returns the time until a replica accepts calls, 0 if one does."""
+        return self._deployment.statements.until_any_accepts_ms(
             self._deployment.usable_replicas(self._service)
         )
-        return [n for n in self._usable_replicas() if n not in exhausted]
 
     def _start_calls(self) -> None:
         """Starts all calls that can be made now; schedules further checks."""
@@ -405,6 +420,8 @@
             replica, [(t.piece, t.group.deadline_at - now) for t in batch.tasks]
         )
         async with self._connections.connect(replica.address) as exchange:
+            if not self._deployment.statements.accepts(replica):
+                return None
             sent_at = self._clock.now()
             await exchange.send(
                 call.method, call.target, call.headers, call.body
@@ -412,13 +429,15 @@
             if any(task.piece.inputs for task in batch.tasks):
                 self._tasks.start_soon(self._free_when_fetched, batch)
             head = await exchange.head()
-            said.update(self._dialect.decode_statement(head).fields)
+            statement = self._dialect.decode_statement(head)
+            said.update(statement.fields)
             body = await exchange.whole_body(most=MAX_ANSWER_BYTES)
         if head.status == 421:
             self._deployment.mark_leaving(
                 replica, reason="another has its address"
             )
             return None
+        self._deployment.statements.record(replica, statement)
         results = self._dialect.decode_pieces(head, body, len(batch.tasks))
         limit = self._dialect.decode_stated_limit(head)
         refusals = self._dialect.decode_stated_refusals(head)
@@ -458,6 +477,10 @@
         due: dict[str, list[str]] = {}
         for address in list(self._to_free):
             replica = self._deployment.replica_at(address)
+            if replica is not None and (
+                self._deployment.statements.rest_left_ms(replica)
+            ):
+                continue
             if replica is not None and self._request_limits.states_limit(
                 replica
             ):
@@ -483,10 +506,19 @@
         try:
             with self._clock.timeout(FREE_TIMEOUT_MS):
                 async with self._connections.connect(address) as exchange:
+                    if not self._deployment.statements.accepts(replica):
+                        self.free(handles)
+                        return
                     await exchange.send(
                         call.method, call.target, call.headers, call.body
                     )
-                    await exchange.head()
+                    head = await exchange.head()
+                statement = self._dialect.decode_statement(head)
+                if self._deployment.statements.record_refusal(
+                    replica, statement
+                ):
+                    self.free(handles)
+                    return
         except ExchangeError as error:
             # The results occupy memory until they expire.
             events.log(
--- a/cactusdyke/serving/core.py
+++ b/cactusdyke/serving/core.py
@@ -35,6 +35,10 @@
 from cactusdyke.serving.stages import StageRunner
 from cactusdyke.serving.stated_limits import StatedLimits
 from cactusdyke.serving.stated_request_limit import StatedRequestLimit
+from cactusdyke.serving.statement_exchange import (
+    STATEMENTS_PATH,
+    StatementExchange,
+)
 from cactusdyke.serving.stream_continuation import StreamContinuation
 from cactusdyke.serving.stream_exchange import STREAMS_PATH, StreamExchange
 from cactusdyke.serving.stream_origins import StreamOrigins
@@ -187,6 +191,14 @@
             deciders=self._deciders,
             limits=stated_limits,
         )
+        self._statement_exchange = StatementExchange(
+            clock=clock,
+            rng=rng,
+            network=network,
+            daemons=daemons,
+            deployment=deployment,
+            relay_of=replica_connections.relay_of,
+        )
         self._quarantine = Quarantine(
             clock=clock,
             network=network,
@@ -243,6 +255,7 @@
                 dispatch=self._dispatch,
                 retry_policy=retry_policy,
                 continuation=continuation,
+                statements=deployment.statements,
             ),
             stages=StageRunner(
                 clock=clock,
@@ -255,6 +268,7 @@
                 dialect=dialect,
                 connections=replica_connections,
                 stated_limits=stated_limits,
+                statements=deployment.statements,
             ),
             retry_policy=retry_policy,
             health=health,
@@ -291,6 +305,11 @@
         """Attaches the limits of replicas to gossip messages."""
         return self._limit_exchange.attachment
 
+    @property
+    def statements_attachment(self) -> Attachment:
+        """Attaches the replicas that leave to gossip messages."""
+        return self._statement_exchange.attachment
+
     @property
     def decided_service_hashes(self) -> frozenset[int]:
         """Hashes of the services that this daemon announces to decide for."""
@@ -313,6 +332,7 @@
             "decider": self._decider,
             "dispatch": self._dispatch,
             "limit_exchange": self._limit_exchange,
+            "statement_exchange": self._statement_exchange,
             "stream_exchange": self._stream_exchange,
             "untold_origins": self._untold_origins,
             "quarantine": self._quarantine,
@@ -331,4 +351,5 @@
             ("GET", CRASHES_PATH, self._quarantine.show),
             ("POST", LIMITS_PATH, self._limit_exchange.handle),
             ("POST", STREAMS_PATH, self._stream_exchange.handle),
+            ("POST", STATEMENTS_PATH, self._statement_exchange.handle),
         ]
--- a/cactusdyke/serving/deployment.py
+++ b/cactusdyke/serving/deployment.py
@@ -10,12 +10,13 @@
 from cactusdyke.kernel import Service
 from cactusdyke.serving.cold_replicas import ColdReplicas
 from cactusdyke.serving.model import ReplicaState
+from cactusdyke.serving.replica_statements import ReplicaStatements
 from cactusdyke.serving.routes import RouteTable
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from cactusdyke.clock import Clock, Instant
+    from cactusdyke.clock import Clock
     from cactusdyke.serving.model import (
         Customer,
         Replica,
@@ -55,11 +56,17 @@
         self._replicas: dict[str, Replica] = {}
         self._usable_by_service: dict[str, list[Replica]] = {}
         self._replicas_received = False
-        self._leaving: dict[str, Instant] = {}
+        self._statements = ReplicaStatements(clock=clock)
+        self._statements.on_leaving(self._exclude_leaving)
         self._customer_by_key: dict[str, Customer] = {}
         self._route_priority_count = 1
         self._hooks: list[Callable[[], None]] = []
 
+    @property
+    def statements(self) -> ReplicaStatements:
+        """What replicas said of themselves; asked before each send."""
+        return self._statements
+
     @property
     def configuration(self) -> ServingConfiguration | None:
         """The current configuration, None before the first."""
@@ -184,10 +191,9 @@
 
     def replace_replicas(self, replicas: Iterable[Replica]) -> None:
         """Replaces all known replicas."""
-        before, self._replicas = self._replicas, {r.name: r for r in replicas}
+        self._replicas = {r.name: r for r in replicas}
         self._replicas_received = True
         for replica in self._replicas.values():
-            self._forget_leaving_if_restarted(before.get(replica.name), replica)
             self._cold.record(replica)
         self._index()
 
@@ -196,18 +202,11 @@
         known = self._replicas.get(replica.name)
         if known == replica:
             return
-        self._forget_leaving_if_restarted(known, replica)
         self._replicas[replica.name] = replica
         self._cold.record(replica)
         if known is None or not _differ_in_cold_time_only(known, replica):
             self._index()
 
-    def _forget_leaving_if_restarted(
-        self, known: Replica | None, replica: Replica
-    ) -> None:
-        if known is not None and known.born != replica.born:
-            self._leaving.pop(replica.name, None)
-
     def remove_replica(self, name: str) -> None:
         """Removes a replica that has left."""
         if self._replicas.pop(name, None) is not None:
@@ -250,6 +249,15 @@
         """
         return self._usable_by_service.get(service, [])
 
+    def unusable_names(self, service: str) -> set[str]:
+        """Returns the names of a service's replicas that must get no work."""
+        usable = {replica.name for replica in self.usable_replicas(service)}
+        return {
+            replica.name
+            for replica in self._replicas.values()
+            if replica.service == service and replica.name not in usable
+        }
+
     def is_cold(self, replica: Replica) -> bool:
         """Returns whether requests to a replica are limited as it is cold."""
         return self.cold_left_ms(replica) > 0
@@ -266,7 +274,7 @@
             and known.state is ReplicaState.READY
             and known.address == replica.address
             and known.data_centre not in self._evacuated
-            and replica.name not in self._leaving
+            and not self._statements.leaves(known)
         )
 
     def mark_leaving(self, replica: Replica, *, reason: str) -> None:
@@ -280,27 +288,27 @@
             replica: The replica.
             reason: How it was recognised, for the log.
         """
-        if replica.name not in self._leaving:
-            self._leaving[replica.name] = self._clock.now()
-            events.log(
-                events.Event.BACKEND_SERVER_LEAVING,
-                backend_server=replica.name,
-                reason=reason,
-            )
-            self._index()
+        self._statements.record_leaving(
+            replica.name, replica.born, reason=reason
+        )
+
+    def _exclude_leaving(self, name: str, born: int, reason: str) -> None:
+        events.log(
+            events.Event.BACKEND_SERVER_LEAVING,
+            backend_server=name,
+            born=born,
+            reason=reason,
+        )
+        self._index()
 
     def _index(self) -> None:
-        self._leaving = {
-            name: at
-            for name, at in self._leaving.items()
-            if name in self._replicas
-        }
+        self._statements.update_listed(self._replicas)
         self._cold.remove_unknown(self.replica_names)
         grouped: dict[str, list[Replica]] = {}
         for replica in self._replicas.values():
             if replica.state is not ReplicaState.READY:
                 continue
-            if replica.name in self._leaving:
+            if self._statements.leaves(replica):
                 continue
             if replica.data_centre in self._evacuated:
                 continue
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -323,7 +323,11 @@
                 await self._clock.sleep(REFUSAL_BACKOFF_MS)
         if last_answer is not None and not state.head_sent:
             return await self._deliver(context, last_answer, reply)
-        return request_failures.attempts_exhausted(context, result)
+        return request_failures.attempts_exhausted(
+            context,
+            result,
+            rest_left_ms=self._retry_policy.rest_left_ms(context),
+        )
 
     async def _run_stages(
         self, context: ServingContext, results: StageResults
@@ -355,7 +359,11 @@
         inputs = self._stages.input_bytes_by_data_centre(context, results)
         choice = await self._choice.choose(context, inputs)
         if choice is None:
-            return request_failures.no_replica(context), None
+            rest_left_ms = self._retry_policy.rest_left_ms(context)
+            failure = request_failures.no_replica(
+                context, rest_left_ms=rest_left_ms
+            )
+            return failure, None
         # It may have waited for the decider, or for a replica.
         refusal = await self._quarantine.check(context)
         if refusal is not None:
--- a/cactusdyke/serving/memory_reports.py
+++ b/cactusdyke/serving/memory_reports.py
@@ -75,6 +75,8 @@
         negligible = 0
         try:
             for _ in range(MOST_QUESTIONS):
+                if not self._deployment.statements.accepts(replica):
+                    return
                 report = await self._request_report(replica)
                 if report is None:
                     return
@@ -104,6 +106,13 @@
                     )
                     head = await exchange.head()
                     body = await exchange.whole_body(most=MAX_ANSWER_BYTES)
+                statement = self._dialect.decode_statement(head)
+                if self._dialect.decode_born(head, body) == replica.born:
+                    self._deployment.statements.record(replica, statement)
+                else:
+                    self._deployment.statements.record_refusal(
+                        replica, statement
+                    )
                 return self._dialect.decode_memory_report(head, body)
         except ExchangeError as error:
             events.log(
--- a/cactusdyke/serving/relay.py
+++ b/cactusdyke/serving/relay.py
@@ -6,7 +6,11 @@
 from typing import TYPE_CHECKING
 
 from cactusdyke.kernel import Service
-from cactusdyke.transport.tunnel import TunnelGate, TunnelUnavailableError
+from cactusdyke.transport.tunnel import (
+    TunnelGate,
+    TunnelNotWantedError,
+    TunnelUnavailableError,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -55,8 +59,12 @@
         """Counts a tunnel while the block runs.
 
         Raises:
+            TunnelNotWantedError: The replica wants nothing from this daemon.
             TunnelUnavailableError: The tunnel must be asked of another daemon.
         """
+        replica = self._deployment.replica_at(address)
+        if replica and not self._deployment.statements.accepts(replica):
+            raise TunnelNotWantedError(f"{address} wants nothing from here")
         refusal = self._refusal(address)
         if refusal:
             raise TunnelUnavailableError(refusal)
--- a/cactusdyke/serving/replica_choice.py
+++ b/cactusdyke/serving/replica_choice.py
@@ -13,13 +13,14 @@
     from collections.abc import Mapping
 
     from cactusdyke.serving.dispatch import Dispatch
+    from cactusdyke.serving.replica_statements import ReplicaStatements
     from cactusdyke.serving.request import ServingContext
     from cactusdyke.serving.retry_policy import RetryPolicy
     from cactusdyke.serving.stream_continuation import StreamContinuation
 
 MAX_CHOICES = 4
-"""Choices that are dropped for one attempt, as they cannot continue a stream,
-before the attempt fails."""
+"""Choices that are dropped for one attempt, as they cannot continue a stream or
+accept nothing now, before the attempt fails."""
 
 
 @attrs.frozen(kw_only=True)
@@ -44,7 +45,9 @@
         dispatch: Dispatch,
         retry_policy: RetryPolicy,
         continuation: StreamContinuation,
+        statements: ReplicaStatements,
     ) -> None:
+        self._statements = statements
         self._dispatch = dispatch
         self._retry_policy = retry_policy
         self._continuation = continuation
@@ -64,7 +67,9 @@
             choice = await self._choose(context, inputs)
             if choice is None:
                 return None
-            if await self._continuation.admits(context, choice.replica):
+            if await self._continuation.admits(
+                context, choice.replica
+            ) and self._statements.accepts(choice.replica):
                 return choice
             self.end(choice, failed=False)
         return None
--- a/cactusdyke/serving/replica_connections.py
+++ b/cactusdyke/serving/replica_connections.py
@@ -13,7 +13,10 @@
     Exchange,
     ExchangeError,
 )
-from cactusdyke.transport.tunnel import TunnelUnavailableError
+from cactusdyke.transport.tunnel import (
+    TunnelNotWantedError,
+    TunnelUnavailableError,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -22,6 +25,7 @@
     from cactusdyke.clock import Clock
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.metrics import ServingMetrics
+    from cactusdyke.serving.peers import PeerDaemon
     from cactusdyke.serving.reach_check import ReachCheck
     from cactusdyke.serving.relay_choice import RelayChoice
     from cactusdyke.serving.replica_paths import ReplicaPaths
@@ -60,6 +64,7 @@
         self._relays = relays
         self._deployment = deployment
         self._metrics = metrics
+        self._relays_used: dict[str, PeerDaemon] = {}
         self._unverified: set[str] = set()
         self._unverified_added = anyio.Event()
         self._path_lost = anyio.Event()
@@ -68,6 +73,16 @@
         """Returns whether only other daemons reach a replica."""
         return self._paths.is_lost(address)
 
+    def relay_of(self, address: str) -> PeerDaemon | None:
+        """Returns the daemon that an address was last reached through.
+
+        Returns:
+            None if this daemon reaches it by itself.
+        """
+        if not self._paths.is_lost(address):
+            return None
+        return self._relays_used.get(address)
+
     def is_path_in_doubt(self, address: str) -> bool:
         """Returns whether a failure just now may have been the path's fault."""
         return self._paths.is_in_doubt(address)
@@ -187,12 +202,15 @@
                 exchange = await stack.enter_async_context(
                     self._tunnels.connect(relay.address, address)
                 )
+            except TunnelNotWantedError:
+                continue
             except TunnelUnavailableError:
                 self._relays.avoid(relay)
             except ExchangeError:
                 self._paths.record_down(address)
                 raise
             else:
+                self._relays_used[address] = relay
                 self._paths.record_relayed(address)
                 self._path_lost.set()
                 self._metrics.connection_relayed()
--- a/cactusdyke/serving/request_failures.py
+++ b/cactusdyke/serving/request_failures.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -69,27 +70,42 @@
     )
 
 
-def no_replica(context: ServingContext) -> Failure:
-    """Returns the failure of a request that no replica can be sent."""
+def no_replica(context: ServingContext, *, rest_left_ms: float) -> Failure:
+    """Returns the failure of a request that no replica can be sent.
+
+    Args:
+        context: The request.
+        rest_left_ms: Time until a replica accepts it, 0 if not all want rest.
+    """
+    if rest_left_ms:
+        detail = f"all replicas of {context.service} have asked for rest"
+    else:
+        detail = f"no replica of {context.service} can be used"
     return for_whole_request(
         context,
         Failure(
             kind=FailureKind.NO_BACKEND_SERVER,
-            detail=f"no replica of {context.service} can be used",
-            retry_after_ms=NOT_READY_RETRY_AFTER_MS,
+            detail=detail,
+            retry_after_ms=math.ceil(rest_left_ms) or NOT_READY_RETRY_AFTER_MS,
         ),
     )
 
 
 def attempts_exhausted(
-    context: ServingContext, result: AttemptResult
+    context: ServingContext, result: AttemptResult, *, rest_left_ms: float
 ) -> Failure:
-    """Returns the failure of a request after its last attempt."""
+    """Returns the failure of a request after its last attempt.
+
+    Args:
+        context: The request.
+        result: The result of the last attempt.
+        rest_left_ms: Time until a replica accepts it, 0 if not all want rest.
+    """
     return for_whole_request(
         context,
         Failure(
             kind=FailureKind.NO_BACKEND_SERVER,
             detail=result.detail,
-            retry_after_ms=RETRY_AFTER_MS,
+            retry_after_ms=math.ceil(rest_left_ms) or RETRY_AFTER_MS,
         ),
     )
--- a/cactusdyke/serving/retry_policy.py
+++ b/cactusdyke/serving/retry_policy.py
@@ -85,6 +85,7 @@
         usable = self._deployment.usable_replicas(context.service)
         return any(
             other.name not in sent_to
+            and self._deployment.statements.accepts(other)
             and self._continuation.allows(context, other)
             for other in usable
         )
@@ -97,6 +98,7 @@
         return self.can_fail_over(context, replica) and any(
             other.name != replica.name
             and other.name not in context.sent_to
+            and self._deployment.statements.accepts(other)
             and self._continuation.can_follow(other, replica)
             for other in usable
         )
@@ -111,13 +113,24 @@
         usable = [
             replica
             for replica in self._deployment.usable_replicas(context.service)
-            if self._connection_share.has_capacity(replica)
+            if self._deployment.statements.accepts(replica)
+            and self._connection_share.has_capacity(replica)
             and self._continuation.allows(context, replica)
         ]
         if len(context.sent_to) < context.route.max_attempts:
             return usable
         return [r for r in usable if r.name in context.sent_to]
 
+    def rest_left_ms(self, context: ServingContext) -> float:
+        """Returns the time until a replica accepts a request, if all rest.
+
+        Returns:
+            Milliseconds; 0 if not all replicas of the service want rest.
+        """
+        return self._deployment.statements.until_any_accepts_ms(
+            self._deployment.usable_replicas(context.service)
+        )
+
     def is_limited(self, replica: Replica) -> bool:
         """Returns whether the decider has to agree to a replica."""
         return self._request_limits.is_limited(replica)
@@ -126,7 +139,9 @@
         """Returns the names of engines that a placement must not use."""
         usable = self._deployment.usable_replicas(context.service)
         allowed = {r.name for r in self.candidates(context)}
-        excluded = {r.name for r in usable} - allowed
+        # Another daemon may not know yet which replicas leave.
+        excluded = self._deployment.unusable_names(context.service)
+        excluded |= {r.name for r in usable} - allowed
         failed = set(context.failed_replicas)
         return excluded if allowed <= failed else excluded | failed
 
--- a/cactusdyke/serving/stream_continuation.py
+++ b/cactusdyke/serving/stream_continuation.py
@@ -131,6 +131,8 @@
             return False
         if context.origin is None or not replica.born:
             return True
+        if not self._deployment.statements.accepts(replica):
+            return False
         born = await self._query_born(replica)
         if born is None or born == replica.born:
             return True
@@ -152,7 +154,15 @@
                     )
                     head = await exchange.head()
                     body = await exchange.whole_body(most=MAX_REPORT_BYTES)
-                    return self._dialect.decode_born(head, body)
+                    born = self._dialect.decode_born(head, body)
+                    statement = self._dialect.decode_statement(head)
+                    if born == replica.born:
+                        self._deployment.statements.record(replica, statement)
+                    else:
+                        self._deployment.statements.record_refusal(
+                            replica, statement
+                        )
+                    return born
             except ExchangeError:
                 return None
         return None
--- a/cactusdyke/transport/tunnel.py
+++ b/cactusdyke/transport/tunnel.py
@@ -34,6 +34,7 @@
 OK_STATUS = 200
 REFUSED_STATUS = 502
 UNAVAILABLE_STATUS = 503
+NOT_WANTED_STATUS = 429
 TIMEOUT_STATUS = 504
 
 
@@ -44,6 +45,13 @@
     """
 
 
+class TunnelNotWantedError(TunnelUnavailableError):
+    """A backend server wants nothing from a daemon, which still relays others.
+
+    Nothing was sent through it.
+    """
+
+
 class Tunnels(abc.ABC):
     """Opens connections to backend servers through other daemons."""
 
@@ -147,6 +155,8 @@
             sent=False,
             refused=status == REFUSED_STATUS,
         )
+    if status == NOT_WANTED_STATUS:
+        raise TunnelNotWantedError(f"{relay}: {address} wants nothing from it")
     if status != OK_STATUS:
         raise TunnelUnavailableError(f"{relay}: answered {status}")
 
@@ -282,6 +292,8 @@
             gate.record_connected(address)
             await _pass_on(asker, transport, end)
             return None
+    except TunnelNotWantedError:
+        return Response(status=NOT_WANTED_STATUS)
     except TunnelUnavailableError:
         return Response(status=UNAVAILABLE_STATUS)
 
--- a/emulator/daemons.py
+++ b/emulator/daemons.py
@@ -281,6 +281,7 @@
         )
         members.attach("crash-evidence", core.quarantine.attachment)
         members.attach("limits", core.limits_attachment)
+        members.attach("leaving", core.statements_attachment)
         for evidence in world.saved.values():
             core.quarantine.merge(evidence)
         core.quarantine.mark_loaded()
--- a/emulator/stage_replicas.py
+++ b/emulator/stage_replicas.py
@@ -41,7 +41,9 @@
                 self._drop(handle)
             answer.whole(200, {})
         else:
-            answer.whole(200, {"free_mb": math.floor(self._told_free() / MB)})
+            told = {"born": self.born}
+            told["free_mb"] = math.floor(self._told_free() / MB)
+            answer.whole(200, told)
 
     async def _make(self, call: Call, answer: Answering) -> None:
         if self._waiting > WAITING_CALLS:
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -29,6 +29,7 @@
 )
 from cactusdyke.serving.peer_watch import ALIVE_PATH, PeerWatch
 from cactusdyke.serving.peers import PeerDaemon
+from cactusdyke.serving.replica_statements import ReplicaStatements
 from cactusdyke.serving.stage_queue import PieceGroup, PieceTask
 from cactusdyke.serving.stated_limits import StatedLimits
 from cactusdyke.transport.messages import json_response
@@ -373,6 +374,7 @@
             dialect=PlatformDialect(),
             connections=Replicas(),
             stated_limits=StatedLimits(clock=clock),
+            statements=ReplicaStatements(clock=clock),
         )
         verdict = AnswerVerdict(
             kind=AnswerKind.ANSWER,
--- a/features/support/limit_fleet.py
+++ b/features/support/limit_fleet.py
@@ -52,6 +52,7 @@
         data_centre="north",
         state=ReplicaState.READY,
         slots=64,
+        born=1,
     )
 
 
@@ -250,7 +251,11 @@
             ),
         )
         chosen = await core._dispatch.place(
-            SERVICE, f"{name}/{number}", generation, (), {}
+            SERVICE,
+            f"{name}/{number}",
+            generation,
+            self._excluded(core, SERVICE),
+            {},
         )
         await self.hub.awake(name)
         if chosen is None:
@@ -295,13 +300,22 @@
             # Read only after all are written: news passes one daemon a round.
             for sender, receiver, value in sent:
                 if value is not None:
-                    attachment = self.cores[receiver].limits_attachment
+                    attachment = self._attachment(self.cores[receiver])
                     attachment.read(_member(sender), value)
 
     def _write(self, sender, receiver):
-        attachment = self.cores[sender].limits_attachment
+        attachment = self._attachment(self.cores[sender])
         return sender, receiver, attachment.write(_member(receiver))
 
+    def _excluded(self, core, service):
+        """Returns the names of replicas that a daemon itself leaves out."""
+        del core, service
+        return ()
+
+    def _attachment(self, core):
+        """Returns the attachment to probes that the fleet is about."""
+        return core.limits_attachment
+
 
 def _member(name):
     return Member(
