--- /dev/null
+++ b/features/configuration_reach/ages.feature
@@ -0,0 +1,33 @@
+Feature: a state is as old as what its source last confirmed
+
+  Scenario Outline: <what> takes <late> ms longer
+    # Guards against an age that counts from when an answer arrived.
+    Given a state that the store has listed
+    When <what> takes <late> ms longer
+    Then the state is between <least> and <most> ms old
+
+    Examples:
+      | what                          | late | least | most |
+      | a watch without a change      | 0    | 0     | 5    |
+      | a watch without a change      | 700  | 695   | 705  |
+      | a change after a slow watch   | 700  | 695   | 705  |
+      | a list                        | 300  | 295   | 305  |
+      | an answer of another daemon   | 250  | 245   | 255  |
+
+  Scenario: a source that is stale while its follower reads the store
+    # Guards against a follower that stays with a stale source, and asks it again
+    # and again, as it knows more by itself.
+    Given 6 daemons whose changes must be in force within 2000 ms
+    When the store refuses the readers for a while
+    Then their followers have left them, and ask them a few times at most
+
+  Scenario: readers that are avoided have substitutes
+    # Guards against followers that all read the store, or all try it often.
+    When a daemon avoids both readers among 60
+    Then the next two in rank read for it, and nobody if it avoids these too
+
+  Scenario: a source that lacks a kind
+    # Guards against a daemon that counts as current without knowing all kinds.
+    Given 6 daemons whose changes must be in force within 2000 ms
+    When a source tells of no state
+    Then it counts as silent
--- a/features/replica_statements/statements.feature
+++ b/features/replica_statements/statements.feature
@@ -50,7 +50,7 @@
 
   Scenario Outline: an answer <status> with <headers>
     # Guards against a rest or a leaving that no replica has told.
-    When a replica answers <status> with <headers>
+    When an answer of a replica is <status> with <headers>
     Then it has said <said>
 
     Examples:
--- a/features/steps/replica_statement_steps.py
+++ b/features/steps/replica_statement_steps.py
@@ -129,7 +129,7 @@
     assert left_ms == MAX_REST_MS == 60_000.0, left_ms
 
 
-@when("a replica answers {status:d} with {headers}")
+@when("an answer of a replica is {status:d} with {headers}")
 def answers(context, status, headers):
     pairs = [
         tuple(part.strip().encode() for part in header.split(":", 1))
--- /dev/null
+++ b/features/steps/state_age_steps.py
@@ -0,0 +1,180 @@
+"""Steps for how old a copy of the store's state is."""
+
+from __future__ import annotations
+
+import anyio
+import attrs
+from behave import given, then, when
+from result import Ok
+
+from cactusdyke.clock import EventLoopClock
+from cactusdyke.infrastructure.watched_store import (
+    Change,
+    Changes,
+    Listing,
+    StoreObject,
+    WatchedStore,
+)
+from cactusdyke.serving.state_exchange import STATE_PATH
+from cactusdyke.serving.state_readers import RankedReaders, rank_readers
+from cactusdyke.transport.messages import json_response
+from features.support.state_fleet import FixedDaemons, StateFleet, Things, peer
+from standins import virtual
+
+WAIT_MS = 400.0
+SETTLED_S = 1.5
+WATCHED_S = 1.0
+MOST_QUESTIONS = 12
+"""Of all followers to both readers in a second; long polls alone are ten."""
+
+
+class _Store(WatchedStore):
+    """Answers after the wait, or at once if it has a change, and then late."""
+
+    def __init__(self):
+        self.late_ms = 0.0
+        self.change = False
+
+    async def list(self, kind):
+        await anyio.sleep(self.late_ms / 1_000)
+        return Ok(Listing(objects=(), revision=1))
+
+    async def watch(self, kind, *, revision, wait_ms):
+        held_ms = 0.0 if self.change else wait_ms
+        await anyio.sleep((held_ms + self.late_ms) / 1_000)
+        if not self.change:
+            return Ok(Changes(changes=(), revision=revision))
+        entry = StoreObject(name="new", revision=revision + 1, spec={})
+        changes = (Change(object=entry, deleted=False),)
+        return Ok(Changes(changes=changes, revision=revision + 1))
+
+    async def put(self, kind, name, spec):
+        raise AssertionError("nothing is written")
+
+    async def delete(self, kind, name):
+        raise AssertionError("nothing is written")
+
+
+@given("a state that the store has listed")
+def listed(context):
+    context.store = _Store()
+
+
+async def _watch_slowly(state, store, late_ms):
+    store.late_ms = late_ms
+    await state.read(wait_ms=WAIT_MS)
+
+
+async def _change_slowly(state, store, late_ms):
+    await _watch_slowly(state, store, late_ms)
+    store.change = True
+    await state.read(wait_ms=WAIT_MS)
+
+
+async def _list_slowly(state, store, late_ms):
+    store.late_ms = late_ms
+    state._listed = False
+    await state.read(wait_ms=WAIT_MS)
+
+
+async def _merge_slowly(state, store, late_ms):
+    del store
+    state.merge(
+        {"revision": 9, "age_ms": 0, "objects": []},
+        source="d1",
+        transit_ms=late_ms,
+    )
+
+
+STORIES = {
+    "a watch without a change": _watch_slowly,
+    "a change after a slow watch": _change_slowly,
+    "a list": _list_slowly,
+    "an answer of another daemon": _merge_slowly,
+}
+
+
+@when("{what} takes {late:d} ms longer")
+def takes_longer(context, what, late):
+    async def run():
+        state = Things(store=context.store, clock=EventLoopClock())
+        await state.read(wait_ms=0.0)
+        await anyio.sleep(5.0)
+        await STORIES[what](state, context.store, late)
+        context.age_ms = state.age_ms
+
+    virtual.run_virtual(run, seed=1)
+
+
+@then("the state is between {least:d} and {most:d} ms old")
+def check_age(context, least, most):
+    assert least <= context.age_ms <= most, context.age_ms
+
+
+@when("the store refuses the readers for a while")
+def refuses(context):
+    async def run():
+        fleet = StateFleet(count=context.count, apply_ms=context.bound_ms)
+        async with fleet:
+            context.readers = set(fleet.readers)
+            fleet.rejected |= context.readers
+            await anyio.sleep(SETTLED_S)
+            fleet.asked.clear()
+            await anyio.sleep(WATCHED_S)
+            context.asked = {name: fleet.asked[name] for name in fleet.asked}
+            context.sources = {
+                name: fleet.source_of(name)
+                for name in fleet.states
+                if name not in context.readers
+            }
+
+    virtual.run_virtual(run, seed=1)
+
+
+@then("their followers have left them, and ask them a few times at most")
+def check_left(context):
+    assert not context.readers & set(context.sources.values())
+    asked = sum(context.asked.get(name, 0) for name in context.readers)
+    assert asked <= MOST_QUESTIONS, context.asked
+
+
+@when("a daemon avoids both readers among 60")
+def avoids(context):
+    daemons = tuple(peer(n) for n in range(60))
+    context.ranked = [d.name for d in rank_readers(daemons)]
+    context.ranks = RankedReaders(daemons=FixedDaemons(daemons))
+
+
+@then("the next two in rank read for it, and nobody if it avoids these too")
+def check_substitutes(context):
+    def current(avoided):
+        return [d.name for d in context.ranks.current(avoided)]
+
+    ranked = context.ranked
+    assert current(()) == ranked[:2]
+    assert current(ranked[:1]) == ranked[1:3]
+    assert current(ranked[:2]) == ranked[2:4]
+    assert current(ranked[:4]) == []
+
+
+@when("a source tells of no state")
+def tells_nothing(context):
+    async def run():
+        fleet = StateFleet(count=context.count)
+        async with fleet:
+
+            async def handle(request):
+                assert request.path == STATE_PATH
+                return json_response({"held_ms": 0, "states": {}})
+
+            fleet.hub.listen("empty:1", handle, owner="empty")
+            empty = attrs.evolve(peer(1), address="empty:1")
+            exchange = next(iter(fleet.exchanges.values()))
+            context.age_ms = await exchange._poll(empty, wait_ms=0.0)
+
+    virtual.run_virtual(run, seed=1)
+
+
+@then("it counts as silent")
+def check_silent(context):
+    assert context.age_ms == float("inf"), context.age_ms
--- a/features/steps/tunnel_steps.py
+++ b/features/steps/tunnel_steps.py
@@ -16,6 +16,7 @@
 from cactusdyke.transport.tunnel import (
     SocketTunnels,
     TunnelGate,
+    TunnelNotWantedError,
     TunnelUnavailableError,
 )
 
@@ -32,6 +33,7 @@
         self.known = ""
         self.open = 0
         self.reaching = True
+        self.unwanted = False
 
     async def reaches_others(self, address):
         del address
@@ -39,6 +41,8 @@
 
     @contextlib.contextmanager
     def admit(self, address):
+        if self.unwanted:
+            raise TunnelNotWantedError(address)
         if address != self.known:
             raise TunnelUnavailableError(address)
         self.open += 1
@@ -119,6 +123,7 @@
     context.makes_tunnels = True
     context.gate = _Gate()
     context.gate.reaching = way != "fails as all others do"
+    context.gate.unwanted = way == "wants nothing from it"
 
 
 @given("a daemon that makes no connections")
@@ -184,6 +189,9 @@
             assert not got.sent
         case "no verdict":
             assert isinstance(got, TunnelUnavailableError), got
+            assert not isinstance(got, TunnelNotWantedError), got
+        case "that it is not wanted":
+            assert isinstance(got, TunnelNotWantedError), got
 
 
 @then("the server sees its connection end within 100 ms")
--- a/features/transport/tunnels.feature
+++ b/features/transport/tunnels.feature
@@ -16,6 +16,7 @@
       | refuses connections                | that it is refused   |
       | is not known                       | no verdict           |
       | fails as all others do             | no verdict           |
+      | wants nothing from it              | that it is not wanted |
 
   Scenario: an asker that leaves ends the request at the server
     # Guards against replicas that go on working for callers that have left.
