Test that answers of others teach nothing of a replica

An answer of another request, or a 421 of another replica at the address, that says that its replica leaves must not take the asked replica out of service.

--- a/features/replica_statements/sends.feature
+++ b/features/replica_statements/sends.feature
@@ -97,3 +97,15 @@
     Given a service with two replicas of which one asks for rest
     When a stream that has begun may go on at the one that rests
     Then the replica is not asked, and not admitted
+
+  Scenario Outline: an answer of <whom> that says that its replica leaves
+    # Guards against a replica that gets no work for what another one said.
+    Given a replica whose answers are those of <whom>, and say that it leaves
+    When a call is sent to it
+    Then <what> is known of it
+
+    Examples:
+      | whom            | what           |
+      | the request     | that it leaves |
+      | another request | nothing        |
+      | another replica | nothing        |
--- a/features/steps/statement_send_steps.py
+++ b/features/steps/statement_send_steps.py
@@ -51,6 +51,7 @@
         on_connect: Called while a connection is made.
         refusals: How many requests are refused with a rest.
         headers: Headers of each answer.
+        status: Status of answers to requests.
         born: The start that reports tell.
     """
 
@@ -59,6 +60,7 @@
         self.paths = []
         self.on_connect = lambda: None
         self.refusals = 0
+        self.status = 200
         self.headers = []
         self.born = STARTED
 
@@ -76,6 +78,8 @@
             rest = str(REST_MS / 1_000).encode()
             return 503, [(b"retry-after", rest)], b""
         told = {"born": self.born, "free_mb": 5}
+        if path.startswith("/a/"):
+            return self.status, self.headers, b"answer"
         if path == "/-/stage-run":
             items = orjson.loads(body)["items"]
             told["items"] = [{"handle": f"r1:1/{n}"} for n in range(len(items))]
@@ -180,6 +184,27 @@
     context.prepare = prepare
 
 
+@given("a replica whose answers are those of {whom}, and say that it leaves")
+def answers_of(context, whom):
+    def prepare(rig):
+        request_id = b"other" if whom == "another request" else b"request"
+        rig.replicas.headers = [
+            (b"x-attempt-id", request_id),
+            (b"x-response-stamp", b"stamp"),
+            (b"server-leaving", b"1"),
+        ]
+        if whom == "another replica":
+            rig.replicas.status = 421
+
+    context.prepare = prepare
+
+
+@then("{what} is known of it")
+def check_known(context, what):
+    leaves = context.rig.statements.leaves(context.rig.replica)
+    assert leaves == (what == "that it leaves"), leaves
+
+
 @when("a {kind} is sent to it")
 def sent(context, kind):
     async def story(rig):
