Bound what is kept of relays, and check the time that a change may take

`config_apply_ms` of the settings has to be a number of at least 500 ms: times that follow from 0 or less would make a daemon ask without a pause, from no number never. Settings that are read again apply to it. Relays that were used are forgotten with their replica, a service's unusable names are kept with its usable replicas, and a replica that has said nothing costs two lookups.

Scenarios for the settings, and for a stream that cannot go on elsewhere as the only replica of its software rests, which no scenario had noticed.

--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -154,7 +154,7 @@
             network=network,
             daemons=self._view,
             states=states,
-            timings=self._settings.state_timings,
+            timings=lambda: self._settings.state_timings,
         )
         self._tracing = Tracing(daemon=self._settings.node, kept=KEPT_SPANS)
         metrics = ServingMetrics(self._registry)
--- a/cactusdyke/serving/core.py
+++ b/cactusdyke/serving/core.py
@@ -132,6 +132,11 @@
             deployment=deployment,
             metrics=metrics,
         )
+        deployment.on_change(
+            lambda: replica_connections.remove_unknown(
+                deployment.replica_addresses
+            )
+        )
         stated_limits = StatedLimits(clock=clock)
         metrics.watch_limits(stated_limits)
         decided = DecidedServices(clock=clock, deciders=self._deciders)
--- a/cactusdyke/serving/deployment.py
+++ b/cactusdyke/serving/deployment.py
@@ -55,6 +55,7 @@
         self._routes = RouteTable(())
         self._replicas: dict[str, Replica] = {}
         self._usable_by_service: dict[str, list[Replica]] = {}
+        self._unusable_by_service: dict[str, set[str]] = {}
         self._replicas_received = False
         self._statements = ReplicaStatements(clock=clock)
         self._statements.on_leaving(self._exclude_leaving)
@@ -251,12 +252,7 @@
 
     def unusable_names(self, service: str) -> set[str]:
         """Returns the names of a service's replicas that must get no work."""
-        usable = {replica.name for replica in self.usable_replicas(service)}
-        return {
-            replica.name
-            for replica in self._replicas.values()
-            if replica.service == service and replica.name not in usable
-        }
+        return self._unusable_by_service.get(service, set())
 
     def is_cold(self, replica: Replica) -> bool:
         """Returns whether requests to a replica are limited as it is cold."""
@@ -271,10 +267,8 @@
         known = self._replicas.get(replica.name)
         return (
             known is not None
-            and known.state is ReplicaState.READY
             and known.address == replica.address
-            and known.data_centre not in self._evacuated
-            and not self._statements.leaves(known)
+            and self._may_get_work(known)
         )
 
     def mark_leaving(self, replica: Replica, *, reason: str) -> None:
@@ -304,18 +298,24 @@
     def _index(self) -> None:
         self._statements.update_listed(self._replicas)
         self._cold.remove_unknown(self.replica_names)
-        grouped: dict[str, list[Replica]] = {}
+        usable: dict[str, list[Replica]] = {}
+        unusable: dict[str, set[str]] = {}
         for replica in self._replicas.values():
-            if replica.state is not ReplicaState.READY:
-                continue
-            if self._statements.leaves(replica):
-                continue
-            if replica.data_centre in self._evacuated:
-                continue
-            grouped.setdefault(replica.service, []).append(replica)
-        self._usable_by_service = grouped
+            if self._may_get_work(replica):
+                usable.setdefault(replica.service, []).append(replica)
+            else:
+                unusable.setdefault(replica.service, set()).add(replica.name)
+        self._usable_by_service = usable
+        self._unusable_by_service = unusable
         self._notify()
 
+    def _may_get_work(self, replica: Replica) -> bool:
+        return (
+            replica.state is ReplicaState.READY
+            and replica.data_centre not in self._evacuated
+            and not self._statements.leaves(replica)
+        )
+
     def _notify(self) -> None:
         for hook in self._hooks:
             hook()
--- a/cactusdyke/serving/replica_connections.py
+++ b/cactusdyke/serving/replica_connections.py
@@ -83,6 +83,11 @@
             return None
         return self._relays_used.get(address)
 
+    def remove_unknown(self, known_addresses: set[str]) -> None:
+        """Forgets the relays to addresses that no replica has."""
+        for address in self._relays_used.keys() - known_addresses:
+            del self._relays_used[address]
+
     def is_path_in_doubt(self, address: str) -> bool:
         """Returns whether a failure just now may have been the path's fault."""
         return self._paths.is_in_doubt(address)
--- a/cactusdyke/serving/replica_statements.py
+++ b/cactusdyke/serving/replica_statements.py
@@ -127,6 +127,7 @@
         known = self._leaving.get(name)
         if known is not None and known.born >= born:
             return
+        self._leaving.pop(name, None)
         self._leaving[name] = _Leaving(
             born=born, last_listed_at=self._clock.now()
         )
@@ -151,6 +152,9 @@
 
     def accepts(self, replica: Replica) -> bool:
         """Returns whether this daemon may send something to a replica now."""
+        name = replica.name
+        if name not in self._leaving and name not in self._rests:
+            return True
         return not self.leaves(replica) and not self.rest_left_ms(replica)
 
     def until_any_accepts_ms(self, replicas: Iterable[Replica]) -> float:
--- a/cactusdyke/serving/retry_policy.py
+++ b/cactusdyke/serving/retry_policy.py
@@ -140,8 +140,8 @@
         usable = self._deployment.usable_replicas(context.service)
         allowed = {r.name for r in self.candidates(context)}
         # Another daemon may not know yet which replicas leave.
-        excluded = self._deployment.unusable_names(context.service)
-        excluded |= {r.name for r in usable} - allowed
+        leaving = self._deployment.unusable_names(context.service)
+        excluded = leaving | ({r.name for r in usable} - allowed)
         failed = set(context.failed_replicas)
         return excluded if allowed <= failed else excluded | failed
 
--- a/cactusdyke/serving/state_exchange.py
+++ b/cactusdyke/serving/state_exchange.py
@@ -21,7 +21,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from cactusdyke.clock import Clock, Instant
     from cactusdyke.serving.followed_state import FollowedState
@@ -65,9 +65,9 @@
         network: Network,
         daemons: PeerDaemons,
         states: Sequence[FollowedState],
-        timings: StateTimings,
+        timings: Callable[[], StateTimings],
     ) -> None:
-        self._timings = timings
+        self._get_timings = timings
         self._clock = clock
         self._rng = rng
         self._network = network
@@ -238,6 +238,10 @@
                 age_ms=round(self._age_ms),
             )
 
+    @property
+    def _timings(self) -> StateTimings:
+        return self._get_timings()
+
     @property
     def _age_ms(self) -> float:
         return max(state.age_ms for state in self._states.values())
--- a/cactusdyke/serving/state_timings.py
+++ b/cactusdyke/serving/state_timings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 LONG_POLL_SHARE = 0.175
@@ -10,6 +12,8 @@
 QUESTION_SHARE = 0.03
 SLOW_QUESTION_SHARE = 0.3
 STRICTEST_APPLY_MS = 2_000.0
+MIN_APPLY_MS = 500.0
+"""With less, answers that are on their way would count as missing."""
 
 
 @attrs.frozen(kw_only=True)
@@ -23,9 +27,18 @@
     Attributes:
         apply_ms: Longest time from the store's acceptance of a change until it
             is in force, in milliseconds.
+
+    Raises:
+        ValueError: `apply_ms` is less than `MIN_APPLY_MS`, or no number.
     """
 
-    apply_ms: float = STRICTEST_APPLY_MS
+    apply_ms: float = attrs.field(
+        default=STRICTEST_APPLY_MS,
+        validator=[
+            attrs.validators.ge(MIN_APPLY_MS),
+            attrs.validators.lt(math.inf),
+        ],
+    )
 
     @property
     def long_poll_ms(self) -> float:
--- a/features/configuration_reach/ages.feature
+++ b/features/configuration_reach/ages.feature
@@ -31,3 +31,19 @@
     Given 6 daemons whose changes must be in force within 2000 ms
     When a source tells of no state
     Then it counts as silent
+
+  Scenario Outline: changes that must be in force within <bound>
+    # Guards against a daemon that asks without a pause, or never, because of a
+    # value in its settings file.
+    When the settings say that changes must be in force within <bound>
+    Then <what>
+
+    Examples:
+      | bound | what                                          |
+      | 3000  | silent sources are noticed within 900 ms      |
+      | none  | silent sources are noticed within 600 ms      |
+      | 0     | the settings are refused, and the value named |
+      | -5    | the settings are refused, and the value named |
+      | .nan  | the settings are refused, and the value named |
+      | .inf  | the settings are refused, and the value named |
+      | soon  | the settings are refused, and the value named |
--- a/features/replica_statements/sends.feature
+++ b/features/replica_statements/sends.feature
@@ -75,6 +75,7 @@
     Then a request to the other one has nowhere else to go
     And only the other one is a candidate, and the decider is told so
     And a request is held for neither, and told nothing of a rest
+    And a stream cannot go on elsewhere, though a third replica has other software
 
   Scenario: a replica that the decider offers and that leaves
     # Guards against a decider that offers a leaving replica again and again.
--- a/features/steps/state_age_steps.py
+++ b/features/steps/state_age_steps.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import pathlib
+import tempfile
+
 import anyio
 import attrs
+import yaml
 from behave import given, then, when
 from result import Ok
 
@@ -15,9 +19,11 @@
     StoreObject,
     WatchedStore,
 )
+from cactusdyke.platform import settings as platform_settings
 from cactusdyke.serving.state_exchange import STATE_PATH
 from cactusdyke.serving.state_readers import RankedReaders, rank_readers
 from cactusdyke.transport.messages import json_response
+from features.support.platform_rig import PlatformWorld
 from features.support.state_fleet import FixedDaemons, StateFleet, Things, peer
 from standins import virtual
 
@@ -178,3 +184,28 @@
 @then("it counts as silent")
 def check_silent(context):
     assert context.age_ms == float("inf"), context.age_ms
+
+
+@when("the settings say that changes must be in force within {bound}")
+def settings_say(context, bound):
+    world = PlatformWorld()
+    world.store_address = "127.0.0.1:1"
+    value = yaml.safe_load(bound)
+    world.further_bounds = {} if bound == "none" else {"config_apply_ms": value}
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "settings.yaml"
+        path.write_text(world.settings_text("d1"), encoding="utf-8")
+        context.loaded = platform_settings.load(str(path))
+
+
+@then("silent sources are noticed within {within:d} ms")
+def check_stale_ms(context, within):
+    stale_ms = context.loaded.unwrap().state_timings.stale_ms
+    assert round(stale_ms, 6) == within, stale_ms
+
+
+@then("the settings are refused, and the value named")
+def check_settings_refused(context):
+    detail = context.loaded.unwrap_err().detail
+    assert "wrong" in detail, detail
+    assert "apply_ms" in detail or "soon" in detail, detail
--- a/features/steps/statement_send_steps.py
+++ b/features/steps/statement_send_steps.py
@@ -429,6 +429,16 @@
     assert context.policy.rest_left_ms(context.request) == REST_MS
 
 
+@then(
+    "a stream cannot go on elsewhere, though a third replica has other software"
+)
+def check_third(context):
+    context.deployment.put_replica(replica("r3", born=STARTED, version="v2"))
+    other = context.replicas[1]
+    assert context.policy.can_fail_over(context.request, other)
+    assert not context.policy.can_resume_elsewhere(context.request, other)
+
+
 @given("a decider that chooses a replica which then {speaks}")
 def decider_chooses(context, speaks):
     statement = STATEMENTS[speaks]
--- a/features/support/state_fleet.py
+++ b/features/support/state_fleet.py
@@ -142,7 +142,7 @@
             network=network,
             daemons=FixedDaemons(daemons),
             states=[state],
-            timings=StateTimings(apply_ms=self._apply_ms),
+            timings=lambda: StateTimings(apply_ms=self._apply_ms),
         )
         routes = Routes()
         routes.add("GET", STATE_PATH, exchange.handle)
