--- a/standins/hub.py
+++ b/standins/hub.py
@@ -4,7 +4,7 @@
 
 import contextlib
 import math
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Iterator, Mapping
 from typing import Any
 
 import anyio
@@ -55,6 +55,7 @@
         self._awake: dict[str, anyio.Event] = {}
         self._dead: dict[str, anyio.Event] = {}
         self._open: dict[tuple[str, str], list[Any]] = {}
+        self._served: dict[str, set[Any]] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
 
     async def __aenter__(self) -> Hub:
@@ -95,6 +96,8 @@
             if listener.owner != owner
         }
         self._dead.setdefault(owner, anyio.Event()).set()
+        for exchange in self._served.pop(owner, ()):
+            exchange.die()
 
     def freeze(self, owner: str) -> None:
         """Stops an owner from sending and receiving until it is woken."""
@@ -123,6 +126,15 @@
         """Forgets an exchange that has ended."""
         self._open[caller, listener].remove(exchange)
 
+    @contextlib.contextmanager
+    def serving(self, owner: str, exchange: Any) -> Iterator[None]:
+        """Notes an exchange that ends if its listener's owner does."""
+        self._served.setdefault(owner, set()).add(exchange)
+        try:
+            yield
+        finally:
+            self._served.get(owner, set()).discard(exchange)
+
     def start(self, function: Any, *args: Any) -> None:
         """Runs a task for as long as the hub is open."""
         assert self._tasks is not None
@@ -214,6 +226,7 @@
         ](math.inf)
         self._response: Response | None = None
         self._lost = False
+        self._scope = anyio.CancelScope()
 
     @property
     def status(self) -> int:
@@ -235,12 +248,10 @@
         if self._death.is_set():
             self._break()
             return
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._watch_death, tasks.cancel_scope)
+        with self._scope, self._hub.serving(owner, self):
             await self._hub.awake(owner)
             response = await self._listener.handler(request)
             await self._answer(response)
-            tasks.cancel_scope.cancel()
 
     async def head(self) -> Result[Incoming, Failure]:
         """Waits for the answer's head."""
@@ -264,6 +275,11 @@
             await self._hub.awake(self._caller)
             yield chunk
 
+    def die(self) -> None:
+        """Ends the handler and breaks the connection."""
+        self._break()
+        self._scope.cancel()
+
     def lose(self) -> None:
         """Lets nothing more of the answer arrive."""
         self._lost = True
@@ -300,11 +316,6 @@
             return False
         return True
 
-    async def _watch_death(self, scope: anyio.CancelScope) -> None:
-        await self._death.wait()
-        self._break()
-        scope.cancel()
-
     def _break(self) -> None:
         with contextlib.suppress(
             anyio.BrokenResourceError, anyio.ClosedResourceError
