Notice calls of a stage that connect in vain to a replica that rests

The queue's guard and the one after connecting stand in for one another: with the first taken out no scenario failed, as the second still withheld the call, after a connection every few milliseconds.

--- a/features/steps/statement_send_steps.py
+++ b/features/steps/statement_send_steps.py
@@ -49,6 +49,7 @@
         sent_at: When requests were sent, in milliseconds.
         paths: Their paths.
         on_connect: Called while a connection is made.
+        connections: How many connections were made.
         refusals: How many requests are refused with a rest.
         headers: Headers of each answer.
         status: Status of answers to requests.
@@ -59,6 +60,7 @@
         self.sent_at = []
         self.paths = []
         self.on_connect = lambda: None
+        self.connections = 0
         self.refusals = 0
         self.status = 200
         self.headers = []
@@ -66,6 +68,7 @@
 
     @contextlib.asynccontextmanager
     async def connect(self, address):
+        self.connections += 1
         self.on_connect()
         yield _Exchange(replicas=self, address=address)
 
@@ -274,9 +277,15 @@
     return expected_ms <= round(after_ms, 3) <= expected_ms + SOON_MS
 
 
+def _check_connections(context, after):
+    """Checks that no connection was made in vain, but for the first one."""
+    assert context.rig.replicas.connections <= len(after) + 1
+
+
 @then("its calls begin {begin}")
 def check_calls(context, begin):
     after = _after_ms(context, "/-/stage-run")
+    _check_connections(context, after)
     match begin:
         case "never":
             assert not after, after
@@ -318,6 +327,7 @@
 @then("it is called for them {called}")
 def check_freed(context, called):
     after = _after_ms(context, "/-/stage-free")
+    _check_connections(context, after)
     match called:
         case "once, as the rest ends":
             assert len(after) == 1, after
