--- a/features/run.py
+++ b/features/run.py
@@ -24,6 +24,7 @@
     "quarantine",
     "emulator",
     "replica_limits",
+    "stream_versions",
     "configuration_reach",
     "replica_statements",
     "capacity",
