Log what decides on each retry, and add retries up over all daemons

On-call could not tell from the logs why a service got too many retries: only refusals were logged, without share, daemon count or requests, and what a process had spent was gone with it. Now CD4014 and the new CD4015 carry the requests, retries and share of the window and the daemon count with its age; CD4016 tells when a retry is written to a backend server and how long after it was charged; ends of requests name the service. 'cactusdyke report' adds these up by service and span over all daemons and their restarts. The requests of a killed process that had not ended are missing from the sum, as the report says.

--- a/cactusdyke/cmd/report.py
+++ b/cactusdyke/cmd/report.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import sys
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from cactusdyke.cmd import output
 from cactusdyke.cmd.action import Action
@@ -11,8 +11,12 @@
 from cactusdyke.report import reading
 from cactusdyke.report.customers import OUTCOMES, count_customers
 from cactusdyke.report.losses import Losses, find_losses
+from cactusdyke.report.retries import count_retries
 from cactusdyke.report.summary import Span, Summary, summarize
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 MOST_REASONS = 20
 MS_PER_SECOND = 1_000
 BYTES_PER_MB = 1_000_000
@@ -21,7 +25,7 @@
 def report(
     *files: str, seconds: float = 2.0, plot: str = "", json: bool = False
 ) -> Action:
-    """Adds up daemons' logs by time, reason, stage and customer.
+    """Adds up daemons' logs by time, reason, stage, customer and retries.
 
     Args:
         *files: Log files of daemons; `-` for standard input.
@@ -46,6 +50,7 @@
             **_summary_tables(summary),
             **_loss_tables(find_losses(lines, span_ms=span_ms)),
             "customers": _customer_rows(lines),
+            "retries": _retry_rows(lines, span_ms),
         }
         if json:
             output.show_json(tables)
@@ -141,6 +146,33 @@
     ]
 
 
+def _retry_rows(
+    lines: list[reading.LogLine], span_ms: int
+) -> list[dict[str, Any]]:
+    return [
+        {
+            "service": service,
+            "from s": begins_ms / MS_PER_SECOND,
+            "requests": totals.requests,
+            "charged": totals.charged,
+            "refused": totals.refused,
+            "sent": totals.sent,
+            "shares": _span_of(totals.shares),
+            "daemons": _span_of(totals.daemons),
+            "unchanged for ms": _span_of(totals.ages_ms),
+        }
+        for (service, begins_ms), totals in sorted(
+            count_retries(lines, span_ms=span_ms).items()
+        )
+        if totals.charged or totals.refused or totals.sent
+    ]
+
+
+def _span_of(values: Sequence[float]) -> str:
+    """Returns the smallest and the largest value, empty without any."""
+    return f"{min(values):g} to {max(values):g}" if values else ""
+
+
 def _span_row(span: Span) -> dict[str, Any]:
     row: dict[str, Any] = {"from s": span.begins_ms / 1_000}
     for name in ("on_time", "late", "left", "503", "502", "504"):
--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -107,9 +107,20 @@
     )
     RETRY_REFUSED = (
         4014,
-        "A retry was not made because the pool's retry budget is spent.",
+        "A retry was not made because the service's retry budget is spent.",
         "Look at the pool: a large share of its attempts fails.",
     )
+    RETRY_CHARGED = (
+        4015,
+        "A retry was charged to the service's retry budget.",
+        "",
+    )
+    RETRY_SENT = (
+        4016,
+        "A retry is being written to a backend server; `waited_ms` is the time"
+        " since it was charged.",
+        "",
+    )
     LIMIT_OWNED = (
         4201,
         "This daemon begins to lend out a customer's limit.",
--- a/cactusdyke/serving/attempt.py
+++ b/cactusdyke/serving/attempt.py
@@ -10,6 +10,7 @@
 import anyio
 import attrs
 
+from cactusdyke import events
 from cactusdyke.clock import MS_PER_SECOND, Instant
 from cactusdyke.errors import Ran
 from cactusdyke.serving.dialect import AnswerKind, AnswerVerdict
@@ -277,8 +278,23 @@
             handles=handles,
             resume_after=resume_after,
         )
+        self._record_send(context, replica)
         await exchange.send(call.method, call.target, call.headers, call.body)
 
+    def _record_send(self, context: ServingContext, replica: Replica) -> None:
+        context.sends += 1
+        if context.sends == 1:
+            return
+        retry = context.retry
+        waited_ms = self._clock.now() - retry.charged_at if retry else 0.0
+        events.log(
+            events.Event.RETRY_SENT,
+            request_id=context.request.request_id,
+            service=context.service,
+            backend_server=replica.name,
+            waited_ms=round(waited_ms),
+        )
+
     def _decode_head(
         self,
         context: ServingContext,
@@ -383,10 +399,10 @@
         is_first = True
         async with contextlib.aclosing(exchange.body()) as chunks:  # type: ignore[type-var]
             async for chunk in chunks:
-                events = reader.feed(chunk)
-                if not events:
+                arrived = reader.feed(chunk)
+                if not arrived:
                     continue
-                self._check_order(events, state, exchange)
+                self._check_order(arrived, state, exchange)
                 if is_first:
                     is_first = False
                     on_first_event()
@@ -410,8 +426,8 @@
                             state.longest_gap_ms, now - state.last_event_at
                         )
                     state.last_event_at = now
-                    state.event_count += len(events)
-                    data = b"".join(event.data for event in events)
+                    state.event_count += len(arrived)
+                    data = b"".join(event.data for event in arrived)
                     if not reply.full:
                         await reply.part(data)
                         continue
--- a/cactusdyke/serving/core.py
+++ b/cactusdyke/serving/core.py
@@ -8,6 +8,7 @@
 from cactusdyke.serving.brittle_replicas import BrittleRequestLimit
 from cactusdyke.serving.cold_replicas import ColdRequestLimit
 from cactusdyke.serving.connection_share import ConnectionShare
+from cactusdyke.serving.daemon_count import DaemonCount
 from cactusdyke.serving.decided_services import DecidedServices
 from cactusdyke.serving.decider import Decider
 from cactusdyke.serving.decider_directory import DeciderDirectory
@@ -237,10 +238,11 @@
             exchange=self._stream_exchange,
         )
         health = ReplicaHealth(clock=clock)
+        daemon_count = DaemonCount(clock=clock, daemons=daemons)
         budget = RetryBudget(
             clock=clock,
             allowance=retry_allowance,
-            daemon_count=daemons.estimated_count,
+            daemon_count=daemon_count,
         )
         retry_policy = RetryPolicy(
             rng=rng,
--- a/cactusdyke/serving/request.py
+++ b/cactusdyke/serving/request.py
@@ -10,6 +10,7 @@
 from cactusdyke.clock import Clock, Instant
 from cactusdyke.errors import Ran
 from cactusdyke.serving.model import Customer, Route
+from cactusdyke.serving.retry_budget import RetryPermit
 from cactusdyke.serving.stream_origins import StreamOrigin
 from cactusdyke.transport.memory_budget import Held
 
@@ -113,6 +114,8 @@
         sent_to: Names of the replicas that the request was sent to.
         failed_replicas: Names of those where it did not succeed.
         attempts: Number of attempts started.
+        sends: Number of attempts that were written to a replica.
+        retry: The retry that was last charged to the budget.
         possible_runs: Number of attempts that ran or may have run.
         stages_ms: How long its stages took, over all attempts.
         stage_ms: How long each stage took, by its number; times of a stage
@@ -145,6 +148,8 @@
     sent_to: list[str] = attrs.field(factory=list)
     failed_replicas: list[str] = attrs.field(factory=list)
     attempts: int = 0
+    sends: int = 0
+    retry: RetryPermit | None = None
     possible_runs: int = 0
     stages_ms: float = 0.0
     stage_ms: dict[int, float] = attrs.field(factory=dict)
--- a/cactusdyke/serving/request_log.py
+++ b/cactusdyke/serving/request_log.py
@@ -141,6 +141,7 @@
             event,
             request_id=context.request.request_id,
             route=context.route.name,
+            service=context.service,
             customer=context.customer_name,
             events=state.event_count,
             attempts=context.attempts,
--- a/cactusdyke/serving/retry_budget.py
+++ b/cactusdyke/serving/retry_budget.py
@@ -7,10 +7,13 @@
 
 import attrs
 
+from cactusdyke.clock import Instant
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from cactusdyke.clock import Clock, Instant
+    from cactusdyke.clock import Clock
+    from cactusdyke.serving.daemon_count import DaemonCount
 
 
 @attrs.frozen(kw_only=True)
@@ -28,11 +31,37 @@
     window_ms: float = 10_000.0
 
 
+@attrs.frozen(kw_only=True)
+class RetryAccount:
+    """What a decision on a retry was based on, for log events.
+
+    Attributes:
+        requests: Requests for the service within the window, of this process.
+        charged: Retries that it charged within the window.
+        share: Its share of the slack, in retries.
+        daemons: The daemon count that the slack was divided by.
+        daemons_age_ms: For how long the count has been the same.
+    """
+
+    requests: int
+    charged: int
+    share: float
+    daemons: int
+    daemons_age_ms: int
+
+
 SAFETY_FACTOR = 0.8
 """Share of the allowance that is used: daemons that were just added are not
 counted yet."""
 
 
+@attrs.frozen(kw_only=True)
+class RetryPermit:
+    """A retry that was charged to the budget."""
+
+    charged_at: Instant
+
+
 class RetryBudget:
     """This daemon's share of the retry allowance of each service.
 
@@ -46,7 +75,7 @@
         *,
         clock: Clock,
         allowance: Callable[[], RetryAllowance],
-        daemon_count: Callable[[], int],
+        daemon_count: DaemonCount,
     ) -> None:
         self._clock = clock
         self._allowance = allowance
@@ -58,16 +87,30 @@
         """Counts a new request for a service."""
         self._recent(self._requests, service).append(self._clock.now())
 
-    def spend(self, service: str) -> bool:
-        """Returns whether a retry is within the budget, and counts it if so."""
+    def charge(self, service: str) -> RetryPermit | None:
+        """Charges a retry, or returns None if it is not within the budget."""
         allowance = self._allowance()
         earned = allowance.ratio * len(self._recent(self._requests, service))
-        share = allowance.slack / max(1, self._daemon_count())
+        share = self._share()
         spent = self._recent(self._retries, service)
         if len(spent) + 1 > SAFETY_FACTOR * (earned + share):
-            return False
-        spent.append(self._clock.now())
-        return True
+            return None
+        now = self._clock.now()
+        spent.append(now)
+        return RetryPermit(charged_at=now)
+
+    def account(self, service: str) -> RetryAccount:
+        """Returns what the next decision for a service is based on."""
+        return RetryAccount(
+            requests=len(self._recent(self._requests, service)),
+            charged=len(self._recent(self._retries, service)),
+            share=round(self._share(), 2),
+            daemons=self._daemon_count.current(),
+            daemons_age_ms=round(self._daemon_count.age_ms),
+        )
+
+    def _share(self) -> float:
+        return self._allowance().slack / self._daemon_count.current()
 
     def _recent(
         self, counts: dict[str, collections.deque[Instant]], service: str
--- a/cactusdyke/serving/retry_policy.py
+++ b/cactusdyke/serving/retry_policy.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
+
 from cactusdyke import events
 from cactusdyke.errors import Ran
 from cactusdyke.serving import balance
@@ -68,14 +70,20 @@
             return False
         if not self.candidates(context):
             return False
-        if result.sent and not self._budget.spend(context.service):
-            events.log(
-                events.Event.RETRY_REFUSED,
-                request_id=context.request.request_id,
-                service=context.service,
-            )
-            return False
-        return True
+        return not result.sent or self._charge(context)
+
+    def _charge(self, context: ServingContext) -> bool:
+        """Charges a retry to the budget; returns False if it is spent."""
+        context.retry = self._budget.charge(context.service)
+        events.log(
+            events.Event.RETRY_CHARGED
+            if context.retry is not None
+            else events.Event.RETRY_REFUSED,
+            request_id=context.request.request_id,
+            service=context.service,
+            **attrs.asdict(self._budget.account(context.service)),
+        )
+        return context.retry is not None
 
     def can_fail_over(self, context: ServingContext, replica: Replica) -> bool:
         """Returns whether another replica could be tried after this one."""
--- a/features/report/report.feature
+++ b/features/report/report.feature
@@ -24,6 +24,12 @@
     When a report is made of them
     Then it counts for each customer how its requests ended
 
+  Scenario: a report adds up retries over daemons and their restarts
+    # Guards against a sum that no daemon can give: its own is gone with it.
+    Given logs of retries by two processes of one daemon and by another daemon
+    When a report is made of them
+    Then it says for each service and span what was charged, refused and sent
+
   Scenario: files without such lines are refused
     Given a file of other text
     When a report is made of them
--- a/features/steps/report_steps.py
+++ b/features/steps/report_steps.py
@@ -192,6 +192,53 @@
     }, counts
 
 
+def _retry(at, daemon, event, *, share=5.8, daemons=9, age_ms=9_000):
+    return line(
+        at,
+        daemon,
+        event,
+        service="pool",
+        share=share,
+        daemons=daemons,
+        daemons_age_ms=age_ms,
+    )
+
+
+@given("logs of retries by two processes of one daemon and by another daemon")
+def retries(context):
+    context.folder = tempfile.TemporaryDirectory()
+    path = pathlib.Path(context.folder.name) / "one.log"
+    charged = "CD4015:retry_charged"
+    path.write_text(
+        _answer(10_900, "d1", USUAL, took_ms=1_000)
+        + _retry(10_000, "d1", charged)
+        + line(10_050, "d1", "CD4016:retry_sent", service="pool", waited_ms=50)
+        + line(10_100, "d1", "CD1001:daemon_started")
+        + _retry(10_200, "d1", charged, share=13.0, daemons=4, age_ms=100)
+        + _retry(10_300, "d2", "CD4014:retry_refused")
+        + line(12_050, "d1", "CD4016:retry_sent", service="pool", waited_ms=1)
+    )
+    context.files = [str(path)]
+
+
+@then("it says for each service and span what was charged, refused and sent")
+def check_retries(context):
+    assert context.done.returncode == 0, context.done.stderr
+    first, second = json.loads(context.done.stdout)["retries"]
+    assert first == {
+        "service": "pool",
+        "from s": 10.0,
+        "requests": 0,
+        "charged": 2,
+        "refused": 1,
+        "sent": 1,
+        "shares": "5.8 to 13",
+        "daemons": "4 to 9",
+        "unchanged for ms": "100 to 9000",
+    }, first
+    assert (second["from s"], second["sent"]) == (12.0, 1), second
+
+
 @given("a file of other text")
 def other_text(context):
     context.folder = tempfile.TemporaryDirectory()
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -16,6 +16,7 @@
 from cactusdyke.serving import balance
 from cactusdyke.serving.batcher import StageBatcher
 from cactusdyke.serving.connection_share import ConnectionShare
+from cactusdyke.serving.daemon_count import DaemonCount
 from cactusdyke.serving.decider_directory import DeciderDirectory
 from cactusdyke.serving.deployment import Deployment
 from cactusdyke.serving.dialect import Piece
@@ -238,7 +239,9 @@
         RetryBudget(
             clock=clock,
             allowance=lambda: allowance,
-            daemon_count=lambda: assumed_daemons,
+            daemon_count=DaemonCount(
+                clock=clock, daemons=values.CountedDaemons(assumed_daemons)
+            ),
         )
         for _ in range(6)
     ]
@@ -249,7 +252,7 @@
             if step % 20 == 0:
                 budget.record_request("service")
                 requests.append(clock.ms)
-            if budget.spend("service"):
+            if budget.charge("service") is not None:
                 retries.append(clock.ms)
     worst = -1e9
     for end in range(0, 60_001, 250):
--- a/features/support/serving_values.py
+++ b/features/support/serving_values.py
@@ -4,6 +4,7 @@
 
 from cactusdyke.serving.brittle_replicas import BrittleRequestLimit
 from cactusdyke.serving.cold_replicas import ColdAllowance, ColdRequestLimit
+from cactusdyke.serving.peers import PeerDaemons
 from cactusdyke.serving.request import ClientRequest, ServingContext
 from cactusdyke.serving.request_limits import RequestLimits
 from cactusdyke.serving.stated_limits import StatedLimits
@@ -12,6 +13,19 @@
 from cactusdyke.transport.tunnel import Tunnels, TunnelUnavailableError
 
 
+class CountedDaemons(PeerDaemons):
+    """Daemons of which only the number is known."""
+
+    def __init__(self, count):
+        self.count = count
+
+    def all(self):
+        return ()
+
+    def estimated_count(self):
+        return self.count
+
+
 def client_request(pieces=(), **changes):
     fields = {
         "request_id": "request",
