Divide shared limits by the daemons of the whole window, once they are known

What callers saw: nothing that is on record; replicas may be sent more than all daemons share. Cause: every divided limit took the daemon count of the moment. And the count fell at once when entries were dropped, while what those daemons had sent still counted.

DaemonCount gives the highest count of the window, and tells since when the count rests on the registry, or on gossip that had two seconds. Until then a connection share is one connection a replica, no daemon takes itself for one of most (limits of cold and brittle replicas), and a daemon that knows of nobody counts a stream's origin as not told.

--- a/cactusdyke/platform/registry.py
+++ b/cactusdyke/platform/registry.py
@@ -56,6 +56,11 @@
         """How many daemons were registered when this one started."""
         return self._registered
 
+    @property
+    def listed(self) -> bool:
+        """Whether this daemon has read the list since it started."""
+        return self._listed
+
     def keep(self, quarantine: Quarantine) -> None:
         """Saves the evidence of a quarantine with this daemon's object."""
         self._quarantine = quarantine
--- a/cactusdyke/serving/connection_share.py
+++ b/cactusdyke/serving/connection_share.py
@@ -5,8 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
+    from cactusdyke.serving.daemon_count import DaemonCount
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.health import ReplicaHealth
     from cactusdyke.serving.model import Replica
@@ -30,7 +29,7 @@
         *,
         deployment: Deployment,
         health: ReplicaHealth,
-        daemon_count: Callable[[], int],
+        daemon_count: DaemonCount,
     ) -> None:
         self._deployment = deployment
         self._health = health
@@ -46,7 +45,11 @@
         )
         if spec is None:
             return True
-        share = (
-            SAFETY_FACTOR * spec.max_connections / max(1, self._daemon_count())
-        )
+        share = 1.0
+        if self._daemon_count.is_known:
+            share = (
+                SAFETY_FACTOR
+                * spec.max_connections
+                / self._daemon_count.highest()
+            )
         return self._health.in_flight(replica.name) < max(1.0, share)
--- a/cactusdyke/serving/core.py
+++ b/cactusdyke/serving/core.py
@@ -238,7 +238,11 @@
             exchange=self._stream_exchange,
         )
         health = ReplicaHealth(clock=clock)
-        daemon_count = DaemonCount(clock=clock, daemons=daemons)
+        daemon_count = DaemonCount(
+            clock=clock,
+            daemons=daemons,
+            window_ms=lambda: retry_allowance().window_ms,
+        )
         budget = RetryBudget(
             clock=clock,
             allowance=retry_allowance,
@@ -253,7 +257,7 @@
             connection_share=ConnectionShare(
                 deployment=deployment,
                 health=health,
-                daemon_count=daemons.estimated_count,
+                daemon_count=daemon_count,
             ),
             request_limits=request_limits,
             continuation=continuation,
--- a/cactusdyke/serving/daemon_count.py
+++ b/cactusdyke/serving/daemon_count.py
@@ -2,32 +2,86 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING
 
+import attrs
+
+from cactusdyke.clock import Instant
+
 if TYPE_CHECKING:
-    from cactusdyke.clock import Clock, Instant
+    from collections.abc import Callable
+
+    from cactusdyke.clock import Clock
     from cactusdyke.serving.peers import PeerDaemons
 
 
+@attrs.define(kw_only=True)
+class _Count:
+    """A daemon count, and when it was last the estimate."""
+
+    value: int
+    until: Instant
+
+
 class DaemonCount:
-    """The daemon count that this daemon divides shared limits by."""
+    """The daemon count that this daemon divides shared limits by.
+
+    A limit over a time window is shared with the daemons of the whole window:
+    what a daemon used stays used after it has left.
+    """
 
-    def __init__(self, *, clock: Clock, daemons: PeerDaemons) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        daemons: PeerDaemons,
+        window_ms: Callable[[], float],
+    ) -> None:
         self._clock = clock
         self._daemons = daemons
-        self._last = 0
+        self._window_ms = window_ms
+        self._recent: collections.deque[_Count] = collections.deque()
         self._changed_at: Instant = clock.now()
+        self._known_at: Instant | None = None
 
-    def current(self) -> int:
-        """Returns the count to divide by, at least 1."""
-        count = max(1, self._daemons.estimated_count())
-        if count != self._last:
-            self._last = count
-            self._changed_at = self._clock.now()
-        return count
+    def highest(self) -> int:
+        """Returns the highest count of the last window, at least 1."""
+        now = self._clock.now()
+        self._update_known(now)
+        estimate = max(1, self._daemons.estimated_count())
+        if not self._recent or self._recent[-1].value != estimate:
+            self._changed_at = now
+            if self._recent:
+                self._recent[-1].until = now
+            self._recent.append(_Count(value=estimate, until=now))
+        self._recent[-1].until = now
+        while self._recent[0].until < now - self._window_ms():
+            self._recent.popleft()
+        return max(count.value for count in self._recent)
 
     @property
-    def age_ms(self) -> float:
-        """Time since the count last changed, in milliseconds."""
-        self.current()
+    def unchanged_ms(self) -> float:
+        """Time since the estimate last changed, in milliseconds."""
+        self.highest()
         return self._clock.now() - self._changed_at
+
+    @property
+    def is_known(self) -> bool:
+        """Whether the estimate rests on more than the settings."""
+        self._update_known(self._clock.now())
+        return self._known_at is not None
+
+    @property
+    def known_for_ms(self) -> float:
+        """For how long the estimate has rested on more than the settings.
+
+        Milliseconds, 0 while it does not.
+        """
+        now = self._clock.now()
+        self._update_known(now)
+        return 0.0 if self._known_at is None else now - self._known_at
+
+    def _update_known(self, now: Instant) -> None:
+        if self._known_at is None and self._daemons.count_known:
+            self._known_at = now
--- a/cactusdyke/serving/member_view.py
+++ b/cactusdyke/serving/member_view.py
@@ -37,6 +37,7 @@
         ready: Callable[[], bool],
         decided_hashes: Callable[[], frozenset[int]],
         min_count: Callable[[], int],
+        listed: Callable[[], bool] = lambda: True,
         busy: Callable[[], bool] = lambda: False,
         cut_off: Callable[[], bool] = lambda: False,
     ) -> None:
@@ -48,6 +49,7 @@
         self._ready = ready
         self._decided_hashes = decided_hashes
         self._min_count = min_count
+        self._listed = listed
         self._busy = busy
         self._cut_off = cut_off
         self._announced: dict[str, Mapping[str, Any]] = {}
@@ -86,6 +88,12 @@
         """Returns an upper estimate that includes daemons presumed dead."""
         return max(self._members.known_count, self._min_count())
 
+    @property
+    def count_known(self) -> bool:
+        """Whether the list of daemons was read, or gossip has told of them."""
+        told = self._members.known_count > 1 and self._is_warmed_up()
+        return self._listed() or told
+
     def daemons_for_callers(self) -> list[PeerDaemon]:
         """Returns the ready daemons; if there are none, the others known."""
         known = [d for d in self.all() if d.public_address]
--- a/cactusdyke/serving/peers.py
+++ b/cactusdyke/serving/peers.py
@@ -59,12 +59,21 @@
         presumes the other dead, and would otherwise spend the whole budget.
         """
 
+    @property
+    def count_known(self) -> bool:
+        """Whether the estimate rests on more than the settings.
+
+        A daemon that has just started may know a few of hundreds only.
+        """
+        return True
+
     def sees_most(self) -> bool:
         """Returns whether more than half of the daemons are presumed alive.
 
         In a network partition this holds on one side at most.
         """
-        return 2 * len(self.all()) > self.estimated_count()
+        most = 2 * len(self.all()) > self.estimated_count()
+        return most and self.count_known
 
 
 USEFUL_CORES = 1.0
--- a/cactusdyke/serving/retry_budget.py
+++ b/cactusdyke/serving/retry_budget.py
@@ -105,12 +105,12 @@
             requests=len(self._recent(self._requests, service)),
             charged=len(self._recent(self._retries, service)),
             share=round(self._share(), 2),
-            daemons=self._daemon_count.current(),
-            daemons_age_ms=round(self._daemon_count.age_ms),
+            daemons=self._daemon_count.highest(),
+            daemons_age_ms=round(self._daemon_count.unchanged_ms),
         )
 
     def _share(self) -> float:
-        return self._allowance().slack / self._daemon_count.current()
+        return self._allowance().slack / self._daemon_count.highest()
 
     def _recent(
         self, counts: dict[str, collections.deque[Instant]], service: str
--- a/cactusdyke/serving/stream_exchange.py
+++ b/cactusdyke/serving/stream_exchange.py
@@ -87,7 +87,10 @@
         taken up elsewhere, which is safe.
         """
         receivers = self._ranked(stream_id)[:TOLD_DAEMONS]
-        if not receivers and self._daemons.estimated_count() > 1:
+        alone = (
+            self._daemons.count_known and self._daemons.estimated_count() == 1
+        )
+        if not receivers and not alone:
             now = self._clock.now()
             self._untold.record_result(accepted=False, sent_at=now)
         self._untold.record_begin()
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -16,7 +16,6 @@
 from cactusdyke.serving import balance
 from cactusdyke.serving.batcher import StageBatcher
 from cactusdyke.serving.connection_share import ConnectionShare
-from cactusdyke.serving.daemon_count import DaemonCount
 from cactusdyke.serving.decider_directory import DeciderDirectory
 from cactusdyke.serving.deployment import Deployment
 from cactusdyke.serving.dialect import Piece
@@ -239,9 +238,7 @@
         RetryBudget(
             clock=clock,
             allowance=lambda: allowance,
-            daemon_count=DaemonCount(
-                clock=clock, daemons=values.CountedDaemons(assumed_daemons)
-            ),
+            daemon_count=values.daemon_count(assumed_daemons, clock),
         )
         for _ in range(6)
     ]
@@ -702,7 +699,7 @@
     context.share = ConnectionShare(
         deployment=_deployment_with_desk(96),
         health=context.health,
-        daemon_count=lambda: 6,
+        daemon_count=values.daemon_count(6, ManualClock()),
     )
     context.bounded = replica("r1", "desk")
 
@@ -727,12 +724,12 @@
     small_share = ConnectionShare(
         deployment=_deployment_with_desk(3),
         health=ReplicaHealth(clock=ManualClock()),
-        daemon_count=lambda: 75,
+        daemon_count=values.daemon_count(75, ManualClock()),
     )
     assert small_share.has_capacity(context.bounded)
     unlimited = ConnectionShare(
         deployment=Deployment(clock=ManualClock()),
         health=context.health,
-        daemon_count=lambda: 6,
+        daemon_count=values.daemon_count(6, ManualClock()),
     )
     assert unlimited.has_capacity(context.bounded)
--- a/features/support/retry_fleet.py
+++ b/features/support/retry_fleet.py
@@ -144,7 +144,11 @@
         return RetryBudget(
             clock=self.clock,
             allowance=lambda: self.allowance,
-            daemon_count=DaemonCount(clock=self.clock, daemons=daemons),
+            daemon_count=DaemonCount(
+                clock=self.clock,
+                daemons=daemons,
+                window_ms=lambda: WINDOW_MS,
+            ),
         )
 
     def make_budget(self, daemons: PeerDaemons):
--- a/features/support/serving_values.py
+++ b/features/support/serving_values.py
@@ -4,6 +4,7 @@
 
 from cactusdyke.serving.brittle_replicas import BrittleRequestLimit
 from cactusdyke.serving.cold_replicas import ColdAllowance, ColdRequestLimit
+from cactusdyke.serving.daemon_count import DaemonCount
 from cactusdyke.serving.peers import PeerDaemons
 from cactusdyke.serving.request import ClientRequest, ServingContext
 from cactusdyke.serving.request_limits import RequestLimits
@@ -26,6 +27,14 @@
         return self.count
 
 
+def daemon_count_of(daemons, clock):
+    return DaemonCount(clock=clock, daemons=daemons, window_ms=lambda: 10_000.0)
+
+
+def daemon_count(count, clock):
+    return daemon_count_of(CountedDaemons(count), clock)
+
+
 def client_request(pieces=(), **changes):
     fields = {
         "request_id": "request",
