Keep the retries of all processes within the allowance, with any traffic

Causes, three of one class: a process keeps its part of a shared limit in its memory, and counted it by what it had seen itself. (D) Traffic that moves between daemons was earned by twice; 0.8 of the allowance hid it.

Now the bound follows from what each process keeps to: what its requests earn goes to a bucket whose size counts against its share, the rest of the share is a log of what was sent within the window, and a share begins once the daemon count has been known for a window.

--- a/cactusdyke/report/retries.py
+++ b/cactusdyke/report/retries.py
@@ -60,7 +60,7 @@
             return
         self.shares.append(float(line.fields["share"]))
         self.daemons.append(int(line.fields["daemons"]))
-        self.ages_ms.append(int(line.fields["daemons_age_ms"]))
+        self.ages_ms.append(int(line.fields["daemons_unchanged_ms"]))
 
 
 def count_retries(
--- a/cactusdyke/serving/attempt.py
+++ b/cactusdyke/serving/attempt.py
@@ -283,16 +283,16 @@
 
     def _record_send(self, context: ServingContext, replica: Replica) -> None:
         context.sends += 1
-        if context.sends == 1:
-            return
         retry = context.retry
-        waited_ms = self._clock.now() - retry.charged_at if retry else 0.0
+        if context.sends == 1 or retry is None:
+            return
+        retry.mark_sent()
         events.log(
             events.Event.RETRY_SENT,
             request_id=context.request.request_id,
             service=context.service,
             backend_server=replica.name,
-            waited_ms=round(waited_ms),
+            waited_ms=round(self._clock.now() - retry.charged_at),
         )
 
     def _decode_head(
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -265,6 +265,8 @@
             self._stages.free(context, results)
             if context.held_answer is not None:
                 context.held_answer.release()
+            if context.retry is not None:
+                context.retry.release()
             if not finished:
                 self._log_unfinished(context, state)
         if failure is None:
--- a/cactusdyke/serving/retry_budget.py
+++ b/cactusdyke/serving/retry_budget.py
@@ -1,8 +1,23 @@
-"""Limits how many retries a service receives beyond first attempts."""
+"""Limits how many retries a service receives beyond first attempts.
+
+All daemons share the allowance of a service, and none asks another one. Each
+has an equal share of the slack and what its own requests earn. That the sum
+stays within the allowance follows from what each process keeps to, in any
+window and with any traffic:
+
+- It sends no more retries than it had saved at the begin of the window, than
+  its requests earn in the window, and than the rest of its share allows. What
+  it may save counts against its share.
+- A process that starts has saved nothing, and has no part of the slack for a
+  window: its predecessor may have used it up.
+- A retry that was charged and not sent yet counts as used until it is sent, and
+  for a window from then on.
+"""
 
 from __future__ import annotations
 
 import collections
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -31,45 +46,151 @@
     window_ms: float = 10_000.0
 
 
+SAFETY_FACTOR = 0.97
+"""Share of the slack that is used: retries arrive later than they are sent, and
+daemons that were just added are not counted everywhere yet."""
+SAVED_SHARE = 0.4
+"""Share of a daemon's part of the slack that it may have saved from earlier
+requests. The rest may be used at any time."""
+WHOLE_RETRY = 1.0
+
+
 @attrs.frozen(kw_only=True)
 class RetryAccount:
     """What a decision on a retry was based on, for log events.
 
     Attributes:
         requests: Requests for the service within the window, of this process.
-        charged: Retries that it charged within the window.
-        share: Its share of the slack, in retries.
+        charged: Its retries within the window, and those not sent yet.
+        saved: Retries that its requests have earned and that are left.
+        share: Its share of the slack, in retries; 0 if it has none yet.
         daemons: The daemon count that the slack was divided by.
-        daemons_age_ms: For how long the count has been the same.
+        daemons_unchanged_ms: For how long the count has been the same.
+        daemons_known_ms: For how long the count has been known.
     """
 
     requests: int
     charged: int
+    saved: float
     share: float
     daemons: int
-    daemons_age_ms: int
+    daemons_unchanged_ms: int
+    daemons_known_ms: int
 
 
-SAFETY_FACTOR = 0.8
-"""Share of the allowance that is used: daemons that were just added are not
-counted yet."""
+class _Charges:
+    """The retries that were charged to one part of the budget."""
+
+    def __init__(self) -> None:
+        self._pending = 0
+        self._sent: collections.deque[Instant] = collections.deque()
+
+    def charge(self) -> None:
+        """Charges a retry, which is pending until it is sent or returned."""
+        self._pending += 1
+
+    def record_sent(self, now: Instant) -> None:
+        """Records that a pending retry was sent."""
+        self._pending -= 1
+        self._sent.append(now)
+
+    def refund(self) -> None:
+        """Returns a pending retry that will not be sent."""
+        self._pending -= 1
+
+    def used_since(self, oldest: Instant) -> int:
+        """Returns how many retries are pending or were sent since then."""
+        _drop_before(self._sent, oldest)
+        return self._pending + len(self._sent)
+
+
+class _Earnings(_Charges):
+    """The retries that requests have earned, as a token bucket."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._saved = 0.0
+
+    @property
+    def saved(self) -> float:
+        """Retries that are left to be charged."""
+        return self._saved
+
+    def add(self, earned: float, *, most: float) -> None:
+        """Adds to what is saved; pending retries count as saved."""
+        most_saved = max(0.0, most - self._pending)
+        self._saved = min(self._saved + earned, most_saved)
+
+    def charge(self) -> None:
+        """Charges a retry, which is pending until it is sent or returned."""
+        super().charge()
+        self._saved -= 1.0
+
+    def refund(self) -> None:
+        """Returns a pending retry that will not be sent."""
+        super().refund()
+        self._saved += 1.0
 
 
-@attrs.frozen(kw_only=True)
 class RetryPermit:
-    """A retry that was charged to the budget."""
+    """A retry that was charged to the budget, to be sent once or returned."""
 
-    charged_at: Instant
+    def __init__(self, *, clock: Clock, charges: _Charges) -> None:
+        self._clock = clock
+        self._charges: _Charges | None = charges
+        self._charged_at = clock.now()
+        charges.charge()
 
+    @property
+    def charged_at(self) -> Instant:
+        """When the retry was charged."""
+        return self._charged_at
 
-class RetryBudget:
-    """This daemon's share of the retry allowance of each service.
+    def mark_sent(self) -> None:
+        """Records that the retry is being sent."""
+        if self._charges is not None:
+            self._charges.record_sent(self._clock.now())
+            self._charges = None
+
+    def release(self) -> None:
+        """Returns the retry to the budget, unless it was sent."""
+        if self._charges is not None:
+            self._charges.refund()
+            self._charges = None
 
-    Each daemon uses an equal share of the slack, and counts its own requests
-    and retries in a sliding window. The sum over all daemons thus stays within
-    the allowance without any coordination.
+
+@attrs.frozen(kw_only=True)
+class _Limits:
+    """What this process may use of the allowance of any service.
+
+    Attributes:
+        share: Its part of the slack.
+        most_saved: Retries that it may have saved.
+        slack: Whole retries that it may send in any window besides.
+        added_per_ms: What is left of its part, as added to what is saved.
     """
 
+    share: float
+    most_saved: float = WHOLE_RETRY
+    slack: int = 0
+    added_per_ms: float = 0.0
+
+
+@attrs.define(kw_only=True)
+class _ServiceBudget:
+    """The requests and retries of one service."""
+
+    requests: collections.deque[Instant] = attrs.field(
+        factory=collections.deque
+    )
+    earnings: _Earnings = attrs.field(factory=_Earnings)
+    slack: _Charges = attrs.field(factory=_Charges)
+    updated_at: Instant
+
+
+class RetryBudget:
+    """This process's part of the retry allowance of each service."""
+
     def __init__(
         self,
         *,
@@ -80,43 +201,88 @@
         self._clock = clock
         self._allowance = allowance
         self._daemon_count = daemon_count
-        self._requests: dict[str, collections.deque[Instant]] = {}
-        self._retries: dict[str, collections.deque[Instant]] = {}
+        self._services: dict[str, _ServiceBudget] = {}
 
     def record_request(self, service: str) -> None:
         """Counts a new request for a service."""
-        self._recent(self._requests, service).append(self._clock.now())
+        self._update(service, earned=self._allowance().ratio)
+        self._services[service].requests.append(self._clock.now())
 
     def charge(self, service: str) -> RetryPermit | None:
         """Charges a retry, or returns None if it is not within the budget."""
-        allowance = self._allowance()
-        earned = allowance.ratio * len(self._recent(self._requests, service))
-        share = self._share()
-        spent = self._recent(self._retries, service)
-        if len(spent) + 1 > SAFETY_FACTOR * (earned + share):
-            return None
-        now = self._clock.now()
-        spent.append(now)
-        return RetryPermit(charged_at=now)
+        limits = self._update(service)
+        budget = self._services[service]
+        if budget.earnings.saved >= 1.0 and self._was_earned(budget, limits):
+            return RetryPermit(clock=self._clock, charges=budget.earnings)
+        if budget.slack.used_since(self._oldest) < limits.slack:
+            return RetryPermit(clock=self._clock, charges=budget.slack)
+        return None
 
     def account(self, service: str) -> RetryAccount:
         """Returns what the next decision for a service is based on."""
+        limits = self._update(service)
+        budget = self._services[service]
+        oldest = self._oldest
         return RetryAccount(
-            requests=len(self._recent(self._requests, service)),
-            charged=len(self._recent(self._retries, service)),
-            share=round(self._share(), 2),
+            requests=len(budget.requests),
+            charged=budget.earnings.used_since(oldest)
+            + budget.slack.used_since(oldest),
+            saved=round(budget.earnings.saved, 2),
+            share=round(limits.share, 2),
             daemons=self._daemon_count.highest(),
-            daemons_age_ms=round(self._daemon_count.unchanged_ms),
+            daemons_unchanged_ms=round(self._daemon_count.unchanged_ms),
+            daemons_known_ms=round(self._daemon_count.known_for_ms),
+        )
+
+    @property
+    def _oldest(self) -> Instant:
+        return self._clock.now() - self._allowance().window_ms
+
+    def _update(self, service: str, *, earned: float = 0.0) -> _Limits:
+        """Adds what a service's budget has gained; returns the limits."""
+        now = self._clock.now()
+        budget = self._services.get(service)
+        if budget is None:
+            budget = _ServiceBudget(updated_at=now)
+            self._services[service] = budget
+        limits = self._limits()
+        earned += limits.added_per_ms * (now - budget.updated_at)
+        budget.earnings.add(earned, most=limits.most_saved)
+        budget.updated_at = now
+        _drop_before(budget.requests, self._oldest)
+        return limits
+
+    def _limits(self) -> _Limits:
+        allowance = self._allowance()
+        # The predecessor of a process that starts may have used its part, and
+        # a daemon that does not know the others could take any part for its.
+        if self._daemon_count.known_for_ms < allowance.window_ms:
+            return _Limits(share=0.0)
+        share = SAFETY_FACTOR * allowance.slack / self._daemon_count.highest()
+        if share < WHOLE_RETRY:
+            return _Limits(share=share)
+        most_saved = max(WHOLE_RETRY, SAVED_SHARE * share)
+        slack = math.floor(share - most_saved)
+        rest = share - most_saved - slack
+        return _Limits(
+            share=share,
+            most_saved=most_saved,
+            slack=slack,
+            added_per_ms=rest / allowance.window_ms,
         )
 
-    def _share(self) -> float:
-        return self._allowance().slack / self._daemon_count.highest()
-
-    def _recent(
-        self, counts: dict[str, collections.deque[Instant]], service: str
-    ) -> collections.deque[Instant]:
-        recent = counts.setdefault(service, collections.deque())
-        oldest = self._clock.now() - self._allowance().window_ms
-        while recent and recent[0] < oldest:
-            recent.popleft()
-        return recent
+    def _was_earned(self, budget: _ServiceBudget, limits: _Limits) -> bool:
+        """Returns whether the requests of this window have earned a retry.
+
+        If the share is less than what must be saved for one retry, all daemons
+        together could save more than the slack.
+        """
+        if limits.share >= WHOLE_RETRY:
+            return True
+        earned = self._allowance().ratio * len(budget.requests)
+        return budget.earnings.used_since(self._oldest) + 1 <= earned
+
+
+def _drop_before(times: collections.deque[Instant], oldest: Instant) -> None:
+    while times and times[0] < oldest:
+        times.popleft()
--- a/cactusdyke/serving/retry_policy.py
+++ b/cactusdyke/serving/retry_policy.py
@@ -56,7 +56,8 @@
     def may_retry(self, context: ServingContext, result: AttemptResult) -> bool:
         """Returns whether to retry, and charges a retry to the budget.
 
-        An attempt that sent nothing is retried without a charge.
+        An attempt that sent nothing is retried without a charge; a retry
+        that was charged for it is still to be sent.
         """
         repeatable = (
             result.ran is Ran.NOT_RUN
--- a/features/steps/report_steps.py
+++ b/features/steps/report_steps.py
@@ -200,7 +200,7 @@
         service="pool",
         share=share,
         daemons=daemons,
-        daemons_age_ms=age_ms,
+        daemons_unchanged_ms=age_ms,
     )
 
 
--- a/features/steps/retry_budget_steps.py
+++ b/features/steps/retry_budget_steps.py
@@ -15,7 +15,7 @@
 
 @when("{count:d} daemons retry as often as they may without trouble")
 def without_trouble(context, count):
-    context.fleet = RetryFleet(count=count, seed=1)
+    context.fleet = RetryFleet(count=count, seed=1, step_ms=20.0)
     context.fleet.run()
 
 
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -249,7 +249,9 @@
             if step % 20 == 0:
                 budget.record_request("service")
                 requests.append(clock.ms)
-            if budget.charge("service") is not None:
+            permit = budget.charge("service")
+            if permit is not None:
+                permit.mark_sent()
                 retries.append(clock.ms)
     worst = -1e9
     for end in range(0, 60_001, 250):
--- a/features/support/retry_fleet.py
+++ b/features/support/retry_fleet.py
@@ -21,7 +21,7 @@
     from collections.abc import Callable
 
 SERVICE = "service"
-STEP_MS = 100.0
+CHECK_EACH_MS = 100.0
 WINDOW_MS = 10_000.0
 FAILURES_FROM_MS = 14_000.0
 LENGTH_MS = 56_000.0
@@ -121,18 +121,21 @@
         *,
         count: int,
         seed: int,
+        step_ms: float | None = None,
         budget: Callable[..., object] | None = None,
     ) -> None:
         self.clock = FleetClock()
         self.rng = random.Random(seed)
         self.count = count
         self.allowance = allowance_of(count)
+        self._step_ms = step_ms or (100.0 if count < 100 else 200.0)
         self._budget = budget or self._product_budget
         self.store_away = False
         self.count_at_start = 4
         self.requests_per_s = REQUESTS_PER_S[count]
         self.takes_traffic: Callable[[FleetDaemon], bool] = lambda _: True
-        self.waits_ms: Callable[[], float] = lambda: 20.0
+        self.waits_ms: Callable[[], float] = lambda: 0.0
+        self.late_ms: Callable[[], float] = lambda: 20.0
         self._actions: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._owed = 0.0
@@ -164,9 +167,17 @@
 
         def send() -> None:
             if daemon.incarnation == incarnation and not daemon.gone:
-                self.arrivals.append(self.clock.ms)
+                permit.mark_sent()
+                self.at(self.clock.ms + self.late_ms(), arrive)
 
-        self.at(self.clock.ms + self.waits_ms(), send)
+        def arrive() -> None:
+            self.arrivals.append(self.clock.ms)
+
+        wait_ms = self.waits_ms()
+        if wait_ms:
+            self.at(self.clock.ms + wait_ms, send)
+        else:
+            send()
 
     def run(self) -> None:
         """Plays the whole time."""
@@ -177,10 +188,10 @@
             self._add_requests([d for d in up if self.takes_traffic(d)] or up)
             for daemon in up:
                 daemon.step()
-            self.clock.ms += STEP_MS
+            self.clock.ms += self._step_ms
 
     def _add_requests(self, receivers: list[FleetDaemon]) -> None:
-        self._owed += self.requests_per_s * STEP_MS / 1_000.0
+        self._owed += self.requests_per_s * self._step_ms / 1_000.0
         while self._owed >= 1.0:
             self._owed -= 1.0
             self.requests.append(self.clock.ms)
@@ -204,8 +215,8 @@
         return used / sum(self._allowed(at) for at in whole)
 
     def _window_begins(self) -> list[float]:
-        steps = int((LENGTH_MS - WINDOW_MS) / STEP_MS)
-        return [step * STEP_MS for step in range(steps)]
+        steps = int((LENGTH_MS - WINDOW_MS) / CHECK_EACH_MS)
+        return [step * CHECK_EACH_MS for step in range(steps)]
 
     def _retries(self, begin: float) -> int:
         return _count(self.arrivals, begin, begin + WINDOW_MS)
@@ -300,7 +311,7 @@
 
 def slow_paths(fleet: RetryFleet) -> None:
     """Retries reach replicas up to four seconds late."""
-    fleet.waits_ms = lambda: fleet.rng.uniform(0.0, 4_000.0)
+    fleet.late_ms = lambda: fleet.rng.uniform(0.0, 4_000.0)
 
 
 TROUBLES = {
