Bound answers that never end, in linear time and memory

What callers saw: one replica whose answer never ends (bytes that are no answer, until the caller closes) took a daemon's processor and memory, and with them all other requests.

Causes: the event reader and both readers of the own interface split all that was left again with each read, without a bound; the parser counted only the head's bytes; a whole answer of another daemon or of the store had no bound.

Now DelimitedReader searches only what is new and keeps 64 KB of an event (1 MB of a line of the own interface); bytes without an event are bounded the same; the parser allows 64 bytes for each chunk and 64 KB besides around a body; calls of daemons and of the store read 16 MB. Each is an error that names the limit, closes the connection and counts against the replica. What is held stays below the size from which bodies are counted in the memory budget.

--- a/cactusdyke/client_answers.py
+++ b/cactusdyke/client_answers.py
@@ -11,6 +11,7 @@
 
 from cactusdyke.errors import CactusdykeError, Failure, FailureKind, Ran
 from cactusdyke.transport.messages import Response, parse_object
+from cactusdyke.util.delimited import DelimitedReader, PartTooLongError
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -18,6 +19,7 @@
     from cactusdyke.transport.network import Incoming
 
 LAST_EVENTS = frozenset({"end", "error"})
+MAX_EVENT_BYTES = 1024 * 1024
 
 
 @attrs.frozen(kw_only=True)
@@ -62,12 +64,25 @@
     if isinstance(opened, Err) or opened.ok_value.status == 200:
         return opened
     try:
-        body = b"".join([c async for c in opened.ok_value.chunks()])
+        body = await opened.ok_value.whole_body()
     except CactusdykeError as error:
         return Err(error.failure)
     return Err(failure_from(body))
 
 
+def _blocks(reader: DelimitedReader, chunk: bytes) -> list[bytes]:
+    try:
+        return reader.feed(chunk)
+    except PartTooLongError as error:
+        raise CactusdykeError(
+            Failure(
+                kind=FailureKind.CONNECTION_LOST,
+                detail=f"An event of the stream has {error}",
+                ran=Ran.UNKNOWN,
+            )
+        ) from error
+
+
 async def events(
     chunks: AsyncIterator[bytes],
 ) -> AsyncIterator[ServerSentEvent]:
@@ -76,10 +91,9 @@
     A daemon that dies in mid-answer can leave a stream that stops between two
     events as if it were whole; only the last event's name tells.
     """
-    rest = b""
+    reader = DelimitedReader(b"\n\n", max_bytes=MAX_EVENT_BYTES)
     async for chunk in chunks:
-        *blocks, rest = (rest + chunk).split(b"\n\n")
-        for block in blocks:
+        for block in _blocks(reader, chunk):
             first, _, second = block.partition(b"\n")
             event = ServerSentEvent(
                 name=first.removeprefix(b"event: ").decode(),
--- a/cactusdyke/platform/wire.py
+++ b/cactusdyke/platform/wire.py
@@ -18,6 +18,7 @@
     Dialect,
     EncodedCall,
     EventReader,
+    EventStreamError,
     MemoryReport,
     Piece,
     PieceFailure,
@@ -27,6 +28,7 @@
     StreamEvent,
 )
 from cactusdyke.serving.request import ClientRequest, Generation, PromptPart
+from cactusdyke.util.delimited import DelimitedReader, PartTooLongError
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -43,6 +45,7 @@
 UNAVAILABLE_STATUS = 503
 LOAD = b"x-replica-load"
 MAX_LOAD_BYTES = 64
+MAX_EVENT_BYTES = 65_536
 PERCENT = 100.0
 
 _ONE_CONNECTION = frozenset(
@@ -334,17 +337,27 @@
     """Splits a body of type text/event-stream into its events."""
 
     def __init__(self) -> None:
-        self._rest = b""
+        self._reader = DelimitedReader(b"\n\n", max_bytes=MAX_EVENT_BYTES)
+        self._empty_bytes = 0
 
     @property
     def remainder(self) -> bytes:
         """The bytes after the last complete event."""
-        return self._rest
+        return self._reader.remainder
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Appends bytes and returns the events that they complete."""
-        *whole, self._rest = (self._rest + data).split(b"\n\n")
-        return [_event(part + b"\n\n") for part in whole if part.strip()]
+        try:
+            parts = self._reader.feed(data)
+        except PartTooLongError as error:
+            raise EventStreamError(f"an event of {error}") from error
+        whole = [_event(part + b"\n\n") for part in parts if part.strip()]
+        self._empty_bytes = 0 if whole else self._empty_bytes + len(data)
+        if self._empty_bytes > MAX_EVENT_BYTES:
+            raise EventStreamError(
+                f"no event in over {MAX_EVENT_BYTES} bytes of a stream"
+            )
+        return whole
 
 
 class _Values:
--- a/cactusdyke/routing/backend_client.py
+++ b/cactusdyke/routing/backend_client.py
@@ -23,6 +23,7 @@
 )
 from cactusdyke.transport.messages import JSON_TYPE, Request, parse_object
 from cactusdyke.transport.network import CallOptions, ProgressLimit
+from cactusdyke.util.delimited import DelimitedReader, PartTooLongError
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
@@ -32,6 +33,7 @@
 
 RUN_PATH = "/v1/run"
 CONNECT_TIMEOUT_MS = 500.0
+MAX_LINE_BYTES = 1024 * 1024
 LEAVING = "leaving"
 
 
@@ -98,7 +100,7 @@
                 raise CactusdykeError(opened.err_value)
             incoming = opened.ok_value
             if incoming.status != 200:
-                body = b"".join([c async for c in incoming.chunks()])
+                body = await incoming.whole_body()
                 raise CactusdykeError(
                     _status_failure(server, incoming.status, body)
                 )
@@ -119,9 +121,12 @@
         self, incoming: Incoming
     ) -> AsyncGenerator[TokenBatch | StreamEnd, None]:
         """Yields the tokens of each chunk, then the end event."""
-        remainder = b""
+        reader = DelimitedReader(b"\n", max_bytes=MAX_LINE_BYTES)
         async for chunk in incoming.chunks():
-            *lines, remainder = (remainder + chunk).split(b"\n")
+            try:
+                lines = reader.feed(chunk)
+            except PartTooLongError as error:
+                raise self._protocol_error(f"a line of {error}") from error
             tokens: list[Token] = []
             end: StreamEnd | None = None
             for line in lines:
--- a/cactusdyke/serving/attempt.py
+++ b/cactusdyke/serving/attempt.py
@@ -13,7 +13,11 @@
 from cactusdyke import events
 from cactusdyke.clock import MS_PER_SECOND, Instant
 from cactusdyke.errors import Ran
-from cactusdyke.serving.dialect import AnswerKind, AnswerVerdict
+from cactusdyke.serving.dialect import (
+    AnswerKind,
+    AnswerVerdict,
+    EventStreamError,
+)
 from cactusdyke.serving.model import RepeatPolicy
 from cactusdyke.transport.exchange import Exchange, ExchangeError
 from cactusdyke.transport.memory_budget import Held, Kind
@@ -399,7 +403,12 @@
         is_first = True
         async with contextlib.aclosing(exchange.body()) as chunks:  # type: ignore[type-var]
             async for chunk in chunks:
-                arrived = reader.feed(chunk)
+                try:
+                    arrived = reader.feed(chunk)
+                except EventStreamError as error:
+                    raise ExchangeError(
+                        f"{replica.address}: {error}", sent=exchange.sent
+                    ) from error
                 if not arrived:
                     continue
                 self._check_order(arrived, state, exchange)
--- a/cactusdyke/serving/dialect.py
+++ b/cactusdyke/serving/dialect.py
@@ -139,12 +139,20 @@
     data: bytes
 
 
+class EventStreamError(Exception):
+    """The bytes received are no stream of events."""
+
+
 class EventReader(abc.ABC):
     """Splits a body into events."""
 
     @abc.abstractmethod
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Appends bytes and returns the events that they complete."""
+        """Appends bytes and returns the events that they complete.
+
+        Raises:
+            EventStreamError: Too many bytes have come without an event.
+        """
 
     @property
     @abc.abstractmethod
--- a/cactusdyke/transport/answer_parser.py
+++ b/cactusdyke/transport/answer_parser.py
@@ -9,6 +9,8 @@
 
 FIRST_FINAL_STATUS = 200
 SPACES_IN_REQUEST_LINE = 2
+FRAMING_BYTES_PER_CHUNK = 64
+"""Size, line ends and a short extension of a chunk."""
 _FRAMING = frozenset({b"content-length", b"transfer-encoding"})
 
 
@@ -40,6 +42,9 @@
         self._max_head_bytes = max_head_bytes
         self._parser = httptools.HttpResponseParser(self)
         self._received_bytes = 0
+        self._body_bytes = 0
+        self._chunk_count = 0
+        self._framing_bytes_left = max_head_bytes
         self._headers: Headers = []
         self._head: AnswerHead | None = None
         self._chunks: list[bytes] = []
@@ -87,6 +92,9 @@
         if self._error:
             return
         self._received_bytes += len(data)
+        head_was_complete = self._head is not None
+        self._body_bytes = 0
+        self._chunk_count = 0
         try:
             self._parser.feed_data(data)
         except (
@@ -99,6 +107,22 @@
                 self._error = f"no HTTP answer: {error}"
         if self._head is None and self._received_bytes > self._max_head_bytes:
             self._error = f"a head of over {self._max_head_bytes} bytes"
+        if head_was_complete and not self._done:
+            self._check_framing(len(data) - self._body_bytes)
+
+    def _check_framing(self, framing_bytes: int) -> None:
+        """Bounds what may come around a body: chunk headers and trailers."""
+        self._framing_bytes_left = min(
+            self._max_head_bytes,
+            self._framing_bytes_left
+            + FRAMING_BYTES_PER_CHUNK * self._chunk_count,
+        )
+        self._framing_bytes_left -= framing_bytes
+        if self._framing_bytes_left < 0:
+            self._error = (
+                f"over {self._max_head_bytes} bytes of chunk headers or"
+                " trailers"
+            )
 
     def feed_eof(self) -> None:
         """Handles the end of the connection."""
@@ -151,6 +175,11 @@
         """Takes a part of a body; called by the parser."""
         if not self._done:
             self._chunks.append(data)
+            self._body_bytes += len(data)
+
+    def on_chunk_header(self) -> None:
+        """Takes the begin of a chunk; called by the parser."""
+        self._chunk_count += 1
 
     def on_message_begin(self) -> None:
         """Takes the begin of a message; called by the parser."""
--- a/cactusdyke/transport/network.py
+++ b/cactusdyke/transport/network.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+import contextlib
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -10,7 +11,7 @@
 from result import Err, Ok, Result
 
 from cactusdyke.clock import Clock, Instant
-from cactusdyke.errors import CactusdykeError, Failure
+from cactusdyke.errors import CactusdykeError, Failure, FailureKind, Ran
 from cactusdyke.transport.messages import Request, Response
 
 if TYPE_CHECKING:
@@ -18,6 +19,10 @@
     from contextlib import AbstractAsyncContextManager
 
 
+MAX_BODY_BYTES = 16 * 1024 * 1024
+"""Several times what a daemon knows of 1,800 replicas."""
+
+
 class Incoming(abc.ABC):
     """A response whose head has arrived and whose body is on its way."""
 
@@ -39,6 +44,27 @@
             CactusdykeError: The connection broke or made no progress.
         """
 
+    async def whole_body(self, *, most: int = MAX_BODY_BYTES) -> bytes:
+        """Returns the whole body.
+
+        Raises:
+            CactusdykeError: The connection broke or made no progress, or the
+                body has more than `most` bytes.
+        """
+        body = bytearray()
+        async with contextlib.aclosing(self.chunks()) as chunks:  # type: ignore[type-var]
+            async for chunk in chunks:
+                body += chunk
+                if len(body) > most:
+                    raise CactusdykeError(
+                        Failure(
+                            kind=FailureKind.CONNECTION_LOST,
+                            detail=f"The answer has over {most} bytes",
+                            ran=Ran.UNKNOWN,
+                        )
+                    )
+        return bytes(body)
+
 
 @attrs.define(kw_only=True)
 class ProgressLimit:
@@ -63,6 +89,7 @@
         limit: Bounds each wait for the answer as well, if given.
         may_send: Asked with the connection open, right before the first byte
             is handed over; if it says no, nothing is sent (NOT_SENT).
+        max_body_bytes: Longest body of an answer that is read whole.
     """
 
     connect_timeout_ms: float = 1_000.0
@@ -70,6 +97,7 @@
     fresh: bool = False
     limit: ProgressLimit | None = None
     may_send: Callable[[], bool] | None = None
+    max_body_bytes: int = MAX_BODY_BYTES
 
     def wait_ms(self, clock: Clock) -> float:
         """Returns how long the next wait for the answer may be."""
@@ -102,7 +130,7 @@
                 return opened
             incoming = opened.ok_value
             try:
-                body = b"".join([chunk async for chunk in incoming.chunks()])
+                body = await incoming.whole_body(most=options.max_body_bytes)
             except CactusdykeError as error:
                 return Err(error.failure)
             return Ok(
