Start a daemon's share of retries a window after the count was known

It withheld the slack for ten seconds of traffic in place of ten seconds from its start. The registry now states when it was read, and the member view when gossip had told of the others.

Tests: a charged retry counts until it is sent and for a window from then on, or goes back; less slack than one retry a daemon (64 and 348 daemons, 58: at least 0.6 used and never above); a process that has just started; and the emulator counts what replicas get again over all daemons and restarts: with replicas that crash in a row and half of nine daemons killed, no window is above, and no daemon holds a charged retry at the end (a gauge shows them).

The fleet counts windows with the emulator's code.

--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -141,7 +141,7 @@
             min_count=lambda: max(
                 registry.registered_count, len(self._settings.seeds) + 1
             ),
-            listed=lambda: registry.listed,
+            listed_at=lambda: registry.listed_at,
             busy=lambda: load.busy,
             cut_off=lambda: self._core.cut_off,
         )
--- a/cactusdyke/platform/registry.py
+++ b/cactusdyke/platform/registry.py
@@ -17,7 +17,7 @@
 from cactusdyke.serving.quarantine import QuarantineStore
 
 if TYPE_CHECKING:
-    from cactusdyke.clock import Clock
+    from cactusdyke.clock import Clock, Instant
     from cactusdyke.errors import Failure
     from cactusdyke.infrastructure.watched_store import StoreObject
     from cactusdyke.platform.settings import PlatformSettings
@@ -48,7 +48,7 @@
         self._quarantine: Quarantine | None = None
         self._registered = 0
         self._tried = anyio.Event()
-        self._listed = False
+        self._listed_at: Instant | None = None
         self._stopping = False
 
     @property
@@ -57,9 +57,9 @@
         return self._registered
 
     @property
-    def listed(self) -> bool:
-        """Whether this daemon has read the list since it started."""
-        return self._listed
+    def listed_at(self) -> Instant | None:
+        """When this daemon first read the list, None before."""
+        return self._listed_at
 
     def keep(self, quarantine: Quarantine) -> None:
         """Saves the evidence of a quarantine with this daemon's object."""
@@ -72,7 +72,8 @@
         if isinstance(answer, Err):
             self._inform()
             return answer
-        self._listed = True
+        if self._listed_at is None:
+            self._listed_at = self._clock.now()
         self._registered = len(answer.ok_value.objects)
         for entry in answer.ok_value.objects:
             self._load_evidence(entry)
@@ -98,9 +99,12 @@
         """
         await self._tried.wait()
         while True:
-            if not self._listed:
+            if self._listed_at is None:
                 await self.read()
-            if self._listed and (await self.save_quarantine()).is_ok():
+            if (
+                self._listed_at is not None
+                and (await self.save_quarantine()).is_ok()
+            ):
                 return
             await self._clock.sleep(RETRY_MS)
 
--- a/cactusdyke/serving/core.py
+++ b/cactusdyke/serving/core.py
@@ -243,11 +243,12 @@
             daemons=daemons,
             window_ms=lambda: retry_allowance().window_ms,
         )
-        budget = RetryBudget(
+        budget = self._retry_budget = RetryBudget(
             clock=clock,
             allowance=retry_allowance,
             daemon_count=daemon_count,
         )
+        metrics.watch_retries(budget)
         retry_policy = RetryPolicy(
             rng=rng,
             data_centre=data_centre,
@@ -315,6 +316,11 @@
         """The quarantine of requests that crash replicas."""
         return self._quarantine
 
+    @property
+    def pending_retries(self) -> int:
+        """Retries that are charged to the retry budget and not sent yet."""
+        return self._retry_budget.pending_count
+
     @property
     def tunnel_gate(self) -> TunnelGate:
         """Decides which connections are made for other daemons."""
--- a/cactusdyke/serving/daemon_count.py
+++ b/cactusdyke/serving/daemon_count.py
@@ -43,12 +43,10 @@
         self._window_ms = window_ms
         self._recent: collections.deque[_Count] = collections.deque()
         self._changed_at: Instant = clock.now()
-        self._known_at: Instant | None = None
 
     def highest(self) -> int:
         """Returns the highest count of the last window, at least 1."""
         now = self._clock.now()
-        self._update_known(now)
         estimate = max(1, self._daemons.estimated_count())
         if not self._recent or self._recent[-1].value != estimate:
             self._changed_at = now
@@ -69,19 +67,10 @@
     @property
     def is_known(self) -> bool:
         """Whether the estimate rests on more than the settings."""
-        self._update_known(self._clock.now())
-        return self._known_at is not None
+        return self._daemons.count_known
 
     @property
     def known_for_ms(self) -> float:
-        """For how long the estimate has rested on more than the settings.
-
-        Milliseconds, 0 while it does not.
-        """
-        now = self._clock.now()
-        self._update_known(now)
-        return 0.0 if self._known_at is None else now - self._known_at
-
-    def _update_known(self, now: Instant) -> None:
-        if self._known_at is None and self._daemons.count_known:
-            self._known_at = now
+        """For how long it has; milliseconds, 0 while it does not."""
+        known_at = self._daemons.count_known_at
+        return 0.0 if known_at is None else self._clock.now() - known_at
--- a/cactusdyke/serving/member_view.py
+++ b/cactusdyke/serving/member_view.py
@@ -37,7 +37,7 @@
         ready: Callable[[], bool],
         decided_hashes: Callable[[], frozenset[int]],
         min_count: Callable[[], int],
-        listed: Callable[[], bool] = lambda: True,
+        listed_at: Callable[[], Instant | None] | None = None,
         busy: Callable[[], bool] = lambda: False,
         cut_off: Callable[[], bool] = lambda: False,
     ) -> None:
@@ -49,7 +49,8 @@
         self._ready = ready
         self._decided_hashes = decided_hashes
         self._min_count = min_count
-        self._listed = listed
+        self._listed_at = listed_at or (lambda: self._started_at)
+        self._told_at: Instant | None = None
         self._busy = busy
         self._cut_off = cut_off
         self._announced: dict[str, Mapping[str, Any]] = {}
@@ -89,10 +90,13 @@
         return max(self._members.known_count, self._min_count())
 
     @property
-    def count_known(self) -> bool:
-        """Whether the list of daemons was read, or gossip has told of them."""
-        told = self._members.known_count > 1 and self._is_warmed_up()
-        return self._listed() or told
+    def count_known_at(self) -> Instant | None:
+        """When the list of daemons was read, or gossip had told of them."""
+        self._note_told()
+        known = [
+            at for at in (self._listed_at(), self._told_at) if at is not None
+        ]
+        return min(known, default=None)
 
     def daemons_for_callers(self) -> list[PeerDaemon]:
         """Returns the ready daemons; if there are none, the others known."""
@@ -136,6 +140,7 @@
         return daemon
 
     def _announcement(self) -> Mapping[str, Any]:
+        self._note_told()
         return {
             "a": self._public_address,
             "r": int(self._ready()),
@@ -149,6 +154,15 @@
     def _is_warmed_up(self) -> bool:
         return self._clock.now() - self._started_at > WARM_UP_MS
 
+    def _note_told(self) -> None:
+        """Notes when gossip has told of others and had time to reach all."""
+        if (
+            self._told_at is None
+            and self._is_warmed_up()
+            and self._members.known_count > 1
+        ):
+            self._told_at = self._clock.now()
+
     def _record_announcement(self, name: str, value: Mapping[str, Any]) -> None:
         self._announced[name] = value
 
--- a/cactusdyke/serving/metrics.py
+++ b/cactusdyke/serving/metrics.py
@@ -17,6 +17,7 @@
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.relay import Relay
     from cactusdyke.serving.replica_paths import ReplicaPaths
+    from cactusdyke.serving.retry_budget import RetryBudget
     from cactusdyke.serving.stated_limits import StatedLimits
 
 SECONDS_BUCKETS = (0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 1.5, 2.0, 4.0, 8.0, 15.0)
@@ -117,6 +118,11 @@
             ("outcome",),
             registry=registry,
         )
+        self._pending_retries = prometheus_client.Gauge(
+            "cactusdyke_pending_retries",
+            "Retries that are charged to the retry budget and not sent yet.",
+            registry=registry,
+        )
         self._quarantined = prometheus_client.Gauge(
             "cactusdyke_quarantined",
             "Requests that no replica gets, as replicas crash under them.",
@@ -149,6 +155,10 @@
                 functools.partial(count, outcome)
             )
 
+    def watch_retries(self, budget: RetryBudget) -> None:
+        """Reads the gauge of charged retries when asked for."""
+        self._pending_retries.set_function(lambda: budget.pending_count)
+
     def watch_paths(self, paths: ReplicaPaths) -> None:
         """Reads the gauge of unreachable replicas when asked for."""
         self._unreachable.set_function(lambda: paths.unreachable_count)
--- a/cactusdyke/serving/peers.py
+++ b/cactusdyke/serving/peers.py
@@ -12,6 +12,8 @@
 if TYPE_CHECKING:
     from collections.abc import Container, Iterable
 
+    from cactusdyke.clock import Instant
+
 
 @attrs.frozen(kw_only=True)
 class PeerDaemon:
@@ -60,12 +62,20 @@
         """
 
     @property
-    def count_known(self) -> bool:
-        """Whether the estimate rests on more than the settings.
+    def count_known_at(self) -> Instant | None:
+        """Since when the estimate has rested on more than the settings.
 
         A daemon that has just started may know a few of hundreds only.
+
+        Returns:
+            The instant; None while it does not.
         """
-        return True
+        return -math.inf
+
+    @property
+    def count_known(self) -> bool:
+        """Whether the estimate rests on more than the settings."""
+        return self.count_known_at is not None
 
     def sees_most(self) -> bool:
         """Returns whether more than half of the daemons are presumed alive.
--- a/cactusdyke/serving/retry_budget.py
+++ b/cactusdyke/serving/retry_budget.py
@@ -85,6 +85,11 @@
         self._pending = 0
         self._sent: collections.deque[Instant] = collections.deque()
 
+    @property
+    def pending(self) -> int:
+        """Retries that are charged and were neither sent nor returned."""
+        return self._pending
+
     def charge(self) -> None:
         """Charges a retry, which is pending until it is sent or returned."""
         self._pending += 1
@@ -203,6 +208,14 @@
         self._daemon_count = daemon_count
         self._services: dict[str, _ServiceBudget] = {}
 
+    @property
+    def pending_count(self) -> int:
+        """Retries that are charged and were neither sent nor returned."""
+        return sum(
+            budget.earnings.pending + budget.slack.pending
+            for budget in self._services.values()
+        )
+
     def record_request(self, service: str) -> None:
         """Counts a new request for a service."""
         self._update(service, earned=self._allowance().ratio)
--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -204,6 +204,8 @@
             request = self._request(arrival, left_ms, stream)
             await self._clock.sleep(WAY_MS)
             sent_at = self._clock.now()
+            traffic = self._world.traffic[arrival.kind.service]
+            traffic.requests.append(sent_at)
             count = self._stream_counter(arrival, daemon, stream)
             with self._clock.timeout(left_ms):
                 await daemon.answer(request, got)
--- a/emulator/links.py
+++ b/emulator/links.py
@@ -634,6 +634,8 @@
         del method, headers
         self._sent = True
         value = orjson.loads(body) if body else {}
+        if "id" in value:
+            self._world.count_attempt(value["id"], self._backend.service)
         crash = Crash(**value["crash"]) if value.get("crash") else None
         if crash is not None:
             crashing = self._world.crashing[crash.name]
--- a/emulator/play.py
+++ b/emulator/play.py
@@ -23,6 +23,7 @@
 
 if TYPE_CHECKING:
     from emulator.links import Backend
+    from emulator.retries import ServiceTraffic
     from emulator.scenario import Fault, Policy, Scenario
 
 MS_PER_SECOND = 1_000.0
@@ -58,6 +59,8 @@
             three and all daemons could know; of several the most.
         sent_after_third: The same from the third crash on.
         crashes: Crashes under such requests.
+        traffic: Requests and retries by service.
+        retries_pending: Retries that daemons still hold as charged at the end.
         counts: Whatever else was counted.
     """
 
@@ -73,6 +76,8 @@
     sent_on: int
     sent_after_third: int
     crashes: int
+    traffic: dict[str, ServiceTraffic]
+    retries_pending: int
     counts: dict[str, int]
 
     @property
@@ -151,6 +156,11 @@
             tasks.start_soon(_watch_deciders, world, daemons, disagreed)
             await callers.run(arrivals)
             tasks.cancel_scope.cancel()
+        world.counts["retries pending"] = sum(
+            daemon.core.pending_retries
+            for daemon in daemons
+            if daemon.core is not None
+        )
     return _result(world, callers.outcomes, disagreed[0])
 
 
@@ -471,6 +481,8 @@
         sent_on=_most_sent(world, SETTLED_MS),
         sent_after_third=_most_sent(world, 0.0),
         crashes=sum(len(c.crashes) for c in world.crashing.values()),
+        traffic=dict(world.traffic),
+        retries_pending=world.counts["retries pending"],
         counts=dict(world.counts),
     )
 
--- a/emulator/world.py
+++ b/emulator/world.py
@@ -9,6 +9,7 @@
 import attrs
 
 from cactusdyke.clock import Instant
+from emulator.retries import ServiceTraffic
 from standins.hub import Hub
 
 if TYPE_CHECKING:
@@ -95,9 +96,19 @@
         self.cut_from_replicas: dict[str, ReplicaCut] = {}
         self.started_at: dict[str, Instant] = {}
         self.executions: collections.Counter[str] = collections.Counter()
+        self.traffic: collections.defaultdict[str, ServiceTraffic] = (
+            collections.defaultdict(ServiceTraffic)
+        )
+        self.sent: set[str] = set()
         self.busy_ms = 0.0
         self.wasted_ms = 0.0
 
+    def count_attempt(self, request_id: str, service: str) -> None:
+        """Counts a request that a daemon sends to a replica."""
+        if request_id in self.sent:
+            self.traffic[service].retries.append(self.clock.now())
+        self.sent.add(request_id)
+
     def crash_phase(self, kind: str, at: Instant) -> str:
         """Returns how an instant lies to the crashes under a kind's requests.
 
--- a/features/retries/retry_budget.feature
+++ b/features/retries/retry_budget.feature
@@ -65,3 +65,39 @@
       | 64    |
       | 195   |
       | 348   |
+
+  Scenario Outline: <count> daemons with less slack than one retry for each
+    # Guards against retries that all daemons save up and send at once, and
+    # against none at all.
+    When <count> daemons share a slack of <slack>
+    Then replicas get no more retries in any window than the allowance
+    And they use at least 60 in a hundred of it
+
+    Examples: slacks
+      | count | slack |
+      | 64    | 58    |
+      | 348   | 58    |
+
+  Scenario Outline: charged retries that are <ended> nine seconds later
+    # Guards against retries that leave the window before they are sent, and
+    # against those that stay charged for ever.
+    Given a daemon that has charged all retries that it may
+    When each of them is <ended> nine seconds later
+    Then <count> more are allowed at once, and <later> after a window
+
+    Examples: ends
+      | ended    | count | later |
+      | sent     | 0     | 5     |
+      | returned | 7     | 7     |
+
+  Scenario: a daemon that has just started, as a process
+    # Guards against a share that its predecessor may have used up.
+    When replicas fail the first request of a daemon that has just started
+    Then it is not sent again
+
+  Scenario: retries of nine emulated daemons that are killed as replicas crash
+    # Guards against retries that are charged and never sent or returned, and
+    # against sends that are not charged.
+    When replicas crash in a row before daemons of which half are killed twice
+    Then no service gets more retries in any window than the allowance
+    And no daemon holds a charged retry once its requests have ended
--- a/features/steps/daemon_count_steps.py
+++ b/features/steps/daemon_count_steps.py
@@ -26,8 +26,8 @@
         return tuple(range(self.count))
 
     @property
-    def count_known(self):
-        return self.known
+    def count_known_at(self):
+        return 0.0 if self.known else None
 
 
 class UntoldStreams:
@@ -123,7 +123,7 @@
         ready=lambda: True,
         decided_hashes=frozenset,
         min_count=lambda: 4,
-        listed=lambda: listed == "read",
+        listed_at=lambda: 0.0 if listed == "read" else None,
     )
 
 
--- a/features/support/retry_fleet.py
+++ b/features/support/retry_fleet.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import bisect
 import heapq
 import itertools
 import random
@@ -16,12 +15,12 @@
 from cactusdyke.serving.daemon_count import DaemonCount
 from cactusdyke.serving.peers import PeerDaemons
 from cactusdyke.serving.retry_budget import RetryAllowance, RetryBudget
+from emulator.retries import ServiceTraffic
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 SERVICE = "service"
-CHECK_EACH_MS = 100.0
 WINDOW_MS = 10_000.0
 FAILURES_FROM_MS = 14_000.0
 LENGTH_MS = 56_000.0
@@ -52,9 +51,9 @@
 class KnownDaemons(PeerDaemons):
     """What one process knows of the number of daemons."""
 
-    def __init__(self, count: int) -> None:
+    def __init__(self, count: int, known_at: float | None) -> None:
         self.count = count
-        self.known = True
+        self.known_at = known_at
 
     def all(self):
         return ()
@@ -63,8 +62,8 @@
         return self.count
 
     @property
-    def count_known(self) -> bool:
-        return self.known
+    def count_known_at(self) -> float | None:
+        return self.known_at
 
 
 class FleetDaemon:
@@ -94,9 +93,9 @@
         fleet = self._fleet
         if self.budget is None:
             self._start()
-        if not self.daemons.known and fleet.clock.ms >= self.learns_at:
-            self.daemons.known = True
-        if self.daemons.known:
+        if self.daemons.known_at is None and fleet.clock.ms >= self.learns_at:
+            self.daemons.known_at = fleet.clock.ms
+        if self.daemons.known_at is not None:
             self.daemons.count = fleet.count
         if fleet.clock.ms < FAILURES_FROM_MS:
             return
@@ -105,9 +104,9 @@
 
     def _start(self) -> None:
         fleet = self._fleet
-        self.daemons = KnownDaemons(fleet.count)
+        self.daemons = KnownDaemons(fleet.count, fleet.clock.ms)
         if fleet.store_away:
-            self.daemons.known = False
+            self.daemons.known_at = None
             self.daemons.count = min(fleet.count, fleet.count_at_start)
             self.learns_at = fleet.clock.ms + LEARNING_MS
         self.budget = fleet.make_budget(self.daemons)
@@ -139,8 +138,7 @@
         self._actions: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._owed = 0.0
-        self.requests: list[float] = []
-        self.arrivals: list[float] = []
+        self.traffic = ServiceTraffic()
         self.daemons = [FleetDaemon(self, n) for n in range(count)]
 
     def _product_budget(self, daemons: PeerDaemons) -> RetryBudget:
@@ -171,7 +169,7 @@
                 self.at(self.clock.ms + self.late_ms(), arrive)
 
         def arrive() -> None:
-            self.arrivals.append(self.clock.ms)
+            self.traffic.retries.append(self.clock.ms)
 
         wait_ms = self.waits_ms()
         if wait_ms:
@@ -194,7 +192,7 @@
         self._owed += self.requests_per_s * self._step_ms / 1_000.0
         while self._owed >= 1.0:
             self._owed -= 1.0
-            self.requests.append(self.clock.ms)
+            self.traffic.requests.append(self.clock.ms)
             if receivers:
                 receiver = self.rng.choice(receivers)
                 if receiver.budget is not None:
@@ -202,35 +200,15 @@
 
     def worst_excess(self) -> float:
         """Returns the most retries above the allowance in any window."""
-        return max(
-            self._retries(begin) - self._allowed(begin)
-            for begin in self._window_begins()
-        )
+        return self.traffic.worst_excess(self.allowance)
 
     def share_used(self) -> float:
         """Returns the share of the allowance used since failures began."""
         begins = range(int(FAILURES_FROM_MS), int(LENGTH_MS), int(WINDOW_MS))
         whole = [at for at in begins if at + WINDOW_MS <= LENGTH_MS]
-        used = sum(self._retries(at) for at in whole)
-        return used / sum(self._allowed(at) for at in whole)
-
-    def _window_begins(self) -> list[float]:
-        steps = int((LENGTH_MS - WINDOW_MS) / CHECK_EACH_MS)
-        return [step * CHECK_EACH_MS for step in range(steps)]
-
-    def _retries(self, begin: float) -> int:
-        return _count(self.arrivals, begin, begin + WINDOW_MS)
-
-    def _allowed(self, begin: float) -> float:
-        most = max(
-            _count(self.requests, at, at + WINDOW_MS)
-            for at in (begin, begin - WINDOW_MS / 2, begin - WINDOW_MS)
-        )
-        return self.allowance.ratio * most + self.allowance.slack
-
-
-def _count(times: list[float], begin: float, end: float) -> int:
-    return bisect.bisect_left(times, end) - bisect.bisect_left(times, begin)
+        traffic, allowance = self.traffic, self.allowance
+        used = sum(traffic.retries_in(at, allowance) for at in whole)
+        return used / sum(traffic.allowed_in(at, allowance) for at in whole)
 
 
 def half_restarted(fleet: RetryFleet) -> None:
--- a/features/support/serving_values.py
+++ b/features/support/serving_values.py
@@ -17,6 +17,8 @@
 class CountedDaemons(PeerDaemons):
     """Daemons of which only the number is known."""
 
+    count_known_at = 0.0
+
     def __init__(self, count):
         self.count = count
 
