Refuse stream events of the own interface that are no objects, or lack fields

What callers saw: a request that a backend server answers with a stream whose event is JSON and no object ended with an internal error (AttributeError: 'int' object has no attribute 'get'), a missing position or text with a KeyError, in place of a retry at another server. Cause: the reader took every JSON value for an object with all fields.

--- a/cactusdyke/routing/backend_client.py
+++ b/cactusdyke/routing/backend_client.py
@@ -155,12 +155,14 @@
             raise self._protocol_error(
                 "stream event is not valid JSON"
             ) from error
+        if not isinstance(value, dict):
+            raise self._protocol_error("stream event is not a JSON object")
         if not _matches_call(self._call, value):
             raise self._protocol_error(
                 "stream event belongs to another request"
             )
         if value.get("end"):
-            if value["tokens"] != self._next_position:
+            if value.get("tokens") != self._next_position:
                 raise self._protocol_error(
                     "token count in the end event does not match"
                 )
@@ -169,8 +171,10 @@
                 busy_ms=value.get("busy_ms", 0.0),
                 load=_load_report(value),
             )
-        if value["position"] != self._next_position:
+        if value.get("position") != self._next_position:
             raise self._protocol_error("token is out of sequence")
+        if not isinstance(value.get("text"), str):
+            raise self._protocol_error("token has no text")
         self._next_position += 1
         return Token(position=value["position"], text=value["text"])
 
--- a/features/transport/endless_answers.feature
+++ b/features/transport/endless_answers.feature
@@ -38,6 +38,12 @@
     When a stage is called there
     Then the call fails as a line of over 1048576 bytes
 
+  Scenario: a stream of the own interface whose events are no objects
+    # Guards against an error that the daemon does not expect.
+    Given an endless answer of a stream without a blank line
+    When a stage is called there
+    Then the call fails as not a JSON object
+
   Scenario: bytes in any pieces are split as at once
     # Guards against a delimiter that is overlooked between two reads.
     When drawn bytes are split in drawn pieces
