--- a/cactusdyke/serving/daemon_count.py
+++ b/cactusdyke/serving/daemon_count.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -15,6 +16,9 @@
     from cactusdyke.clock import Clock
     from cactusdyke.serving.peers import PeerDaemons
 
+CACHE_MS = 50.0
+"""A request asks for the count once for each replica of its service."""
+
 
 @attrs.define(kw_only=True)
 class _Count:
@@ -43,20 +47,17 @@
         self._window_ms = window_ms
         self._recent: collections.deque[_Count] = collections.deque()
         self._changed_at: Instant = clock.now()
+        self._is_known = False
+        self._highest = 1
+        self._valid_until: Instant = -math.inf
 
     def highest(self) -> int:
         """Returns the highest count of the last window, at least 1."""
         now = self._clock.now()
-        estimate = max(1, self._daemons.estimated_count())
-        if not self._recent or self._recent[-1].value != estimate:
-            self._changed_at = now
-            if self._recent:
-                self._recent[-1].until = now
-            self._recent.append(_Count(value=estimate, until=now))
-        self._recent[-1].until = now
-        while self._recent[0].until < now - self._window_ms():
-            self._recent.popleft()
-        return max(count.value for count in self._recent)
+        if now >= self._valid_until:
+            self._valid_until = now + CACHE_MS
+            self._highest = self._update(now)
+        return self._highest
 
     @property
     def unchanged_ms(self) -> float:
@@ -67,10 +68,23 @@
     @property
     def is_known(self) -> bool:
         """Whether the estimate rests on more than the settings."""
-        return self._daemons.count_known
+        self._is_known = self._is_known or self._daemons.count_known
+        return self._is_known
 
     @property
     def known_for_ms(self) -> float:
         """For how long it has; milliseconds, 0 while it does not."""
         known_at = self._daemons.count_known_at
         return 0.0 if known_at is None else self._clock.now() - known_at
+
+    def _update(self, now: Instant) -> int:
+        estimate = max(1, self._daemons.estimated_count())
+        if not self._recent or self._recent[-1].value != estimate:
+            self._changed_at = now
+            if self._recent:
+                self._recent[-1].until = now
+            self._recent.append(_Count(value=estimate, until=now))
+        self._recent[-1].until = now
+        while self._recent[0].until < now - self._window_ms():
+            self._recent.popleft()
+        return max(count.value for count in self._recent)
