Test a daemon before a replica that never stops, and let the rig retry at once

30 requests to a daemon whose one replica sends zeros, a body without a length or trailers without end, beside a sound one: each gets the sound one's answer within a second, over real sockets.

It showed that a window of 0.1 s in the rig of platform processes is too long for requests that come at once: the first one was not retried in any of the three (502), as the daemon was ready less than 0.1 s after it had read the list. 10 ms now; no check changes.

--- a/features/run.py
+++ b/features/run.py
@@ -27,6 +27,7 @@
     "stream_versions",
     "configuration_reach",
     "replica_statements",
+    "retries",
     "capacity",
     "platform",
     "serving",
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -27,7 +27,9 @@
 from cactusdyke.transport.messages import Request
 from cactusdyke.transport.network import CallOptions, ProgressLimit
 from cactusdyke.util.delimited import DelimitedReader
+from features.steps.platform_forwarding_steps import plain_world
 from features.steps.serving_steps import replica, route
+from features.support.platform_rig import PlatformWorld
 from features.support.serving_values import serving_context
 
 PIECE_BYTES = 16_384
@@ -182,6 +184,38 @@
     assert context.took_s < MOST_TIME_S, context.took_s
 
 
+@when(
+    "{count:d} requests are made to a daemon with this replica and a sound one"
+)
+def ask_daemon(context, count):
+    async def work():
+        async with PlatformWorld() as world:
+            await world.add_replica("endless")
+            world.list_replica("endless", address=context.server.address)
+            await plain_world(world, replicas=("sound",))
+            for number in range(count):
+                began = time.monotonic()
+                status, _, body = await world.request(
+                    "/look/a", request_id=f"r-{number}"
+                )
+                took_s = time.monotonic() - began
+                context.answers.append((status, body, took_s))
+
+    context.answers = []
+    _run(context.server, work)
+    context.count = count
+
+
+@then("all of them get the sound one's answer within a second each")
+def check_answers(context):
+    assert len(context.answers) == context.count
+    for number, (status, body, took_s) in enumerate(context.answers):
+        expected = (200, f"answer to r-{number}".encode())
+        assert (status, body) == expected, (number, status, body[:80])
+        assert took_s < 1.0, took_s
+    assert context.server.sent_bytes > 0, "the replica was never asked"
+
+
 @when("it is called as another daemon")
 def call_daemon(context):
     async def work():
--- a/features/support/platform_rig.py
+++ b/features/support/platform_rig.py
@@ -236,7 +236,7 @@
                     "grace_s": self.grace_s,
                     "retry_budget_slack": 50,
                     # A daemon has its share of the slack after one window.
-                    "budget_window_s": 0.1,
+                    "budget_window_s": 0.01,
                     **self.further_bounds,
                 },
                 "platform": {"address": self.store_address},
--- a/features/transport/endless_answers.feature
+++ b/features/transport/endless_answers.feature
@@ -26,6 +26,18 @@
       | chunks that are mostly extensions | chunk headers or      |
       | a chunk's size                    | chunk headers or      |
 
+  Scenario Outline: a daemon before a replica that sends <what> until it closes
+    # Guards against callers who wait as one replica keeps their daemon busy.
+    Given an endless answer of <what>
+    When 30 requests are made to a daemon with this replica and a sound one
+    Then all of them get the sound one's answer within a second each
+
+    Examples: answers
+      | what                    |
+      | zeros                   |
+      | a body without a length |
+      | trailers                |
+
   Scenario: another daemon or the store that answers without end
     # Guards against a call of a daemon that is read until memory runs out.
     Given an endless answer of a body without a length
