--- a/cactusdyke/booking/bookings.py
+++ b/cactusdyke/booking/bookings.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from cactusdyke import events
+from cactusdyke.background import run_contained
 from cactusdyke.booking import answers
 from cactusdyke.booking.call import Call, content_of
 from cactusdyke.booking.record import record_key
@@ -103,7 +104,7 @@
                 nonce=f"{self._rng.getrandbits(128):032x}",
             )
             self._calls[key] = call
-            self._tasks.start_soon(self._run, call)
+            self._tasks.start_soon(run_contained, self._run, call)
         elif call.content != content_of(context, service):
             return Err(answers.key_reused())
         remaining = context.remaining_ms(self._clock)
--- a/cactusdyke/errors.py
+++ b/cactusdyke/errors.py
@@ -16,6 +16,15 @@
     UNKNOWN = "unknown"
 
 
+DECODING_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    TypeError,
+    ValueError,
+)
+"""Raised by code that takes parsed JSON apart where it has another form."""
+
 REFUSAL_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses of requests that are counted as refused, others as failed."""
 
--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -370,6 +370,12 @@
         " had an unreadable one.",
         "Look at the replica's software; requests are served without it.",
     )
+    BACKGROUND_TASK_FAILED = (
+        1007,
+        "A background task met an error that the code does not expect; it is"
+        " run again after `restart_ms`, if that is set.",
+        "Report it with the fields of this event.",
+    )
     LINES_DROPPED = (
         1006,
         "Log lines were dropped to stay within the rate of their kind.",
--- a/cactusdyke/kernel.py
+++ b/cactusdyke/kernel.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from cactusdyke import events
+from cactusdyke import background, events
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -39,7 +39,10 @@
         return None
 
     async def run(self) -> None:
-        """Runs the service's background work until it is cancelled."""
+        """Runs the service's background work until it is cancelled.
+
+        After an error it is run again, with the state that the service has.
+        """
         return None
 
     async def announce_stop(self) -> None:
@@ -93,7 +96,9 @@
         for service in self._services.values():
             await self._stack.enter_async_context(service)
         for name, service in self._services.items():
-            self._tasks.start_soon(service.run, name=f"service {name}")
+            self._tasks.start_soon(
+                background.keep_running, service.run, name=f"service {name}"
+            )
         return self
 
     async def __aexit__(
--- a/cactusdyke/limits/customer_limits.py
+++ b/cactusdyke/limits/customer_limits.py
@@ -13,6 +13,7 @@
 from result import Err, Ok, Result
 
 from cactusdyke import events
+from cactusdyke.background import BackgroundTasks, background_tasks
 from cactusdyke.errors import Failure, FailureKind
 from cactusdyke.limits.account import QuotaLease, QuotaRequest
 from cactusdyke.limits.held_quota import HeldQuota
@@ -54,11 +55,11 @@
         self._lease_client = lease_client
         self._metrics = metrics
         self._held_quotas: dict[str, HeldQuota] = {}
-        self._tasks: anyio.abc.TaskGroup | None = None
+        self._tasks: BackgroundTasks | None = None
 
     async def run(self) -> None:
         """Updates owned limits, and runs lease renewals in the background."""
-        async with anyio.create_task_group() as tasks:
+        async with background_tasks() as tasks:
             self._tasks = tasks
             try:
                 while True:
--- a/cactusdyke/membership/attachments.py
+++ b/cactusdyke/membership/attachments.py
@@ -9,6 +9,7 @@
 import attrs
 import orjson
 
+from cactusdyke.errors import DECODING_ERRORS
 from cactusdyke.membership.member import Member, MemberState
 
 if TYPE_CHECKING:
@@ -47,7 +48,7 @@
         """Reads the value that a sender attached.
 
         Raises:
-            ValueError, TypeError, KeyError: The value is malformed.
+            DECODING_ERRORS: The value is malformed.
         """
 
 
@@ -170,16 +171,37 @@
         return names
 
     def read(self, sender: Member, value: Any) -> None:
-        """Merges the dictionaries that are newer than the known ones."""
-        for name, incarnation, count, attached in value:
-            known = self._values.get(name)
-            version = (int(incarnation), int(count))
-            if name == self._table.own.name:
-                continue
-            if known is not None and version <= known.version:
-                continue
-            self._values[name] = _Attached(version=version, value=attached)
-            self._reader(name, attached)
+        """Merges the dictionaries that are newer than the known ones.
+
+        One that can't be read is left out, and not passed on.
+
+        Raises:
+            DECODING_ERRORS: Of the last one that can't be read.
+        """
+        malformed: Exception | None = None
+        for entry in value:
+            try:
+                self._merge(*entry)
+            except DECODING_ERRORS as error:
+                malformed = error
+        if malformed is not None:
+            raise malformed
+
+    def _merge(
+        self,
+        name: str,
+        incarnation: int,
+        count: int,
+        attached: Mapping[str, Any],
+    ) -> None:
+        known = self._values.get(name)
+        version = (int(incarnation), int(count))
+        if name == self._table.own.name:
+            return
+        if known is not None and version <= known.version:
+            return
+        self._reader(name, attached)
+        self._values[name] = _Attached(version=version, value=attached)
 
     def _refresh_own(self) -> None:
         own = self._table.own
--- a/cactusdyke/membership/exchange.py
+++ b/cactusdyke/membership/exchange.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from cactusdyke import events
+from cactusdyke.errors import DECODING_ERRORS
 from cactusdyke.membership import messages
 from cactusdyke.membership.messages import Gossip, GossipKind
 from cactusdyke.membership.table import BUCKETS
@@ -121,7 +122,7 @@
                 continue
             try:
                 attachment.read(gossip.sender, value)
-            except (ValueError, TypeError, KeyError) as error:
+            except DECODING_ERRORS as error:
                 events.log(
                     events.Event.GOSSIP_REJECTED,
                     member=gossip.sender.name,
--- a/cactusdyke/membership/member.py
+++ b/cactusdyke/membership/member.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from cactusdyke.errors import Failure, FailureKind
+from cactusdyke.transport.network_address import NetworkAddress
 
 
 class MemberState(enum.StrEnum):
@@ -79,6 +80,7 @@
         or not all(isinstance(part, str) for part in (*value[:4], value[5]))
         or not all(isinstance(part, int) for part in (value[4], value[6]))
         or value[5] not in _BY_CODE
+        or not _is_address(value[1])
     ):
         return Err(
             Failure(
@@ -97,3 +99,11 @@
             revision=value[6],
         )
     )
+
+
+def _is_address(text: str) -> bool:
+    try:
+        NetworkAddress.parse(text)
+    except ValueError:
+        return False
+    return True
--- a/cactusdyke/membership/members.py
+++ b/cactusdyke/membership/members.py
@@ -7,6 +7,7 @@
 import anyio
 from result import Err
 
+from cactusdyke.background import background_tasks
 from cactusdyke.infrastructure.directory import Directory, Peer
 from cactusdyke.kernel import Service
 from cactusdyke.membership.attachments import (
@@ -183,10 +184,10 @@
 
     async def run(self) -> None:
         """Probes, retries, pulls and sends updates until cancelled."""
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._run_urgent)
-            tasks.start_soon(self._run_announcements)
-            tasks.start_soon(self._run_retries)
+        async with background_tasks() as tasks:
+            tasks.start_loop(self._run_urgent)
+            tasks.start_loop(self._run_announcements)
+            tasks.start_loop(self._run_retries)
             await self._join()
             await self._sleep(self._rng.uniform(0, self._interval_ms))
             while True:
--- a/cactusdyke/membership/messages.py
+++ b/cactusdyke/membership/messages.py
@@ -8,7 +8,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from cactusdyke.errors import Failure, FailureKind
+from cactusdyke.errors import DECODING_ERRORS, Failure, FailureKind
 from cactusdyke.membership.member import Member, decode_member
 
 
@@ -62,25 +62,22 @@
 
 
 def decode_gossip(value: dict[str, Any]) -> Result[Gossip, Failure]:
-    """Decodes a message."""
+    """Decodes a message; entries that can't be read are left out."""
     try:
         kind = GossipKind(value["kind"])
         updates = [decode_member(item) for item in value.get("updates", [])]
         sender = decode_member(value["from"])
         riders = dict(value.get("riders", {}))
         digests = tuple(map(str, value.get("digests", ())))
-    except (KeyError, TypeError, ValueError) as error:
+    except DECODING_ERRORS as error:
         return Err(_invalid(repr(error)))
     if isinstance(sender, Err):
         return sender
-    for update in updates:
-        if isinstance(update, Err):
-            return update
     return Ok(
         Gossip(
             kind=kind,
             sender=sender.ok_value,
-            updates=tuple(update.unwrap() for update in updates),
+            updates=tuple(u.ok_value for u in updates if isinstance(u, Ok)),
             digest=str(value.get("digest", "")),
             riders=riders,
             target=str(value.get("target", "")),
--- a/cactusdyke/observe/metrics.py
+++ b/cactusdyke/observe/metrics.py
@@ -4,6 +4,7 @@
 
 import prometheus_client
 
+from cactusdyke.background import FAILURES
 from cactusdyke.kernel import Service
 from cactusdyke.observe.quick_histogram import QuickHistogram
 
@@ -16,6 +17,7 @@
     """Counters and histograms; labels are names from the configuration."""
 
     def __init__(self, registry: prometheus_client.CollectorRegistry) -> None:
+        registry.register(FAILURES)
         self.requests = prometheus_client.Counter(
             "cactusdyke_requests",
             "Requests by target and outcome.",
--- a/cactusdyke/platform/decode.py
+++ b/cactusdyke/platform/decode.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
-import math
+import graphlib
 from typing import TYPE_CHECKING, Any
 
 from result import Err, Ok, Result
 
 from cactusdyke.clock import MS_PER_SECOND
-from cactusdyke.errors import Failure, FailureKind
+from cactusdyke.errors import DECODING_ERRORS, Failure, FailureKind
+from cactusdyke.platform.values import (
+    header_value,
+    number,
+    text,
+    whole_number,
+)
 from cactusdyke.serving.model import (
     BatchSpec,
     CallerLimits,
@@ -23,8 +29,11 @@
     StageSpec,
     WeightedService,
 )
+from cactusdyke.transport.network_address import NetworkAddress
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from cactusdyke.infrastructure.watched_store import StoreObject
 
 DEFAULT_TIMEOUT_MS = 30_000.0
@@ -34,32 +43,23 @@
 """Callers abandon a silent stream after this, or after four times the
 objective or eight times the longest pause, whichever is longest."""
 
-_MISFORMED = (KeyError, TypeError, ValueError, AttributeError)
-
 
 def configuration(spec: Any) -> Result[ServingConfiguration, Failure]:
     """Decodes the operator's configuration; one error rejects all of it."""
     try:
         services = [_service(value) for value in spec["services"]]
-        limits = spec.get("limits") or {}
         return Ok(
             ServingConfiguration(
-                version=int(spec["version"]),
+                version=whole_number(spec["version"]),
                 routes=tuple(_route(value) for value in spec["routes"]),
                 services={service.name: service for service in services},
                 customers=tuple(
                     _customer(value) for value in spec.get("tenants") or ()
                 ),
-                limits=CallerLimits(
-                    **{
-                        name: limits[name]
-                        for name in _LIMITS
-                        if limits.get(name)
-                    }
-                ),
+                limits=_caller_limits(spec.get("limits") or {}),
             )
         )
-    except _MISFORMED as error:
+    except DECODING_ERRORS as error:
         return Err(_bad(f"the configuration can't be read: {error!r}"))
 
 
@@ -67,48 +67,57 @@
     """Decodes one entry of the list of replicas."""
     try:
         spec = entry.spec
-        host, _, port = spec["address"].rpartition(":")
-        if not host or not 0 < int(port) < 1 << 16:
-            raise ValueError(f"no address: {spec['address']!r}")
-        born = spec.get("born", 0)
+        cold_left_ms = spec.get("cold_left_ms")
         return Ok(
             Replica(
-                name=entry.name,
-                service=_text(spec["service"]),
-                address=_text(spec["address"]),
-                data_centre=_text(spec.get("zone") or ""),
+                name=header_value(entry.name),
+                service=text(spec["service"]),
+                address=str(NetworkAddress.parse(spec["address"])),
+                data_centre=text(spec.get("zone") or ""),
                 state=ReplicaState(spec["state"]),
-                slots=int(spec.get("capacity") or 1),
-                version=_text(spec.get("version", "")),
-                born=born if isinstance(born, int) else 0,
-                cold_left_ms=_duration(spec.get("cold_left_ms")),
+                slots=whole_number(spec.get("capacity") or 1, least=1),
+                version=text(spec.get("version", "")),
+                born=whole_number(spec.get("born", 0)),
+                cold_left_ms=(
+                    None if cold_left_ms is None else number(cold_left_ms)
+                ),
             )
         )
-    except _MISFORMED as error:
+    except DECODING_ERRORS as error:
         return Err(_bad(f"the entry {entry.name} can't be read: {error!r}"))
 
 
-_LIMITS = (
-    "max_header_bytes",
-    "max_body_bytes",
-    "header_timeout_ms",
-    "idle_timeout_ms",
-)
+def _caller_limits(value: dict[str, Any]) -> CallerLimits:
+    default = CallerLimits()
+    return CallerLimits(
+        max_header_bytes=whole_number(
+            value.get("max_header_bytes") or default.max_header_bytes
+        ),
+        max_body_bytes=whole_number(
+            value.get("max_body_bytes") or default.max_body_bytes
+        ),
+        header_timeout_ms=number(
+            value.get("header_timeout_ms") or default.header_timeout_ms
+        ),
+        idle_timeout_ms=number(
+            value.get("idle_timeout_ms") or default.idle_timeout_ms
+        ),
+    )
 
 
 def _route(value: dict[str, Any]) -> Route:
     streaming = value["kind"] == "streaming"
-    timeout_ms = float(value.get("timeout_ms") or DEFAULT_TIMEOUT_MS)
-    objective_ms = float(value.get("target_latency_ms") or timeout_ms)
-    gap_ms = float(value.get("target_gap_ms") or timeout_ms)
+    timeout_ms = number(value.get("timeout_ms") or DEFAULT_TIMEOUT_MS)
+    objective_ms = number(value.get("target_latency_ms") or timeout_ms)
+    gap_ms = number(value.get("target_gap_ms") or timeout_ms)
     return Route(
-        name=_text(value["name"]),
-        host=_text(value["host"]).lower(),
-        path_prefix=_text(value["path_prefix"]),
+        name=text(value["name"]),
+        host=text(value["host"]).lower(),
+        path_prefix=text(value["path_prefix"]),
         targets=_targets(value),
         repeat_policy=_repeat(value),
         streaming=streaming,
-        max_attempts=max(1, int(value.get("max_attempts") or 1)),
+        max_attempts=max(1, whole_number(value.get("max_attempts") or 1)),
         timeout_ms=timeout_ms,
         objective_ms=objective_ms,
         gap_objective_ms=gap_ms,
@@ -117,18 +126,28 @@
             if streaming
             else timeout_ms
         ),
-        priority=int(value.get("priority") or 0),
+        priority=whole_number(value.get("priority") or 0),
         public=bool(value.get("public")),
         generates=bool(value.get("sticky")),
-        stages=tuple(
-            StageSpec(
-                service=_text(stage["service"]),
-                after=tuple(int(number) for number in stage.get("after") or ()),
-                result_bytes=float(stage.get("bytes") or 0),
-            )
-            for stage in value.get("stages") or ()
-        ),
+        stages=_stages(value.get("stages") or ()),
+    )
+
+
+def _stages(values: Sequence[dict[str, Any]]) -> tuple[StageSpec, ...]:
+    stages = tuple(
+        StageSpec(
+            service=text(stage["service"]),
+            after=tuple(
+                whole_number(before, most=len(values) - 1)
+                for before in stage.get("after") or ()
+            ),
+            result_bytes=number(stage.get("bytes") or 0),
+        )
+        for stage in values
     )
+    graph = {n: stage.after for n, stage in enumerate(stages)}
+    graphlib.TopologicalSorter(graph).prepare()
+    return stages
 
 
 def _targets(value: dict[str, Any]) -> tuple[WeightedService, ...]:
@@ -136,11 +155,11 @@
     if split:
         return tuple(
             WeightedService(
-                service=_text(part["service"]), weight=float(part["weight"])
+                service=text(part["service"]), weight=number(part["weight"])
             )
             for part in split
         )
-    return (WeightedService(service=_text(value["service"]), weight=1.0),)
+    return (WeightedService(service=text(value["service"]), weight=1.0),)
 
 
 def _repeat(value: dict[str, Any]) -> RepeatPolicy:
@@ -155,59 +174,45 @@
     engine = value.get("engine")
     pieces = value.get("pieces")
     return ServiceSpec(
-        name=_text(value["name"]),
-        max_connections=int(value.get("max_conns") or DEFAULT_CONNECTIONS),
-        health_path=_text(value.get("health_path") or ""),
+        name=text(value["name"]),
+        max_connections=whole_number(
+            value.get("max_conns") or DEFAULT_CONNECTIONS
+        ),
+        health_path=text(value.get("health_path") or ""),
         engine=(
             EngineSpec(
-                slots=int(engine.get("capacity") or 1),
-                kv_tokens=int(engine.get("kv_capacity_tokens") or 0),
+                slots=whole_number(engine.get("capacity") or 1),
+                kv_tokens=whole_number(engine.get("kv_capacity_tokens") or 0),
             )
             if engine
             else None
         ),
         batching=_batching(pieces) if pieces else None,
-        cold_ms=float(value.get("cold_s") or 0) * MS_PER_SECOND,
-        cold_requests_per_s=float(value.get("cold_per_s") or 0),
+        cold_ms=number(value.get("cold_s") or 0) * MS_PER_SECOND,
+        cold_requests_per_s=number(value.get("cold_per_s") or 0),
     )
 
 
 def _batching(value: dict[str, Any]) -> BatchSpec:
     return BatchSpec(
-        concurrent_calls=max(1, int(value.get("capacity") or 1)),
-        queued_calls=int(value.get("queue") or 0),
-        batch=max(1, int(value.get("batch") or 1)),
-        call_ms=float(value.get("call_ms") or 0),
-        piece_ms=float(value.get("item_ms") or 0),
-        result_capacity_bytes=float(value["headroom_mb"]) * BYTES_PER_MB,
-        result_lifetime_ms=float(value.get("handle_s") or 1) * MS_PER_SECOND,
+        concurrent_calls=whole_number(value.get("capacity") or 1, least=1),
+        queued_calls=whole_number(value.get("queue") or 0),
+        batch=whole_number(value.get("batch") or 1, least=1),
+        call_ms=number(value.get("call_ms") or 0),
+        piece_ms=number(value.get("item_ms") or 0),
+        result_capacity_bytes=number(value["headroom_mb"]) * BYTES_PER_MB,
+        result_lifetime_ms=number(value.get("handle_s") or 1) * MS_PER_SECOND,
     )
 
 
 def _customer(value: dict[str, Any]) -> Customer:
     priority = value.get("priority")
     return Customer(
-        name=_text(value["name"]),
-        api_keys=frozenset(_text(key) for key in value.get("api_keys") or ()),
-        priority=int(priority) if priority is not None else None,
+        name=text(value["name"]),
+        api_keys=frozenset(text(key) for key in value.get("api_keys") or ()),
+        priority=whole_number(priority) if priority is not None else None,
     )
 
 
-def _duration(value: Any) -> float | None:
-    """Returns a duration in milliseconds, None if it is not stated."""
-    if value is None:
-        return None
-    duration_ms = float(value)
-    if not math.isfinite(duration_ms) or duration_ms < 0:
-        raise ValueError(f"no duration: {value!r}")
-    return duration_ms
-
-
-def _text(value: Any) -> str:
-    if not isinstance(value, str):
-        raise TypeError(f"a text is needed in place of {value!r}")
-    return value
-
-
 def _bad(detail: str) -> Failure:
     return Failure(kind=FailureKind.INVALID, detail=detail)
--- a/cactusdyke/platform/follow.py
+++ b/cactusdyke/platform/follow.py
@@ -38,10 +38,28 @@
     ) -> None:
         super().__init__(kind=self.kind, store=store, clock=clock)
         self._deployment = deployment
+        self._rejected: dict[str, int] = {}
 
     def _batch(self) -> contextlib.AbstractContextManager[None]:
         return self._deployment.batch()
 
+    def _reject(self, entry: StoreObject, failure: Failure) -> None:
+        """Logs and counts an entry that can't be read, once a revision.
+
+        All entries are decoded again whenever they are listed.
+        """
+        if self._rejected.get(entry.name) == entry.revision:
+            return
+        self._rejected[entry.name] = entry.revision
+        self._deployment.record_rejected()
+        events.log(
+            events.Event.SERVING_ENTRY_REJECTED,
+            kind=self._kind,
+            name=entry.name,
+            revision=entry.revision,
+            detail=failure.detail,
+        )
+
 
 class ConfigurationState(DeploymentState):
     """Applies the operator's newest configuration."""
@@ -54,13 +72,7 @@
             return
         decoded = decode.configuration(entry.spec)
         if isinstance(decoded, Err):
-            events.log(
-                events.Event.SERVING_ENTRY_REJECTED,
-                kind=self._kind,
-                name=entry.name,
-                revision=entry.revision,
-                detail=decoded.err_value.detail,
-            )
+            self._reject(entry, decoded.err_value)
             return
         self._deployment.apply(decoded.ok_value, source=source)
 
@@ -96,6 +108,11 @@
 
     def _apply_objects(self, source: str) -> None:
         del source
+        self._rejected = {
+            name: revision
+            for name, revision in self._rejected.items()
+            if name in self._objects
+        }
         replicas = []
         for entry in self._objects.values():
             decoded = decode.replica(entry)
@@ -109,6 +126,7 @@
         del source
         entry = change.object
         if change.deleted:
+            self._rejected.pop(entry.name, None)
             self._deployment.remove_replica(entry.name)
             return
         decoded = decode.replica(entry)
@@ -117,12 +135,3 @@
             self._deployment.remove_replica(entry.name)
             return
         self._deployment.put_replica(decoded.ok_value)
-
-    def _reject(self, entry: StoreObject, failure: Failure) -> None:
-        events.log(
-            events.Event.SERVING_ENTRY_REJECTED,
-            kind=self._kind,
-            name=entry.name,
-            revision=entry.revision,
-            detail=failure.detail,
-        )
--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -12,7 +12,7 @@
 import prometheus_client
 from result import Err
 
-from cactusdyke import events
+from cactusdyke import background, events
 from cactusdyke.clock import SystemClock
 from cactusdyke.kernel import Kernel, Service
 from cactusdyke.membership.control_client import ControlClient, ControlTraffic
@@ -99,6 +99,7 @@
         self._kernel = Kernel()
         self._registry = prometheus_client.CollectorRegistry()
         prometheus_client.ProcessCollector(registry=self._registry)
+        self._registry.register(background.FAILURES)
         self._build()
 
     @property
@@ -238,9 +239,11 @@
                     tasks.start_soon(server.serve)
                 metrics = self._metrics_server()
                 if metrics is not None:
-                    tasks.start_soon(metrics.serve)
+                    tasks.start_soon(background.keep_running, metrics.serve)
                 tasks.start_soon(self._front.serve)
-                tasks.start_soon(self._look_at_settings)
+                tasks.start_soon(
+                    background.keep_running, self._look_at_settings
+                )
                 events.log(
                     events.Event.DAEMON_STARTED,
                     daemon=self._settings.node,
--- a/cactusdyke/platform/registry.py
+++ b/cactusdyke/platform/registry.py
@@ -8,13 +8,16 @@
 from result import Err, Ok, Result
 
 from cactusdyke import events
+from cactusdyke.errors import DECODING_ERRORS
 from cactusdyke.infrastructure.host_list import (
     HostList,
     HostState,
     ListedHost,
 )
 from cactusdyke.kernel import Service
+from cactusdyke.platform.values import text
 from cactusdyke.serving.quarantine import QuarantineStore
+from cactusdyke.transport.network_address import NetworkAddress
 
 if TYPE_CHECKING:
     from cactusdyke.clock import Clock, Instant
@@ -78,18 +81,8 @@
         for entry in answer.ok_value.objects:
             self._load_evidence(entry)
         self._inform()
-        return Ok(
-            tuple(
-                ListedHost(
-                    name=entry.name,
-                    address=str(entry.spec.get("address", "")),
-                    data_centre=str(entry.spec.get("data_centre", "")),
-                    state=HostState.LIVE,
-                )
-                for entry in answer.ok_value.objects
-                if isinstance(entry.spec, dict) and entry.spec.get("address")
-            )
-        )
+        hosts = map(_decode_host, answer.ok_value.objects)
+        return Ok(tuple(host for host in hosts if host is not None))
 
     async def run(self) -> None:
         """Registers this daemon, with retries.
@@ -138,17 +131,35 @@
             saved = entry.spec["crash_evidence"]
             elapsed_ms = max(0.0, self._clock.wall() - float(saved["at"]))
             self._quarantine.merge(saved["evidence"], elapsed_ms)
-        except (KeyError, TypeError, ValueError) as error:
-            events.log(
-                events.Event.SERVING_ENTRY_REJECTED,
-                kind=KIND,
-                name=entry.name,
-                revision=entry.revision,
-                detail=repr(error),
-            )
+        except DECODING_ERRORS as error:
+            _log_rejected(entry, error)
 
     async def announce_stop(self) -> None:
         """Removes this daemon's object."""
         self._stopping = True
         with self._clock.timeout(STOP_TIMEOUT_MS):
             await self._store.delete(KIND, self._settings.node)
+
+
+def _decode_host(entry: StoreObject) -> ListedHost | None:
+    """Returns the host of an entry, None if it can't be read."""
+    try:
+        return ListedHost(
+            name=entry.name,
+            address=str(NetworkAddress.parse(entry.spec["address"])),
+            data_centre=text(entry.spec.get("data_centre", "")),
+            state=HostState.LIVE,
+        )
+    except DECODING_ERRORS as error:
+        _log_rejected(entry, error)
+        return None
+
+
+def _log_rejected(entry: StoreObject, error: Exception) -> None:
+    events.log(
+        events.Event.SERVING_ENTRY_REJECTED,
+        kind=KIND,
+        name=entry.name,
+        revision=entry.revision,
+        detail=repr(error),
+    )
--- a/cactusdyke/platform/settings.py
+++ b/cactusdyke/platform/settings.py
@@ -11,7 +11,7 @@
 import yaml
 from result import Err, Ok, Result
 
-from cactusdyke.errors import Failure, FailureKind
+from cactusdyke.errors import DECODING_ERRORS, Failure, FailureKind
 from cactusdyke.serving.cold_replicas import ColdAllowance
 from cactusdyke.serving.retry_budget import RetryAllowance
 from cactusdyke.serving.state_timings import STRICTEST_APPLY_MS, StateTimings
@@ -122,7 +122,7 @@
         return Ok(_decode(value))
     except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
         return Err(_bad(f"{file_path} can't be read: {error}"))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except DECODING_ERRORS as error:
         return Err(
             _bad(f"{file_path} lacks a value or has one wrong: {error!r}")
         )
--- a/cactusdyke/platform/store.py
+++ b/cactusdyke/platform/store.py
@@ -16,8 +16,9 @@
     StoreObject,
     WatchedStore,
 )
-from cactusdyke.transport.messages import JSON_TYPE, Request, parse_object
+from cactusdyke.transport.messages import JSON_TYPE, Request
 from cactusdyke.transport.network import CallOptions
+from cactusdyke.util import lenient_json
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -52,7 +53,7 @@
             if isinstance(answer, Err):
                 return answer
             body = answer.ok_value
-            page = [_object(item) for item in body.get("items") or ()]
+            page = [_object(item) for item in _list(body, "items")]
             objects.extend(item for item in page if item is not None)
             # Objects may change while the pages are read. A watch that starts
             # at the first page's revision reports these changes.
@@ -79,10 +80,11 @@
             return answer
         body = answer.ok_value
         changes = []
-        for event in body.get("events") or ():
-            changed = _object(event.get("object"))
+        for event in _list(body, "events"):
+            told = event if isinstance(event, dict) else {}
+            changed = _object(told.get("object"))
             if changed is not None:
-                deleted = bool(event.get("deleted"))
+                deleted = bool(told.get("deleted"))
                 changes.append(Change(object=changed, deleted=deleted))
         return Ok(
             Changes(
@@ -151,7 +153,7 @@
                 response.status, FailureKind.STORE_UNAVAILABLE
             )
             return Err(_failure(kind_of, f"status {response.status}"))
-        return parse_object(response.body) if response.body else Ok({})
+        return lenient_json.parse_object(response.body or b"{}")
 
 
 _STATUSES = {
@@ -167,6 +169,12 @@
     )
 
 
+def _list(body: dict[str, Any], name: str) -> list[Any]:
+    """Returns a list of a store's answer, an empty one if there is none."""
+    value = body.get(name)
+    return value if isinstance(value, list) else []
+
+
 def _object(value: Any) -> StoreObject | None:
     if not isinstance(value, dict):
         return None
--- a/cactusdyke/platform/wire.py
+++ b/cactusdyke/platform/wire.py
@@ -46,6 +46,7 @@
 LOAD = b"x-replica-load"
 MAX_LOAD_BYTES = 64
 MAX_EVENT_BYTES = 65_536
+MAX_NUMBER_DIGITS = 18
 PERCENT = 100.0
 
 _ONE_CONNECTION = frozenset(
@@ -88,6 +89,9 @@
     rb"(?:[ \t]*,[ \t]*(\d{1,9}(?:\.\d{1,9})?))?"
 )
 
+_HANDLE = re.compile(r"[!-+\--.0-~]{1,256}/[!-+\--~]{1,256}")
+"""An address and an id; without commas, which separate handles."""
+
 _REASONS = {
     "late": PieceFailure.LATE,
     "gone": PieceFailure.INPUT_GONE,
@@ -423,7 +427,7 @@
 def _piece_result(item: object) -> PieceResult:
     if isinstance(item, dict):
         handle = item.get("handle")
-        if isinstance(handle, str) and "/" in handle:
+        if isinstance(handle, str) and _HANDLE.fullmatch(handle):
             return PieceResult(handle=handle)
         reason = _REASONS.get(str(item.get("reason")), PieceFailure.FAILED)
         return PieceResult(failure=reason)
@@ -434,12 +438,15 @@
     for line in data.split(b"\n"):
         if line.startswith(b"id:"):
             text = line[3:].strip()
-            return StreamEvent(
-                number=int(text) if text.isdigit() else None, data=data
-            )
+            return StreamEvent(number=_event_number(text), data=data)
     return StreamEvent(number=None, data=data)
 
 
+def _event_number(text: bytes) -> int | None:
+    is_number = text.isdigit() and len(text) <= MAX_NUMBER_DIGITS
+    return int(text) if is_number else None
+
+
 def _generation(values: _Values) -> Generation | None:
     counts = values.text(b"x-token-counts")
     if not counts:
--- a/cactusdyke/serving/batcher.py
+++ b/cactusdyke/serving/batcher.py
@@ -22,8 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from anyio.abc import TaskGroup
-
+    from cactusdyke.background import BackgroundTasks
     from cactusdyke.clock import Clock
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.dialect import Dialect
@@ -67,7 +66,7 @@
         deployment: Deployment,
         dialect: Dialect,
         connections: BackendConnections,
-        tasks: TaskGroup,
+        tasks: BackgroundTasks,
         free_inputs: FreeInputs,
         request_limits: RequestLimits,
     ) -> None:
@@ -291,6 +290,13 @@
                     detail = f"no answer in {timeout_ms:.0f} ms"
             except ExchangeError as error:
                 detail = str(error)
+            except Exception as error:
+                # The batch has to end: its pieces and its place at the replica
+                # are held until then.
+                detail = repr(error)
+                events.log(
+                    events.Event.INTERNAL_ERROR, path="stage call", error=detail
+                )
         batch.ended = True
         took_ms = self._clock.now() - batch.started_at
         if results is None:
@@ -421,11 +427,13 @@
             self._tasks.start_soon(self._check_periodically)
 
     async def _check_periodically(self) -> None:
-        while self._queue.queued_count:
-            await self._clock.sleep(CHECK_INTERVAL_MS)
-            self._settle([task.group for task in self._queue.expire()])
-            self._start_calls()
-        self._checking = False
+        try:
+            while self._queue.queued_count:
+                await self._clock.sleep(CHECK_INTERVAL_MS)
+                self._settle([task.group for task in self._queue.expire()])
+                self._start_calls()
+        finally:
+            self._checking = False
 
 
 def _has_result(result: PieceResult | None) -> bool:
--- a/cactusdyke/serving/decider.py
+++ b/cactusdyke/serving/decider.py
@@ -8,6 +8,7 @@
 import anyio
 import attrs
 
+from cactusdyke.background import background_tasks
 from cactusdyke.kernel import Service
 from cactusdyke.serving.batcher import StageBatcher
 from cactusdyke.serving.brittle_replicas import RequestsInFlight
@@ -23,9 +24,9 @@
         Sequence,
     )
 
-    from anyio.abc import TaskGroup
     from result import Result
 
+    from cactusdyke.background import BackgroundTasks
     from cactusdyke.clock import Clock, Instant
     from cactusdyke.errors import Failure
     from cactusdyke.observe.tracing import Tracing
@@ -85,7 +86,7 @@
         self._last_used_at: dict[str, Instant] = {}
         self._asked_for_at: dict[str, Instant] = {}
         self._activity = anyio.Event()
-        self._tasks: TaskGroup | None = None
+        self._tasks: BackgroundTasks | None = None
         self._free_inputs: FreeInputs = _free_nothing
 
     def set_free_inputs(self, free: FreeInputs) -> None:
@@ -118,7 +119,7 @@
 
     async def run(self) -> None:
         """Runs the calls of the batches."""
-        async with anyio.create_task_group() as tasks:
+        async with background_tasks() as tasks:
             self._tasks = tasks
             await anyio.sleep_forever()
 
--- a/cactusdyke/serving/decider_interface.py
+++ b/cactusdyke/serving/decider_interface.py
@@ -6,6 +6,7 @@
 
 from result import Err
 
+from cactusdyke.errors import DECODING_ERRORS
 from cactusdyke.serving.decider_directory import encode_redirect
 from cactusdyke.serving.dispatch_messages import (
     cancelled_failure,
@@ -43,7 +44,7 @@
             return failure_response(value.err_value)
         try:
             work = decode_work(value.ok_value)
-        except (KeyError, TypeError, ValueError) as error:
+        except DECODING_ERRORS as error:
             return failure_response(malformed_message_failure(error))
         self._decider.merge_loads(work.service, value.ok_value.get("loads"))
         must_accept = bool(value.ok_value.get("insists"))
@@ -82,7 +83,7 @@
             service = str(body["service"])
             self._decider.merge_loads(service, body.get("loads"))
             replica = self._choose(body)
-        except (AttributeError, KeyError, TypeError, ValueError) as error:
+        except DECODING_ERRORS as error:
             return failure_response(malformed_message_failure(error))
         answer: dict[str, Any] = {"replica": replica.name if replica else None}
         self._add_loads(answer, service)
@@ -118,7 +119,7 @@
             return failure_response(value.err_value)
         try:
             question = decode_question(value.ok_value)
-        except (KeyError, TypeError, ValueError) as error:
+        except DECODING_ERRORS as error:
             return failure_response(malformed_message_failure(error))
         redirect = self._redirect(question.service)
         if redirect:
@@ -135,7 +136,7 @@
         try:
             for kind, service, subject, *rest in value.ok_value["notes"]:
                 self._apply_notification(kind, service, subject, rest)
-        except (KeyError, TypeError, ValueError) as error:
+        except DECODING_ERRORS as error:
             return failure_response(malformed_message_failure(error))
         return json_response({})
 
--- a/cactusdyke/serving/deployment.py
+++ b/cactusdyke/serving/deployment.py
@@ -60,6 +60,7 @@
         self._usable_by_service: dict[str, list[Replica]] = {}
         self._unusable_by_service: dict[str, set[str]] = {}
         self._replicas_received = False
+        self._rejected_count = 0
         self._statements = ReplicaStatements(clock=clock)
         self._statements.on_leaving(self._exclude_leaving)
         self._loads = ReplicaLoads(clock=clock)
@@ -75,6 +76,15 @@
         """What replicas said of themselves; asked before each send."""
         return self._statements
 
+    @property
+    def rejected_count(self) -> int:
+        """How many revisions of entries could not be read."""
+        return self._rejected_count
+
+    def record_rejected(self) -> None:
+        """Counts an entry that can't be read."""
+        self._rejected_count += 1
+
     @property
     def loads(self) -> ReplicaLoads:
         """How slow replicas say that they are."""
--- a/cactusdyke/serving/dispatch.py
+++ b/cactusdyke/serving/dispatch.py
@@ -16,6 +16,7 @@
 from result import Err, Ok, Result
 
 from cactusdyke import events
+from cactusdyke.background import background_tasks
 from cactusdyke.errors import Failure, FailureKind, Ran
 from cactusdyke.kernel import Service
 from cactusdyke.serving.dispatch_messages import (
@@ -121,8 +122,8 @@
 
     async def run(self) -> None:
         """Sends queued notifications and hands groups over to new deciders."""
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._handover_loop)
+        async with background_tasks() as tasks:
+            tasks.start_loop(self._handover_loop)
             while True:
                 await self._notification_added.wait()
                 await self._clock.sleep(NOTIFY_INTERVAL_MS)
--- a/cactusdyke/serving/limit_exchange.py
+++ b/cactusdyke/serving/limit_exchange.py
@@ -13,7 +13,7 @@
 import anyio
 from result import Err
 
-from cactusdyke.errors import Failure, FailureKind
+from cactusdyke.errors import DECODING_ERRORS, Failure, FailureKind
 from cactusdyke.kernel import Service
 from cactusdyke.membership.attachments import ChangeAttachment
 from cactusdyke.serving import broadcast
@@ -98,7 +98,7 @@
             return failure_response(value.err_value)
         try:
             self._limits.merge(value.ok_value["limits"], source="decider")
-        except (KeyError, TypeError, ValueError) as error:
+        except DECODING_ERRORS as error:
             return failure_response(
                 Failure(
                     kind=FailureKind.BAD_REQUEST,
--- a/cactusdyke/serving/member_view.py
+++ b/cactusdyke/serving/member_view.py
@@ -7,6 +7,7 @@
 
 from cactusdyke.membership.member import MemberState
 from cactusdyke.serving.peers import PeerDaemon, PeerDaemons
+from cactusdyke.transport.network_address import NetworkAddress
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -164,9 +165,27 @@
             self._told_at = self._clock.now()
 
     def _record_announcement(self, name: str, value: Mapping[str, Any]) -> None:
+        """Keeps what a daemon announced.
+
+        Raises:
+            TypeError, ValueError: It can't be read.
+        """
+        _check_announcement(value)
         self._announced[name] = value
 
 
+def _check_announcement(value: Mapping[str, Any]) -> None:
+    if not isinstance(value, dict):
+        raise TypeError(f"no announcement: {value!r:.60}")
+    address = value.get("a", "")
+    if address != "":
+        NetworkAddress.parse(address)
+    hashes = value.get("d", ())
+    numbers = (value.get("w", 0), *hashes)
+    if not all(isinstance(each, int) for each in numbers):
+        raise TypeError(f"no whole numbers: {numbers!r:.60}")
+
+
 def _decode(member: Member, announced: Mapping[str, Any]) -> PeerDaemon:
     return PeerDaemon(
         name=member.name,
--- a/cactusdyke/serving/memory_reports.py
+++ b/cactusdyke/serving/memory_reports.py
@@ -18,8 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from anyio.abc import TaskGroup
-
+    from cactusdyke.background import BackgroundTasks
     from cactusdyke.clock import Clock
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.dialect import Dialect, MemoryReport
@@ -51,7 +50,7 @@
         dialect: Dialect,
         connections: BackendConnections,
         queue: StageQueue,
-        tasks: TaskGroup,
+        tasks: BackgroundTasks,
         on_report: Callable[[], None],
     ) -> None:
         self._clock = clock
--- a/cactusdyke/serving/metrics.py
+++ b/cactusdyke/serving/metrics.py
@@ -67,6 +67,11 @@
             "Data centres whose replicas receive no new work.",
             registry=registry,
         )
+        self._rejected = prometheus_client.Gauge(
+            "cactusdyke_rejected_entries",
+            "Revisions of configuration or replicas that could not be read.",
+            registry=registry,
+        )
         self._cold = prometheus_client.Gauge(
             "cactusdyke_cold_replicas",
             "Replicas to which requests are limited, as they are cold.",
@@ -137,6 +142,7 @@
     def watch_deployment(self, deployment: Deployment) -> None:
         """Reads the gauges of replicas from a deployment when asked for."""
         self._evacuated.set_function(lambda: len(deployment.evacuated))
+        self._rejected.set_function(lambda: deployment.rejected_count)
         self._cold.set_function(lambda: deployment.cold_count)
         loads = deployment.loads
         self._reported.set_function(lambda: loads.fresh_count)
--- a/cactusdyke/serving/peer_watch.py
+++ b/cactusdyke/serving/peer_watch.py
@@ -9,6 +9,7 @@
 import anyio
 
 from cactusdyke import events
+from cactusdyke.background import background_tasks
 from cactusdyke.kernel import Service
 from cactusdyke.transport.messages import Request, Response, json_response
 from cactusdyke.transport.network import CallOptions
@@ -16,8 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from anyio.abc import TaskGroup
-
+    from cactusdyke.background import BackgroundTasks
     from cactusdyke.clock import Clock, Instant
     from cactusdyke.serving.peers import PeerDaemon
     from cactusdyke.transport.network import Network
@@ -50,7 +50,7 @@
         self._silent_until: dict[str, Instant] = {}
         self._probed: set[str] = set()
         self._answered_at: dict[str, Instant] = {}
-        self._tasks: TaskGroup | None = None
+        self._tasks: BackgroundTasks | None = None
 
     @property
     def silent(self) -> dict[str, Instant]:
@@ -77,7 +77,7 @@
 
     async def run(self) -> None:
         """Runs the probes until it is cancelled."""
-        async with anyio.create_task_group() as tasks:
+        async with background_tasks() as tasks:
             self._tasks = tasks
             await anyio.sleep_forever()
 
@@ -105,6 +105,13 @@
             self._tasks.start_soon(self._monitor, peer)
 
     async def _monitor(self, peer: PeerDaemon) -> None:
+        try:
+            await self._probe_until_settled(peer)
+        finally:
+            self._probed.discard(peer.name)
+
+    async def _probe_until_settled(self, peer: PeerDaemon) -> None:
+        """Probes a daemon until it is silent, or nothing waits for it."""
         failed_probes = 0
         while True:
             await self._clock.sleep(
@@ -112,13 +119,12 @@
             )
             failed_probes = 0 if await self._probe(peer) else failed_probes + 1
             if not failed_probes and not self._scopes.get(peer.name):
-                break
+                return
             if failed_probes >= SILENT_AFTER_FAILED_PROBES:
                 self.mark_silent(peer, detail="no answer to two probes")
                 for scope in self._scopes.pop(peer.name, ()):
                     scope.cancel()
-                break
-        self._probed.discard(peer.name)
+                return
 
     async def _probe(self, peer: PeerDaemon) -> bool:
         answered_at = self._answered_at.get(peer.address, -math.inf)
--- a/cactusdyke/serving/quarantine.py
+++ b/cactusdyke/serving/quarantine.py
@@ -18,8 +18,9 @@
 from result import Err
 
 from cactusdyke import events
+from cactusdyke.background import background_tasks
 from cactusdyke.clock import Instant
-from cactusdyke.errors import Failure, FailureKind
+from cactusdyke.errors import DECODING_ERRORS, Failure, FailureKind
 from cactusdyke.kernel import Service
 from cactusdyke.membership.attachments import ChangeAttachment
 from cactusdyke.serving import broadcast
@@ -48,9 +49,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from anyio.abc import TaskGroup
     from result import Result
 
+    from cactusdyke.background import BackgroundTasks
     from cactusdyke.clock import Clock
     from cactusdyke.membership.attachments import Attachment
     from cactusdyke.serving.metrics import ServingMetrics
@@ -149,7 +150,7 @@
         self._reported_versions: dict[str, int] = {}
         self._local_change = anyio.Event()
         self._shared_change = anyio.Event()
-        self._tasks: TaskGroup | None = None
+        self._tasks: BackgroundTasks | None = None
         self._loaded = False
         self._loaded_hook: Callable[[], None] = lambda: None
 
@@ -403,10 +404,10 @@
 
     async def run(self) -> None:
         """Checks replicas and exchanges evidence until it is cancelled."""
-        async with anyio.create_task_group() as tasks:
+        async with background_tasks() as tasks:
             self._tasks = tasks
-            tasks.start_soon(self._report_to_collectors)
-            tasks.start_soon(self._save)
+            tasks.start_loop(self._report_to_collectors)
+            tasks.start_loop(self._save)
             tasks.start_soon(self._mark_loaded_after_timeout)
             await self._broadcast(tasks)
 
@@ -418,7 +419,7 @@
             return failure_response(value.err_value)
         try:
             self.merge(value.ok_value)
-        except (KeyError, TypeError, ValueError) as error:
+        except DECODING_ERRORS as error:
             return failure_response(
                 Failure(
                     kind=FailureKind.BAD_REQUEST,
@@ -546,7 +547,7 @@
             with self._clock.timeout(RETRY_MS):
                 await local_change.wait()
 
-    async def _broadcast(self, tasks: TaskGroup) -> None:
+    async def _broadcast(self, tasks: BackgroundTasks) -> None:
         """Sends merged evidence to all daemons if this one is a collector."""
         sent_version = 0
         while True:
--- a/cactusdyke/serving/replica_connections.py
+++ b/cactusdyke/serving/replica_connections.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from cactusdyke.background import background_tasks
 from cactusdyke.kernel import Service
 from cactusdyke.transport.exchange import (
     BackendConnections,
@@ -109,8 +110,8 @@
 
     async def run(self) -> None:
         """Verifies failures and tries lost paths again until cancelled."""
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._try_lost_paths)
+        async with background_tasks() as tasks:
+            tasks.start_loop(self._try_lost_paths)
             while True:
                 await self._unverified_added.wait()
                 self._unverified_added = anyio.Event()
@@ -125,7 +126,7 @@
                 await self._path_lost.wait()
                 self._path_lost = anyio.Event()
             await self._clock.sleep(PROBE_INTERVAL_MS)
-            async with anyio.create_task_group() as tasks:
+            async with background_tasks() as tasks:
                 for address in addresses:
                     tasks.start_soon(self._check.reaches, address)
 
--- a/cactusdyke/serving/result_freeing.py
+++ b/cactusdyke/serving/result_freeing.py
@@ -4,16 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-import anyio
-
 from cactusdyke import events
+from cactusdyke.background import background_tasks
 from cactusdyke.transport.exchange import ExchangeError
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from anyio.abc import TaskGroup
-
+    from cactusdyke.background import BackgroundTasks
     from cactusdyke.clock import Clock, Instant
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.dialect import Dialect
@@ -56,7 +54,7 @@
         connections: BackendConnections,
         queue: StageQueue,
         request_limits: RequestLimits,
-        tasks: TaskGroup,
+        tasks: BackgroundTasks,
         record_load: Callable[[Replica, AnswerHead], None],
         on_freed: Callable[[], None],
     ) -> None:
@@ -86,15 +84,17 @@
             self._to_free.setdefault(address, []).append(handle)
 
     async def _send_frees(self) -> None:
-        while self._to_free:
-            await self._clock.sleep(FREE_INTERVAL_MS)
-            due = self._take_due_frees()
-            if due:
-                self._tasks.start_soon(self._send_due_frees, due)
-        self._freeing = False
+        try:
+            while self._to_free:
+                await self._clock.sleep(FREE_INTERVAL_MS)
+                due = self._take_due_frees()
+                if due:
+                    self._tasks.start_soon(self._send_due_frees, due)
+        finally:
+            self._freeing = False
 
     async def _send_due_frees(self, due: dict[str, list[str]]) -> None:
-        async with anyio.create_task_group() as tasks:
+        async with background_tasks() as tasks:
             for address, handles in due.items():
                 tasks.start_soon(self._send_free, address, handles)
         self._on_freed()
--- a/cactusdyke/serving/return_questions.py
+++ b/cactusdyke/serving/return_questions.py
@@ -16,6 +16,7 @@
 from result import Err
 
 from cactusdyke.clock import MS_PER_SECOND
+from cactusdyke.errors import DECODING_ERRORS
 from cactusdyke.serving.dispatch_messages import decode_digest
 from cactusdyke.transport.messages import JSON_TYPE, Request, parse_object
 from cactusdyke.transport.network import CallOptions
@@ -142,7 +143,7 @@
                 )
                 return None
             return decode_answer(body.ok_value)
-        except (KeyError, TypeError, ValueError):
+        except DECODING_ERRORS:
             return None
 
 
--- a/cactusdyke/serving/state_exchange.py
+++ b/cactusdyke/serving/state_exchange.py
@@ -9,6 +9,8 @@
 from result import Err
 
 from cactusdyke import events
+from cactusdyke.background import background_tasks
+from cactusdyke.errors import DECODING_ERRORS
 from cactusdyke.kernel import Service
 from cactusdyke.serving import state_readers
 from cactusdyke.transport.messages import (
@@ -89,9 +91,9 @@
 
     async def run(self) -> None:
         """Reads or follows until it is cancelled."""
-        async with anyio.create_task_group() as tasks:
+        async with background_tasks() as tasks:
             for state in self._states.values():
-                tasks.start_soon(self._read, state)
+                tasks.start_loop(self._read, state)
             while True:
                 await self._run_once()
 
@@ -293,8 +295,12 @@
             return math.inf
         took_ms = self._clock.now() - asked_at
         age_ms = 0.0
+        parsed = parse_object(body)
+        if isinstance(parsed, Err):
+            self._log_failed_read(peer.name, parsed.err_value.detail, 0.0)
+            return math.inf
+        told = parsed.ok_value
         try:
-            told = parse_object(body).unwrap()
             # Older releases do not tell how long they held the call.
             held_ms = float(told.get("held_ms", took_ms))
             transit_ms = max(0.0, took_ms - held_ms)
@@ -308,7 +314,7 @@
                         source=peer.name,
                         transit_ms=transit_ms,
                     )
-        except (KeyError, TypeError, ValueError) as error:
+        except DECODING_ERRORS as error:
             events.log(
                 events.Event.GOSSIP_REJECTED,
                 member=peer.name,
--- a/cactusdyke/serving/statement_exchange.py
+++ b/cactusdyke/serving/statement_exchange.py
@@ -14,7 +14,8 @@
 import anyio
 from result import Err
 
-from cactusdyke.errors import Failure, FailureKind
+from cactusdyke.background import background_tasks
+from cactusdyke.errors import DECODING_ERRORS, Failure, FailureKind
 from cactusdyke.kernel import Service
 from cactusdyke.membership.attachments import ChangeAttachment
 from cactusdyke.serving import broadcast
@@ -94,7 +95,7 @@
 
     async def run(self) -> None:
         """Tells other daemons until it is cancelled."""
-        async with anyio.create_task_group() as tasks:
+        async with background_tasks() as tasks:
             while True:
                 await self._added.wait()
                 self._added = anyio.Event()
@@ -112,7 +113,7 @@
         try:
             self._merge_leaving(value.ok_value.get("leaving", ()))
             self._merge_rests(value.ok_value.get("rests", ()))
-        except (AttributeError, TypeError, ValueError) as error:
+        except DECODING_ERRORS as error:
             return failure_response(
                 Failure(
                     kind=FailureKind.BAD_REQUEST,
--- a/cactusdyke/serving/stream_exchange.py
+++ b/cactusdyke/serving/stream_exchange.py
@@ -16,7 +16,8 @@
 import xxhash
 from result import Err, Ok
 
-from cactusdyke.errors import Failure, FailureKind
+from cactusdyke.background import background_tasks
+from cactusdyke.errors import DECODING_ERRORS, Failure, FailureKind
 from cactusdyke.kernel import Service
 from cactusdyke.serving.stream_origins import StreamOrigin
 from cactusdyke.transport.messages import (
@@ -71,7 +72,7 @@
 
     async def run(self) -> None:
         """Sends queued origins until it is cancelled."""
-        async with anyio.create_task_group() as tasks:
+        async with background_tasks() as tasks:
             while True:
                 await self._added.wait()
                 await self._clock.sleep(COALESCE_MS)
@@ -131,7 +132,7 @@
                     service=str(service), version=str(version)
                 )
                 self._origins.put(str(stream_id), origin)
-        except (KeyError, TypeError, ValueError) as error:
+        except DECODING_ERRORS as error:
             return failure_response(
                 Failure(
                     kind=FailureKind.BAD_REQUEST,
--- a/cactusdyke/transport/exchange.py
+++ b/cactusdyke/transport/exchange.py
@@ -298,12 +298,11 @@
     Raises:
         ExchangeError: No connection could be made; nothing was sent.
     """
-    host, _, port = address.rpartition(":")
     stream: TcpStream | None = None
     try:
         with clock.timeout(timeout_ms):
-            stream = await connect_tcp(host, int(port))
-    except (OSError, ValueError) as error:
+            stream = await connect_tcp(address)
+    except OSError as error:
         raise ExchangeError(
             f"{address}: {error}",
             sent=False,
--- a/cactusdyke/transport/http_network.py
+++ b/cactusdyke/transport/http_network.py
@@ -9,6 +9,7 @@
 import anyio
 from result import Err, Ok, Result
 
+from cactusdyke.background import keep_running
 from cactusdyke.clock import Clock, SystemClock
 from cactusdyke.errors import CactusdykeError, Failure, FailureKind, Ran
 from cactusdyke.transport import sockets
@@ -81,7 +82,7 @@
         tasks = await self._stack.enter_async_context(anyio.create_task_group())
         self._stack.callback(tasks.cancel_scope.cancel)
         self._stack.push_async_callback(self._kept.aclose)
-        tasks.start_soon(self._watchdog.run, name="connection watchdog")
+        tasks.start_soon(keep_running, self._watchdog.run)
         return self
 
     async def __aexit__(
@@ -141,12 +142,11 @@
         )
 
     async def _connect(self, address: str, options: CallOptions) -> TcpStream:
-        host, _, port = address.rpartition(":")
         stream: TcpStream | None = None
         try:
             with self._clock.timeout(options.connect_timeout_ms):
-                stream = await connect_tcp(host.strip("[]"), int(port))
-        except (OSError, ValueError) as error:
+                stream = await connect_tcp(address)
+        except OSError as error:
             raise ExchangeError(f"{address}: {error!r}", sent=False) from error
         if stream is None:
             raise ExchangeError(f"{address}: no connection in time", sent=False)
--- a/cactusdyke/transport/tcp_stream.py
+++ b/cactusdyke/transport/tcp_stream.py
@@ -9,16 +9,21 @@
 
 import asyncio
 import collections
+import errno
 import socket
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import anyio
 import anyio.abc
 import anyio.lowlevel
 
+from cactusdyke.transport.network_address import NetworkAddress
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+ProtocolType = TypeVar("ProtocolType", bound=asyncio.Protocol)
+
 BACKLOG = 1_024
 READ_BYTES = 65_536
 MOST_UNREAD_BYTES = 65_536
@@ -311,17 +316,32 @@
         await anyio.lowlevel.checkpoint()
 
 
-async def connect_tcp(host: str, port: int) -> TcpStream:
-    """Opens a connection.
+async def connect_tcp(address: str) -> TcpStream:
+    """Opens a connection to `host:port`.
 
     Raises:
         OSError: No connection could be made.
     """
-    loop = asyncio.get_running_loop()
-    transport, protocol = await loop.create_connection(_Protocol, host, port)
+    transport, protocol = await connect_protocol(_Protocol, address)
     return TcpStream(transport, protocol)
 
 
+async def connect_protocol(
+    factory: Callable[[], ProtocolType], address: str
+) -> tuple[asyncio.Transport, ProtocolType]:
+    """Opens a connection to `host:port` that a protocol handles.
+
+    Raises:
+        OSError: No connection could be made.
+    """
+    try:
+        parsed = NetworkAddress.parse(address)
+    except ValueError as error:
+        raise OSError(errno.EINVAL, str(error)) from error
+    loop = asyncio.get_running_loop()
+    return await loop.create_connection(factory, parsed.host, parsed.port)
+
+
 def listen(host: str, port: int) -> socket.socket:
     """Returns a listening TCP socket.
 
--- a/cactusdyke/transport/tunnel.py
+++ b/cactusdyke/transport/tunnel.py
@@ -17,7 +17,12 @@
 )
 from cactusdyke.transport.memory_budget import Held, Kind
 from cactusdyke.transport.messages import Response
-from cactusdyke.transport.tcp_stream import TcpStream, connect_tcp
+from cactusdyke.transport.network_address import NetworkAddress
+from cactusdyke.transport.tcp_stream import (
+    TcpStream,
+    connect_protocol,
+    connect_tcp,
+)
 
 if TYPE_CHECKING:
     import socket
@@ -121,14 +126,17 @@
             ExchangeError: The other daemon does not reach the backend server.
             TunnelUnavailableError: The other daemon makes no connection.
         """
-        host, _, port = relay.rpartition(":")
+        try:
+            target = str(NetworkAddress.parse(address))
+        except ValueError as error:
+            raise ExchangeError(str(error), sent=False) from error
         stream: TcpStream | None = None
         status = 0
         try:
             try:
                 with self._clock.timeout(TUNNEL_TIMEOUT_MS):
-                    stream = await connect_tcp(host.strip("[]"), int(port))
-                    status = await _ask(stream, address)
+                    stream = await connect_tcp(relay)
+                    status = await _ask(stream, target)
             except (OSError, anyio.BrokenResourceError) as error:
                 raise TunnelUnavailableError(f"{relay}: {error}") from error
             _check(status, relay, address)
@@ -323,7 +331,7 @@
         with gate.admit(address):
             try:
                 transport, end = await _connect_to_server(address)
-            except (OSError, ValueError) as error:
+            except OSError as error:
                 return await _failed(error, address, gate)
             gate.record_connected(address)
             await _pass_on(asker, transport, end, gate.budget)
@@ -334,7 +342,7 @@
         return Response(status=UNAVAILABLE_STATUS)
 
 
-async def _failed(error: Exception, address: str, gate: TunnelGate) -> Response:
+async def _failed(error: OSError, address: str, gate: TunnelGate) -> Response:
     if not await gate.reaches_others(address):
         return Response(status=UNAVAILABLE_STATUS)
     is_refused = isinstance(error, ConnectionRefusedError)
@@ -344,12 +352,8 @@
 async def _connect_to_server(
     address: str,
 ) -> tuple[asyncio.Transport, _ServerEnd]:
-    host, _, port = address.rpartition(":")
-    loop = asyncio.get_running_loop()
     async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1_000):
-        return await loop.create_connection(
-            _ServerEnd, host.strip("[]"), int(port)
-        )
+        return await connect_protocol(_ServerEnd, address)
 
 
 async def _pass_on(
--- /dev/null
+++ b/features/malformed/malformed.feature
@@ -0,0 +1,55 @@
+Feature: data that can't be read, and errors of background tasks
+
+  Scenario: an entry whose address can't be read ends no daemon
+    # Guards against an entry of the list of replicas that ends all daemons
+    # together, each time that they start.
+    Given 3 daemons as processes under callers
+    When entries that can't be read are put into the list of replicas
+    Then no request is lost or refused, and no daemon has ended
+    And each daemon logs each of the entries once, and counts them
+
+  @background_failures
+  Scenario Outline: a daemon without <guard> bears such an entry
+    # Guards against a daemon that only one guard keeps from ending.
+    Given a daemon without <guard>
+    When an entry whose address can't be read is put into the list of replicas
+    Then the daemon goes on, and answers requests once the entry is gone
+
+    Examples:
+      | guard                               |
+      | the check of decoded addresses      |
+      | tasks that contain their errors     |
+
+  Scenario Outline: generated <data> is read or left out
+    # Guards against values that a later user of decoded data can't bear.
+    When generated <data> is read, and used by all that reads it
+    Then nothing fails, and sound data beside it holds
+
+    Examples:
+      | data                              |
+      | entries of replicas               |
+      | configurations                    |
+      | entries of daemons                |
+      | answers of the store              |
+      | messages between daemons          |
+      | states from other daemons         |
+      | answers of replicas               |
+
+  @background_failures
+  Scenario: a background task that fails is run again after growing pauses
+    # Guards against a task that is gone after an error, or fails unnoticed.
+    When a service's background work fails again and again beside a sound one
+    Then it is run again after pauses that grow up to a limit
+    And each failure is logged with its trace and counted
+    And the sound service runs all the while
+
+  @background_failures
+  Scenario: a task that fails ends no task beside it
+    # Guards against work of other requests that an error cancels.
+    When a task fails beside one that goes on and one that is cancelled
+    Then the one goes on, and the cancellation is passed on
+
+  Scenario: a daemon that can't listen to callers ends
+    # Guards against a daemon that seems to run and serves nobody.
+    When a daemon starts whose port for callers is taken
+    Then it ends with the error
--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -24,7 +24,7 @@
         listener = TcpListener(host="127.0.0.1", port=0)
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         async with listener:
-            local = await tcp_stream.connect_tcp("127.0.0.1", port)
+            local = await tcp_stream.connect_tcp(f"127.0.0.1:{port}")
             remote = await listener.accept()
             async with local, remote:
                 await scenario(local, remote)
--- a/features/support/platform_rig.py
+++ b/features/support/platform_rig.py
@@ -279,9 +279,31 @@
                 tasks.start_soon(start, name)
         return [processes[name] for name in names]
 
-    async def start_process(self, name, **limits):
+    async def start_group(self, *names):
+        """Starts daemons as processes that know each other."""
+        processes = []
+        seeds = []
+        for name in names:
+            processes.append(await self.start_process(name, seeds=seeds))
+            seeds.append(self.settings[name].peer.address)
+        for name in names:
+            await self._knows(name, len(names))
+        return processes
+
+    async def _knows(self, name, count):
+        """Returns once a daemon knows so many daemons for callers."""
+        with anyio.fail_after(10):
+            while True:
+                _, told = await self.ask(
+                    self.settings[name].directory.address, "/-/resolve"
+                )
+                if len(told.get("addresses", ())) == count:
+                    return
+                await anyio.sleep(0.05)
+
+    async def start_process(self, name, seeds=(), **limits):
         """Starts a daemon as a process, and waits until it is ready."""
-        path = self._write_settings(name, ())
+        path = self._write_settings(name, seeds)
         process = DaemonProcess(settings_path=path, **limits)
         self._stack.enter_context(process)
         settings = self.settings[name]
@@ -292,6 +314,25 @@
             await anyio.sleep(0.05)
         raise AssertionError(f"{name} did not become ready")
 
+    def start_copy(self, name):
+        """Starts a second process with the settings of one that runs."""
+        path = pathlib.Path(self.folder) / f"{name}.yaml"
+        return self._stack.enter_context(DaemonProcess(settings_path=path))
+
+    async def metric(self, daemon, name):
+        """Returns a metric of a daemon that has no labels, None if unknown."""
+        request = Request(method="GET", path="/metrics")
+        answer = await self.network.fetch(
+            self.settings[daemon].peer.address, request, CallOptions()
+        )
+        lines = answer.unwrap().body.decode().splitlines()
+        values = [
+            float(line.split()[1])
+            for line in lines
+            if line.startswith(f"{name} ")
+        ]
+        return values[0] if values else None
+
     def _write_settings(self, name, seeds):
         path = pathlib.Path(self.folder) / f"{name}.yaml"
         path.write_text(self.settings_text(name, seeds), encoding="utf-8")
