Mark the end of tunnels, and take an unknown end of an answer for a cut

Cause: such an answer ends with its connection. Through a tunnel two connections end; the kernel closes the asker's in order as the process between ends. The second look only asked whether the replica still listens, and took every error but a refusal for yes.

Change: towards the asker tunnels are framed, with an end mark for the server's end, by a header that a daemon of the release before ignores; without frames such an end counts as a cut. The second look has the outcomes whole, ended and unknown; unknown is a cut. It is unknown if the replica is not reached within a second, if another process is known to have its address, and if the look came too late.

--- a/cactusdyke/platform/store.py
+++ b/cactusdyke/platform/store.py
@@ -153,7 +153,10 @@
                 response.status, FailureKind.STORE_UNAVAILABLE
             )
             return Err(_failure(kind_of, f"status {response.status}"))
-        return lenient_json.parse_object(response.body or b"{}")
+        if method == "GET" or response.body:
+            # Without a length a body that was cut at once looks empty.
+            return lenient_json.parse_object(response.body)
+        return Ok({})
 
 
 _STATUSES = {
--- a/cactusdyke/serving/attempt.py
+++ b/cactusdyke/serving/attempt.py
@@ -39,6 +39,8 @@
 
 END_CHECK_DELAY_MS = 20.0
 """A process that ends closes its connections and listeners within this time."""
+END_CHECK_LIMIT_MS = 1_000.0
+"""A process that has ended is not started again within this time."""
 MAX_BODY_BYTES = 8 * 1024 * 1024
 """An answer that is not streamed is buffered and checked in full before its
 first byte is forwarded."""
@@ -140,6 +142,7 @@
         statements: ReplicaStatements,
         memory: MemoryBudget | None = None,
         loads: ReplicaLoads,
+        is_replaced: Callable[[Replica], bool] = lambda _: False,
     ) -> None:
         self._clock = clock
         self._connections = connections
@@ -148,6 +151,7 @@
         self._statements = statements
         self._memory = memory
         self._loads = loads
+        self._is_replaced = is_replaced
 
     def is_replica_to_blame(
         self, replica: Replica, result: AttemptResult | None
@@ -369,23 +373,41 @@
         """Checks that an answer was not ended by a crash of its replica.
 
         The end of a connection is the end of an answer without a length or
-        chunks, and looks the same if the replica's process ends.
+        chunks, and looks the same if the replica's process ends. The answer is
+        whole only if the same process still listens afterwards.
 
         Raises:
-            ExchangeError: The replica is down.
+            ExchangeError: The replica is down, or nothing shows that it is not.
         """
         if not exchange.ends_with_connection:
             return
+        ended_at = self._clock.now()
         await self._clock.sleep(END_CHECK_DELAY_MS)
+        doubt = await self._find_doubt(replica)
+        while doubt is not None and not doubt.refused:
+            if self._clock.now() - ended_at > END_CHECK_LIMIT_MS:
+                break
+            await self._clock.sleep(END_CHECK_DELAY_MS)
+            doubt = await self._find_doubt(replica)
+        detail = "" if doubt is None else str(doubt)
+        if self._clock.now() - ended_at > END_CHECK_LIMIT_MS:
+            detail = detail or "by now it may have been started again"
+        if self._is_replaced(replica):
+            detail = "another process has its address"
+        if detail:
+            raise ExchangeError(
+                f"{replica.address}: the replica may have ended with its"
+                f" answer: {detail}",
+                sent=exchange.sent,
+            ) from doubt
+
+    async def _find_doubt(self, replica: Replica) -> ExchangeError | None:
+        """Returns why a replica can't be reached, None if it can."""
         try:
             async with self._connections.connect(replica.address):
-                return
+                return None
         except ExchangeError as error:
-            if error.refused:
-                raise ExchangeError(
-                    f"{replica.address}: the replica ended with its answer",
-                    sent=exchange.sent,
-                ) from error
+            return error
 
     async def _forward_events(
         self,
--- a/cactusdyke/serving/core.py
+++ b/cactusdyke/serving/core.py
@@ -295,6 +295,7 @@
                 statements=deployment.statements,
                 memory=memory,
                 loads=deployment.loads,
+                is_replaced=deployment.is_replaced,
             ),
             retry_policy=retry_policy,
             health=health,
--- a/cactusdyke/serving/deployment.py
+++ b/cactusdyke/serving/deployment.py
@@ -279,6 +279,16 @@
         """Returns the replica at an address, None if unknown."""
         return self._replicas_by_address.get(address)
 
+    def is_replaced(self, replica: Replica) -> bool:
+        """Returns whether a replica's address is known to be of another.
+
+        A replica that is no longer listed may still run.
+        """
+        known = self.replica_at(replica.address)
+        if known is None:
+            return False
+        return known.name != replica.name or known.born != replica.born
+
     def data_centre_at(self, address: str) -> str:
         """Returns the data centre of an address, empty if unknown."""
         replica = self.replica_at(address)
--- a/cactusdyke/transport/direct_server.py
+++ b/cactusdyke/transport/direct_server.py
@@ -25,6 +25,7 @@
 from cactusdyke.transport.safe_handler import respond
 from cactusdyke.transport.tcp_stream import listen
 from cactusdyke.transport.tunnel import TunnelGate, serve_tunnel
+from cactusdyke.transport.tunnel_framing import HEADER_NAME, HEADER_VALUE
 
 MAX_HEAD_BYTES = 65_536
 READ_TIMEOUT_S = 10.0
@@ -256,7 +257,10 @@
         assert self._tunnels is not None
         try:
             refusal = await serve_tunnel(
-                transport, self._tunnel_address, self._tunnels
+                transport,
+                self._tunnel_address,
+                self._tunnels,
+                framed=self._headers.get(HEADER_NAME) == HEADER_VALUE,
             )
         finally:
             # The tunnel's own protocol is told of the connection's end.
--- a/cactusdyke/transport/front_connection.py
+++ b/cactusdyke/transport/front_connection.py
@@ -443,6 +443,10 @@
         if pending is not None:
             self._readers.remove(pending)
 
+    def set_reset_on_close(self, *, enabled: bool) -> None:
+        """Sets whether the end of the connection, or the process, resets it."""
+        sockets.reset_on_close(self._stream, enabled=enabled)
+
     async def wait_until_read(self) -> None:
         """Returns once less than `MOST_AHEAD_BYTES` are unsent.
 
@@ -516,6 +520,10 @@
         """Begins an answer in chunks, or up to the end of the connection."""
         head = self._head(status, _without_length(headers))
         self._in_chunks = b"\r\ntransfer-encoding: chunked\r\n" in head.lower()
+        if not self._in_chunks:
+            # To a caller of HTTP/1.0 an orderly end would look like the end of
+            # the answer, also as the kernel closes what a killed process had.
+            self._connection.set_reset_on_close(enabled=True)
         await self._connection.write(head, self)
 
     async def part(self, data: bytes) -> None:
@@ -535,6 +543,8 @@
         sent = self._h11.send(h11.EndOfMessage())
         if sent:
             await self._connection.write(sent, self)
+        if not self._in_chunks:
+            self._connection.set_reset_on_close(enabled=False)
 
     def _head(self, status: int, headers: Headers) -> bytes:
         if self._connection.asks_to_leave:
--- a/cactusdyke/transport/sockets.py
+++ b/cactusdyke/transport/sockets.py
@@ -79,16 +79,17 @@
     )
 
 
-def reset_on_close(stream: SocketStream) -> None:
-    """Makes closing reset the connection.
+def reset_on_close(stream: SocketStream, *, enabled: bool = True) -> None:
+    """Makes closing reset the connection, or end it in order again.
 
     An answer without a length ends with its connection. Where it is cut short
     an orderly close would make it look complete; a reset does not.
     """
     raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    reset_socket_on_close(raw)
+    reset_socket_on_close(raw, enabled=enabled)
 
 
-def reset_socket_on_close(raw: socket.socket) -> None:
+def reset_socket_on_close(raw: socket.socket, *, enabled: bool = True) -> None:
     """Does the same for a socket."""
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    linger = struct.pack("ii", int(enabled), 0)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/cactusdyke/transport/tunnel.py
+++ b/cactusdyke/transport/tunnel.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
+import attrs
 
 from cactusdyke.transport import sockets
 from cactusdyke.transport.exchange import (
@@ -23,6 +24,13 @@
     connect_protocol,
     connect_tcp,
 )
+from cactusdyke.transport.tunnel_framing import (
+    END_MARK,
+    HEADER_NAME,
+    HEADER_VALUE,
+    TunnelStream,
+    frame_header,
+)
 
 if TYPE_CHECKING:
     import socket
@@ -37,7 +45,13 @@
 TUNNEL_TIMEOUT_MS = 400.0
 """For the whole tunnel, at the daemon that asks for it."""
 MAX_HEAD_BYTES = 4_096
+COPIED_BYTES = 16_384
+"""Up to here a copy costs less than a second call of the system."""
 ESTABLISHED = b"HTTP/1.1 200 Connection established\r\n\r\n"
+FRAMED_ESTABLISHED = (
+    "HTTP/1.1 200 Connection established\r\n"
+    f"{HEADER_NAME}: {HEADER_VALUE}\r\n\r\n"
+).encode()
 OK_STATUS = 200
 REFUSED_STATUS = 502
 UNAVAILABLE_STATUS = 503
@@ -131,42 +145,60 @@
         except ValueError as error:
             raise ExchangeError(str(error), sent=False) from error
         stream: TcpStream | None = None
-        status = 0
+        opened = _Opened(status=0)
         try:
             try:
                 with self._clock.timeout(TUNNEL_TIMEOUT_MS):
                     stream = await connect_tcp(relay)
-                    status = await _ask(stream, target)
+                    opened = await _ask(stream, target)
             except (OSError, anyio.BrokenResourceError) as error:
                 raise TunnelUnavailableError(f"{relay}: {error}") from error
-            _check(status, relay, address)
+            _check(opened.status, relay, address)
             assert stream is not None
             sockets.guard_against_silence(stream)
             yield SocketExchange(
-                stream=stream, address=address, budget=self._budget
+                stream=TunnelStream(stream, framed=opened.framed),
+                address=address,
+                budget=self._budget,
             )
         finally:
             if stream is not None:
                 stream.abort()
 
 
-async def _ask(stream: TcpStream, address: str) -> int:
-    """Asks for a tunnel; returns the status of the answer, 0 if it is none."""
-    head = f"CONNECT {address} HTTP/1.1\r\nhost: {address}\r\n\r\n"
+@attrs.frozen(kw_only=True)
+class _Opened:
+    """How a daemon answered that was asked for a tunnel.
+
+    Attributes:
+        status: The status of its answer, 0 if it was none.
+        framed: Whether it frames what it passes on.
+    """
+
+    status: int
+    framed: bool = False
+
+
+async def _ask(stream: TcpStream, address: str) -> _Opened:
+    """Asks for a tunnel."""
+    head = (
+        f"CONNECT {address} HTTP/1.1\r\nhost: {address}\r\n"
+        f"{HEADER_NAME}: {HEADER_VALUE}\r\n\r\n"
+    )
     await stream.send(head.encode("latin-1"))
     answer = b""
     while b"\r\n\r\n" not in answer and len(answer) < MAX_HEAD_BYTES:
         try:
             answer += await stream.receive()
         except anyio.EndOfStream:
-            return 0
+            return _Opened(status=0)
     parts = answer.split(b" ", 2)
     is_status = len(parts) > 1 and parts[1].isdigit()
     status = int(parts[1]) if is_status else 0
     # What follows the head of an accepted tunnel can be no answer yet.
     if status == OK_STATUS and not answer.endswith(b"\r\n\r\n"):
-        return 0
-    return status
+        return _Opened(status=0)
+    return _Opened(status=status, framed=answer == FRAMED_ESTABLISHED)
 
 
 def _check(status: int, relay: str, address: str) -> None:
@@ -240,6 +272,9 @@
 
     def write(self, data: bytes) -> None:
         """Writes bytes that came at the other end."""
+        self._write(data)
+
+    def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
@@ -253,11 +288,6 @@
         else:
             transport.pause_reading()
 
-    def close(self) -> None:
-        """Ends the connection once all is written."""
-        if self._transport is not None:
-            self._transport.close()
-
     def abort(self) -> None:
         """Ends the connection at once."""
         if self._transport is not None:
@@ -278,10 +308,30 @@
     That daemon ends its side only as it gives the request up.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, framed: bool) -> None:
         super().__init__()
+        self._framed = framed
         self.ended = asyncio.get_running_loop().create_future()
 
+    def write(self, data: bytes) -> None:
+        """Writes bytes of the backend server."""
+        if not self._framed:
+            self._write(data)
+            return
+        header = frame_header(len(data))
+        if len(data) < COPIED_BYTES:
+            self._write(header + data)
+        else:
+            self._write(header)
+            self._write(data)
+
+    def finish(self) -> None:
+        """Ends the connection in order, as the backend server has done."""
+        if self._framed:
+            self._write(END_MARK)
+        if self._transport is not None:
+            self._transport.close()
+
     def eof_received(self) -> bool:
         """Ends the other connection."""
         return False
@@ -298,24 +348,39 @@
 class _ServerEnd(_End):
     """The end of the backend server."""
 
+    def __init__(self) -> None:
+        super().__init__()
+        self._asker: _AskerEnd | None = None
+
+    def join_asker(
+        self,
+        transport: asyncio.Transport,
+        asker: _AskerEnd,
+        budget: MemoryBudget | None,
+    ) -> None:
+        """Begins to pass bytes on to the asker."""
+        self._asker = asker
+        self.join(transport, asker, budget)
+
     def eof_received(self) -> bool:
         """Ends the asker's connection behind all that came."""
-        if self._other is not None:
-            self._other.close()
+        if self._asker is not None:
+            self._asker.finish()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Ends the asker's connection; resets it if this one was."""
-        if self._other is None:
-            return
-        if exc is None:
-            self._other.close()
-        else:
-            self._other.reset()
+        """Resets the asker's connection unless it has ended in order."""
+        del exc
+        if self._asker is not None:
+            self._asker.reset()
 
 
 async def serve_tunnel(
-    asker: asyncio.Transport, address: str, gate: TunnelGate
+    asker: asyncio.Transport,
+    address: str,
+    gate: TunnelGate,
+    *,
+    framed: bool = False,
 ) -> Response | None:
     """Connects to an address and passes bytes on until either side ends.
 
@@ -323,6 +388,7 @@
         asker: The connection of the daemon that asks; it reads nothing yet.
         address: Where to connect.
         gate: Decides whether to.
+        framed: Whether the asker wants to be told how the tunnel ended.
 
     Returns:
         Why there is no tunnel, as the answer to send; None once one has ended.
@@ -334,7 +400,7 @@
             except OSError as error:
                 return await _failed(error, address, gate)
             gate.record_connected(address)
-            await _pass_on(asker, transport, end, gate.budget)
+            await _pass_on(asker, transport, end, gate.budget, framed=framed)
             return None
     except TunnelNotWantedError:
         return Response(status=NOT_WANTED_STATUS)
@@ -361,18 +427,20 @@
     server: asyncio.Transport,
     server_end: _ServerEnd,
     budget: MemoryBudget | None,
+    *,
+    framed: bool,
 ) -> None:
-    asker_end = _AskerEnd()
+    asker_end = _AskerEnd(framed=framed)
     for transport in (asker, server):
         raw: socket.socket = transport.get_extra_info("socket")
         sockets.guard_socket_against_silence(raw)
     asker_end.join(asker, server_end, budget)
-    server_end.join(server, asker_end, budget)
+    server_end.join_asker(server, asker_end, budget)
     asker.set_protocol(asker_end)
     if asker.is_closing():
         server.abort()
         return
-    asker.write(ESTABLISHED)
+    asker.write(FRAMED_ESTABLISHED if framed else ESTABLISHED)
     try:
         asker.resume_reading()
         server.resume_reading()
--- /dev/null
+++ b/features/serving/answer_ends.feature
@@ -0,0 +1,36 @@
+Feature: answers that end with their connection
+
+  Scenario Outline: an answer without a length, then a replica that <afterwards>
+    # Guards against an answer cut by the end of its replica that looks whole,
+    # and against whole answers that are dropped.
+    Given a replica that ends its answer with its connection, and then <afterwards>
+    When the daemon has read the answer
+    Then the answer counts as <outcome>
+
+    Examples: second looks
+      | afterwards                                     | outcome |
+      | listens                                        | whole   |
+      | listens, and is no longer listed               | whole   |
+      | is not reached at first                        | whole   |
+      | refuses connections                            | broken  |
+      | is not reached any more                        | broken  |
+      | is reached again only after two seconds        | broken  |
+      | has its address taken by another replica       | broken  |
+      | is listed with a later start                   | broken  |
+
+  Scenario Outline: a stream to an HTTP/1.0 caller, and a daemon that <what>
+    # Guards against a stream without chunks that looks whole as its daemon's
+    # process has ended.
+    Given a daemon as a process that streams to a caller of HTTP/1.0
+    When that daemon <what> in the middle of the stream
+    Then the caller of HTTP/1.0 sees <end>
+
+    Examples: ends of streams
+      | what       | end                        |
+      | goes on    | all events and an end      |
+      | is shot    | a reset connection         |
+
+  Scenario: a list of the store of which nothing but the head came
+    # Guards against a cut answer that empties the list of replicas.
+    When the store's answer has no length and ends behind its head
+    Then the list counts as no answer
--- a/features/transport/tunnels.feature
+++ b/features/transport/tunnels.feature
@@ -36,3 +36,42 @@
     Given a daemon that makes no connections
     When a tunnel is asked for
     Then the asker learns that there is none
+
+  Scenario Outline: a tunnel that ends by <end> at any byte
+    # Guards against an answer without a length that looks whole as the daemon
+    # between has ended.
+    Given a daemon between that passes on frames, and ends by <end> at any byte
+    When an answer without a length is asked for through it
+    Then it is whole only with its end mark, and broken otherwise
+
+    Examples: ends
+      | end       |
+      | a close   |
+      | a reset   |
+
+  Scenario Outline: <asker> through <relay>
+    # Guards against answers that are refused, or that look whole and are not,
+    # while daemons of two releases run.
+    Given <asker> and <relay>
+    When an answer <framing> is asked for through the tunnel
+    Then <what> comes of it
+
+    Examples: releases
+      | asker                         | relay                         | framing          | what                |
+      | a daemon of this release      | a daemon of the one before    | with a length    | the whole answer    |
+      | a daemon of this release      | a daemon of the one before    | without a length | a broken answer     |
+      | a daemon of the one before    | a daemon of this release      | with a length    | the whole answer    |
+      | a daemon of the one before    | a daemon of this release      | without a length | the whole answer    |
+
+  Scenario Outline: a relay's process that gets <signals>
+    # Guards against ends of a real process that the kernel turns into the end
+    # of an answer.
+    Given a relay as a process, and an answer without a length on its way
+    When the relay gets <signals>
+    Then the asker gets a broken answer
+
+    Examples: signals
+      | signals             |
+      | SIGKILL             |
+      | SIGTERM             |
+      | SIGSTOP and SIGKILL |
