Record events as passed on once they are, and check every number of a stream

Cause: the check of the order recorded the number of each event that was read, before any was written to the caller; the next attempt resumed behind them.

Change: one class owns what the caller has, and records what was written. Sound events in front of a spoiled one are passed on first.

The endless answers of the tests send comments in place of events without a number, which would now be refused before the bound that they test; the check and its bounds are the same.

--- a/cactusdyke/platform/wire.py
+++ b/cactusdyke/platform/wire.py
@@ -435,11 +435,15 @@
 
 
 def _event(data: bytes) -> StreamEvent:
-    for line in data.split(b"\n"):
-        if line.startswith(b"id:"):
-            text = line[3:].strip()
-            return StreamEvent(number=_event_number(text), data=data)
-    return StreamEvent(number=None, data=data)
+    lines = [line for line in data.split(b"\n") if line]
+    ids = [line[3:].strip() for line in lines if line.startswith(b"id:")]
+    # Two ids are two events of which the line between was spoiled.
+    number = _event_number(ids[0]) if len(ids) == 1 else None
+    return StreamEvent(
+        number=number,
+        data=data,
+        is_comment=all(line.startswith(b":") for line in lines),
+    )
 
 
 def _event_number(text: bytes) -> int | None:
--- a/cactusdyke/serving/attempt.py
+++ b/cactusdyke/serving/attempt.py
@@ -4,7 +4,6 @@
 
 import contextlib
 import math
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import anyio
@@ -19,11 +18,12 @@
     EventStreamError,
 )
 from cactusdyke.serving.model import RepeatPolicy
+from cactusdyke.serving.stream_state import FirstEventNumbers
 from cactusdyke.transport.exchange import Exchange, ExchangeError
 from cactusdyke.transport.memory_budget import Held, Kind
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from cactusdyke.clock import Clock
     from cactusdyke.serving.dialect import Dialect, StreamEvent
@@ -32,6 +32,7 @@
     from cactusdyke.serving.replica_statements import ReplicaStatements
     from cactusdyke.serving.request import ServingContext
     from cactusdyke.serving.stated_limits import StatedLimits
+    from cactusdyke.serving.stream_state import StreamState
     from cactusdyke.transport.answer_parser import AnswerHead
     from cactusdyke.transport.exchange import BackendConnections
     from cactusdyke.transport.front_interface import Reply
@@ -98,37 +99,6 @@
         return self.verdict is not None and self.verdict.kind is kind
 
 
-@attrs.define(kw_only=True)
-class StreamState:
-    """What a caller has received of a stream, over all attempts.
-
-    Attributes:
-        head_sent: Whether the head of the answer was sent.
-        last_event_number: Number of the last event that was forwarded.
-        first_event_at: When the first event was forwarded.
-        longest_gap_ms: The longest time between two events.
-        last_event_at: When the last event was forwarded.
-        event_count: How many events were forwarded.
-        versions: Software versions of the replicas whose events were
-            forwarded, in order.
-        on_head: Called just before the head is sent.
-    """
-
-    head_sent: bool = False
-    last_event_number: int | None = None
-    first_event_at: Instant | None = None
-    longest_gap_ms: float = 0.0
-    last_event_at: Instant = 0.0
-    event_count: int = 0
-    versions: list[str] = attrs.field(factory=list)
-    on_head: Callable[[], None] = lambda: None
-
-    def record_version(self, version: str) -> None:
-        """Records that events of a replica with a version are forwarded."""
-        if not self.versions or self.versions[-1] != version:
-            self.versions.append(version)
-
-
 class AttemptRunner:
     """Sends requests to replicas, and classifies and forwards the answers."""
 
@@ -152,6 +122,7 @@
         self._memory = memory
         self._loads = loads
         self._is_replaced = is_replaced
+        self._first_numbers = FirstEventNumbers()
 
     def is_replica_to_blame(
         self, replica: Replica, result: AttemptResult | None
@@ -431,42 +402,21 @@
                     raise ExchangeError(
                         f"{replica.address}: {error}", sent=exchange.sent
                     ) from error
-                if not arrived:
-                    continue
-                self._check_order(arrived, state, exchange)
-                if is_first:
-                    is_first = False
-                    on_first_event()
-                now = self._clock.now()
-                timeout_scope.deadline = (
-                    anyio.current_time() + gap_timeout_ms / MS_PER_SECOND
-                )
-                # A daemon that was suspended resumes with events to read and
-                # their timeout expired. Cancelled between counting the events
-                # as forwarded and writing them, the attempt would be resumed
-                # after them, and the stream would lack events. Writes have
-                # timeouts of their own.
-                with anyio.CancelScope(shield=True):
-                    if not state.head_sent:
-                        state.head_sent = True
-                        state.first_event_at = now
-                        state.on_head()
-                        await reply.begin(verdict.status, verdict.headers)
-                    else:
-                        state.longest_gap_ms = max(
-                            state.longest_gap_ms, now - state.last_event_at
-                        )
-                    state.last_event_at = now
-                    state.event_count += len(arrived)
-                    data = b"".join(event.data for event in arrived)
-                    if not reply.full:
-                        await reply.part(data)
-                        continue
-                    # The replica is not read meanwhile, and not to blame.
-                    timeout_scope.deadline = math.inf
-                    await reply.part(data)
-                    timeout_scope.deadline = (
-                        anyio.current_time() + gap_timeout_ms / MS_PER_SECOND
+                # What came in front of a spoiled event is sound: callers wait
+                # less, and no engine has to make it again.
+                sound, fault = self._split(arrived, state, replica)
+                if sound:
+                    if is_first:
+                        is_first = False
+                        on_first_event()
+                    timeout_scope.deadline = _deadline_after(gap_timeout_ms)
+                    await self._pass_on(
+                        sound, replica, verdict, reply, state, timeout_scope
+                    )
+                    timeout_scope.deadline = _deadline_after(gap_timeout_ms)
+                if fault:
+                    raise ExchangeError(
+                        f"{replica.address}: {fault}", sent=exchange.sent
                     )
         if reader.remainder.strip():
             raise ExchangeError(
@@ -479,26 +429,58 @@
                 await reply.begin(verdict.status, verdict.headers)
             await reply.end()
 
-    def _check_order(
+    def _split(
         self,
-        events: list[StreamEvent],
+        events: Sequence[StreamEvent],
         state: StreamState,
-        exchange: Exchange,
+        replica: Replica,
+    ) -> tuple[Sequence[StreamEvent], str]:
+        """Separates the events that continue a stream from what follows."""
+        known = self._first_numbers.known(replica.service)
+        sound, fault = state.split(events, known)
+        if fault and not sound and state.last_event_number is None:
+            number = events[0].number
+            if known is not None and number is not None:
+                self._first_numbers.contradict(replica.service, number)
+        return sound, fault
+
+    async def _pass_on(
+        self,
+        events: Sequence[StreamEvent],
+        replica: Replica,
+        verdict: AnswerVerdict,
+        reply: Reply,
+        state: StreamState,
+        timeout_scope: anyio.CancelScope,
     ) -> None:
-        for event in events:
-            if event.number is None:
-                continue
-            expected = (
-                None
-                if state.last_event_number is None
-                else state.last_event_number + 1
+        """Writes events to the caller, and then records them.
+
+        A daemon that was suspended resumes with events to read and their
+        timeout expired. Cancelled between the two, the attempt would be resumed
+        before events that the caller has. Writes have timeouts of their own.
+        """
+        arrived_at = self._clock.now()
+        with anyio.CancelScope(shield=True):
+            if not state.head_sent:
+                state.record_head(arrived_at)
+                state.on_head()
+                await reply.begin(verdict.status, verdict.headers)
+            if reply.full:
+                # The replica is not read meanwhile, and not to blame.
+                timeout_scope.deadline = math.inf
+            await reply.part(b"".join(event.data for event in events))
+            confirmed = state.record_events(
+                events,
+                arrived_at,
+                first_number=self._first_numbers.known(replica.service),
             )
-            if expected is not None and event.number != expected:
-                raise ExchangeError(
-                    f"event {event.number} came in place of {expected}",
-                    sent=exchange.sent,
-                )
-            state.last_event_number = event.number
+            if confirmed is not None:
+                self._first_numbers.confirm(replica.service, confirmed)
+
+
+def _deadline_after(duration_ms: float) -> float:
+    """Returns the deadline of a cancel scope."""
+    return anyio.current_time() + duration_ms / MS_PER_SECOND
 
 
 _WITHHELD = AttemptResult(
--- a/cactusdyke/serving/dialect.py
+++ b/cactusdyke/serving/dialect.py
@@ -131,12 +131,14 @@
     """One event of a stream, with its bytes unchanged.
 
     Attributes:
-        number: Its id, None if it has none.
+        number: Its id, None if it has none that can be read.
         data: Its bytes, including the empty line that terminates it.
+        is_comment: Whether it holds comments only, which have no number.
     """
 
     number: int | None
     data: bytes
+    is_comment: bool = False
 
 
 class EventStreamError(Exception):
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -13,7 +13,6 @@
 from cactusdyke.errors import Failure, FailureKind
 from cactusdyke.kernel import Service
 from cactusdyke.serving import request_failures, routes
-from cactusdyke.serving.attempt import AttemptResult, StreamState
 from cactusdyke.serving.caller_patience import CallerPatience
 from cactusdyke.serving.durations import RequestDuration, RouteDurations
 from cactusdyke.serving.in_flight import InFlightRequests
@@ -22,6 +21,7 @@
 from cactusdyke.serving.request import ServingContext
 from cactusdyke.serving.request_log import RequestLog
 from cactusdyke.serving.stages import StageResults
+from cactusdyke.serving.stream_state import StreamState
 from cactusdyke.transport.front_interface import (
     BrokenOffError,
     FrontHandler,
@@ -36,7 +36,7 @@
 
     from cactusdyke.clock import Clock
     from cactusdyke.observe.tracing import Tracing
-    from cactusdyke.serving.attempt import AttemptRunner
+    from cactusdyke.serving.attempt import AttemptResult, AttemptRunner
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.dialect import AnswerVerdict, Dialect
     from cactusdyke.serving.health import ReplicaHealth
@@ -325,6 +325,8 @@
                 last_answer = result
             if result.inputs_gone:
                 self._stages.free(context, results)
+            if not state.may_resume:
+                break
             if not self._retry_policy.may_retry(context, result):
                 break
             if result.refused:
--- a/cactusdyke/serving/in_flight.py
+++ b/cactusdyke/serving/in_flight.py
@@ -9,8 +9,8 @@
 import anyio
 import attrs
 
-from cactusdyke.serving.attempt import StreamState
 from cactusdyke.serving.request import ServingContext
+from cactusdyke.serving.stream_state import StreamState
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
--- a/cactusdyke/serving/request_log.py
+++ b/cactusdyke/serving/request_log.py
@@ -10,10 +10,10 @@
 if TYPE_CHECKING:
     from cactusdyke.clock import Clock, Instant
     from cactusdyke.errors import Failure
-    from cactusdyke.serving.attempt import StreamState
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.metrics import ServingMetrics
     from cactusdyke.serving.request import ServingContext
+    from cactusdyke.serving.stream_state import StreamState
 
 
 class RequestLog:
--- a/features/platform/forwarding.feature
+++ b/features/platform/forwarding.feature
@@ -115,6 +115,7 @@
     Examples:
       | fault |
       | break |
+      | spoil |
 
   Scenario Outline: a stream cut by <fault> never looks complete
     # It may not be resumed. Ended in good order the caller would take half a
@@ -127,6 +128,7 @@
       | break      |
       | skip       |
       | half_event |
+      | spoil      |
 
   Scenario: pieces of several requests share calls and leave nothing behind
     When four requests with stages come at once
--- /dev/null
+++ b/features/serving/stream_order.feature
@@ -0,0 +1,26 @@
+Feature: the order of a stream over all its attempts
+
+  Scenario Outline: generated streams that <may> be resumed, first number <known>
+    # Guards against events that count as passed on before they are, so that
+    # the next attempt resumes behind them, and against spoiled numbers.
+    When streams that <may> be resumed, whose first number is <known>, are spoiled
+    Then what callers get has no hole and no event twice
+    And a stream ends as complete only with its last event
+
+    Examples: streams
+      | may     | known   |
+      | may     | known   |
+      | may     | unknown |
+      | may not | known   |
+      | may not | unknown |
+
+  Scenario: a service whose streams begin with another number than before
+    # Guards against a service that is refused for good after its release.
+    Given a service whose streams began with 1
+    When streams of it begin with 0
+    Then they are whole from the fourth on
+
+  Scenario: sound events that come with a spoiled one
+    # Guards against callers that wait for events which have come already.
+    When the third of three events that come together is spoiled
+    Then the caller has the two before it, and the next attempt resumes there
--- a/features/steps/customer_shares_steps.py
+++ b/features/steps/customer_shares_steps.py
@@ -24,7 +24,6 @@
 from cactusdyke.observe.tracing import Tracing
 from cactusdyke.platform.wire import PlatformDialect
 from cactusdyke.serving import customer_metrics, customer_shares
-from cactusdyke.serving.attempt import StreamState
 from cactusdyke.serving.batcher import StageBatcher
 from cactusdyke.serving.customer_shares import (
     FLOOR,
@@ -39,6 +38,7 @@
 from cactusdyke.serving.model import Customer
 from cactusdyke.serving.request_log import RequestLog
 from cactusdyke.serving.stage_pieces import PieceGroup, PieceTask
+from cactusdyke.serving.stream_state import StreamState
 from features.steps.daemon_steps import deployment_with_stage
 from features.steps.deciders_steps import _work
 from features.steps.serving_steps import ManualClock, route
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -16,7 +16,7 @@
 from cactusdyke.observe.log_sink import LogSink
 from cactusdyke.observe.tracing import Tracing
 from cactusdyke.platform.wire import PlatformDialect
-from cactusdyke.serving.attempt import AttemptRunner, StreamState
+from cactusdyke.serving.attempt import AttemptRunner
 from cactusdyke.serving.decider import Decider
 from cactusdyke.serving.deployment import Deployment
 from cactusdyke.serving.dialect import AnswerKind, AnswerVerdict, Piece
@@ -33,6 +33,7 @@
 from cactusdyke.serving.replica_statements import ReplicaStatements
 from cactusdyke.serving.stage_pieces import PieceGroup, PieceTask
 from cactusdyke.serving.stated_limits import StatedLimits
+from cactusdyke.serving.stream_state import StreamState
 from cactusdyke.transport.front_interface import Reply
 from cactusdyke.transport.messages import json_response
 from features.steps.serving_steps import ManualClock
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -18,10 +18,11 @@
 from cactusdyke.platform.wire import PlatformDialect
 from cactusdyke.routing.backend_client import BackendClient
 from cactusdyke.routing.messages import StageCall
-from cactusdyke.serving.attempt import AttemptRunner, StreamState
+from cactusdyke.serving.attempt import AttemptRunner
 from cactusdyke.serving.replica_load import ReplicaLoads
 from cactusdyke.serving.replica_statements import ReplicaStatements
 from cactusdyke.serving.stated_limits import StatedLimits
+from cactusdyke.serving.stream_state import StreamState
 from cactusdyke.transport.exchange import SocketConnections
 from cactusdyke.transport.http_network import HttpNetwork
 from cactusdyke.transport.messages import Request
@@ -47,7 +48,8 @@
 STREAM = OK % b"text/event-stream"
 PLAIN = OK % b"text/plain"
 CHUNKED = STREAM + b"Transfer-Encoding: chunked\r\n\r\n"
-EVENT = b"data: 1\n\n"
+EVENT = b": ping \n\n"
+"""A comment: unlike other events it needs no number."""
 CHUNK = b"%x\r\n%s\r\n" % (len(EVENT), EVENT)
 
 ANSWERS = {
--- a/features/steps/in_flight_steps.py
+++ b/features/steps/in_flight_steps.py
@@ -6,10 +6,10 @@
 from behave import given, then, when
 
 from cactusdyke.clock import EventLoopClock
-from cactusdyke.serving.attempt import StreamState
 from cactusdyke.serving.durations import RequestDuration, RouteDurations
 from cactusdyke.serving.in_flight import CHECK_INTERVAL_MS, InFlightRequests
 from cactusdyke.serving.planned_stop import StopTimes
+from cactusdyke.serving.stream_state import StreamState
 from features.steps.serving_steps import route
 from features.support.serving_values import serving_context
 from standins.virtual import run_virtual
--- a/features/steps/statement_send_steps.py
+++ b/features/steps/statement_send_steps.py
@@ -14,7 +14,7 @@
 from cactusdyke.clock import EventLoopClock
 from cactusdyke.errors import FailureKind, Ran
 from cactusdyke.platform.wire import PlatformDialect
-from cactusdyke.serving.attempt import AttemptRunner, StreamState
+from cactusdyke.serving.attempt import AttemptRunner
 from cactusdyke.serving.batcher import StageBatcher
 from cactusdyke.serving.deployment import Deployment
 from cactusdyke.serving.dialect import ReplicaStatement
@@ -25,6 +25,7 @@
 from cactusdyke.serving.stated_limits import StatedLimits
 from cactusdyke.serving.stream_continuation import StreamContinuation
 from cactusdyke.serving.stream_origins import StreamOrigin, StreamOrigins
+from cactusdyke.serving.stream_state import StreamState
 from cactusdyke.transport.answer_parser import AnswerHead
 from cactusdyke.transport.exchange import BackendConnections, Exchange
 from features.steps.serving_steps import ManualClock, replica, route
--- /dev/null
+++ b/features/steps/stream_order_steps.py
@@ -0,0 +1,304 @@
+"""Steps for the order of streams over all attempts."""
+
+from __future__ import annotations
+
+import contextlib
+import re
+
+import anyio
+import attrs
+from behave import given as behave_given
+from behave import then, when
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+
+from cactusdyke.clock import EventLoopClock
+from cactusdyke.platform import decode
+from cactusdyke.platform.wire import PlatformDialect
+from cactusdyke.serving.attempt import AttemptRunner
+from cactusdyke.serving.dialect import StreamEvent
+from cactusdyke.serving.model import Replica, ReplicaState
+from cactusdyke.serving.replica_load import ReplicaLoads
+from cactusdyke.serving.replica_statements import ReplicaStatements
+from cactusdyke.serving.stated_limits import StatedLimits
+from cactusdyke.serving.stream_state import FirstEventNumbers, StreamState
+from cactusdyke.transport.answer_parser import AnswerHead
+from cactusdyke.transport.exchange import BackendConnections
+from cactusdyke.transport.front_interface import Reply
+from features.support.platform_rig import configuration, route
+from features.support.serving_values import serving_context
+from standins.virtual import run_virtual
+
+EXAMPLES = 400
+MAX_EVENTS = 9
+FORMS = (
+    "gap",
+    "repeat",
+    "step back",
+    "unreadable",
+    "no number",
+    "merged",
+    "cut in an event",
+)
+ROUTE = (
+    decode.configuration(
+        configuration([route("talk", "plain", kind="streaming")])
+    )
+    .unwrap()
+    .routes[0]
+)
+REPLICA = Replica(
+    name="r1",
+    service="plain",
+    address="10.0.0.1:80",
+    data_centre="here",
+    state=ReplicaState.READY,
+    slots=1,
+)
+HEAD = AnswerHead(
+    status=200,
+    headers=[
+        (b"x-attempt-id", b"request"),
+        (b"x-response-stamp", b"s"),
+        (b"content-type", b"text/event-stream"),
+    ],
+)
+TIMEOUT_MS = 1_000.0
+
+
+@attrs.frozen(kw_only=True)
+class Spoiled:
+    """How one attempt's stream is spoiled: which event, and in which form."""
+
+    event: int
+    form: str
+
+
+def _event(number):
+    return b"id: %d\ndata: piece-%d\n\n" % (number, number)
+
+
+def _spoil(number, form):
+    """Returns the bytes of an event whose number is not what it should be."""
+    match form:
+        case "gap":
+            return _event(number).replace(b"id: %d" % number, b"id: 99")
+        case "repeat":
+            return _event(number).replace(b"id: %d" % number, b"id: 1")
+        case "step back":
+            return _event(number).replace(b"id: %d" % number, b"id: 0")
+        case "unreadable":
+            return _event(number).replace(b"id: ", b"id: \xff")
+        case "no number":
+            return _event(number).replace(b"id: ", b"ix: ")
+        case "merged":
+            return _event(number)[:-1]
+        case _:
+            return _event(number)[:9]
+
+
+def _bytes(first, count, spoiled):
+    """Returns a stream's bytes from one event on, perhaps spoiled."""
+    sent = b""
+    for number in range(first, count + 1):
+        if spoiled is None or spoiled.event != number:
+            sent += _event(number)
+            continue
+        sent += _spoil(number, spoiled.form)
+        if spoiled.form == "cut in an event":
+            return sent
+    return sent
+
+
+class _Exchange:
+    """One attempt at the replica: its stream in the reads that are drawn."""
+
+    sent = True
+    ends_with_connection = False
+
+    def __init__(self, *, count, spoiled, sizes):
+        self._count = count
+        self._spoiled = spoiled
+        self._sizes = sizes
+        self.resumed_after = 0
+
+    async def send(self, method, target, headers, body):
+        named = dict(headers)
+        self.resumed_after = int(named.get(b"Last-Event-Id", 0))
+
+    async def head(self):
+        return HEAD
+
+    async def body(self):
+        data = _bytes(self.resumed_after + 1, self._count, self._spoiled)
+        for size in self._sizes:
+            if data:
+                yield data[:size]
+                await anyio.lowlevel.checkpoint()
+            data = data[size:]
+        if data:
+            yield data
+
+
+class _Connections(BackendConnections):
+    def __init__(self, exchanges):
+        self._exchanges = iter(exchanges)
+
+    @contextlib.asynccontextmanager
+    async def connect(self, address):
+        yield next(self._exchanges)
+
+
+class _Reply(Reply):
+    """What the caller has."""
+
+    def __init__(self):
+        self.data = b""
+        self.heads = 0
+        self.ended = False
+
+    @property
+    def numbers(self):
+        return [int(n) for n in re.findall(rb"data: piece-(\d+)\n", self.data)]
+
+    async def begin(self, status, headers):
+        self.heads += 1
+
+    async def part(self, data):
+        await anyio.lowlevel.checkpoint()
+        self.data += data
+
+    async def end(self):
+        self.ended = True
+
+    async def whole(self, status, headers, body):
+        raise NotImplementedError
+
+
+async def _play(exchanges, start_known):
+    """Makes attempts until the stream is whole; returns what the caller has."""
+    clock = EventLoopClock()
+    attempts = AttemptRunner(
+        clock=clock,
+        dialect=PlatformDialect(),
+        connections=_Connections(exchanges),
+        stated_limits=StatedLimits(clock=clock),
+        statements=ReplicaStatements(clock=clock),
+        loads=ReplicaLoads(clock=clock),
+    )
+    if start_known:
+        attempts._first_numbers.confirm("plain", 1)
+    reply, state = _Reply(), StreamState()
+    for _ in exchanges:
+        result = await attempts.stream(
+            serving_context(ROUTE),
+            REPLICA,
+            reply,
+            state,
+            handles=(),
+            first_event_timeout_ms=TIMEOUT_MS,
+            gap_timeout_ms=TIMEOUT_MS,
+            on_first_event=lambda: None,
+        )
+        if result.delivered or not state.may_resume:
+            break
+    return reply
+
+
+@st.composite
+def _attempts(draw, most):
+    count = draw(st.integers(1, MAX_EVENTS))
+    spoiled = st.builds(
+        Spoiled, event=st.integers(1, count), form=st.sampled_from(FORMS)
+    )
+    sizes = st.lists(st.integers(1, 60), max_size=12)
+    return count, [
+        _Exchange(
+            count=count,
+            spoiled=draw(st.one_of(st.none(), spoiled)),
+            sizes=draw(sizes),
+        )
+        for _ in range(draw(st.integers(1, most)))
+    ]
+
+
+@when(
+    "streams that {may} be resumed, whose first number is {known}, are spoiled"
+)
+def generated(context, may, known):
+    context.got = []
+    context.start_known = known == "known"
+
+    @settings(
+        max_examples=EXAMPLES,
+        deadline=None,
+        derandomize=True,
+        database=None,
+        phases=[Phase.generate],
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(_attempts(3 if may == "may" else 1))
+    def play(drawn):
+        count, exchanges = drawn
+        reply = run_virtual(_play, exchanges, context.start_known)
+        context.got.append((count, reply))
+
+    play()
+
+
+@then("what callers get has no hole and no event twice")
+def check_order(context):
+    for _, reply in context.got:
+        assert reply.numbers == list(range(1, len(reply.numbers) + 1)), (
+            reply.data
+        )
+        assert reply.heads <= 1
+
+
+@then("a stream ends as complete only with its last event")
+def check_ends(context):
+    for count, reply in context.got:
+        assert not reply.ended or len(reply.numbers) == count, reply.data
+    assert any(reply.ended for _, reply in context.got)
+    assert any(not reply.ended for _, reply in context.got)
+
+
+@when("the third of three events that come together is spoiled")
+def together(context):
+    context.exchanges = [
+        _Exchange(count=5, spoiled=Spoiled(event=3, form="gap"), sizes=[]),
+        _Exchange(count=5, spoiled=None, sizes=[]),
+    ]
+    context.reply = run_virtual(_play, context.exchanges, True)
+
+
+@then("the caller has the two before it, and the next attempt resumes there")
+def check_together(context):
+    assert context.exchanges[1].resumed_after == 2
+    assert context.reply.numbers == [1, 2, 3, 4, 5]
+    assert context.reply.ended
+
+
+@behave_given("a service whose streams began with 1")
+def began_with_one(context):
+    context.numbers = FirstEventNumbers()
+    context.numbers.confirm("plain", 1)
+
+
+@when("streams of it begin with 0")
+def begin_with_zero(context):
+    context.whole = []
+    for _ in range(5):
+        events = [StreamEvent(number=n, data=b"") for n in range(3)]
+        known = context.numbers.known("plain")
+        _, fault = StreamState().split(events, known)
+        context.whole.append(not fault)
+        if fault:
+            context.numbers.contradict("plain", 0)
+        else:
+            context.numbers.confirm("plain", 0)
+
+
+@then("they are whole from the fourth on")
+def check_another_start(context):
+    assert context.whole == [False, False, False, True, True], context.whole
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -34,7 +34,8 @@
         left: Ids of requests whose connection ended before their answer.
         events: How many events a stream has.
         event_ms: Time between events.
-        break_at: Number of the event within which the fault "break" strikes.
+        break_at: Number of the event within which the fault "break" strikes,
+            or with which the fault "spoil" begins.
         work_ms: Time to answer.
         padding: What whole answers carry beyond the request's id.
         stage_calls: How many pieces each stage call held.
@@ -327,6 +328,14 @@
             if not framed:
                 await stream.send(data)
                 continue
+            if "spoil" in self.faults and number == self.break_at:
+                # The number of the third of three events in one write.
+                self.faults.discard("spoil")
+                together = "".join(
+                    EVENT.format(number=number + i) for i in (0, 1, 9)
+                )
+                await stream.send(_chunk(together.encode()))
+                continue
             if "break" in self.faults and number == self.break_at:
                 await stream.send(_chunk(data[:7], whole=len(data)))
                 self.faults.discard("break")
