--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -371,7 +371,7 @@
         "Look at the replica's software; requests are served without it.",
     )
     BACKGROUND_TASK_FAILED = (
-        1007,
+        1012,
         "A background task met an error that the code does not expect; it is"
         " run again after `restart_ms`, if that is set.",
         "Report it with the fields of this event.",
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -26,7 +26,7 @@
 CALLERS = 6
 WORK_MS = 50.0
 """So that callers are spread over all replicas."""
-FAILURE = "CD1007"
+FAILURE = "CD1012"
 EXAMPLES = 150
 
 
