--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -10,7 +10,7 @@
 import anyio
 import eliot
 import prometheus_client
-from result import Err
+from result import Err, Ok
 
 from cactusdyke import background, events
 from cactusdyke.clock import SystemClock
@@ -369,8 +369,10 @@
         )
 
     async def _look_at_settings(self) -> None:
-        """Reloads settings that change without a signal."""
+        """Reloads settings that changed without a signal, or at the start."""
         known = _content(self._settings_path)
+        if platform_settings.load(self._settings_path) != Ok(self._settings):
+            self._reload("the file changed during the start")
         while True:
             await self._clock.sleep(SETTINGS_LOOK_MS)
             content = _content(self._settings_path)
--- a/features/platform/state.feature
+++ b/features/platform/state.feature
@@ -89,6 +89,13 @@
     When a daemon runs as a process and its settings break and mend
     Then it keeps the settings it had, logs both, and stops in good order
 
+  Scenario: a daemon that is told of new settings as it starts
+    # Guards against a daemon that ends by a SIGHUP it does not handle yet, and
+    # against settings that change between their reading and the first look.
+    When daemons get SIGHUP in the first second of their start
+    Then they become ready
+    And settings that changed during the start are in force
+
   Scenario: settings without a value are refused with its name
     Given settings that lack the store's address
     When they are loaded
--- a/features/steps/platform_state_steps.py
+++ b/features/steps/platform_state_steps.py
@@ -23,9 +23,17 @@
     plain_world,
     play,
 )
-from features.support.platform_rig import configuration, route, until
+from features.support.platform_rig import (
+    DaemonProcess,
+    configuration,
+    route,
+    until,
+)
 from standins.fleet import free_port
 
+HUP_DELAYS_S = (0.1, 0.2, 0.4, 0.7)
+"""After the start of the process; its interpreter needs up to 0.1 s alone."""
+
 
 @when("a route is added and then its service changes")
 def route_changes(context):
@@ -615,3 +623,46 @@
 def check_port_refused(context):
     failure = context.port.unwrap_err()
     assert platform_settings.METRICS_VARIABLE in failure.message, failure
+
+
+@when("daemons get SIGHUP in the first second of their start")
+def hup_during_start(context):
+    async def start(world, name, delay_s):
+        path = world._write_settings(name, ())
+        with DaemonProcess(settings_path=path) as process:
+            await anyio.sleep(delay_s)
+            process.signal(signal.SIGHUP)
+            await world.listens(world.settings[name].front.address)
+            await process.stop()
+        context.codes.append(process.code)
+
+    async def story(world):
+        world.configure([route("look", "plain")])
+        async with anyio.create_task_group() as tasks:
+            for number, delay_s in enumerate(HUP_DELAYS_S):
+                tasks.start_soon(start, world, f"h{number}", delay_s)
+        path = world._write_settings("d1", ())
+        settings = world.settings["d1"]
+        daemon = await world.start_daemon("d1")
+        path = pathlib.Path(world.folder) / "d1.yaml"
+        text = path.read_text(encoding="utf-8")
+        daemon._settings = settings
+        path.write_text(text.replace("grace_s: 3", "grace_s: 5"), "utf-8")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(daemon._look_at_settings)
+            await anyio.sleep(0.1)
+            context.grace_ms = daemon._settings.grace_ms
+            tasks.cancel_scope.cancel()
+
+    context.codes = []
+    play(story)
+
+
+@then("they become ready")
+def check_hup(context):
+    assert context.codes == [0] * len(HUP_DELAYS_S), context.codes
+
+
+@then("settings that changed during the start are in force")
+def check_changed_during_start(context):
+    assert context.grace_ms == 5_000.0
