Ask the replica that began a stream for its start before it goes on elsewhere

Cause: a stream was bound to the version in the entry of the replica that began it. Whether that entry spoke of the process that answered was asked only of the replica at which the stream goes on.

Change: the replica that began a stream is asked for its start, once. Another start than its entry's makes the version unknown, and so does an entry that was replaced by one of another version. Daemons tell each other the incarnation, in a field that the release before ignores.

--- a/cactusdyke/serving/stream_continuation.py
+++ b/cactusdyke/serving/stream_continuation.py
@@ -98,7 +98,9 @@
                 service=replica.service,
                 version=replica.version,
                 replica=replica.name,
+                born=replica.born,
             )
+        context.origin.is_local = True
         if not context.route.resumable:
             return
         # A resumed stream is told again: daemons that knew it may have ended.
@@ -127,6 +129,8 @@
         date: another process may have its id, with other software. It is asked
         for its start, but only if it is to continue a stream.
         """
+        if context.origin is not None:
+            await self._confirm(context, context.origin)
         if not self.allows(context, replica):
             return False
         if context.origin is None or not replica.born:
@@ -141,6 +145,37 @@
         )
         return False
 
+    async def _confirm(
+        self, context: ServingContext, origin: StreamOrigin
+    ) -> None:
+        """Asks the replica that began a stream whether it is still the same.
+
+        It may have come back under its id with other software just before, and
+        its entry be late. If it does not answer, its entry is believed.
+        """
+        replica = self._deployment.replica(origin.replica)
+        known = origin.version and not origin.is_confirmed and origin.born
+        if replica is None or not known:
+            return
+        if replica.born != origin.born:
+            if replica.version != origin.version:
+                self._forget_version(context.stream_id, origin)
+            return
+        born = await self._query_born(replica)
+        if born is None:
+            return
+        if born == origin.born:
+            origin.is_confirmed = True
+            return
+        self._forget_version(context.stream_id, origin)
+        self._deployment.mark_leaving(
+            replica, reason="another process has its id now"
+        )
+
+    def _forget_version(self, stream_id: str, origin: StreamOrigin) -> None:
+        origin.version = ""
+        self._exchange.tell(stream_id, origin)
+
     async def _query_born(self, replica: Replica) -> int | None:
         """Returns the start that a replica reports, None if it does not."""
         call = self._dialect.encode_memory_query(replica)
@@ -195,5 +230,4 @@
             if replica is None or replica.version == origin.version:
                 continue
             if origin.version:
-                origin.version = ""
-                self._exchange.tell(stream_id, origin)
+                self._forget_version(stream_id, origin)
--- a/cactusdyke/serving/stream_exchange.py
+++ b/cactusdyke/serving/stream_exchange.py
@@ -67,7 +67,7 @@
         self._origins = origins
         self._untold = untold
         untold.on_regained(self._tell_again)
-        self._queued: dict[str, list[list[str]]] = {}
+        self._queued: dict[str, list[tuple[str, StreamOrigin]]] = {}
         self._added = anyio.Event()
 
     async def run(self) -> None:
@@ -98,7 +98,7 @@
         for daemon in receivers:
             queued = self._queued.setdefault(daemon.address, [])
             if len(queued) < MAX_QUEUED:
-                queued.append([stream_id, origin.service, origin.version])
+                queued.append((stream_id, origin))
         self._added.set()
 
     async def find(self, stream_id: str) -> StreamOrigin | None:
@@ -126,11 +126,10 @@
         try:
             body = value.ok_value
             if "find" in body:
-                return json_response({"origin": self._encoded(body["find"])})
+                return json_response(self._encoded(body["find"]))
+            replicas = body.get("replicas", {})
             for stream_id, service, version in body["begun"]:
-                origin = StreamOrigin(
-                    service=str(service), version=str(version)
-                )
+                origin = _decode(service, version, replicas.get(stream_id))
                 self._origins.put(str(stream_id), origin)
         except DECODING_ERRORS as error:
             return failure_response(
@@ -141,9 +140,14 @@
             )
         return json_response({})
 
-    def _encoded(self, stream_id: str) -> list[str] | None:
+    def _encoded(self, stream_id: str) -> dict[str, Any]:
         origin = self._origins.find(stream_id)
-        return [origin.service, origin.version] if origin else None
+        if origin is None:
+            return {"origin": None}
+        return {
+            "origin": [origin.service, origin.version],
+            "replica": [origin.replica, origin.born],
+        }
 
     def _ranked(self, stream_id: str) -> list[PeerDaemon]:
         """Returns the other daemons, the best of each data centre first.
@@ -164,14 +168,16 @@
             counts[daemon.data_centre] += 1
         return sorted(others, key=lambda d: places[d.name])
 
-    async def _send(self, address: str, begun: list[list[str]]) -> None:
+    async def _send(
+        self, address: str, begun: list[tuple[str, StreamOrigin]]
+    ) -> None:
         options = CallOptions(
             connect_timeout_ms=CONNECT_TIMEOUT_MS,
             progress_timeout_ms=TELL_TIMEOUT_MS,
         )
         sent_at = self._clock.now()
         answer = await self._network.fetch(
-            address, _request({"begun": begun}), options
+            address, _request(_encode(begun)), options
         )
         self._untold.record_result(
             accepted=isinstance(answer, Ok)
@@ -199,10 +205,27 @@
         value = parse_object(body if isinstance(body, bytes) else b"")
         match value:
             case Ok({"origin": [str(service), str(version)]}):
-                return StreamOrigin(service=service, version=version)
+                told = value.ok_value.get("replica")
+                return _decode(service, version, told)
         return None
 
 
+def _encode(begun: list[tuple[str, StreamOrigin]]) -> dict[str, Any]:
+    """Returns a message; the release before knows no replicas."""
+    return {
+        "begun": [[name, o.service, o.version] for name, o in begun],
+        "replicas": {name: [o.replica, o.born] for name, o in begun if o.born},
+    }
+
+
+def _decode(service: Any, version: Any, replica: Any) -> StreamOrigin:
+    origin = StreamOrigin(service=str(service), version=str(version))
+    match replica:
+        case [str(name), int(born)]:
+            origin.replica, origin.born = name, born
+    return origin
+
+
 def _request(body: Any) -> Request:
     return Request(
         method="POST",
--- a/cactusdyke/serving/stream_origins.py
+++ b/cactusdyke/serving/stream_origins.py
@@ -24,12 +24,19 @@
         service: Service of the replica that began it.
         version: Software version of that replica; empty if it is not known,
             and the stream then cannot go on.
-        replica: Name of that replica, if this daemon sent the stream there.
+        replica: Name of that replica, empty if it is not known.
+        born: Start of the incarnation that was sent the stream, as its entry
+            said; 0 if it did not.
+        is_confirmed: Whether the replica said that this was its start.
+        is_local: Whether this daemon sent the stream there.
     """
 
     service: str
     version: str
     replica: str = ""
+    born: int = 0
+    is_confirmed: bool = False
+    is_local: bool = False
 
 
 class StreamOrigins:
@@ -56,7 +63,9 @@
             The origin that is remembered.
         """
         known, _ = self._origins.pop(stream_id, (origin, 0.0))
-        known.replica = known.replica or origin.replica
+        if not known.replica:
+            known.replica, known.born = origin.replica, origin.born
+        known.is_local = known.is_local or origin.is_local
         if (known.service, known.version) != (origin.service, origin.version):
             known.version = ""
         self._origins[stream_id] = (known, self._clock.now())
@@ -74,7 +83,7 @@
         return [
             (stream_id, origin)
             for stream_id, (origin, _) in self._origins.items()
-            if origin.replica
+            if origin.is_local
         ]
 
     def _expire(self) -> None:
--- a/features/steps/stream_choices_steps.py
+++ b/features/steps/stream_choices_steps.py
@@ -174,6 +174,54 @@
     assert context.others.told == [("request", "v1"), ("request", "")]
 
 
+@given("a stream that {who} began at an engine of v1")
+def began_by(context, who):
+    if who == "this daemon":
+        _begin(context, "v1")
+        return
+    _start(context, "v1")
+    origin = StreamOrigin(
+        service=SERVICE, version="v1", replica=context.engines[0].name, born=1
+    )
+    context.origins.put("first", origin)
+    _take_up(context, SERVICE)
+
+
+@when("it is to go on, and the first engine {says}")
+def to_go_on(context, says):
+    first, second = context.engines
+    starts = {first.name: 1, second.name: 1}
+    match says:
+        case "tells a later start":
+            starts[first.name] = 2
+        case "does not answer":
+            starts[first.name] = None
+        case "has an entry of v2 by now":
+            later = attrs.evolve(first, version="v2", born=2)
+            context.deployment.put_replica(later)
+        case "has a later entry of v1":
+            context.deployment.put_replica(attrs.evolve(first, born=2))
+
+    async def query_born(replica):
+        return starts[replica.name]
+
+    context.continuation._query_born = query_born
+    context.goes_on = anyio.run(
+        context.continuation.admits, context.request, second
+    )
+
+
+@then("it goes on")
+def check_goes_on(context):
+    assert context.goes_on
+
+
+@then("it may not go on")
+def check_may_not_go_on(context):
+    assert not context.goes_on
+    assert context.others.told[-1][1] == "", context.others.told
+
+
 @given("a daemon that knows a stream that began at an engine of v1")
 def known_stream(context):
     _start(context, "v1")
--- a/features/stream_versions/choices.feature
+++ b/features/stream_versions/choices.feature
@@ -27,6 +27,22 @@
     When the engine's entry tells another start and v2
     Then the stream may not go on at other engines of v1, and others are told
 
+  Scenario Outline: a stream of <who> whose first engine <says>
+    # Guards against a stream that began at an engine that had come back with
+    # other software a moment before its entry said so.
+    Given a stream that <who> began at an engine of v1
+    When it is to go on, and the first engine <says>
+    Then it <goes on>
+
+    Examples: starts
+      | who            | says                         | goes on          |
+      | this daemon    | tells the start of its entry | goes on          |
+      | this daemon    | tells a later start          | may not go on    |
+      | this daemon    | does not answer              | goes on          |
+      | another daemon | tells a later start          | may not go on    |
+      | another daemon | has an entry of v2 by now    | may not go on    |
+      | another daemon | has a later entry of v1      | goes on          |
+
   Scenario: a stream that is taken up is told to others again
     # Guards against a stream that cannot be taken up a second time, as the
     # daemons that knew how it began have ended meanwhile.
--- a/features/support/stream_fleet.py
+++ b/features/support/stream_fleet.py
@@ -91,7 +91,10 @@
         )
         self._streams.append(stream)
         origin = StreamOrigin(
-            service=SERVICE, version=stream.version, replica="r"
+            service=SERVICE,
+            version=stream.version,
+            replica="r",
+            is_local=True,
         )
         exchange = self._exchanges[stream.daemon]
         exchange._origins.put(stream.name, origin)
