--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -14,26 +14,18 @@
 from cactusdyke.platform.wire import PlatformDialect
 from cactusdyke.serving.attempt import END_CHECK_LIMIT_MS, AttemptRunner
 from cactusdyke.serving.deployment import Deployment
-from cactusdyke.serving.model import Replica, ReplicaState
 from cactusdyke.serving.replica_load import ReplicaLoads
 from cactusdyke.serving.stated_limits import StatedLimits
 from cactusdyke.transport.exchange import BackendConnections, ExchangeError
 from cactusdyke.transport.http_network import HttpNetwork
 from features.steps.platform_forwarding_steps import play
+from features.steps.serving_steps import replica
 from features.steps.tunnel_framing_steps import listening
 from features.support.platform_rig import HOST, KEY, route
 from standins.virtual import run_virtual
 
 CONNECT_S = 0.4
-REPLICA = Replica(
-    name="r1",
-    service="plain",
-    address="10.0.0.1:80",
-    data_centre="here",
-    state=ReplicaState.READY,
-    slots=1,
-    born=5,
-)
+REPLICA = replica("r1", born=5)
 
 
 class _Connections(BackendConnections):
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import itertools
+from unittest import mock
 
 import anyio
 from behave import given, then, when
@@ -17,7 +18,7 @@
 from features.steps.platform_forwarding_steps import play
 from features.steps.platform_state_steps import captured_events
 from features.support import malformed
-from features.support.platform_rig import route, until
+from features.support.platform_rig import replica_entry, route, until
 from standins.virtual import run_virtual
 
 UNREADABLE = "\ufffd\ufffd\ufffd\ufffd:8080"
@@ -30,20 +31,6 @@
 EXAMPLES = 150
 
 
-def _entry(**changes):
-    return {
-        "service": "plain",
-        "address": UNREADABLE,
-        "zone": "here",
-        "version": "v1",
-        "capacity": 6,
-        "state": "ready",
-        "cold_left_ms": 0,
-        "seq": 1,
-        **changes,
-    }
-
-
 async def _keep_asking(world, daemon, answers):
     """Looks something up, one request after the other, until cancelled."""
     caller = id(anyio.get_current_task())
@@ -77,7 +64,11 @@
                     tasks.start_soon(_keep_asking, world, name, context.answers)
                 await anyio.sleep(REQUESTS_S / 8)
                 for name, service in UNREADABLE_ENTRIES.items():
-                    world.store.put("servers", name, _entry(service=service))
+                    world.store.put(
+                        "servers",
+                        name,
+                        replica_entry(UNREADABLE, service=service),
+                    )
         context.metrics = [
             await world.metric(name, "cactusdyke_rejected_entries")
             for name in context.names
@@ -106,16 +97,6 @@
     assert context.metrics == [count] * len(context.names), context.metrics
 
 
-@contextlib.contextmanager
-def _replaced(owner, name, value):
-    kept = owner.__dict__[name]
-    setattr(owner, name, value)
-    try:
-        yield
-    finally:
-        setattr(owner, name, kept)
-
-
 def _parse_anything(text):
     host, _, port = text.rpartition(":")
     return NetworkAddress(host=host, port=int(port))
@@ -130,13 +111,13 @@
     with contextlib.ExitStack() as stack:
         if guard == "the check of decoded addresses":
             stack.enter_context(
-                _replaced(
-                    NetworkAddress, "parse", staticmethod(_parse_anything)
-                )
+                mock.patch.object(NetworkAddress, "parse", _parse_anything)
             )
         else:
             for name in ("run_contained", "keep_running"):
-                stack.enter_context(_replaced(background, name, _not_contained))
+                stack.enter_context(
+                    mock.patch.object(background, name, _not_contained)
+                )
         yield
 
 
@@ -157,7 +138,7 @@
         )
         members = world.daemons["d1"]._members
         await until(lambda: len(members.all()) == 2)
-        world.store.put("servers", "i-1", _entry())
+        world.store.put("servers", "i-1", replica_entry(UNREADABLE))
         context.during = []
         with anyio.move_on_after(2.0):
             async with anyio.create_task_group() as tasks:
--- a/features/steps/stream_order_steps.py
+++ b/features/steps/stream_order_steps.py
@@ -17,7 +17,6 @@
 from cactusdyke.platform.wire import PlatformDialect
 from cactusdyke.serving.attempt import AttemptRunner
 from cactusdyke.serving.dialect import StreamEvent
-from cactusdyke.serving.model import Replica, ReplicaState
 from cactusdyke.serving.replica_load import ReplicaLoads
 from cactusdyke.serving.replica_statements import ReplicaStatements
 from cactusdyke.serving.stated_limits import StatedLimits
@@ -25,6 +24,7 @@
 from cactusdyke.transport.answer_parser import AnswerHead
 from cactusdyke.transport.exchange import BackendConnections
 from cactusdyke.transport.front_interface import Reply
+from features.steps.serving_steps import replica
 from features.support.platform_rig import configuration, route
 from features.support.serving_values import serving_context
 from standins.virtual import run_virtual
@@ -47,14 +47,7 @@
     .unwrap()
     .routes[0]
 )
-REPLICA = Replica(
-    name="r1",
-    service="plain",
-    address="10.0.0.1:80",
-    data_centre="here",
-    state=ReplicaState.READY,
-    slots=1,
-)
+REPLICA = replica("r1")
 HEAD = AnswerHead(
     status=200,
     headers=[
--- a/features/support/malformed.py
+++ b/features/support/malformed.py
@@ -45,7 +45,12 @@
 from cactusdyke.transport.messages import Request, Response
 from cactusdyke.transport.network import Network
 from cactusdyke.transport.network_address import NetworkAddress
-from features.support.platform_rig import KEY, configuration, route
+from features.support.platform_rig import (
+    KEY,
+    configuration,
+    replica_entry,
+    route,
+)
 from features.support.serving_values import serving_context
 from features.support.state_fleet import FixedDaemons, peer
 
@@ -153,17 +158,16 @@
     check: Callable[[Any], None]
 
 
-REPLICA = {
-    "service": "plain",
-    "address": "10.0.0.1:80",
-    "zone": "here",
-    "version": "v1",
-    "capacity": 6,
-    "state": "ready",
-    "cold_left_ms": 0,
-    "seq": 1,
-    "born": 1_700_000_000_000,
-}
+SETTINGS = Settings(
+    name="d1",
+    host="10.0.0.1",
+    port=1,
+    data_centre="here",
+    region="r",
+    object_service="10.0.0.2:1",
+    host_list="10.0.0.2:1",
+)
+REPLICA = replica_entry("10.0.0.1:80", born=1_700_000_000_000)
 CONFIGURATION = configuration(
     [
         route(
@@ -297,15 +301,7 @@
 def _check_daemon(spec: Any) -> None:
     body = _listing(("d7", spec), ("d9", {**DAEMON, "address": "10.0.0.9:1"}))
     registry = DaemonRegistry(
-        settings=Settings(
-            name="d1",
-            host="10.0.0.1",
-            port=1,
-            data_centre="here",
-            region="r",
-            object_service="10.0.0.2:1",
-            host_list="10.0.0.2:1",
-        ),
+        settings=SETTINGS,
         store=_store(body),
         clock=SystemClock(),
     )
@@ -388,15 +384,7 @@
     traffic = ControlTraffic(prometheus_client.CollectorRegistry())
     network = _FixedNetwork(orjson.dumps(value))
     members = Members(
-        settings=Settings(
-            name="d1",
-            host="10.0.0.1",
-            port=1,
-            data_centre="here",
-            region="r",
-            object_service="10.0.0.2:1",
-            host_list="10.0.0.2:1",
-        ),
+        settings=SETTINGS,
         clock=clock,
         rng=random.Random(1),
         client=ControlClient(network=network, traffic=traffic),
--- a/features/support/platform_rig.py
+++ b/features/support/platform_rig.py
@@ -53,6 +53,21 @@
     return {**fields, **changes}
 
 
+def replica_entry(address, **changes):
+    """Returns an entry of the list of replicas."""
+    return {
+        "service": "plain",
+        "address": address,
+        "zone": "here",
+        "version": "v1",
+        "capacity": 6,
+        "state": "ready",
+        "cold_left_ms": 0,
+        "seq": 1,
+        **changes,
+    }
+
+
 def configuration(routes, version=1, **changes):
     services = [
         {"name": "plain", "health_path": "/h", "max_conns": 64},
@@ -196,21 +211,9 @@
         self.list_replica(replica.name, service)
 
     def list_replica(self, name, service="plain", **changes):
-        self.store.put(
-            "servers",
-            name,
-            {
-                "service": service,
-                "address": self.replicas[name].address,
-                "zone": "here",
-                "version": "v1",
-                "capacity": 6,
-                "state": "ready",
-                "cold_left_ms": 0,
-                "seq": 1,
-                **changes,
-            },
-        )
+        address = self.replicas[name].address
+        entry = replica_entry(address, service=service, **changes)
+        self.store.put("servers", name, entry)
 
     def configure(self, routes, **changes):
         self.store.put("config", "main", configuration(routes, **changes))
