--- a/cactusdyke/platform/wire.py
+++ b/cactusdyke/platform/wire.py
@@ -435,15 +435,16 @@
 
 
 def _event(data: bytes) -> StreamEvent:
-    lines = [line for line in data.split(b"\n") if line]
-    ids = [line[3:].strip() for line in lines if line.startswith(b"id:")]
+    begin = 0 if data.startswith(b"id:") else data.find(b"\nid:") + 1
+    if not begin and not data.startswith(b"id:"):
+        lines = data.split(b"\n")
+        is_comment = all(line.startswith(b":") for line in lines if line)
+        return StreamEvent(number=None, data=data, is_comment=is_comment)
+    end = data.index(b"\n", begin)
     # Two ids are two events of which the line between was spoiled.
-    number = _event_number(ids[0]) if len(ids) == 1 else None
-    return StreamEvent(
-        number=number,
-        data=data,
-        is_comment=all(line.startswith(b":") for line in lines),
-    )
+    has_other = data.find(b"\nid:", end) >= 0
+    number = None if has_other else _event_number(data[begin + 3 : end].strip())
+    return StreamEvent(number=number, data=data)
 
 
 def _event_number(text: bytes) -> int | None:
--- a/cactusdyke/serving/attempt.py
+++ b/cactusdyke/serving/attempt.py
@@ -112,7 +112,7 @@
         statements: ReplicaStatements,
         memory: MemoryBudget | None = None,
         loads: ReplicaLoads,
-        is_replaced: Callable[[Replica], bool] = lambda _: False,
+        is_replaced: Callable[[Replica], bool],
     ) -> None:
         self._clock = clock
         self._connections = connections
--- a/cactusdyke/serving/deployment.py
+++ b/cactusdyke/serving/deployment.py
@@ -287,7 +287,8 @@
         known = self.replica_at(replica.address)
         if known is None:
             return False
-        return known.name != replica.name or known.born != replica.born
+        started_again = replica.born and known.born != replica.born
+        return known.name != replica.name or bool(started_again)
 
     def data_centre_at(self, address: str) -> str:
         """Returns the data centre of an address, empty if unknown."""
--- a/features/serving/answer_ends.feature
+++ b/features/serving/answer_ends.feature
@@ -15,6 +15,7 @@
       | refuses connections                            | broken  |
       | is not reached any more                        | broken  |
       | is reached again only after two seconds        | broken  |
+      | listens, as a frozen daemon finds late         | broken  |
       | has its address taken by another replica       | broken  |
       | is listed with a later start                   | broken  |
 
--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -31,8 +31,9 @@
 class _Connections(BackendConnections):
     """Refuses connections, or leaves them without an answer for a time."""
 
-    def __init__(self, *, unreached_s=0.0, refused=False):
+    def __init__(self, *, unreached_s=0.0, refused=False, takes_s=0.0):
         self._unreached_s = unreached_s
+        self._takes_s = takes_s
         self._refused = refused
         self._began = anyio.current_time()
 
@@ -43,6 +44,7 @@
         if anyio.current_time() - self._began < self._unreached_s:
             await anyio.sleep(CONNECT_S)
             raise ExchangeError(f"{address}: no connection", sent=False)
+        await anyio.sleep(self._takes_s)
         yield None
 
 
@@ -63,6 +65,7 @@
         {"unreached_s": 2.0},
         [REPLICA],
     ),
+    "listens, as a frozen daemon finds late": ({"takes_s": 1.2}, [REPLICA]),
     "has its address taken by another replica": ({}, [OTHER]),
     "is listed with a later start": ({}, [LATER]),
 }
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -381,6 +381,7 @@
             connections=Replicas(),
             stated_limits=StatedLimits(clock=clock),
             statements=ReplicaStatements(clock=clock),
+            is_replaced=lambda _: False,
             loads=ReplicaLoads(clock=clock),
         )
         verdict = AnswerVerdict(
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -143,6 +143,7 @@
             connections=SocketConnections(clock=clock),
             stated_limits=StatedLimits(clock=clock),
             statements=ReplicaStatements(clock=clock),
+            is_replaced=lambda _: False,
             loads=ReplicaLoads(clock=clock),
         )
         place = replica("r1", address=server.address)
--- a/features/steps/load_exchange_steps.py
+++ b/features/steps/load_exchange_steps.py
@@ -331,6 +331,7 @@
         connections=None,
         stated_limits=StatedLimits(clock=clock),
         statements=ReplicaStatements(clock=clock),
+        is_replaced=lambda _: False,
         loads=context.loads,
     )
     attempts._decode_head(
--- a/features/steps/platform_state_steps.py
+++ b/features/steps/platform_state_steps.py
@@ -540,8 +540,16 @@
         ]
     )
     broken = configuration([{"name": "no host"}])
+    unordered = [
+        configuration([route("a", "x", stages=stages)])
+        for stages in (
+            [{"service": "s", "after": [1]}, {"service": "s", "after": [0]}],
+            [{"service": "s", "after": [7]}],
+        )
+    ]
     context.decoded = [
-        decode.configuration(spec) for spec in (bare, split, broken, None, 5)
+        decode.configuration(spec)
+        for spec in (bare, split, broken, *unordered, None, 5)
     ]
 
 
--- a/features/steps/stated_limits_steps.py
+++ b/features/steps/stated_limits_steps.py
@@ -57,6 +57,7 @@
             connections=None,
             stated_limits=self.limits,
             statements=ReplicaStatements(clock=self.clock),
+            is_replaced=lambda _: False,
             loads=ReplicaLoads(clock=self.clock),
         )
 
--- a/features/steps/statement_send_steps.py
+++ b/features/steps/statement_send_steps.py
@@ -219,6 +219,7 @@
             connections=rig.replicas,
             stated_limits=StatedLimits(clock=rig.clock),
             statements=rig.statements,
+            is_replaced=lambda _: False,
             loads=ReplicaLoads(clock=rig.clock),
         )
         request = serving_context(route(streaming=kind == "stream"))
--- a/features/steps/stream_order_steps.py
+++ b/features/steps/stream_order_steps.py
@@ -177,6 +177,7 @@
         connections=_Connections(exchanges),
         stated_limits=StatedLimits(clock=clock),
         statements=ReplicaStatements(clock=clock),
+        is_replaced=lambda _: False,
         loads=ReplicaLoads(clock=clock),
     )
     if start_known:
--- a/features/support/platform_rig.py
+++ b/features/support/platform_rig.py
@@ -211,8 +211,8 @@
         self.list_replica(replica.name, service)
 
     def list_replica(self, name, service="plain", **changes):
-        address = self.replicas[name].address
-        entry = replica_entry(address, service=service, **changes)
+        fields = {"address": self.replicas[name].address, "service": service}
+        entry = replica_entry(**{**fields, **changes})
         self.store.put("servers", name, entry)
 
     def configure(self, routes, **changes):
