Let the emulator fail if a background task of a daemon does

The scenarios' own check does not see the processes that the emulator's plays run in, so a play raises an error itself.

--- a/cactusdyke/background.py
+++ b/cactusdyke/background.py
@@ -74,6 +74,12 @@
         pause_ms = min(2 * pause_ms, MAX_PAUSE_MS)
 
 
+def failure_count() -> int:
+    """Returns how many background tasks have failed in this process."""
+    samples = (s for metric in FAILURES.collect() for s in metric.samples)
+    return sum(int(s.value) for s in samples if s.name.endswith("_total"))
+
+
 class BackgroundTasks:
     """Starts tasks whose errors don't reach the tasks beside them."""
 
--- a/emulator/play.py
+++ b/emulator/play.py
@@ -13,6 +13,7 @@
 import anyio
 import attrs
 
+from cactusdyke import background
 from emulator import deployment
 from emulator.arrivals import PartArrivals, draw, draw_crashing
 from emulator.callers import Callers, Outcome
@@ -88,13 +89,22 @@
 
 
 def play(scenario: Scenario, seed: int, policy: Policy | None) -> PlayResult:
-    """Plays a scenario; a policy changes this process for good."""
+    """Plays a scenario; a policy changes this process for good.
+
+    Raises:
+        RuntimeError: A background task of a daemon has failed. The daemon goes
+            on after that, which must not hide it.
+    """
     if policy is not None:
         apply_policy(policy)
     # A process that is killed leaves what it would have begun; in one process
     # with all others that shows as coroutines that nobody awaits.
     warnings.filterwarnings("ignore", "coroutine .* was never awaited")
-    return run_virtual(_play, scenario, seed, seed=seed)
+    failures = background.failure_count()
+    result = run_virtual(_play, scenario, seed, seed=seed)
+    if background.failure_count() > failures:
+        raise RuntimeError(f"a background task has failed, seed {seed}")
+    return result
 
 
 def apply_policy(policy: Policy) -> None:
