Test over sockets a stream that began at an engine that came back

A whole daemon before two engines: the one that begins a stream tells another start than its entry, and its connection breaks. On the stream went on at the other engine and ended as complete; it is cut now. The row with the start of the entry goes on in both.

--- a/features/platform/forwarding.feature
+++ b/features/platform/forwarding.feature
@@ -117,6 +117,17 @@
       | break |
       | spoil |
 
+  Scenario Outline: a stream breaks off at an engine that <how>
+    # Guards against events of two software versions in one answer: an engine
+    # that came back with other software, its entry being late.
+    When a stream that may be resumed breaks off at an engine that <how>
+    Then <what>
+
+    Examples: starts
+      | how                         | what                                                     |
+      | has the start of its entry  | the caller has every event once, in order, and the end   |
+      | has started again           | the caller sees that its stream was cut, and it ran once |
+
   Scenario Outline: a stream cut by <fault> never looks complete
     # It may not be resumed. Ended in good order the caller would take half a
     # summary for the whole.
--- a/features/steps/platform_forwarding_steps.py
+++ b/features/steps/platform_forwarding_steps.py
@@ -443,6 +443,38 @@
     play(story)
 
 
+@when("a stream that may be resumed breaks off at an engine that {how}")
+def stream_at_late_entries(context, how):
+    async def story(world):
+        await stream_world(world, resumable=True, max_attempts=3)
+        for name, replica in world.replicas.items():
+            replica.faults.add("break")
+            replica.born, replica.event_ms = 1, 50.0
+            world.list_replica(name, "engine", born=1)
+        deployment = world.daemons["d1"]._deployment
+        await until(
+            lambda: all(
+                replica.born == 1
+                for replica in deployment.usable_replicas("engine")
+            )
+        )
+        async with anyio.create_task_group() as tasks:
+            if how == "has started again":
+                tasks.start_soon(tell_later_start, world)
+            context.answer = await world.request(
+                "/talk/stream", headers=STREAM_HEADERS
+            )
+        context.runs = runs(world)
+
+    async def tell_later_start(world):
+        replicas = world.replicas.values()
+        await until(lambda: any(replica.runs for replica in replicas))
+        for replica in replicas:
+            replica.born = 2 if replica.runs else 1
+
+    play(story)
+
+
 @then("the caller has every event once, in order, and the end")
 def check_stream(context):
     status, _, body = context.answer
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -42,6 +42,7 @@
         freed: Handles that were freed.
         free_mb: What it says of its memory for results.
         reports: How often it was asked for it.
+        born: Start that it tells then, None to tell none.
         crashes_on: A request with these bytes in its path, body or prompt ends
             the process soon after it begins to run; None for no such request.
         crash_after_ms: How long after.
@@ -74,6 +75,7 @@
         self.freed: list[str] = []
         self.free_mb = 10
         self.reports = 0
+        self.born: int | None = None
         self.crashes_on: bytes | None = None
         self.crash_after_ms = 30.0
         self.closes_ms = 0.0
@@ -209,6 +211,8 @@
         elif path == "/-/report":
             self.reports += 1
             told = {"queued": 0, "active": 0, "free_mb": self.free_mb}
+            if self.born is not None:
+                told["born"] = self.born
             await stream.send(_plain(200, orjson.dumps(told)))
         elif path == "/-/stage-free":
             self.freed += orjson.loads(body)["handles"]
