Read the malformed addresses and handles that matter in any case

Two guards, the address of a member and the form of a result's handle, could be taken out unnoticed: the drawn values seldom hit them. Values that are always read come before the drawn ones; with either guard taken out its scenario fails.

--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -174,7 +174,12 @@
     def read(value):
         source.check(value)
 
-    context.read = read
+    def read_all():
+        for value in source.examples:
+            source.check(value)
+        read()
+
+    context.read = read_all
 
 
 @then("nothing fails, and sound data beside it holds")
--- a/features/support/malformed.py
+++ b/features/support/malformed.py
@@ -152,10 +152,12 @@
     Attributes:
         values: Draws what may come.
         check: Reads a value with everything that reads it in a daemon.
+        examples: Values that are read in any case.
     """
 
     values: st.SearchStrategy[Any]
     check: Callable[[Any], None]
+    examples: tuple[Any, ...] = ()
 
 
 SETTINGS = Settings(
@@ -498,7 +500,7 @@
     for result in dialect.decode_pieces(head, body, 1) or ():
         if result.handle:
             dialect.replica_address_of(result.handle).encode("latin-1")
-            assert "," not in result.handle
+            assert not set(",\r\n") & set(result.handle)
     reader = dialect.event_reader()
     with contextlib.suppress(EventStreamError):
         reader.feed(b"id: " + number + b"\ndata: " + body + b"\n\n")
@@ -519,12 +521,22 @@
     "entries of daemons": Source(values=mutated(DAEMON), check=_check_daemon),
     "answers of the store": Source(values=_answers(), check=_check_answer),
     "messages between daemons": Source(
-        values=mutated(GOSSIP), check=_check_gossip
+        values=mutated(GOSSIP),
+        check=_check_gossip,
+        examples=(
+            _replace(GOSSIP, ("from", 1), TEXTS[1]),
+            _replace(GOSSIP, ("updates", 0, 1), TEXTS[1]),
+        ),
     ),
     "states from other daemons": Source(
         values=mutated(STATE), check=_check_state
     ),
     "answers of replicas": Source(
-        values=_REPLICA_ANSWERS, check=_check_replica_answer
+        values=_REPLICA_ANSWERS,
+        check=_check_replica_answer,
+        examples=tuple(
+            (200, [], orjson.dumps({"items": [{"handle": handle}]}), b"1")
+            for handle in ("\ufffd:80/ab", "10.0.0.1:80/a,b", "a/b\r\nc: d")
+        ),
     ),
 }
