Count only first numbers in a row against the known one

Sound streams in between did not reset the count, so that three spoiled first numbers of a long time, if equal, replaced what was known of a service. Found by reading; the new scenario fails without the change, as confirm was not called for a first event that came alone.

--- a/cactusdyke/serving/stream_state.py
+++ b/cactusdyke/serving/stream_state.py
@@ -131,8 +131,8 @@
             first_number: The number that streams begin with, None if unknown.
 
         Returns:
-            The number of the first event if these are the first to show that
-            it is right, None otherwise.
+            The number of the first event if these show that it is right, None
+            otherwise.
         """
         gap_ms = arrived_at - self.last_event_at
         self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
@@ -144,7 +144,8 @@
         confirmed = None
         if self.last_event_number is None:
             self.may_resume = first_number is not None
-            confirmed = numbers[0] if len(numbers) > 1 else None
+            if len(numbers) > 1 or first_number is not None:
+                confirmed = numbers[0]
         elif not self.may_resume:
             confirmed = self.last_event_number
         self.last_event_number = numbers[-1]
--- a/features/serving/stream_order.feature
+++ b/features/serving/stream_order.feature
@@ -20,6 +20,12 @@
     When streams of it begin with 0
     Then they are whole from the fourth on
 
+  Scenario: a service of which a first number is spoiled now and then
+    # Guards against a spoiled number that is taken for a new one.
+    Given a service whose streams began with 1
+    When a stream of it begins with 0 three times, with sound ones between
+    Then its streams begin with 1 as before
+
   Scenario: sound events that come with a spoiled one
     # Guards against callers that wait for events which have come already.
     When the third of three events that come together is spoiled
--- a/features/steps/stream_order_steps.py
+++ b/features/steps/stream_order_steps.py
@@ -293,6 +293,22 @@
             context.numbers.confirm("plain", 0)
 
 
+@when("a stream of it begins with 0 three times, with sound ones between")
+def begins_with_zero_between(context):
+    for _ in range(3):
+        context.numbers.contradict("plain", 0)
+        state = StreamState()
+        confirmed = state.record_events(
+            [StreamEvent(number=1, data=b"")], 0.0, first_number=1
+        )
+        context.numbers.confirm("plain", confirmed)
+
+
+@then("its streams begin with 1 as before")
+def check_same_start(context):
+    assert context.numbers.known("plain") == 1
+
+
 @then("they are whole from the fourth on")
 def check_another_start(context):
     assert context.whole == [False, False, False, True, True], context.whole
