Test that a stage call's batch ends if the code meets an error

Taken out, the guard went unnoticed: a batch that never ends holds its pieces and its place at the replica. The row fails without it and passes with it.

--- a/features/steps/stage_retry_steps.py
+++ b/features/steps/stage_retry_steps.py
@@ -37,6 +37,7 @@
 PAUSES_MS = {
     "is refused": REFUSED_PAUSE_MS,
     "breaks off": MIN_BACKOFF_MS,
+    "meets an error of the code": MIN_BACKOFF_MS,
     "finds no memory": NO_MEMORY_PAUSE_MS,
     "meets a replica that is replaced": JOINS_AFTER_MS,
 }
@@ -87,6 +88,8 @@
             return 503, []
         if self.way == "breaks off":
             raise ExchangeError(f"{address}: connection closed", sent=True)
+        if self.way == "meets an error of the code":
+            raise UnicodeError("can't be encoded")
         if self.way == "finds no memory":
             return 200, [{"reason": "room"}] * len(items)
         return 421, []
