Test crowds of clients that don't behave, before the code is changed

The users saw a process run out of memory under clients that send many chunked bodies at once, most of them stopping short of their end, and bodies far over the limit. These scenarios start one daemon process on loopback, with a host of 100 MB, 600 descriptors and bodies of 1,000,000 bytes, and let 250 clients (500 silent ones) do one thing each for 4 s. They check that the process lives, that its resident memory together with what its ports have received unread stays within 100 MB, that sockets stay within max_fds less the 200 for files, and that an ordinary request is answered afterwards, in five tries as a caller would make them. Three more send one body of the largest size, which must be served.

The runner plays the new room after all others, by itself.

--- /dev/null
+++ b/features/misbehaving_clients/crowds.feature
@@ -0,0 +1,46 @@
+Feature: clients that don't behave end no process and keep nobody out
+
+  Scenario Outline: a crowd sends <sends> to the <door> port
+    # Guards against a process that is killed for its memory, runs out of
+    # descriptors or hangs, since callers hold what nobody counts.
+    Given a daemon of a host with 100 MB and 600 descriptors
+    When <count> clients send <sends> to its <door> port
+    Then the process lives, within its memory and its descriptors
+    And an ordinary request is answered
+
+    Examples:
+      | count | door      | sends                                         |
+      | 250   | front     | chunked bodies that stop short of their end   |
+      | 250   | front     | the same with an unknown key                  |
+      | 250   | front     | chunks of a byte that stop short of their end |
+      | 250   | front     | chunks of a byte without end                  |
+      | 250   | front     | chunks without end                            |
+      | 250   | front     | bodies that lack their last byte              |
+      | 250   | front     | whole bodies whose answers nobody reads       |
+      | 250   | front     | a length of 9 GB, and on after the refusal    |
+      | 250   | front     | requests of 60 kB behind each other           |
+      | 250   | front     | a header line without end                     |
+      | 500   | front     | nothing                                       |
+      | 250   | directory | bodies for a path that takes none             |
+      | 250   | directory | a header line without end                     |
+      | 250   | directory | a request line without end                    |
+      | 500   | directory | nothing                                       |
+      | 250   | readiness | bodies for a path that takes none             |
+      | 250   | readiness | a header line without end                     |
+      | 250   | daemons   | bodies for a path that takes none             |
+      | 250   | daemons   | chunks without end for a path of daemons      |
+      | 250   | daemons   | a header line without end                     |
+      | 500   | daemons   | nothing                                       |
+      | 250   | metrics   | a header line without end                     |
+
+  Scenario Outline: one body of the largest size <how>
+    # Guards against limits that refuse what is within those of callers.
+    Given a daemon of a host with 100 MB and 600 descriptors
+    When one client sends a body of the largest size <how>
+    Then it is answered, and its replica had the whole body
+
+    Examples:
+      | how                 |
+      | with a length       |
+      | in large chunks     |
+      | in chunks of a byte |
--- a/features/run.py
+++ b/features/run.py
@@ -1,7 +1,9 @@
 """Runs every room's scenarios and ends with `N passed, N failed`.
 
 Each folder below features/ is run by a behave process of its own, a few at a
-time. A scenario named in KNOWN-RED.txt may fail; it is printed, not counted.
+time; those whose scenarios need the machine for themselves have a turn of their
+own at the end. A scenario named in KNOWN-RED.txt may fail; it is printed, not
+counted.
 """
 
 from __future__ import annotations
@@ -33,6 +35,8 @@
     "serving",
 )
 """Rooms that would run alone at the end if they began last."""
+ALONE = ("misbehaving_clients",)
+"""Rooms that run beside no other one."""
 
 
 @attrs.frozen(kw_only=True)
@@ -103,8 +107,10 @@
         if path.is_dir() and path.name not in NOT_ROOMS
     )
     rooms = sorted(rooms, key=_order)
+    together = [room for room in rooms if room not in ALONE]
     with concurrent.futures.ThreadPoolExecutor(AT_A_TIME) as pool:
-        results = list(pool.map(run_room, rooms))
+        results = list(pool.map(run_room, together))
+    results += [run_room(room) for room in rooms if room in ALONE]
     allowed = known_red()
     passed = 0
     failed = 0
--- /dev/null
+++ b/features/steps/misbehaving_clients_steps.py
@@ -0,0 +1,160 @@
+"""Steps for crowds of clients that misbehave, before one daemon process."""
+
+from __future__ import annotations
+
+import json
+import sys
+
+import anyio
+from behave import given, then, when
+
+from cactusdyke.transport.exchange import ExchangeError
+from features.steps.platform_forwarding_steps import play
+from features.support.platform_rig import configuration, route
+from features.support.process_watch import ProcessWatch
+from standins.fleet import free_port
+
+MEGABYTE = 1 << 20
+MEMORY_MB = 100
+MAX_FDS = 600
+FILES = 200
+"""Of the descriptors; sockets share the others."""
+MAX_BODY_BYTES = 1_000_000
+CROWD_S = 4.0
+TRIES = 5
+TRY_S = 10.0
+BETWEEN_TRIES_S = 0.5
+
+
+async def small_host(world):
+    """Starts a daemon of a host with little memory, and a replica."""
+    replica = await world.add_replica("p1")
+    limits = configuration([])["limits"]
+    world.configure(
+        [route("look", "plain", timeout_ms=60_000)],
+        limits={
+            **limits,
+            "max_body_bytes": MAX_BODY_BYTES,
+            "header_timeout_ms": 3_000,
+        },
+    )
+    world.host_limits = {"memory_mb": MEMORY_MB, "max_fds": MAX_FDS}
+    metrics_port = free_port()
+    process = await world.start_process("d1", metrics_port=metrics_port)
+    settings = world.settings["d1"]
+    doors = {
+        "front": settings.front.address,
+        "directory": settings.directory.address,
+        "readiness": settings.ready.address,
+        "daemons": settings.peer.address,
+        "metrics": f"127.0.0.1:{metrics_port}",
+    }
+    return process, doors, replica
+
+
+async def run_crowd(address, sends, count, seconds=CROWD_S):
+    """Runs a crowd; returns what it tells of itself."""
+    command = [sys.executable, "-m", "features.support.crowd"]
+    done = await anyio.run_process(
+        [*command, address, sends, str(count), str(seconds)]
+    )
+    return json.loads(done.stdout)
+
+
+async def ask_until_answered(world, **changes):
+    """Asks as an ordinary caller does, who comes back when it is refused."""
+    answer = None
+    for _ in range(TRIES):
+        with anyio.move_on_after(TRY_S):
+            try:
+                answer = await world.request("/look/a", **changes)
+            except ExchangeError:
+                answer = None
+        if answer is not None and answer[0] == 200:
+            break
+        await anyio.sleep(BETWEEN_TRIES_S)
+    return answer
+
+
+@given("a daemon of a host with 100 MB and 600 descriptors")
+def given_small_host(context):
+    del context
+
+
+@when("{count:d} clients send {sends} to its {door} port")
+def crowd(context, count, sends, door):
+    async def story(world):
+        process, doors, _ = await small_host(world)
+        ports = [int(door.rpartition(":")[2]) for door in doors.values()]
+        context.watch = ProcessWatch(pid=process.pid, ports=ports)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(context.watch.run)
+            context.crowd = await run_crowd(doors[door], sends, count)
+            context.answer = await ask_until_answered(world, body=b"payload")
+            tasks.cancel_scope.cancel()
+        context.lives = context.watch.sample()
+
+    play(story)
+
+
+@then("the process lives, within its memory and its descriptors")
+def check_lives(context):
+    watch = context.watch
+    print(
+        f"{context.crowd}, {watch.memory_bytes / MEGABYTE:.0f} MB at most,"
+        f" {watch.unread_bytes / MEGABYTE:.0f} MB unread,"
+        f" {watch.descriptors} descriptors, {watch.sockets} sockets"
+    )
+    assert context.lives
+    assert watch.memory_bytes <= MEMORY_MB * MEGABYTE, watch.memory_bytes
+    assert watch.descriptors <= MAX_FDS, watch.descriptors
+    assert watch.sockets <= MAX_FDS - FILES, watch.sockets
+
+
+@then("an ordinary request is answered")
+def check_answered(context):
+    assert context.answer is not None, "no answer"
+    assert context.answer[0] == 200, context.answer
+
+
+BODIES = {
+    "with a length": (
+        f"Content-Length: {MAX_BODY_BYTES}",
+        b"x" * MAX_BODY_BYTES,
+    ),
+    "in large chunks": (
+        "Transfer-Encoding: chunked",
+        b"".join([b"186a0\r\n" + b"x" * 100_000 + b"\r\n"] * 10) + b"0\r\n\r\n",
+    ),
+    "in chunks of a byte": (
+        "Transfer-Encoding: chunked",
+        b"1\r\nx\r\n" * MAX_BODY_BYTES + b"0\r\n\r\n",
+    ),
+}
+
+
+@when("one client sends a body of the largest size {how}")
+def largest_body(context, how):
+    header, body = BODIES[how]
+
+    async def story(world):
+        process, doors, replica = await small_host(world)
+        del process
+        host, _, port = doors["front"].rpartition(":")
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            start = (
+                "POST /look/a HTTP/1.1\r\nHost: signals.example\r\n"
+                "X-Attempt-Id: r-1\r\nX-Deadline-Ms: 60000\r\n"
+                f"Authorization: Bearer key-of-council\r\n{header}\r\n\r\n"
+            )
+            await stream.send(start.encode() + body)
+            context.answer = await stream.receive()
+        context.bodies = [len(body) for body in replica.bodies]
+
+    play(story)
+
+
+@then("it is answered, and its replica had the whole body")
+def check_whole_body(context):
+    assert context.answer.startswith(b"HTTP/1.1 200 "), context.answer
+    assert context.bodies == [MAX_BODY_BYTES], context.bodies
--- a/features/support/platform_rig.py
+++ b/features/support/platform_rig.py
@@ -116,13 +116,17 @@
         log: What it wrote, once it has ended.
     """
 
-    def __init__(self, *, settings_path, most_descriptors=None):
+    def __init__(self, *, settings_path, most_descriptors=None, metrics_port=0):
         self.settings_path = settings_path
         self.code = None
         self.log = ""
         self._process = subprocess.Popen(
             [sys.executable, "-m", "cactusdyke.platform"],
-            env={**os.environ, "CACTUSDYKE_CONFIG": str(settings_path)},
+            env={
+                **os.environ,
+                "CACTUSDYKE_CONFIG": str(settings_path),
+                platform_settings.METRICS_VARIABLE: str(metrics_port),
+            },
             stdout=subprocess.PIPE,
         )
         if most_descriptors:
@@ -138,6 +142,10 @@
             self._process.wait()
             self._process.stdout.close()
 
+    @property
+    def pid(self):
+        return self._process.pid
+
     def signal(self, number):
         self._process.send_signal(number)
 
@@ -178,6 +186,7 @@
         self.settings = {}
         self.grace_s = 3
         self.further_bounds = {}
+        self.host_limits = {}
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self):
@@ -245,6 +254,7 @@
                 "listen": listen,
                 "port_range": [ports[0], ports[0]],
                 "seed_addrs": list(seeds),
+                "limits": self.host_limits,
                 "bounds": {
                     "grace_s": self.grace_s,
                     "retry_budget_slack": 50,
