Send long requests to replicas in slices

A request of 60 kB was held three times as its replica read it: as the body, as the encoded request, and as what the event loop copies of bytes that the socket does not take. Only the first was counted below 64 KB.

The head and the first 16 KB are encoded; the rest is sent from the body in slices of 16 KB, each after the one before was taken. What is copied is then a slice a connection at most. Bodies of 64 KB and more are counted as before until they are taken.

--- a/cactusdyke/transport/exchange.py
+++ b/cactusdyke/transport/exchange.py
@@ -39,6 +39,7 @@
     from cactusdyke.transport.tcp_stream import TcpStream
 
 READ_BYTES = 65_536
+SLICE_BYTES = 16_384
 MAX_HEAD_BYTES = 65_536
 CONNECT_TIMEOUT_MS = 400.0
 """The opening packet is sent again after a second only; another replica, or
@@ -217,25 +218,29 @@
             method=method, max_head_bytes=MAX_HEAD_BYTES
         )
         try:
-            data = encode_request(method, target, headers, body)
+            begin = encode_request(method, target, headers, body[:SLICE_BYTES])
         except ValueError as error:
             raise self._error(str(error)) from error
         self._sent = True
         try:
-            if self._budget is None or len(data) < LARGE_BYTES:
-                await self._stream.send(data)
-            else:
-                await self._send_large(data, self._budget)
+            await self._send(begin, body)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             # It may have answered before it read all, and closed then. What
             # it said is still to be read; reading fails if it said nothing.
             return
 
-    async def _send_large(self, data: bytes, budget: MemoryBudget) -> None:
-        """Counts the encoded request until its reader has taken it."""
-        with budget.hold(Kind.REPLICAS) as held:
-            held.set(len(data))
-            await self._stream.send(data)
+    async def _send(self, begin: bytes, body: bytes) -> None:
+        """Sends a request in slices; counts a large one until it is taken.
+
+        What the socket does not take is copied: of one slice, not of a body.
+        """
+        with contextlib.ExitStack() as stack:
+            if self._budget is not None and len(body) >= LARGE_BYTES:
+                held = stack.enter_context(self._budget.hold(Kind.REPLICAS))
+                held.set(len(body))
+            await self._stream.send(begin)
+            for start in range(SLICE_BYTES, len(body), SLICE_BYTES):
+                await self._stream.send(body[start : start + SLICE_BYTES])
 
     async def head(self) -> AnswerHead:
         """Returns the head of the answer.
