Count what callers send from the socket on, and let what is not whole give way

Callers saw: a crowd of 250 clients that send chunked bodies and stop just short of their end, bodies far over the limit or endless headers took a daemon's process far over the 100 MB of its host, which ends it there. Chunks of one byte kept it busy for minutes, and no ordinary caller was answered.

Causes, found by following a byte from the kernel to the replica: - A part of a body was held before it was counted, and what had been read and not parsed, or came behind a request, was counted by nobody. Now a reader for each connection counts all of it as it leaves the socket, reads 16 KB at a time, and waits for room before it reads on. - Requests that never end held the budget for as long as they liked. What is not whole has not run: above 0.9 of the budget it is refused as not run, those that stall first, then those that hold most, never those of 4 KB and less; one that stalls for 1 s also gives way to a body that waits. - The kernel let receive buffers grow to megabytes; they are 32 KB now. - A body was read to its end before its key, route and size were looked at. A listener has a share of descriptors and memory; at the limit a new connection takes the place of the one that has waited longest for its caller, or is closed unread. - What ended connections left behind stayed until the garbage collector ran.

The scenario of a daemon out of descriptors tells it more than the kernel grants, as the daemon would keep below the limit otherwise; its checks are unchanged.

--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -356,6 +356,21 @@
         " last such line.",
         "None if callers stall; for `memory`, as for CD1010.",
     )
+    REQUEST_EVICTED = (
+        1013,
+        "A request that had not come whole gave way, as memory for requests"
+        " ran out or another one waited for it; it was refused as not run, or"
+        " its connection was closed; `count` of them since the last such line.",
+        "None if callers stall or send for ever; else as for CD1010.",
+    )
+    CONNECTION_CLOSED = (
+        1014,
+        "A connection to `door` was closed as there were too many: `idle`, with"
+        " a request that had been coming for a while (`stalled`), or a new one"
+        " (`refused`); `count` of them since the last such line.",
+        "Find out who opens so many; give the host more descriptors or memory,"
+        " or the deployment more hosts, if they are wanted.",
+    )
     DECIDER_CHANGED = (
         4316,
         "Another daemon decides for a service; it is told what requests of"
--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -43,12 +43,17 @@
 from cactusdyke.serving.processor_load import ProcessorLoad
 from cactusdyke.serving.state_exchange import STATE_PATH, StateExchange
 from cactusdyke.transport.allocator import return_large_buffers
+from cactusdyke.transport.connection_limit import ConnectionLimit
 from cactusdyke.transport.direct_server import DirectServer
 from cactusdyke.transport.event_loop import new_event_loop
 from cactusdyke.transport.exchange import SocketConnections
 from cactusdyke.transport.front import Front
 from cactusdyke.transport.front_interface import Limits
 from cactusdyke.transport.http_network import HttpNetwork
+from cactusdyke.transport.listener_shares import (
+    Listener,
+    most_connections,
+)
 from cactusdyke.transport.memory_budget import MemoryBudget
 from cactusdyke.transport.messages import Request, Response, json_response
 from cactusdyke.transport.routes import Routes
@@ -168,7 +173,8 @@
         memory = MemoryBudget(
             clock=clock, memory_mb=lambda: self._settings.memory_mb
         )
-        MemoryMetrics(self._registry).watch(memory)
+        self._memory_metrics = MemoryMetrics(self._registry)
+        self._memory_metrics.watch(memory)
         self._core = ServingCore(
             clock=clock,
             rng=rng,
@@ -203,6 +209,7 @@
             clock=clock,
             limits=self._limits,
             budget=memory,
+            connections=self._connection_limit(Listener.FRONT),
         )
         services: dict[str, Service] = {
             "log_sink": self._sink,
@@ -263,6 +270,19 @@
         )
         self._sink.flush()
 
+    def _connection_limit(self, listener: Listener) -> ConnectionLimit:
+        limit = ConnectionLimit(
+            door=listener.value,
+            most=lambda: most_connections(
+                listener,
+                max_fds=self._settings.max_fds,
+                memory_mb=self._settings.memory_mb,
+            ),
+            clock=self._clock,
+        )
+        self._memory_metrics.watch_connections(limit)
+        return limit
+
     def _interfaces(self) -> list[tuple[Endpoint, Routes]]:
         addresses = Addresses(view=self._view, ready=lambda: self.ready)
         peers = Routes()
--- a/cactusdyke/platform/settings.py
+++ b/cactusdyke/platform/settings.py
@@ -54,6 +54,7 @@
         address_ttl_ms: Longest time that callers may keep an address.
         retries: What all daemons may spend on retries, by service.
         memory_mb: Memory at which the process is killed, None if not told.
+        max_fds: Descriptors that the process may have, None if not told.
         cores: The host's processor, in cores.
         link_mbps: The host's own link.
         cold_requests: What all daemons may send to a cold replica.
@@ -75,6 +76,7 @@
     address_ttl_ms: float
     retries: RetryAllowance
     memory_mb: float | None
+    max_fds: int | None
     cores: float
     link_mbps: float
     cold_requests: ColdAllowance
@@ -160,6 +162,7 @@
             window_ms=float(bounds.get("budget_window_s", 10)) * 1000.0,
         ),
         memory_mb=_memory_mb(limits.get("memory_mb")),
+        max_fds=_max_fds(limits.get("max_fds")),
         cores=float(limits.get("cpu_share", 1))
         * float(limits.get("cpu_cores", 1)),
         link_mbps=float(limits.get("link_mbps", 1_000)),
@@ -183,6 +186,15 @@
     return memory_mb
 
 
+def _max_fds(value: Any) -> int | None:
+    if value is None:
+        return None
+    max_fds = int(value)
+    if max_fds <= 0:
+        raise ValueError(f"max_fds is {value!r}")
+    return max_fds
+
+
 def _endpoint(value: str) -> Endpoint:
     host, _, port = value.rpartition(":")
     return Endpoint(host=host, port=int(port))
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -34,7 +34,7 @@
     import random
     from collections.abc import AsyncIterator, Callable
 
-    from cactusdyke.clock import Clock
+    from cactusdyke.clock import Clock, Instant
     from cactusdyke.observe.tracing import Tracing
     from cactusdyke.serving.attempt import AttemptResult, AttemptRunner
     from cactusdyke.serving.deployment import Deployment
@@ -143,6 +143,21 @@
         self._metrics.request_ended("", "unread", 0.0)
         return self._dialect.encode_failure(failure, "")
 
+    def screen(self, request: ReadRequest) -> Result[Instant, Failure]:
+        """Looks at a request whose body has yet to come.
+
+        Returns:
+            When its caller stops waiting, or why it is refused at once.
+        """
+        decoded = self._dialect.decode_request(request)
+        if isinstance(decoded, Err):
+            return decoded
+        match self._admit(decoded.ok_value):
+            case Ok((route, _)):
+                return Ok(_deadline_at(decoded.ok_value, route))
+            case Err(failure):
+                return Err(failure)
+
     async def handle(self, request: ReadRequest, reply: Reply) -> None:
         """Serves one request and sends its answer."""
         decoded = self._dialect.decode_request(request)
@@ -151,7 +166,8 @@
             return
         client_request = decoded.ok_value
         match self._admit(client_request):
-            case Ok(context):
+            case Ok((route, customer)):
+                context = self._context(client_request, route, customer)
                 with self._tracing.of_request(
                     "request",
                     client_request.request_id,
@@ -162,7 +178,9 @@
                 self._log.failed(failure, client_request.request_id, None)
                 await self._fail(failure, client_request.request_id, reply)
 
-    def _admit(self, request: ClientRequest) -> Result[ServingContext, Failure]:
+    def _admit(
+        self, request: ClientRequest
+    ) -> Result[tuple[Route, Customer | None], Failure]:
         """Finds the route and customer of a request, or why it is refused."""
         configuration = self._deployment.configuration
         if configuration is None or not self._quarantine.loaded:
@@ -192,7 +210,7 @@
             )
         if not self._fits_before_stop(route):
             return Err(request_failures.stopping())
-        return Ok(self._context(request, route, customer))
+        return Ok((route, customer))
 
     def _fits_before_stop(self, route: Route) -> bool:
         """Returns whether a request that arrives now should end in time.
@@ -212,10 +230,8 @@
         self, request: ClientRequest, route: Route, customer: Customer | None
     ) -> ServingContext:
         arrived = request.arrived_at
-        patience_ms = request.patience_ms or min(
-            DEFAULT_PATIENCE_MS, route.timeout_ms
-        )
-        deadline_at = arrived + min(patience_ms, route.timeout_ms)
+        patience_ms = _patience_ms(request, route)
+        deadline_at = _deadline_at(request, route)
         waited_ms = self._patience.waited_ms(route, patience_ms)
         return ServingContext(
             request=request,
@@ -592,6 +608,16 @@
         await reply.whole(status, headers, body)
 
 
+def _patience_ms(request: ClientRequest, route: Route) -> float:
+    return request.patience_ms or min(DEFAULT_PATIENCE_MS, route.timeout_ms)
+
+
+def _deadline_at(request: ClientRequest, route: Route) -> Instant:
+    """Returns when a request's caller stops waiting, or its route times out."""
+    patience_ms = _patience_ms(request, route)
+    return request.arrived_at + min(patience_ms, route.timeout_ms)
+
+
 def _stated_slowdown(verdict: AnswerVerdict) -> float:
     """Returns how slow a replica said that it was, 1 if it did not.
 
--- a/cactusdyke/serving/memory_metrics.py
+++ b/cactusdyke/serving/memory_metrics.py
@@ -10,11 +10,12 @@
 from cactusdyke.transport.memory_budget import Kind
 
 if TYPE_CHECKING:
+    from cactusdyke.transport.connection_limit import ConnectionLimit
     from cactusdyke.transport.memory_budget import MemoryBudget
 
 
 class MemoryMetrics:
-    """Gauges and counters of a memory budget."""
+    """Gauges and counters of a memory budget and of listeners."""
 
     def __init__(self, registry: prometheus_client.CollectorRegistry) -> None:
         self._held = prometheus_client.Gauge(
@@ -39,6 +40,39 @@
             "Bodies that were refused, as no memory for them became free.",
             registry=registry,
         )
+        self._evicted = prometheus_client.Counter(
+            "cactusdyke_evicted_requests",
+            "Requests that had not come whole and gave way for lack of memory.",
+            registry=registry,
+        )
+        self._connections = prometheus_client.Gauge(
+            "cactusdyke_connections",
+            "Connections to a listener.",
+            ("door",),
+            registry=registry,
+        )
+        self._most_connections = prometheus_client.Gauge(
+            "cactusdyke_connections_limit",
+            "How many connections a listener keeps.",
+            ("door",),
+            registry=registry,
+        )
+        self._closed = prometheus_client.Counter(
+            "cactusdyke_closed_connections",
+            "Connections that were closed as there were too many.",
+            ("door", "cause"),
+            registry=registry,
+        )
+
+    def watch_connections(self, limit: ConnectionLimit) -> None:
+        """Reads the gauges of a listener when asked for, and counts events."""
+        self._connections.labels(limit.door).set_function(lambda: limit.count)
+        self._most_connections.labels(limit.door).set_function(
+            lambda: limit.most
+        )
+        limit.on_closed = lambda door, cause: self._closed.labels(
+            door, cause
+        ).inc()
 
     def watch(self, budget: MemoryBudget) -> None:
         """Reads the gauges from a budget when asked for, and counts events."""
@@ -47,6 +81,7 @@
                 functools.partial(budget.held_of, kind)
             )
         self._budget.set_function(lambda: budget.size)
+        budget.on_evicted = self._evicted.inc
         budget.on_refused = self._refused.inc
         budget.on_disconnected = lambda cause: self._disconnected.labels(
             cause
--- a/cactusdyke/serving/request_failures.py
+++ b/cactusdyke/serving/request_failures.py
@@ -26,7 +26,9 @@
 
 def for_unread_request(failure: Failure) -> Failure:
     """Returns the failure of a request that was not read, with retry delay."""
-    retry_after_ms = UNREAD_RETRY_AFTER_MS.get(failure.kind)
+    retry_after_ms = UNREAD_RETRY_AFTER_MS.get(
+        failure.kind, failure.retry_after_ms
+    )
     return attrs.evolve(failure, retry_after_ms=retry_after_ms)
 
 
--- a/cactusdyke/transport/answer_parser.py
+++ b/cactusdyke/transport/answer_parser.py
@@ -5,12 +5,12 @@
 import attrs
 import httptools
 
+from cactusdyke.transport.framing_limit import FramingLimit
+
 Headers = list[tuple[bytes, bytes]]
 
 FIRST_FINAL_STATUS = 200
 SPACES_IN_REQUEST_LINE = 2
-FRAMING_BYTES_PER_CHUNK = 64
-"""Size, line ends and a short extension of a chunk."""
 _FRAMING = frozenset({b"content-length", b"transfer-encoding"})
 
 
@@ -44,7 +44,7 @@
         self._received_bytes = 0
         self._body_bytes = 0
         self._chunk_count = 0
-        self._framing_bytes_left = max_head_bytes
+        self._framing = FramingLimit(most_bytes=max_head_bytes)
         self._headers: Headers = []
         self._head: AnswerHead | None = None
         self._chunks: list[bytes] = []
@@ -107,18 +107,13 @@
                 self._error = f"no HTTP answer: {error}"
         if self._head is None and self._received_bytes > self._max_head_bytes:
             self._error = f"a head of over {self._max_head_bytes} bytes"
-        if head_was_complete and not self._done:
-            self._check_framing(len(data) - self._body_bytes)
-
-    def _check_framing(self, framing_bytes: int) -> None:
-        """Bounds what may come around a body: chunk headers and trailers."""
-        self._framing_bytes_left = min(
-            self._max_head_bytes,
-            self._framing_bytes_left
-            + FRAMING_BYTES_PER_CHUNK * self._chunk_count,
-        )
-        self._framing_bytes_left -= framing_bytes
-        if self._framing_bytes_left < 0:
+        if (
+            head_was_complete
+            and not self._done
+            and not self._framing.allows(
+                len(data) - self._body_bytes, chunks=self._chunk_count
+            )
+        ):
             self._error = (
                 f"over {self._max_head_bytes} bytes of chunk headers or"
                 " trailers"
@@ -197,9 +192,9 @@
 def encode_request(
     method: str, target: str, headers: Headers, body: bytes
 ) -> bytes:
-    """Returns the bytes of a request.
+    """Returns the bytes of a request, or its begin with that of its body.
 
-    The headers must state the length of the body.
+    The headers must state the length of the whole body.
 
     Raises:
         ValueError: A part would end its line, and begin another header.
--- a/cactusdyke/transport/front.py
+++ b/cactusdyke/transport/front.py
@@ -12,8 +12,14 @@
 
 from cactusdyke import events
 from cactusdyke.transport import sockets
+from cactusdyke.transport.connection_limit import ConnectionLimit
 from cactusdyke.transport.front_connection import FrontConnection, FrontState
+from cactusdyke.transport.listener_shares import (
+    MOST_CONNECTIONS,
+    RECEIVE_BUFFER_BYTES,
+)
 from cactusdyke.transport.memory_budget import MemoryBudget
+from cactusdyke.transport.request_reader import READ_BYTES
 from cactusdyke.transport.slow_readers import SlowReaders
 from cactusdyke.transport.tcp_stream import TcpListener, TcpStream
 
@@ -42,6 +48,7 @@
         clock: Clock,
         limits: Callable[[], Limits],
         budget: MemoryBudget | None = None,
+        connections: ConnectionLimit | None = None,
     ) -> None:
         self._host = host
         self._port = port
@@ -54,6 +61,9 @@
         self._budget = budget or MemoryBudget(
             clock=clock, memory_mb=lambda: None
         )
+        self._limit = connections or ConnectionLimit(
+            door="front", most=lambda: MOST_CONNECTIONS, clock=clock
+        )
         self._readers = SlowReaders(clock=clock, budget=self._budget)
 
     @property
@@ -68,7 +78,10 @@
     async def serve(self) -> None:
         """Serves until it is cancelled."""
         listener = self._listener = TcpListener(
-            host=self._host, port=self._port
+            host=self._host,
+            port=self._port,
+            read_bytes=READ_BYTES,
+            receive_buffer_bytes=RECEIVE_BUFFER_BYTES,
         )
         async with anyio.create_task_group() as connections, listener:
             await self._accept(listener, connections)
@@ -130,7 +143,11 @@
             state=self._state,
             budget=self._budget,
             readers=self._readers,
+            connections=self._limit,
         )
+        if not self._limit.admit(connection):
+            stream.abort()
+            return
         self._connections.add(connection)
         try:
             sockets.guard_reader_against_silence(stream)
@@ -146,4 +163,5 @@
             )
         finally:
             self._connections.discard(connection)
+            self._limit.remove(connection)
             stream.abort()
--- a/cactusdyke/transport/front_connection.py
+++ b/cactusdyke/transport/front_connection.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import anyio
 import attrs
@@ -11,37 +11,41 @@
 from cactusdyke import events
 from cactusdyke.errors import Failure, FailureKind, Ran
 from cactusdyke.transport import sockets
+from cactusdyke.transport.connection_limit import LimitedConnection
 from cactusdyke.transport.front_interface import (
     BrokenOffError,
     Headers,
     ReadRequest,
     Reply,
 )
-from cactusdyke.transport.memory_budget import MEGABYTE, Kind, NoMemoryError
+from cactusdyke.transport.memory_budget import (
+    MEGABYTE,
+    PACE_WINDOW_MS,
+    Kind,
+)
+from cactusdyke.transport.request_reader import RefusedError, RequestReader
+from cactusdyke.transport.uploads import STALL_MS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from cactusdyke.clock import Clock
+    from cactusdyke.transport.connection_limit import ConnectionLimit
     from cactusdyke.transport.front_interface import FrontHandler, Limits
-    from cactusdyke.transport.memory_budget import Held, MemoryBudget
+    from cactusdyke.transport.memory_budget import MemoryBudget
     from cactusdyke.transport.slow_readers import PendingReader, SlowReaders
     from cactusdyke.transport.tcp_stream import TcpStream
 
-READ_BYTES = 65_536
-HEADERS_TOO_LARGE_STATUS = 431
-"""What h11 suggests as the answer to headers beyond the limit."""
-BODY_PROGRESS_MS = 5_000.0
-"""A body that brings no byte for so long is refused."""
+CONNECTION_BYTES = 16_384
+"""An idle connection was measured at 10 kB."""
 MOST_AHEAD_BYTES = MEGABYTE
 """Of a stream; parts that come with so much unsent wait for the caller."""
 AHEAD_CHECK_INTERVAL_MS = 100.0
 """The socket reports only that it has taken everything."""
+DISCARDED_BODIES = 4
+"""How much of a refused request is read before closing, in largest bodies."""
 LINGER_MS = 1_000.0
 """How long the rest of a refused request is read before closing."""
-MOST_PIPELINED_BYTES = 65_536
-LAST_LOOK_MS = 20.0
-"""How long an idle connection is still read as it is about to be closed."""
 
 
 _UNANSWERED = {h11.SEND_RESPONSE, h11.SEND_BODY}
@@ -62,15 +66,7 @@
     refusing: bool = False
 
 
-class _RefusedError(Exception):
-    """What was sent can't be read as a request."""
-
-    def __init__(self, kind: FailureKind, detail: str) -> None:
-        super().__init__(detail)
-        self.failure = Failure(kind=kind, detail=detail)
-
-
-class FrontConnection:
+class FrontConnection(LimitedConnection):
     """One caller's connection."""
 
     def __init__(
@@ -83,6 +79,7 @@
         state: FrontState,
         budget: MemoryBudget,
         readers: SlowReaders,
+        connections: ConnectionLimit,
     ) -> None:
         self._stream = stream
         self._handler = handler
@@ -94,17 +91,20 @@
         self._readers = readers
         self._pending: PendingReader | None = None
         self._patience_set = False
-        self._head_only = False
-        self._h11 = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=self._limits.max_header_bytes,
+        self._connections = connections
+        self._reader = RequestReader(
+            stream=stream,
+            handler=handler,
+            clock=clock,
+            budget=budget,
+            limits=self._limits,
+            on_begun=lambda: connections.wait_for_caller(self),
         )
-        self._ahead = b""
-        self._body: Held | None = None
-        self._idle = True
+        self._h11 = self._reader.protocol
+        self._making_way = False
+        self._flushing = False
         self._answering = False
         self._writing = False
-        self._reading = anyio.CancelScope()
 
     @property
     def answering(self) -> bool:
@@ -114,7 +114,7 @@
     @property
     def idle(self) -> bool:
         """Whether no byte has come of a request that is not answered."""
-        return self._idle
+        return self._reader.idle
 
     @property
     def asks_to_leave(self) -> bool:
@@ -122,20 +122,39 @@
 
         Requests that were read behind the one that is answered are served too.
         """
-        return self._state.closing and not self._read_ahead
-
-    @property
-    def _read_ahead(self) -> bool:
-        return bool(self._ahead or self._h11.trailing_data[0])
+        reader = self._reader
+        leaving = self._state.closing or self._making_way
+        return reader.cut or (leaving and not reader.read_ahead)
 
     def close_if_idle(self) -> None:
         """Ends the connection where it waits for a request."""
-        if self._idle:
-            self._reading.cancel()
+        if self.idle:
+            self._reader.stop_reading()
 
     def refuse_unread(self) -> None:
         """Refuses the request that is being read, if there is one."""
-        self._reading.cancel()
+        self._reader.stop_reading()
+
+    @property
+    def grace_ms(self) -> float:
+        """How long the caller may take before it makes way for another."""
+        if self._flushing:
+            return PACE_WINDOW_MS
+        return 0.0 if self.idle else STALL_MS
+
+    def make_way(self) -> None:
+        """Ends the connection if it is idle; refuses its request if not.
+
+        Where its caller has yet to read an answer it is reset.
+        """
+        if self._flushing:
+            sockets.reset_on_close(self._stream)
+            self._stream.abort()
+        elif self.idle:
+            self._making_way = True
+            self._reader.stop_reading()
+        else:
+            self._reader.make_way("there are too many connections")
 
     async def abort(self) -> None:
         """Ends the connection; a write that waits for its caller fails.
@@ -149,8 +168,12 @@
     async def run(self) -> None:
         """Answers requests until the connection ends."""
         try:
-            await self._answer_all()
+            with self._budget.hold(Kind.CONNECTIONS) as held:
+                held.set(CONNECTION_BYTES)
+                await self._answer_all()
         finally:
+            self._reader.release()
+            self._stream.call_when_drained(None)
             self._forget_pending()
 
     async def _answer_all(self) -> None:
@@ -158,7 +181,7 @@
             self._limits = self._current_limits()
             try:
                 kept = await self._answer_next()
-            except _RefusedError as refused:
+            except RefusedError as refused:
                 await self._refuse(refused)
                 return
             if kept is None:
@@ -174,10 +197,17 @@
         Returns:
             Whether the connection goes on, None where it has ended.
         """
-        with self._budget.hold(Kind.BODIES) as self._body:
-            request = await self._next_request()
+        self._connections.wait_for_caller(self)
+        with self._budget.hold(Kind.BODIES) as held:
+            try:
+                request = await self._reader.next_request(
+                    self._limits, may_wait=self._may_wait
+                )
+            finally:
+                self._connections.stop_waiting(self)
             if request is None:
                 return None
+            held.set(len(request.body))
             if self._patience_set:
                 # It has read the answer that was pending.
                 sockets.set_reader_patience(self._stream, unlimited=False)
@@ -187,12 +217,17 @@
                 kept = await self._answer(request)
                 # While a slow caller reads its answer, the request is not held.
                 del request
-                self._body.release()
+                held.release()
                 if self._h11.our_state not in _UNANSWERED:
                     await self._flush()
             finally:
                 self._answering = False
-        return kept
+        return kept and not self._reader.cut
+
+    def _may_wait(self) -> bool:
+        """Returns whether the connection is read on."""
+        ends = self._state.ending or self._making_way
+        return not (self._state.refusing or (ends and self.idle))
 
     async def _flush(self) -> None:
         """Returns once the socket has taken all that was written.
@@ -201,167 +236,22 @@
             anyio.BrokenResourceError, anyio.ClosedResourceError: The caller is
                 gone, or was disconnected.
         """
-        if self._pending is not None:
-            await self._stream.drain()
-
-    async def _next_request(self) -> ReadRequest | None:
-        """Returns a request, or None where the connection has ended."""
-        self._idle = not self._read_ahead
-        while True:
-            self._reading = self._reading_scope()
-            with self._reading:
-                return await self._read_request()
-            if not self._idle:
-                raise _RefusedError(
-                    FailureKind.STOPPING,
-                    "this daemon ends before the request was read",
-                )
-            self._ahead = await self._read_once_more()
-            if not self._ahead:
-                return None
-            self._idle = False
-
-    def _reading_scope(self) -> anyio.CancelScope:
-        scope = anyio.CancelScope()
-        if self._state.refusing or (self._state.ending and self._idle):
-            scope.cancel()
-        return scope
-
-    async def _read_once_more(self) -> bytes:
-        """Returns what has come while the connection was being closed."""
-        data = b""
-        with self._clock.timeout(LAST_LOOK_MS):
-            data = await self._receive()
-        return data
-
-    async def _read_request(self) -> ReadRequest | None:
-        head = await self._read_head()
-        if head is None:
-            return None
-        arrived_at = self._clock.now()
-        self._head_only = head.method == b"HEAD"
-        self._check_length(head)
-        body = await self._read_body()
-        return ReadRequest(
-            method=head.method.decode("latin-1"),
-            target=head.target.decode("latin-1"),
-            headers=list(head.headers),
-            body=body,
-            arrived_at=arrived_at,
-        )
-
-    async def _read_head(self) -> h11.Request | None:
-        """Returns a head, or None where the connection ended between two."""
-        begun = bool(self._h11.trailing_data[0])
-        timeout_ms = self._limits.idle_timeout_ms
-        until = self._clock.now() + (
-            self._limits.header_timeout_ms if begun else timeout_ms
-        )
-        while True:
-            event = self._next_event()
-            if isinstance(event, h11.Request):
-                return event
-            if isinstance(event, h11.ConnectionClosed):
-                return None
-            data: bytes | None = None
-            with self._clock.timeout(until - self._clock.now()):
-                data = await self._receive()
-            if data is None:
-                if not begun:
-                    return None
-                raise _RefusedError(
-                    FailureKind.TIMED_OUT, "the request's head came too slowly"
-                )
-            if data and not begun:
-                begun = True
-                self._idle = False
-                until = self._clock.now() + self._limits.header_timeout_ms
-            if not data and not begun:
-                return None
-            self._h11.receive_data(data)
-
-    def _check_length(self, head: h11.Request) -> None:
-        names = [name for name, _ in head.headers]
-        if b"transfer-encoding" in names and b"content-length" in names:
-            # Whoever reads the other length sees another request in the
-            # body: a smuggled one.
-            raise _RefusedError(
-                FailureKind.BAD_REQUEST, "two lengths for one body"
-            )
-        if names.count(b"host") != 1:
-            raise _RefusedError(
-                FailureKind.BAD_REQUEST, "exactly one Host header is needed"
-            )
-        for name, value in head.headers:
-            if name != b"content-length":
-                continue
-            if int(value) > self._limits.max_body_bytes:
-                raise _RefusedError(
-                    FailureKind.TOO_LARGE, "the body is too large"
-                )
-
-    async def _read_body(self) -> bytes:
-        body = bytearray()
-        while True:
-            event = self._next_event()
-            if isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > self._limits.max_body_bytes:
-                    raise _RefusedError(
-                        FailureKind.TOO_LARGE, "the body is too large"
-                    )
-                await self._hold(len(event.data))
-                continue
-            if isinstance(event, h11.EndOfMessage):
-                return bytes(body)
-            if self._h11.they_are_waiting_for_100_continue:
-                await self._send(
-                    h11.InformationalResponse(status_code=100, headers=[])
-                )
-            data: bytes | None = None
-            with self._clock.timeout(BODY_PROGRESS_MS):
-                data = await self._receive()
-            if data is None:
-                raise _RefusedError(
-                    FailureKind.TIMED_OUT, "the request's body came too slowly"
-                )
-            self._h11.receive_data(data)
-
-    async def _hold(self, size: int) -> None:
-        assert self._body is not None
-        try:
-            await self._body.add(size)
-        except NoMemoryError as error:
-            self._budget.record_refusal()
-            raise _RefusedError(
-                FailureKind.OVERLOADED, "no memory for the body became free"
-            ) from error
-
-    def _next_event(self) -> Any:
-        try:
-            return self._h11.next_event()
-        except h11.RemoteProtocolError as error:
-            too_large = error.error_status_hint == HEADERS_TOO_LARGE_STATUS
-            kind = (
-                FailureKind.HEADERS_TOO_LARGE
-                if too_large
-                else FailureKind.BAD_REQUEST
-            )
-            raise _RefusedError(kind, str(error)) from error
-
-    async def _receive(self) -> bytes:
-        if self._ahead:
-            data, self._ahead = self._ahead, b""
-            return data
+        if self._pending is None:
+            return
+        self._flushing = True
+        self._connections.wait_for_caller(self)
         try:
-            return await self._stream.receive(READ_BYTES)
-        except anyio.EndOfStream:
-            return b""
+            await self._stream.drain()
+        finally:
+            self._flushing = False
+            self._connections.stop_waiting(self)
 
     async def _answer(self, request: ReadRequest) -> bool:
         """Answers a request; returns whether the connection goes on."""
         reply = _Reply(
-            connection=self, protocol=self._h11, head_only=self._head_only
+            connection=self,
+            protocol=self._h11,
+            head_only=self._reader.head_only,
         )
         try:
             async with anyio.create_task_group() as tasks:
@@ -393,23 +283,15 @@
 
     async def _watch_caller(self, scope: anyio.CancelScope) -> None:
         """Cancels the answer as soon as its caller has left without it."""
-        while len(self._ahead) < MOST_PIPELINED_BYTES:
-            try:
-                data = await self._stream.receive(READ_BYTES)
-            except (
-                anyio.EndOfStream,
-                anyio.BrokenResourceError,
-                anyio.ClosedResourceError,
-            ):
-                if self._h11.our_state in _UNANSWERED:
-                    scope.cancel()
-                return
-            self._ahead += data
-
-    async def _send(self, event: Any) -> None:
-        data = self._h11.send(event)
-        if data:
-            await self.write(data)
+        try:
+            await self._reader.watch()
+        except (
+            anyio.EndOfStream,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ):
+            if self._h11.our_state in _UNANSWERED:
+                scope.cancel()
 
     async def write(self, data: bytes, reply: Reply | None = None) -> None:
         """Hands bytes to the socket; what it does not take yet is held.
@@ -460,7 +342,7 @@
                 await self._stream.drain()
         self._writing = False
 
-    async def _refuse(self, refused: _RefusedError) -> None:
+    async def _refuse(self, refused: RefusedError) -> None:
         if self._h11.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
         status, headers, body = self._handler.refusal(refused.failure)
@@ -472,7 +354,7 @@
                 (b"connection", b"close"),
             ],
         )
-        data = h11.Data(data=b"" if self._head_only else body)
+        data = h11.Data(data=b"" if self._reader.head_only else body)
         answer = (head, data, h11.EndOfMessage())
         await self.write(b"".join(self._h11.send(e) or b"" for e in answer))
         await self._finish()
@@ -488,8 +370,9 @@
         await self._flush()
         with self._clock.timeout(LINGER_MS):
             await self._stream.send_eof()
-            while await self._receive():
-                pass
+            await self._reader.discard(
+                DISCARDED_BODIES * self._limits.max_body_bytes
+            )
 
 
 class _Reply(Reply):
--- a/cactusdyke/transport/front_interface.py
+++ b/cactusdyke/transport/front_interface.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import abc
+import math
 from typing import TYPE_CHECKING
 
 import attrs
+from result import Ok, Result
 
 from cactusdyke.clock import Instant
 
@@ -80,6 +82,15 @@
             BrokenOffError: The answer had begun and can't be finished.
         """
 
+    def screen(self, request: ReadRequest) -> Result[Instant, Failure]:
+        """Looks at a request of which only the head has come.
+
+        Returns:
+            When its body must have come whole, or why it is refused at once.
+        """
+        del request
+        return Ok(math.inf)
+
     @abc.abstractmethod
     def refusal(self, failure: Failure) -> tuple[int, Headers, bytes]:
         """Returns status, headers and body that refuse what was not read."""
--- a/cactusdyke/transport/memory_budget.py
+++ b/cactusdyke/transport/memory_budget.py
@@ -13,10 +13,11 @@
 from typing import TYPE_CHECKING
 
 import anyio
-import attrs
 
 from cactusdyke import events
 from cactusdyke.clock import MS_PER_SECOND, Instant
+from cactusdyke.transport.log_limit import LogLimit
+from cactusdyke.transport.uploads import Uploads
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
@@ -32,16 +33,19 @@
 MIN_BUDGET_BYTES = 4 * MEGABYTE
 WAIT_MARK = 0.6
 DISCONNECT_MARK = 0.9
+RELIEVED_MARK = 0.8
+"""Requests that are not whole give way until no more than this is held."""
 DEFAULT_WAIT_BYTES = 64 * MEGABYTE
 """Bodies wait above this where the host's memory is not in the settings."""
 LARGE_BYTES = 65_536
 MOST_WAIT_MS = 2_000.0
 """Bodies that are read in part hold memory too, and may wait for each other."""
+STALL_CHECK_MS = 250.0
+"""How often a body that waits for memory looks for requests that stall."""
 MIN_PACE_BYTES_PER_S = 512
 PACE_WINDOW_MS = 10_000.0
 YOUNG_MS = 1_000.0
 """A reader's pace is not known before it has been observed for so long."""
-LOG_INTERVAL_MS = 1_000.0
 
 
 class NoMemoryError(Exception):
@@ -51,6 +55,8 @@
 class Kind(enum.Enum):
     """What bytes are held for; the values are labels of metrics."""
 
+    CONNECTIONS = "connections"
+    RECEIVED = "received"
     BODIES = "bodies"
     ANSWERS = "answers"
     UNSENT = "unsent"
@@ -58,16 +64,31 @@
     TUNNELS = "tunnels"
 
 
-def budget_bytes(memory_mb: float | None) -> int:
-    """Returns the budget of a host.
+def left_bytes(
+    memory_mb: float | None, process_bytes: int = PROCESS_BYTES
+) -> int:
+    """Returns what a host's memory leaves beside the process.
 
     Args:
         memory_mb: The host's memory, None if the settings do not tell it.
+        process_bytes: What the process has beyond what is held.
     """
     if memory_mb is None:
-        return round(DEFAULT_WAIT_BYTES / WAIT_MARK)
-    left = memory_mb * MEGABYTE - PROCESS_BYTES
-    return max(MIN_BUDGET_BYTES, round(HELD_SHARE * left))
+        return round(DEFAULT_WAIT_BYTES / WAIT_MARK / HELD_SHARE)
+    least = round(MIN_BUDGET_BYTES / HELD_SHARE)
+    return max(least, round(memory_mb * MEGABYTE - process_bytes))
+
+
+def budget_bytes(
+    memory_mb: float | None, process_bytes: int = PROCESS_BYTES
+) -> int:
+    """Returns the budget of a host.
+
+    Args:
+        memory_mb: The host's memory, None if the settings do not tell it.
+        process_bytes: What the process has beyond what is held.
+    """
+    return round(HELD_SHARE * left_bytes(memory_mb, process_bytes))
 
 
 class Held:
@@ -204,21 +225,6 @@
     )
 
 
-@attrs.define(kw_only=True)
-class _LogLimit:
-    """Logs an event at most once in `LOG_INTERVAL_MS`, with a count."""
-
-    event: events.Event
-    logged_at: Instant = -LOG_INTERVAL_MS
-    count: int = 0
-
-    def record(self, now: Instant, **fields: object) -> None:
-        self.count += 1
-        if now - self.logged_at >= LOG_INTERVAL_MS:
-            events.log(self.event, count=self.count, **fields)
-            self.logged_at, self.count = now, 0
-
-
 class MemoryBudget:
     """Counts what is held, and decides who waits and who is disconnected."""
 
@@ -227,19 +233,24 @@
     ) -> None:
         self._clock = clock
         self._memory_mb = memory_mb
+        self._process_bytes = PROCESS_BYTES
         self._held = 0
         self._by_kind = dict.fromkeys(Kind, 0)
         self._given_back: anyio.Event | None = None
         self._readers: dict[Reader, None] = {}
-        self._refused = _LogLimit(event=events.Event.BODY_REFUSED)
-        self._disconnected = _LogLimit(event=events.Event.READER_DISCONNECTED)
+        self._uploads = Uploads(clock=clock)
+        self._refused = LogLimit(event=events.Event.BODY_REFUSED)
+        self._evicted = LogLimit(event=events.Event.REQUEST_EVICTED)
+        self._disconnected = LogLimit(event=events.Event.READER_DISCONNECTED)
+        self._uploads.on_evicted = self._record_eviction
+        self.on_evicted: Callable[[], None] = lambda: None
         self.on_refused: Callable[[], None] = lambda: None
         self.on_disconnected: Callable[[str], None] = lambda _: None
 
     @property
     def size(self) -> int:
-        """The budget in bytes; follows the settings."""
-        return budget_bytes(self._memory_mb())
+        """The budget in bytes; follows the settings and the process's size."""
+        return budget_bytes(self._memory_mb(), self._process_bytes)
 
     @property
     def held_bytes(self) -> int:
@@ -251,6 +262,11 @@
         """Whether more is held than the budget allows."""
         return self._held > self.size
 
+    @property
+    def uploads(self) -> Uploads:
+        """The requests that are being received and hold memory."""
+        return self._uploads
+
     @property
     def readers(self) -> tuple[Reader, ...]:
         """The readers for which bytes are pending."""
@@ -279,13 +295,25 @@
         Raises:
             NoMemoryError: There was no room within `MOST_WAIT_MS`.
         """
-        if self._has_room(size, mark):
-            return
-        with self._clock.timeout(MOST_WAIT_MS):
-            while not self._has_room(size, mark):
-                await self._wait_given_back()
-            return
-        raise NoMemoryError
+        until = self._clock.now() + MOST_WAIT_MS
+        while not self._has_room(size, mark):
+            left_ms = until - self._clock.now()
+            if left_ms <= 0:
+                raise NoMemoryError
+            self._uploads.evict_stalled(
+                while_needed=lambda: not self._has_room(size, mark)
+            )
+            if not self._has_room(size, mark):
+                with self._clock.timeout(min(left_ms, STALL_CHECK_MS)):
+                    await self._wait_given_back()
+
+    def set_uncounted(self, size: int) -> None:
+        """Notes how much memory the process has that is not counted here.
+
+        What it has beyond `PROCESS_BYTES` is missing to the budget.
+        """
+        self._process_bytes = max(PROCESS_BYTES, size)
+        self.relieve()
 
     def record_refusal(self) -> None:
         """Records that a body was refused as no memory became free."""
@@ -294,6 +322,12 @@
             self._clock.now(), held=self._held, budget=self.size
         )
 
+    def _record_eviction(self, size: int) -> None:
+        self.on_evicted()
+        self._evicted.record(
+            self._clock.now(), bytes=size, held=self._held, budget=self.size
+        )
+
     async def _wait_given_back(self) -> None:
         if self._given_back is None:
             self._given_back = anyio.Event()
@@ -303,11 +337,11 @@
         return not self._held or self._held + size <= mark * self.size
 
     def change(self, kind: Kind, size: int) -> None:
-        """Counts more or fewer bytes; disconnects readers if too many."""
+        """Counts more or fewer bytes; makes room if there are too many."""
         self._held += size
         self._by_kind[kind] += size
         if size > 0:
-            if self._readers:
+            if self._readers or self._uploads:
                 self.relieve()
         elif self._given_back is not None:
             self._given_back.set()
@@ -330,8 +364,18 @@
                 self._disconnect(reader, "slow")
 
     def relieve(self) -> None:
-        """Disconnects readers until less than the upper mark is held."""
-        mark = DISCONNECT_MARK * self.size
+        """Makes room if more than the upper mark is held.
+
+        Requests that are not whole give way first: they have not run. Readers
+        follow.
+        """
+        budget = self.size
+        mark = DISCONNECT_MARK * budget
+        if self._held <= mark:
+            return
+        self._uploads.evict(
+            while_needed=lambda: self._held > RELIEVED_MARK * budget
+        )
         while self._held > mark:
             reader = choose_victim(self._readers)
             if reader is None:
--- a/cactusdyke/transport/tcp_stream.py
+++ b/cactusdyke/transport/tcp_stream.py
@@ -26,14 +26,15 @@
 
 BACKLOG = 1_024
 READ_BYTES = 65_536
-MOST_UNREAD_BYTES = 65_536
-"""With more than this unread, nothing more is read from the socket."""
+"""Of one read. With more than this unread, nothing more is read from the
+socket."""
 
 
 class _Protocol(asyncio.Protocol):
     """Keeps what has come until it is received."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, read_bytes: int = READ_BYTES) -> None:
+        self._read_bytes = read_bytes
         self._transport: asyncio.Transport | None = None
         self._chunks: collections.deque[bytes] = collections.deque()
         self._unread = 0
@@ -44,6 +45,7 @@
         self._readable: asyncio.Future[None] | None = None
         self._writable: asyncio.Future[None] | None = None
         self.on_drained: Callable[[], None] | None = None
+        self.on_received: Callable[[], None] | None = None
 
     @property
     def at_end(self) -> bool:
@@ -74,16 +76,18 @@
         """Begins to read; each write counts as waiting until it is sent."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        transport.max_size = READ_BYTES  # type: ignore[attr-defined]
+        transport.max_size = self._read_bytes  # type: ignore[attr-defined]
         transport.set_write_buffer_limits(0)
 
     def data_received(self, data: bytes) -> None:
         """Keeps what has come."""
         self._chunks.append(data)
         self._unread += len(data)
-        if self._unread > MOST_UNREAD_BYTES and self._transport is not None:
+        if self._unread > self._read_bytes and self._transport is not None:
             self._paused = True
             self._transport.pause_reading()
+        if self.on_received is not None:
+            self.on_received()
         _wake(self._readable)
 
     def eof_received(self) -> bool:
@@ -119,11 +123,20 @@
             self._chunks.appendleft(data[most:])
             data = data[:most]
         self._unread -= len(data)
-        if self._paused and self._unread <= MOST_UNREAD_BYTES:
+        self._read_on()
+        return data
+
+    def drop_unread(self) -> None:
+        """Forgets what has come and was not received."""
+        self._chunks.clear()
+        self._unread = 0
+        self._read_on()
+
+    def _read_on(self) -> None:
+        if self._paused and self._unread <= self._read_bytes:
             self._paused = False
             if self._transport is not None and not self._lost:
                 self._transport.resume_reading()
-        return data
 
     async def wait_readable(self) -> None:
         """Returns once something has come, or the connection has ended."""
@@ -172,18 +185,31 @@
         """Whether the connection has ended, or was closed here."""
         return self._closed or self._protocol.lost
 
+    @property
+    def unread(self) -> int:
+        """How many bytes were read from the socket and not received."""
+        return self._protocol.unread
+
     @property
     def unsent(self) -> int:
         """How many written bytes the socket has not taken."""
         return self._transport.get_write_buffer_size()
 
-    def call_when_drained(self, callback: Callable[[], None]) -> None:
+    def call_when_drained(self, callback: Callable[[], None] | None) -> None:
         """Sets what is called each time the socket has taken all bytes.
 
         It is called only after a write that the socket took in part.
         """
         self._protocol.on_drained = callback
 
+    def call_when_received(self, callback: Callable[[], None] | None) -> None:
+        """Sets what is called each time bytes were read from the socket."""
+        self._protocol.on_received = callback
+
+    def drop_unread(self) -> None:
+        """Forgets the bytes that were read and not received."""
+        self._protocol.drop_unread()
+
     async def receive(self, max_bytes: int = READ_BYTES) -> bytes:
         """Returns the next bytes.
 
@@ -198,13 +224,14 @@
             return data
         if self._receiving:
             raise anyio.BusyResourceError("reading from")
-        if not self._closed and not self._protocol.at_end:
+        # What woke it up may have been dropped.
+        while not (data or self._closed or self._protocol.at_end):
             self._receiving = True
             try:
                 await self._protocol.wait_readable()
             finally:
                 self._receiving = False
-        data = self._protocol.take(max_bytes)
+            data = self._protocol.take(max_bytes)
         if data:
             return data
         if self._closed:
@@ -275,10 +302,29 @@
 
 
 class TcpListener(anyio.abc.SocketListener):
-    """Accepts TCP connections on one address."""
+    """Accepts TCP connections on one address.
+
+    Args:
+        host: The address to listen on.
+        port: The port to listen on.
+        read_bytes: How much is read from a connection at a time; twice as much
+            is kept unread at most.
+        receive_buffer_bytes: What the kernel keeps of each, None for its own
+            choice.
+    """
 
-    def __init__(self, *, host: str, port: int) -> None:
-        self._socket = listen(host, port)
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        read_bytes: int = READ_BYTES,
+        receive_buffer_bytes: int | None = None,
+    ) -> None:
+        self._socket = listen(
+            host, port, receive_buffer_bytes=receive_buffer_bytes
+        )
+        self._read_bytes = read_bytes
         self._socket.setblocking(False)
         self._closed = False
 
@@ -302,7 +348,7 @@
             accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             loop = asyncio.get_running_loop()
             transport, protocol = await loop.connect_accepted_socket(
-                _Protocol, accepted
+                lambda: _Protocol(read_bytes=self._read_bytes), accepted
             )
             return TcpStream(transport, protocol)
         raise anyio.ClosedResourceError
@@ -342,9 +388,17 @@
     return await loop.create_connection(factory, parsed.host, parsed.port)
 
 
-def listen(host: str, port: int) -> socket.socket:
+def listen(
+    host: str, port: int, *, receive_buffer_bytes: int | None = None
+) -> socket.socket:
     """Returns a listening TCP socket.
 
+    Args:
+        host: The address to listen on.
+        port: The port to listen on.
+        receive_buffer_bytes: What the kernel keeps of each connection that is
+            not read; by itself it lets the buffer grow to megabytes.
+
     Raises:
         OSError: The address can't be bound.
     """
@@ -354,6 +408,12 @@
     # of the first, which shows as 40 ms on every request.
     listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if receive_buffer_bytes is not None:
+        # Set before a connection is made, whose window follows from it. Linux
+        # doubles the value.
+        listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes // 2
+        )
     listener.bind((host, port))
     listener.listen(BACKLOG)
     return listener
--- a/features/steps/platform_stops_steps.py
+++ b/features/steps/platform_stops_steps.py
@@ -307,6 +307,8 @@
         replica = await world.add_replica("p1")
         replica.work_ms = 1_000.0
         world.configure([route("look", "plain")])
+        # More than the kernel grants, or the daemon would keep below the limit.
+        world.host_limits = {"max_fds": 4_100}
         process = await world.start_process("d1", most_descriptors=64)
         settings = world.settings["d1"]
         async with contextlib.AsyncExitStack() as callers:
