Bound what the small listeners keep of requests, and their connections

Clients of the addresses for the address list, readiness and metrics, and of the port between daemons, took a process to 2 to 4 GB with 250 connections: each of these listeners took bodies of 16 MB for paths that need none, the parser kept a header line without end, and a queue of 16 requests. Nobody counted any of it, and connections were not limited.

A head is counted as its bytes come, 64 KB at most. Small listeners take no body; a length over the limit is refused with the head. Bytes around chunks are bounded. What is held of requests that are not being answered is counted, and evicted like that of callers; behind a request that waits for its turn nothing is read. Each listener has its share of descriptors and memory. A request that comes while another one is answered has the time-out of a request afterwards.

--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -51,13 +51,14 @@
 from cactusdyke.transport.front_interface import Limits
 from cactusdyke.transport.http_network import HttpNetwork
 from cactusdyke.transport.listener_shares import (
+    SHARES,
     Listener,
     most_connections,
 )
 from cactusdyke.transport.memory_budget import MemoryBudget
 from cactusdyke.transport.messages import Request, Response, json_response
 from cactusdyke.transport.routes import Routes
-from cactusdyke.transport.tunnel import SocketTunnels, TunnelGate
+from cactusdyke.transport.tunnel import SocketTunnels
 
 if TYPE_CHECKING:
     from cactusdyke.clock import Clock
@@ -173,6 +174,7 @@
         memory = MemoryBudget(
             clock=clock, memory_mb=lambda: self._settings.memory_mb
         )
+        self._memory = memory
         self._memory_metrics = MemoryMetrics(self._registry)
         self._memory_metrics.watch(memory)
         self._core = ServingCore(
@@ -240,9 +242,8 @@
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as signals:
             async with self._kernel, anyio.create_task_group() as tasks:
-                for endpoint, routes in self._interfaces():
-                    gate = self._tunnel_gate_at(endpoint)
-                    server = self._server(endpoint, routes, gate)
+                for listener, endpoint, routes in self._interfaces():
+                    server = self._server(listener, endpoint, routes)
                     tasks.start_soon(server.serve)
                 metrics = self._metrics_server()
                 if metrics is not None:
@@ -283,7 +284,7 @@
         self._memory_metrics.watch_connections(limit)
         return limit
 
-    def _interfaces(self) -> list[tuple[Endpoint, Routes]]:
+    def _interfaces(self) -> list[tuple[Listener, Endpoint, Routes]]:
         addresses = Addresses(view=self._view, ready=lambda: self.ready)
         peers = Routes()
         for method, path, handler in self._peer_routes():
@@ -294,9 +295,9 @@
         ready = Routes()
         ready.add("GET", READY_PATH, addresses.ready)
         return [
-            (self._settings.peer, peers),
-            (self._settings.directory, directory),
-            (self._settings.ready, ready),
+            (Listener.DAEMONS, self._settings.peer, peers),
+            (Listener.DIRECTORY, self._settings.directory, directory),
+            (Listener.READINESS, self._settings.ready, ready),
         ]
 
     def _metrics_server(self) -> DirectServer | None:
@@ -311,6 +312,7 @@
         routes.add("GET", METRICS_PATH, self._metrics)
         try:
             return self._server(
+                Listener.METRICS,
                 Endpoint(
                     host=self._settings.front.host, port=self._metrics_port
                 ),
@@ -324,23 +326,20 @@
             )
             return None
 
-    def _tunnel_gate_at(self, endpoint: Endpoint) -> TunnelGate | None:
-        """Returns what admits tunnels, which only other daemons ask for."""
-        is_internal = endpoint == self._settings.peer
-        return self._core.tunnel_gate if is_internal else None
-
     def _server(
-        self,
-        endpoint: Endpoint,
-        routes: Routes,
-        tunnels: TunnelGate | None = None,
+        self, listener: Listener, endpoint: Endpoint, routes: Routes
     ) -> DirectServer:
+        is_internal = listener is Listener.DAEMONS
         return DirectServer(
             host=endpoint.host,
             port=endpoint.port,
             handler=routes.handle,
-            max_body_bytes=MOST_STATE_BYTES,
-            tunnels=tunnels,
+            max_body_bytes=MOST_STATE_BYTES if is_internal else 0,
+            clock=self._clock,
+            budget=self._memory,
+            connections=self._connection_limit(listener),
+            receive_buffer_bytes=SHARES[listener].buffer_bytes,
+            tunnels=self._core.tunnel_gate if is_internal else None,
         )
 
     def _peer_routes(self) -> list[tuple[str, str, Handler]]:
--- a/cactusdyke/transport/direct_server.py
+++ b/cactusdyke/transport/direct_server.py
@@ -15,7 +15,18 @@
 import anyio
 import httptools
 
+from cactusdyke.clock import Clock, Instant, SystemClock
 from cactusdyke.errors import Failure, FailureKind
+from cactusdyke.transport.connection_limit import (
+    ConnectionLimit,
+    LimitedConnection,
+)
+from cactusdyke.transport.framing_limit import FramingLimit
+from cactusdyke.transport.listener_shares import (
+    MOST_CONNECTIONS,
+    RECEIVE_BUFFER_BYTES,
+)
+from cactusdyke.transport.memory_budget import Held, Kind, MemoryBudget
 from cactusdyke.transport.messages import (
     Handler,
     Request,
@@ -26,7 +37,11 @@
 from cactusdyke.transport.tcp_stream import listen
 from cactusdyke.transport.tunnel import TunnelGate, serve_tunnel
 from cactusdyke.transport.tunnel_framing import HEADER_NAME, HEADER_VALUE
+from cactusdyke.transport.uploads import SMALL_BYTES, STALL_MS, Upload
 
+READ_BYTES = 16_384
+CONNECTION_BYTES = 8_192
+"""An idle connection was measured at 4 kB."""
 MAX_HEAD_BYTES = 65_536
 READ_TIMEOUT_S = 10.0
 """Longest time for a whole request, from its first byte."""
@@ -44,6 +59,11 @@
         port: The port to listen on, 0 for any.
         handler: Answers the requests; its answers must not be streams.
         max_body_bytes: Largest body of a request.
+        clock: This daemon's clock.
+        budget: Counts what is held of requests, and evicts those that are not
+            whole.
+        connections: How many connections there may be.
+        receive_buffer_bytes: What the kernel keeps of a connection.
         tunnels: Decides which connections are made for callers that ask for a
             tunnel (CONNECT); None makes none.
 
@@ -58,9 +78,22 @@
         port: int,
         handler: Handler,
         max_body_bytes: int,
+        clock: Clock | None = None,
+        budget: MemoryBudget | None = None,
+        connections: ConnectionLimit | None = None,
+        receive_buffer_bytes: int = RECEIVE_BUFFER_BYTES,
         tunnels: TunnelGate | None = None,
     ) -> None:
-        self._socket = listen(host, port)
+        self._socket = listen(
+            host, port, receive_buffer_bytes=receive_buffer_bytes
+        )
+        self._clock = clock or SystemClock()
+        self._budget = budget or MemoryBudget(
+            clock=self._clock, memory_mb=lambda: None
+        )
+        self._limit = connections or ConnectionLimit(
+            door="internal", most=lambda: MOST_CONNECTIONS, clock=self._clock
+        )
         self._tunnels = tunnels
         self._handler = handler
         self._max_body_bytes = max_body_bytes
@@ -82,6 +115,9 @@
                 answers=answers,
                 max_body_bytes=self._max_body_bytes,
                 connections=self._connections,
+                clock=self._clock,
+                budget=self._budget,
+                limit=self._limit,
                 tunnels=self._tunnels,
             ),
             sock=self._socket,
@@ -98,7 +134,7 @@
                 await asyncio.gather(*answers, return_exceptions=True)
 
 
-class _Connection(asyncio.Protocol):
+class _Connection(asyncio.Protocol, Upload, LimitedConnection):
     """One connection: its requests in order, and an answer to each."""
 
     def __init__(
@@ -108,8 +144,18 @@
         answers: set[asyncio.Task[None]],
         max_body_bytes: int,
         connections: set[_Connection],
+        clock: Clock,
+        budget: MemoryBudget,
+        limit: ConnectionLimit,
         tunnels: TunnelGate | None,
     ) -> None:
+        self._clock = clock
+        self._budget = budget
+        self._limit = limit
+        self._counted = Held(budget, Kind.CONNECTIONS)
+        self._received = Held(budget, Kind.RECEIVED)
+        self._listed = False
+        self._progressed_at = clock.now()
         self._tunnels = tunnels
         self._tunnel_address = ""
         self._handler = handler
@@ -128,8 +174,48 @@
         self._headers: dict[str, str] = {}
         self._head_bytes = 0
         self._body = bytearray()
+        self._body_bytes = 0
+        self._chunks = 0
+        self._framing = FramingLimit(most_bytes=MAX_HEAD_BYTES)
+        self._receiving = False
+        self._head_is_whole = False
+        self._queued_bytes = 0
         self._refused = False
 
+    @property
+    def idle(self) -> bool:
+        """Whether no byte has come of a request that is not answered."""
+        return not (self._receiving or self._answering or self._waiting)
+
+    @property
+    def held_bytes(self) -> int:
+        """How many bytes are held of requests that are not being answered."""
+        return self._received.size
+
+    @property
+    def progressed_at(self) -> Instant:
+        """When bytes came last."""
+        return self._progressed_at
+
+    def evict(self) -> None:
+        """Drops what has come of requests that are not being answered.
+
+        The connection ends, after the answer that is under way if there is one.
+        """
+        self._refuse(FailureKind.OVERLOADED, "no memory for the request")
+
+    @property
+    def grace_ms(self) -> float:
+        """How long the caller may take before it makes way for another."""
+        return 0.0 if self.idle else STALL_MS
+
+    def make_way(self) -> None:
+        """Ends the connection if it is idle; refuses its request if not."""
+        if self.idle:
+            self.abort()
+        else:
+            self._refuse(FailureKind.OVERLOADED, "too many connections")
+
     def abort(self) -> None:
         """Ends the connection at once."""
         if self._transport is not None:
@@ -138,7 +224,12 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begins to wait for a request."""
         assert isinstance(transport, asyncio.Transport)
+        transport.max_size = READ_BYTES  # type: ignore[attr-defined]
         self._transport = transport
+        if not self._limit.admit(self):
+            transport.abort()
+            return
+        self._counted.set(CONNECTION_BYTES)
         self._connections.add(self)
         self._set_timer(READ_TIMEOUT_S)
 
@@ -146,13 +237,38 @@
         """Ends all timers; an answer that is being made goes nowhere."""
         del exc
         self._connections.discard(self)
+        self._end_counting()
         self._set_timer(None)
         self._set_stall_timer(None)
+        # It refers to this connection and keeps what came of a head: both would
+        # stay until the garbage collector finds them.
+        del self._parser
 
     def data_received(self, data: bytes) -> None:
-        """Parses what has come."""
+        """Parses what has come, and counts what is held of it."""
+        if self._refused:
+            return
+        self._progressed_at = self._clock.now()
+        in_body = self._receiving and self._head_is_whole
+        self._body_bytes = 0
+        self._chunks = 0
+        self._parse(data)
         if self._refused:
             return
+        if self._receiving and not self._head_is_whole:
+            self._count_head(len(data))
+        elif in_body and not self._framing.allows(
+            len(data) - self._body_bytes, chunks=self._chunks
+        ):
+            self._refuse(
+                FailureKind.BAD_REQUEST, "too many bytes around a body's chunks"
+            )
+        self._count()
+        if self._waiting and self._transport is not None:
+            # They are read on once those that have come are answered.
+            self._transport.pause_reading()
+
+    def _parse(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -176,8 +292,12 @@
         self._url = b""
         self._headers = {}
         self._head_bytes = 0
+        self._head_is_whole = False
+        self._receiving = True
         self._body = bytearray()
+        self._framing = FramingLimit(most_bytes=MAX_HEAD_BYTES)
         if not self._answering:
+            self._limit.wait_for_caller(self)
             self._set_timer(READ_TIMEOUT_S)
 
     def on_url(self, url: bytes) -> None:
@@ -190,18 +310,29 @@
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
         self._count_head(len(name) + len(value))
 
+    def on_headers_complete(self) -> None:
+        """Takes the end of a head; called by the parser."""
+        self._head_is_whole = True
+        length = self._headers.get("content-length", "0")
+        if length.isdecimal() and int(length) > self._max_body_bytes:
+            self._refuse_size()
+
+    def on_chunk_header(self) -> None:
+        """Takes the begin of a chunk; called by the parser."""
+        self._chunks += 1
+
     def on_body(self, data: bytes) -> None:
         """Takes a part of a body; called by the parser."""
+        self._body_bytes += len(data)
+        if self._refused:
+            return
         self._body += data
         if len(self._body) > self._max_body_bytes:
-            self._body.clear()
-            self._refuse(
-                FailureKind.TOO_LARGE,
-                f"The body is over {self._max_body_bytes} bytes",
-            )
+            self._refuse_size()
 
     def on_message_complete(self) -> None:
         """Takes the end of a request; called by the parser."""
+        self._receiving = False
         if self._refused:
             return
         if self._parser.get_method() == b"CONNECT":
@@ -216,13 +347,47 @@
             headers=self._headers,
             body=bytes(self._body),
         )
+        self._body = bytearray()
+        self._limit.stop_waiting(self)
         keep_alive = bool(self._parser.should_keep_alive())
         if len(self._waiting) >= MAX_PIPELINED:
             self._refuse(FailureKind.BAD_REQUEST, "Too many requests at once")
             return
         self._waiting.append((request, keep_alive))
+        self._queued_bytes += _size(request)
         self._start_next()
 
+    def _refuse_size(self) -> None:
+        self._refuse(
+            FailureKind.TOO_LARGE,
+            f"The body is over {self._max_body_bytes} bytes",
+        )
+
+    def _count(self) -> None:
+        """Counts what is held of requests that are not being answered."""
+        head_bytes = 0 if self._head_is_whole else self._head_bytes
+        size = head_bytes + len(self._body) + self._queued_bytes
+        listed = size > SMALL_BYTES
+        if listed != self._listed:
+            self._listed = listed
+            if listed:
+                self._budget.uploads.add(self)
+            else:
+                self._budget.uploads.remove(self)
+        self._received.set(size)
+
+    def _end_counting(self) -> None:
+        self._limit.remove(self)
+        self._counted.release()
+        self._drop()
+
+    def _drop(self) -> None:
+        self._body = bytearray()
+        self._head_bytes = 0
+        self._waiting.clear()
+        self._queued_bytes = 0
+        self._count()
+
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
         if self._head_bytes > MAX_HEAD_BYTES:
@@ -236,14 +401,18 @@
             return
         self._answering = True
         self._set_timer(None)
+        request, keep_alive = self._waiting.popleft()
+        self._queued_bytes -= _size(request)
+        self._count()
         answer = asyncio.get_running_loop().create_task(
-            self._answer(*self._waiting.popleft())
+            self._answer(request, keep_alive)
         )
         self._answers.add(answer)
         answer.add_done_callback(self._answers.discard)
 
     def _start_tunnel(self) -> None:
         assert self._transport is not None
+        self._limit.stop_waiting(self)
         self._answering = True
         self._set_timer(None)
         self._transport.pause_reading()
@@ -265,24 +434,43 @@
         finally:
             # The tunnel's own protocol is told of the connection's end.
             self._connections.discard(self)
+            self._end_counting()
         if refusal is not None:
             self._write(refusal, keep_alive=False)
 
     async def _answer(self, request: Request, keep_alive: bool) -> None:
-        response = await respond(self._handler, request)
+        size = len(request.body)
+        with self._budget.hold(Kind.BODIES) as held:
+            held.set(size)
+            response = await respond(self._handler, request)
+        keep_alive = keep_alive and not self._refused
         self._write(response, keep_alive=keep_alive)
         self._answering = False
-        if keep_alive:
-            self._set_timer(IDLE_TIMEOUT_S)
+        if not keep_alive:
+            return
+        if self._waiting:
             self._start_next()
+            return
+        self._limit.wait_for_caller(self)
+        self._set_timer(READ_TIMEOUT_S if self._receiving else IDLE_TIMEOUT_S)
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
 
     def _refuse(self, kind: FailureKind, detail: str) -> None:
-        if not self._refused:
-            self._refused = True
-            self._write(
-                failure_response(Failure(kind=kind, detail=detail)),
-                keep_alive=False,
-            )
+        if self._refused:
+            return
+        self._refused = True
+        self._limit.stop_waiting(self)
+        self._drop()
+        if self._answering:
+            # The connection ends with the answer that is under way.
+            return
+        # A caller that does not read must not keep the connection either.
+        self._set_timer(READ_TIMEOUT_S)
+        self._write(
+            failure_response(Failure(kind=kind, detail=detail)),
+            keep_alive=False,
+        )
 
     def _write(self, response: Response, *, keep_alive: bool) -> None:
         transport = self._transport
@@ -310,6 +498,11 @@
             self._stall_timer = loop.call_later(delay_s, self.abort)
 
 
+def _size(request: Request) -> int:
+    assert isinstance(request.body, bytes)
+    return len(request.body) + len(request.path)
+
+
 def _decode_query(query: bytes) -> dict[str, str]:
     return dict(urllib.parse.parse_qsl(query.decode("latin-1")))
 
