Bound what callers make the own interface hold

The daemon of the own interface had the same faults: 250 calls that lack their last byte took it to 336 MB, chunks without end to 1,083 MB, a header line without end to 2,521 MB, and 500 silent clients to 520 sockets (on, the same scenarios without the settings, which it did not know).

uvicorn reads 256 KB at a time and keeps 64 KB of each body before it stops reading, has no bound on a head, and limits no connections; bodies were bounded one by one only. Two settings tell what there is: `memory_mb` and `max_fds`.

--- a/cactusdyke/daemon.py
+++ b/cactusdyke/daemon.py
@@ -11,14 +11,19 @@
 import eliot
 import prometheus_client
 
-from cactusdyke import events
+from cactusdyke import background, events
 from cactusdyke.application import Application
 from cactusdyke.clock import SystemClock
 from cactusdyke.infrastructure import adapters
 from cactusdyke.infrastructure.guarded_object_store import GuardedObjectStore
 from cactusdyke.observe.traffic import MeteredNetwork, Traffic
+from cactusdyke.serving.memory_metrics import MemoryMetrics
 from cactusdyke.transport.asgi import AsgiAdapter
+from cactusdyke.transport.connection_limit import ConnectionLimit
 from cactusdyke.transport.http_network import HttpNetwork
+from cactusdyke.transport.listener_shares import Listener, most_connections
+from cactusdyke.transport.memory_budget import MemoryBudget
+from cactusdyke.transport.resident_memory import ResidentMemory
 from cactusdyke.transport.server import HttpServer
 
 if TYPE_CHECKING:
@@ -54,17 +59,34 @@
             registry=registry,
         )
         app.setup_all()
+        memory = MemoryBudget(clock=clock, memory_mb=lambda: settings.memory_mb)
+        metrics = MemoryMetrics(registry)
+        metrics.watch(memory)
+        limit = ConnectionLimit(
+            door=Listener.FRONT.value,
+            most=lambda: most_connections(
+                Listener.FRONT,
+                max_fds=settings.max_fds,
+                memory_mb=settings.memory_mb,
+            ),
+            clock=clock,
+        )
+        metrics.watch_connections(limit)
         server = HttpServer(
             host=settings.host,
             port=settings.port,
             adapter=AsgiAdapter(
                 handler=traffic.metered(app.routes.handle),
                 clock=clock,
+                budget=memory,
                 is_draining=lambda: app.draining,
             ),
+            connections=limit,
         )
         async with app, anyio.create_task_group() as tasks:
             tasks.start_soon(server.serve)
+            resident = ResidentMemory(clock=clock, budget=memory)
+            tasks.start_soon(background.keep_running, resident.run)
             events.log(
                 events.Event.DAEMON_STARTED,
                 daemon=settings.name,
--- a/cactusdyke/settings.py
+++ b/cactusdyke/settings.py
@@ -64,6 +64,8 @@
             it anybody may use the paths between daemons.
         linger_ms: How long a stopping daemon goes on serving callers that
             still hold its address.
+        memory_mb: Memory that the process may have; none if it is not limited.
+        max_fds: Descriptors that it may have; the kernel's limit if none.
         log_file: Where events are written; standard error if empty.
     """
 
@@ -93,6 +95,13 @@
         default=5_000.0,
         metadata=checked(Within(low=0, high=600_000, unit="ms")),
     )
+    memory_mb: float | None = attrs.field(
+        default=None,
+        metadata=checked(Within(low=1, high=1_000_000, unit="MB")),
+    )
+    max_fds: int | None = attrs.field(
+        default=None, metadata=checked(Within(low=1, high=100_000_000))
+    )
     log_file: str = ""
 
     @property
--- a/cactusdyke/transport/asgi.py
+++ b/cactusdyke/transport/asgi.py
@@ -16,6 +16,12 @@
 from result import Err, Ok, Result
 
 from cactusdyke.errors import Failure, FailureKind
+from cactusdyke.transport.memory_budget import (
+    Held,
+    Kind,
+    MemoryBudget,
+    NoMemoryError,
+)
 from cactusdyke.transport.messages import (
     Handler,
     Request,
@@ -35,6 +41,7 @@
 BODY_TIMEOUT_MS = 5_000.0
 DISCARDED_BODIES = 4
 """How much of a body that is too large is read on, in largest bodies."""
+NO_MEMORY_RETRY_AFTER_MS = 1_000
 SINGLE_HEADERS = frozenset(
     {"authorization", "idempotency-key", "traceparent", "content-length"}
 )
@@ -50,12 +57,16 @@
         clock: Clock,
         max_body_bytes: int = MAX_BODY_BYTES,
         body_timeout_ms: float = BODY_TIMEOUT_MS,
+        budget: MemoryBudget | None = None,
         is_draining: Callable[[], bool] = lambda: False,
     ) -> None:
         self._handler = handler
         self._clock = clock
         self._max_body_bytes = max_body_bytes
         self._body_timeout_ms = body_timeout_ms
+        self._budget = budget or MemoryBudget(
+            clock=clock, memory_mb=lambda: None
+        )
         self._is_draining = is_draining
 
     async def __call__(
@@ -64,8 +75,14 @@
         """Answers one HTTP exchange; the signature is ASGI's."""
         if scope["type"] != "http":
             return
+        with self._budget.hold(Kind.BODIES) as held:
+            await self._exchange(scope, receive, send, held)
+
+    async def _exchange(
+        self, scope: Message, receive: Receive, send: Send, held: Held
+    ) -> None:
         closing = False
-        match await self._read(scope, receive):
+        match await self._read(scope, receive, held):
             case Ok(request):
                 response = await respond(self._handler, request)
             case Err(failure):
@@ -81,7 +98,7 @@
             await _send_stream(response.body, receive, send)
 
     async def _read(
-        self, scope: Message, receive: Receive
+        self, scope: Message, receive: Receive, held: Held
     ) -> Result[Request, Failure]:
         headers: dict[str, str] = {}
         for raw_name, raw_value in scope["headers"]:
@@ -93,7 +110,7 @@
             _bad_request("The body was not sent in time")
         )
         with self._clock.timeout(self._body_timeout_ms):
-            body = await self._read_body(receive)
+            body = await self._read_body(receive, held)
         if isinstance(body, Err):
             return body
         query = urllib.parse.parse_qsl(scope["query_string"].decode("latin-1"))
@@ -107,13 +124,21 @@
             )
         )
 
-    async def _read_body(self, receive: Receive) -> Result[bytes, Failure]:
+    async def _read_body(
+        self, receive: Receive, held: Held
+    ) -> Result[bytes, Failure]:
         body = bytearray()
         while True:
             message = await receive()
             if message["type"] == "http.disconnect":
                 return Err(_bad_request("The caller left while sending"))
-            body += message.get("body", b"")
+            part = message.get("body", b"")
+            try:
+                await held.add(len(part))
+            except NoMemoryError:
+                self._budget.record_refusal()
+                return Err(_no_memory())
+            body += part
             if len(body) > self._max_body_bytes:
                 if message.get("more_body", False):
                     await self._discard_body(receive)
@@ -140,6 +165,14 @@
                 return
 
 
+def _no_memory() -> Failure:
+    return Failure(
+        kind=FailureKind.OVERLOADED,
+        detail="No memory for the body became free",
+        retry_after_ms=NO_MEMORY_RETRY_AFTER_MS,
+    )
+
+
 def _bad_request(detail: str) -> Failure:
     return Failure(kind=FailureKind.BAD_REQUEST, detail=detail)
 
--- a/cactusdyke/transport/server.py
+++ b/cactusdyke/transport/server.py
@@ -3,12 +3,19 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 from typing import TYPE_CHECKING
 
 import anyio
 import uvicorn
 
+from cactusdyke.clock import SystemClock
 from cactusdyke.transport.connection import Connection
+from cactusdyke.transport.connection_limit import ConnectionLimit
+from cactusdyke.transport.listener_shares import (
+    MOST_CONNECTIONS,
+    RECEIVE_BUFFER_BYTES,
+)
 from cactusdyke.transport.tcp_stream import listen
 
 if TYPE_CHECKING:
@@ -16,6 +23,9 @@
 
     from cactusdyke.transport.asgi import AsgiAdapter
 
+BACKLOG = 128
+"""The event loop accepts so many connections in one turn, before any of them
+is counted."""
 KEEP_ALIVE_S = 75
 FLUSH_S = 30
 """How long a stop waits for callers to read answers that are complete."""
@@ -50,17 +60,30 @@
 class HttpServer:
     """Serves one ASGI application on one address until told to stop."""
 
-    def __init__(self, *, host: str, port: int, adapter: AsgiAdapter) -> None:
-        self._socket = listen(host, port)
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        adapter: AsgiAdapter,
+        connections: ConnectionLimit | None = None,
+    ) -> None:
+        self._socket = listen(
+            host, port, receive_buffer_bytes=RECEIVE_BUFFER_BYTES
+        )
+        limit = connections or ConnectionLimit(
+            door="own", most=lambda: MOST_CONNECTIONS, clock=SystemClock()
+        )
         self._stopped = anyio.Event()
         self._server = _Server(
             uvicorn.Config(
                 adapter,
-                http=Connection,
+                http=functools.partial(Connection, limit=limit),  # type: ignore[arg-type]
                 loop="asyncio",
                 lifespan="off",
                 access_log=False,
                 log_level="warning",
+                backlog=BACKLOG,
                 timeout_keep_alive=KEEP_ALIVE_S,
                 timeout_graceful_shutdown=FLUSH_S,
                 server_header=False,
--- a/features/misbehaving_clients/crowds.feature
+++ b/features/misbehaving_clients/crowds.feature
@@ -33,6 +33,20 @@
       | 500   | daemons   | nothing                                       |
       | 250   | metrics   | a header line without end                     |
 
+  Scenario Outline: a crowd sends <sends> to the own interface
+    # Guards against the same at the daemon that is not on the platform.
+    Given a daemon of the own interface, with 100 MB and 600 descriptors
+    When <count> clients send <sends> to its address
+    Then the process lives, within its memory and its descriptors
+    And an ordinary request is answered
+
+    Examples:
+      | count | sends                                     |
+      | 250   | a call of 900 kB that lacks its last byte |
+      | 250   | chunks without end                        |
+      | 250   | a header line without end                 |
+      | 500   | nothing                                   |
+
   Scenario Outline: one body of the largest size <how>
     # Guards against limits that refuse what is within those of callers.
     Given a daemon of a host with 100 MB and 600 descriptors
--- a/features/steps/misbehaving_clients_steps.py
+++ b/features/steps/misbehaving_clients_steps.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
+import pathlib
 import sys
+import time
+import urllib.request
 
 import anyio
 from behave import given, then, when
@@ -12,8 +16,15 @@
 from features.steps.platform_forwarding_steps import play
 from features.support.platform_rig import configuration, route
 from features.support.process_watch import ProcessWatch
-from standins.fleet import free_port
-
+from standins.fleet import (
+    CUSTOMER_TOKEN,
+    OPERATOR_TOKEN,
+    free_port,
+    request_json,
+    small_fleet,
+)
+
+BUILD = pathlib.Path("build/features/misbehaving_clients")
 MEGABYTE = 1 << 20
 MEMORY_MB = 100
 MAX_FDS = 600
@@ -97,6 +108,60 @@
     play(story)
 
 
+@given("a daemon of the own interface, with 100 MB and 600 descriptors")
+def given_own_interface(context):
+    limits = {"memory_mb": MEMORY_MB, "max_fds": MAX_FDS}
+    fleet = small_fleet(BUILD, daemons=1, further=limits)
+    context.own_fleet, answers = fleet.__enter__()
+    context.add_cleanup(fleet.__exit__, None, None, None)
+    request_json(
+        "POST",
+        context.own_fleet["entry-1"].address,
+        "/v1/submissions",
+        {"id": "crowd", "answers": answers},
+        token=OPERATOR_TOKEN,
+    )
+    context.own_fleet.wait_ready(["entry-1"])
+
+
+def call_until_answered(address):
+    """Calls the plain service as an ordinary caller; returns the status."""
+    request = urllib.request.Request(
+        f"http://{address}/v1/services/hire-booking",
+        data=json.dumps({"input": {"a": 7}, "deadline_ms": 3_000}).encode(),
+        headers={
+            "authorization": f"Bearer {CUSTOMER_TOKEN}",
+            "idempotency-key": "afterwards",
+        },
+        method="POST",
+    )
+    for _ in range(TRIES):
+        with (
+            contextlib.suppress(OSError),
+            urllib.request.urlopen(request, timeout=TRY_S) as answer,
+        ):
+            return answer.status
+        time.sleep(BETWEEN_TRIES_S)
+    return None
+
+
+@when("{count:d} clients send {sends} to its address")
+def own_crowd(context, count, sends):
+    daemon = context.own_fleet["entry-1"]
+    port = int(daemon.address.rpartition(":")[2])
+    context.watch = ProcessWatch(pid=daemon.popen.pid, ports=[port])
+
+    async def story():
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(context.watch.run)
+            context.crowd = await run_crowd(daemon.address, sends, count)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(story)
+    context.answer = (call_until_answered(daemon.address),)
+    context.lives = context.watch.sample()
+
+
 @then("the process lives, within its memory and its descriptors")
 def check_lives(context):
     watch = context.watch
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -245,8 +245,17 @@
     daemons: int = 3,
     linger_ms: float = 1_000.0,
     module: str = DAEMON_MODULE,
+    further: Mapping[str, Any] | None = None,
 ) -> Iterator[tuple[Fleet, dict[str, Any]]]:
-    """Starts a fleet for a demonstration, and gives its answers."""
+    """Starts a fleet for a demonstration, and gives its answers.
+
+    Args:
+        directory: Where settings and logs are written.
+        daemons: How many daemons there are.
+        linger_ms: How long they serve callers once they are asked to stop.
+        module: What the daemons run.
+        further: Settings of each daemon beyond those that it needs.
+    """
     with Fleet(directory) as fleet:
         store = fleet.stand_in("object_service", "object-service")
         hosts = fleet.stand_in("host_list", "host-list")
@@ -276,7 +285,7 @@
             host_list=hosts.address,
             linger_ms=linger_ms,
         ):
-            fleet.daemon(settings, module=module)
+            fleet.daemon({**settings, **(further or {})}, module=module)
         yield fleet, _answers(pools)
 
 
