Count requests of a few bytes with their connection, and in one place

Counting each of them took a few calls a request for at most 4 KB, which the 16 or 8 KB of their connection cover. Callers' connections and those of the small listeners had the same lines for it; one class has them now.

All 35 crowds and single requests hold, and the scenarios of transport and fronts.

--- a/cactusdyke/transport/direct_server.py
+++ b/cactusdyke/transport/direct_server.py
@@ -17,7 +17,7 @@
 import httptools
 
 from cactusdyke import events
-from cactusdyke.clock import Clock, Instant, SystemClock
+from cactusdyke.clock import Clock, SystemClock
 from cactusdyke.errors import Failure, FailureKind
 from cactusdyke.transport.connection_limit import (
     ConnectionLimit,
@@ -35,11 +35,12 @@
     Response,
     failure_response,
 )
+from cactusdyke.transport.received_bytes import CountedUpload
 from cactusdyke.transport.safe_handler import respond
 from cactusdyke.transport.tcp_stream import listen
 from cactusdyke.transport.tunnel import TunnelGate, serve_tunnel
 from cactusdyke.transport.tunnel_framing import HEADER_NAME, HEADER_VALUE
-from cactusdyke.transport.uploads import SMALL_BYTES, STALL_MS, Upload
+from cactusdyke.transport.uploads import STALL_MS
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -183,7 +184,7 @@
         )
 
 
-class _Connection(asyncio.Protocol, Upload, LimitedConnection):
+class _Connection(asyncio.Protocol, CountedUpload, LimitedConnection):
     """One connection: its requests in order, and an answer to each."""
 
     def __init__(
@@ -198,13 +199,9 @@
         limit: ConnectionLimit,
         tunnels: TunnelGate | None,
     ) -> None:
-        self._clock = clock
-        self._budget = budget
+        CountedUpload.__init__(self, budget=budget, clock=clock)
         self._limit = limit
         self._counted = Held(budget, Kind.CONNECTIONS)
-        self._received = Held(budget, Kind.RECEIVED)
-        self._listed = False
-        self._progressed_at = clock.now()
         self._tunnels = tunnels
         self._tunnel_address = ""
         self._handler = handler
@@ -236,16 +233,6 @@
         """Whether no byte has come of a request that is not answered."""
         return not (self._receiving or self._answering or self._waiting)
 
-    @property
-    def held_bytes(self) -> int:
-        """How many bytes are held of requests that are not being answered."""
-        return self._received.size
-
-    @property
-    def progressed_at(self) -> Instant:
-        """When bytes came last."""
-        return self._progressed_at
-
     def evict(self) -> None:
         """Drops what has come of requests that are not being answered.
 
@@ -297,7 +284,6 @@
         """Parses what has come, and counts what is held of it."""
         if self._refused:
             return
-        self._progressed_at = self._clock.now()
         in_body = self._receiving and self._head_is_whole
         self._body_bytes = 0
         self._chunks = 0
@@ -416,14 +402,7 @@
         """Counts what is held of requests that are not being answered."""
         head_bytes = 0 if self._head_is_whole else self._head_bytes
         size = head_bytes + len(self._body) + self._queued_bytes
-        listed = size > SMALL_BYTES
-        if listed != self._listed:
-            self._listed = listed
-            if listed:
-                self._budget.uploads.add(self)
-            else:
-                self._budget.uploads.remove(self)
-        self._received.set(size)
+        self._count_received(size)
 
     def _end_counting(self) -> None:
         self._limit.remove(self)
--- a/cactusdyke/transport/request_reader.py
+++ b/cactusdyke/transport/request_reader.py
@@ -15,8 +15,9 @@
 from cactusdyke.errors import Failure, FailureKind
 from cactusdyke.transport.chunked_body import ChunkedBody, ChunkedBodyError
 from cactusdyke.transport.front_interface import ReadRequest
-from cactusdyke.transport.memory_budget import Held, Kind, NoMemoryError
-from cactusdyke.transport.uploads import SMALL_BYTES, Upload
+from cactusdyke.transport.memory_budget import NoMemoryError
+from cactusdyke.transport.received_bytes import CountedUpload
+from cactusdyke.transport.uploads import SMALL_BYTES
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -58,7 +59,7 @@
     DISCARDING = enum.auto()
 
 
-class RequestReader(Upload):
+class RequestReader(CountedUpload):
     """Reads one connection's requests, one after the other.
 
     h11 reads heads and keeps the state of the connection. Of a chunked body it
@@ -75,17 +76,14 @@
         limits: Limits,
         on_begun: Callable[[], None],
     ) -> None:
+        super().__init__(budget=budget, clock=clock)
         self._stream = stream
         self._handler = handler
-        self._clock = clock
-        self._budget = budget
         self._limits = limits
         self._on_begun: Callable[[], None] | None = on_begun
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
         )
-        self._received = Held(budget, Kind.RECEIVED)
-        self._listed = False
         self._phase = _Phase.READING
         self._eviction: Failure | None = None
         self._idle = True
@@ -96,9 +94,8 @@
         self._body = bytearray()
         self._body_until: Instant | None = None
         self._waiting = False
-        self._progressed_at = clock.now()
         self._scope = anyio.CancelScope()
-        stream.call_when_received(self._count_received)
+        stream.call_when_received(self._on_received)
 
     @property
     def protocol(self) -> h11.Connection:
@@ -125,11 +122,6 @@
         """Whether what came behind the request that is answered was dropped."""
         return self._eviction is not None
 
-    @property
-    def held_bytes(self) -> int:
-        """How many bytes are held for a request that is not whole."""
-        return self._received.size
-
     @property
     def progressed_at(self) -> Instant:
         """When bytes came last, or were not read for lack of memory."""
@@ -437,8 +429,7 @@
         except anyio.EndOfStream:
             return b""
 
-    def _count_received(self) -> None:
-        self._progressed_at = self._clock.now()
+    def _on_received(self) -> None:
         if self.cut and self._phase is _Phase.ANSWERING:
             self._stream.drop_unread()
         self._count()
@@ -451,14 +442,7 @@
             + self._head_bytes
             + len(self._body)
         )
-        listed = size > SMALL_BYTES
-        if listed != self._listed:
-            self._listed = listed
-            if listed:
-                self._budget.uploads.add(self)
-            else:
-                self._budget.uploads.remove(self)
-        self._received.set(size)
+        self._count_received(size)
 
     def _drop(self) -> None:
         self._ahead = b""
