Refuse a request of which bytes were dropped, also if its end has come

A reader whose bytes are dropped is cancelled at its next wait. If the end of a chunked body came before that wait, the request would count as whole without the bytes that were dropped, and a replica would run it with another body. No run has shown it; the order of callbacks that it takes was found by reading.

--- a/cactusdyke/transport/request_reader.py
+++ b/cactusdyke/transport/request_reader.py
@@ -253,6 +253,9 @@
             await self._read_chunked(request)
         else:
             await self._read_sized(request, length)
+        if self._eviction is not None:
+            # What was dropped is missing, though the end has come.
+            raise RefusedError(self._eviction)
         body, self._body = self._body, bytearray()
         self._head_bytes = 0
         self._count()
