Name listeners, slots and available memory by the field's terms

`door` was the house's word for a listener, also as a label of metrics; a connection now frees its slot, and what a host's memory leaves is available. No change of behaviour.

--- a/cactusdyke/daemon.py
+++ b/cactusdyke/daemon.py
@@ -63,7 +63,7 @@
         metrics = MemoryMetrics(registry)
         metrics.watch(memory)
         limit = ConnectionLimit(
-            door=Listener.FRONT.value,
+            listener=Listener.FRONT.value,
             most=lambda: most_connections(
                 Listener.FRONT,
                 max_fds=settings.max_fds,
--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -365,9 +365,9 @@
     )
     CONNECTION_CLOSED = (
         1014,
-        "A connection to `door` was closed as there were too many: `idle`, with"
-        " a request that had been coming for a while (`stalled`), or a new one"
-        " (`refused`); `count` of them since the last such line.",
+        "A connection to `listener` was closed as there were too many: `idle`,"
+        " with a request that had been coming for a while (`stalled`), or a new"
+        " one (`refused`); `count` of them since the last such line.",
         "Find out who opens so many; give the host more descriptors or memory,"
         " or the deployment more hosts, if they are wanted.",
     )
--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -278,7 +278,7 @@
 
     def _connection_limit(self, listener: Listener) -> ConnectionLimit:
         limit = ConnectionLimit(
-            door=listener.value,
+            listener=listener.value,
             most=lambda: most_connections(
                 listener,
                 max_fds=self._settings.max_fds,
--- a/cactusdyke/serving/memory_metrics.py
+++ b/cactusdyke/serving/memory_metrics.py
@@ -48,30 +48,32 @@
         self._connections = prometheus_client.Gauge(
             "cactusdyke_connections",
             "Connections to a listener.",
-            ("door",),
+            ("listener",),
             registry=registry,
         )
         self._most_connections = prometheus_client.Gauge(
             "cactusdyke_connections_limit",
             "How many connections a listener keeps.",
-            ("door",),
+            ("listener",),
             registry=registry,
         )
         self._closed = prometheus_client.Counter(
             "cactusdyke_closed_connections",
             "Connections that were closed as there were too many.",
-            ("door", "cause"),
+            ("listener", "cause"),
             registry=registry,
         )
 
     def watch_connections(self, limit: ConnectionLimit) -> None:
         """Reads the gauges of a listener when asked for, and counts events."""
-        self._connections.labels(limit.door).set_function(lambda: limit.count)
-        self._most_connections.labels(limit.door).set_function(
+        self._connections.labels(limit.listener).set_function(
+            lambda: limit.count
+        )
+        self._most_connections.labels(limit.listener).set_function(
             lambda: limit.most
         )
-        limit.on_closed = lambda door, cause: self._closed.labels(
-            door, cause
+        limit.on_closed = lambda listener, cause: self._closed.labels(
+            listener, cause
         ).inc()
 
     def watch(self, budget: MemoryBudget) -> None:
--- a/cactusdyke/transport/connection.py
+++ b/cactusdyke/transport/connection.py
@@ -51,7 +51,7 @@
         """How long the caller may take before it makes way for another."""
         return 0.0 if self.idle else STALL_MS
 
-    def make_way(self) -> None:
+    def free_slot(self) -> None:
         """Ends the connection."""
         self.transport.abort()
 
--- a/cactusdyke/transport/connection_limit.py
+++ b/cactusdyke/transport/connection_limit.py
@@ -36,7 +36,7 @@
         """
 
     @abc.abstractmethod
-    def make_way(self) -> None:
+    def free_slot(self) -> None:
         """Ends the connection, where it can in order."""
 
 
@@ -49,15 +49,15 @@
     nothing was read, and tries another daemon.
 
     Args:
-        door: The listener's name, in metrics and log events.
+        listener: The listener's name, in metrics and log events.
         most: How many connections there may be.
         clock: This daemon's clock.
     """
 
     def __init__(
-        self, *, door: str, most: Callable[[], int], clock: Clock
+        self, *, listener: str, most: Callable[[], int], clock: Clock
     ) -> None:
-        self._door = door
+        self._listener = listener
         self._most = most
         self._clock = clock
         self._connections: set[LimitedConnection] = set()
@@ -65,12 +65,14 @@
             collections.OrderedDict()
         )
         self._log = LogLimit(event=events.Event.CONNECTION_CLOSED)
-        self.on_closed: Callable[[str, str], None] = lambda door, cause: None
+        self.on_closed: Callable[[str, str], None] = lambda listener, cause: (
+            None
+        )
 
     @property
-    def door(self) -> str:
+    def listener(self) -> str:
         """The listener's name."""
-        return self._door
+        return self._listener
 
     @property
     def most(self) -> int:
@@ -86,7 +88,7 @@
         """Counts a new connection; returns whether it may stay."""
         most = self._most()
         if self.count >= most and not (
-            self.count < most * (1 + CLOSING_SHARE) and self._make_way()
+            self.count < most * (1 + CLOSING_SHARE) and self._free_slot()
         ):
             self._record("refused")
             return False
@@ -109,22 +111,22 @@
         """Notes that a request is being answered, or refused."""
         self._waiting.pop(connection, None)
 
-    def _make_way(self) -> bool:
+    def _free_slot(self) -> bool:
         """Ends a connection; returns whether there was one to end."""
         now = self._clock.now()
         for connection, since in self._waiting.items():
             if now - since >= connection.grace_ms:
                 del self._waiting[connection]
                 self._record("idle" if connection.idle else "stalled")
-                connection.make_way()
+                connection.free_slot()
                 return True
         return False
 
     def _record(self, cause: str) -> None:
-        self.on_closed(self._door, cause)
+        self.on_closed(self._listener, cause)
         self._log.record(
             self._clock.now(),
-            door=self._door,
+            listener=self._listener,
             cause=cause,
             connections=self.count,
         )
--- a/cactusdyke/transport/direct_server.py
+++ b/cactusdyke/transport/direct_server.py
@@ -101,7 +101,9 @@
             clock=self._clock, memory_mb=lambda: None
         )
         self._limit = connections or ConnectionLimit(
-            door="internal", most=lambda: MOST_CONNECTIONS, clock=self._clock
+            listener="internal",
+            most=lambda: MOST_CONNECTIONS,
+            clock=self._clock,
         )
         self._tunnels = tunnels
         self._handler = handler
@@ -245,7 +247,7 @@
         """How long the caller may take before it makes way for another."""
         return 0.0 if self.idle else STALL_MS
 
-    def make_way(self) -> None:
+    def free_slot(self) -> None:
         """Ends the connection if it is idle; refuses its request if not."""
         if self.idle:
             self.abort()
--- a/cactusdyke/transport/front.py
+++ b/cactusdyke/transport/front.py
@@ -62,7 +62,7 @@
             clock=clock, memory_mb=lambda: None
         )
         self._limit = connections or ConnectionLimit(
-            door="front", most=lambda: MOST_CONNECTIONS, clock=clock
+            listener="front", most=lambda: MOST_CONNECTIONS, clock=clock
         )
         self._readers = SlowReaders(clock=clock, budget=self._budget)
 
--- a/cactusdyke/transport/front_connection.py
+++ b/cactusdyke/transport/front_connection.py
@@ -101,7 +101,7 @@
             on_begun=lambda: connections.wait_for_caller(self),
         )
         self._h11 = self._reader.protocol
-        self._making_way = False
+        self._leaving = False
         self._flushing = False
         self._answering = False
         self._writing = False
@@ -123,7 +123,7 @@
         Requests that were read behind the one that is answered are served too.
         """
         reader = self._reader
-        leaving = self._state.closing or self._making_way
+        leaving = self._state.closing or self._leaving
         return reader.cut or (leaving and not reader.read_ahead)
 
     def close_if_idle(self) -> None:
@@ -142,7 +142,7 @@
             return PACE_WINDOW_MS
         return 0.0 if self.idle else STALL_MS
 
-    def make_way(self) -> None:
+    def free_slot(self) -> None:
         """Ends the connection if it is idle; refuses its request if not.
 
         Where its caller has yet to read an answer it is reset.
@@ -151,10 +151,10 @@
             sockets.reset_on_close(self._stream)
             self._stream.abort()
         elif self.idle:
-            self._making_way = True
+            self._leaving = True
             self._reader.stop_reading()
         else:
-            self._reader.make_way("there are too many connections")
+            self._reader.refuse("there are too many connections")
 
     async def abort(self) -> None:
         """Ends the connection; a write that waits for its caller fails.
@@ -226,7 +226,7 @@
 
     def _may_wait(self) -> bool:
         """Returns whether the connection is read on."""
-        ends = self._state.ending or self._making_way
+        ends = self._state.ending or self._leaving
         return not (self._state.refusing or (ends and self.idle))
 
     async def _flush(self) -> None:
--- a/cactusdyke/transport/listener_shares.py
+++ b/cactusdyke/transport/listener_shares.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from cactusdyke.transport.memory_budget import left_bytes
+from cactusdyke.transport.memory_budget import available_bytes
 
 FILE_DESCRIPTORS = 200
 """Kept for files; sockets share the others."""
@@ -84,5 +84,5 @@
     share = SHARES[listener]
     files = min(FILE_DESCRIPTORS, max_fds // 2)
     by_descriptors = share.descriptors * (max_fds - files)
-    by_memory = share.memory * left_bytes(memory_mb) / share.buffer_bytes
+    by_memory = share.memory * available_bytes(memory_mb) / share.buffer_bytes
     return max(1, int(min(by_descriptors, by_memory)))
--- a/cactusdyke/transport/memory_budget.py
+++ b/cactusdyke/transport/memory_budget.py
@@ -64,7 +64,7 @@
     TUNNELS = "tunnels"
 
 
-def left_bytes(
+def available_bytes(
     memory_mb: float | None, process_bytes: int = PROCESS_BYTES
 ) -> int:
     """Returns what a host's memory leaves beside the process.
@@ -88,7 +88,7 @@
         memory_mb: The host's memory, None if the settings do not tell it.
         process_bytes: What the process has beyond what is held.
     """
-    return round(HELD_SHARE * left_bytes(memory_mb, process_bytes))
+    return round(HELD_SHARE * available_bytes(memory_mb, process_bytes))
 
 
 class Held:
--- a/cactusdyke/transport/request_reader.py
+++ b/cactusdyke/transport/request_reader.py
@@ -134,9 +134,9 @@
         being answered is dropped, and the connection ends with the answer. One
         that is read only to be discarded is ended.
         """
-        self.make_way(NO_MEMORY)
+        self.refuse(NO_MEMORY)
 
-    def make_way(self, detail: str) -> None:
+    def refuse(self, detail: str) -> None:
         """Does the same, for another reason."""
         self._eviction = Failure(kind=FailureKind.OVERLOADED, detail=detail)
         self._drop()
--- a/cactusdyke/transport/server.py
+++ b/cactusdyke/transport/server.py
@@ -72,7 +72,7 @@
             host, port, receive_buffer_bytes=RECEIVE_BUFFER_BYTES
         )
         limit = connections or ConnectionLimit(
-            door="own", most=lambda: MOST_CONNECTIONS, clock=SystemClock()
+            listener="own", most=lambda: MOST_CONNECTIONS, clock=SystemClock()
         )
         self._stopped = anyio.Event()
         self._server = _Server(
--- a/features/misbehaving_clients/crowds.feature
+++ b/features/misbehaving_clients/crowds.feature
@@ -1,15 +1,15 @@
 Feature: clients that don't behave end no process and keep nobody out
 
-  Scenario Outline: a crowd sends <sends> to the <door> port
+  Scenario Outline: a crowd sends <sends> to the <port> port
     # Guards against a process that is killed for its memory, runs out of
     # descriptors or hangs, since callers hold what nobody counts.
     Given a daemon of a host with 100 MB and 600 descriptors
-    When <count> clients send <sends> to its <door> port
+    When <count> clients send <sends> to its <port> port
     Then the process lives, within its memory and its descriptors
     And an ordinary request is answered
 
     Examples:
-      | count | door      | sends                                         |
+      | count | port      | sends                                         |
       | 250   | front     | chunked bodies that stop short of their end   |
       | 250   | front     | the same with an unknown key                  |
       | 250   | front     | chunks of a byte that stop short of their end |
--- a/features/steps/misbehaving_clients_steps.py
+++ b/features/steps/misbehaving_clients_steps.py
@@ -53,14 +53,14 @@
     metrics_port = free_port()
     process = await world.start_process("d1", metrics_port=metrics_port)
     settings = world.settings["d1"]
-    doors = {
+    addresses = {
         "front": settings.front.address,
         "directory": settings.directory.address,
         "readiness": settings.ready.address,
         "daemons": settings.peer.address,
         "metrics": f"127.0.0.1:{metrics_port}",
     }
-    return process, doors, replica
+    return process, addresses, replica
 
 
 async def run_crowd(address, sends, count, seconds=CROWD_S):
@@ -102,18 +102,20 @@
     play_crowd(context, count, sends)
 
 
-@when("{count:d} clients send {sends} to its {door} port")
-def crowd(context, count, sends, door):
-    play_crowd(context, count, sends, door)
+@when("{count:d} clients send {sends} to its {port} port")
+def crowd(context, count, sends, port):
+    play_crowd(context, count, sends, port)
 
 
-def play_crowd(context, count, sends, door=None):
+def play_crowd(context, count, sends, port=None):
     """Plays a crowd at one port, or one at each of them."""
 
     async def story(world):
-        process, doors, replica = await small_host(world)
+        process, addresses, replica = await small_host(world)
         replica.padding = b"x" * context.answer_bytes
-        ports = [int(door.rpartition(":")[2]) for door in doors.values()]
+        ports = [
+            int(address.rpartition(":")[2]) for address in addresses.values()
+        ]
         context.watch = ProcessWatch(pid=process.pid, ports=ports)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(context.watch.run)
@@ -123,8 +125,8 @@
                 context.crowd.append(await run_crowd(address, sends, count))
 
             async with anyio.create_task_group() as crowds:
-                for name, address in doors.items():
-                    if door in {None, name}:
+                for name, address in addresses.items():
+                    if port in {None, name}:
                         crowds.start_soon(run_one, address)
             replica.padding = b""
             context.answer = await ask_until_answered(world, body=b"payload")
@@ -229,9 +231,9 @@
     header, body = BODIES[how]
 
     async def story(world):
-        process, doors, replica = await small_host(world)
+        process, addresses, replica = await small_host(world)
         del process
-        host, _, port = doors["front"].rpartition(":")
+        host, _, port = addresses["front"].rpartition(":")
         async with await anyio.connect_tcp(host, int(port)) as stream:
             start = (
                 "POST /look/a HTTP/1.1\r\nHost: signals.example\r\n"
--- a/features/steps/unfinished_requests_steps.py
+++ b/features/steps/unfinished_requests_steps.py
@@ -178,7 +178,7 @@
     def grace_ms(self):
         return STALL_MS if self.receiving else 0.0
 
-    def make_way(self):
+    def free_slot(self):
         self.open = False
         self._limit.remove(self)
 
@@ -195,9 +195,11 @@
     context.clock = ManualClock()
     context.closed = []
     context.limit = ConnectionLimit(
-        door="front", most=lambda: most, clock=context.clock
+        listener="front", most=lambda: most, clock=context.clock
+    )
+    context.limit.on_closed = lambda listener, cause: context.closed.append(
+        cause
     )
-    context.limit.on_closed = lambda door, cause: context.closed.append(cause)
 
 
 @when("{count:d} connections are opened, of which {busy:d} are being answered")
