--- a/features/steps/unfinished_requests_steps.py
+++ b/features/steps/unfinished_requests_steps.py
@@ -2,6 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
+import fcntl
+import socket
+import struct
+import termios
+import time
+
 from behave import given, then, when
 from hypothesis import given as generated
 from hypothesis import settings
@@ -22,6 +29,7 @@
     NoMemoryError,
 )
 from cactusdyke.transport.received_bytes import CountedUpload
+from cactusdyke.transport.tcp_stream import listen
 from cactusdyke.transport.uploads import STALL_MS
 from features.steps.serving_steps import ManualClock
 from standins.virtual import run_virtual
@@ -29,7 +37,10 @@
 KB = 1_024
 BUDGET_MB = 10
 HOST_MB = 70 + BUDGET_MB / 0.6
+MEGABYTE = 1 << 20
 EXAMPLES = 200
+SENDS = 20
+SEND_EVERY_S = 0.01
 
 
 class FakeUpload(CountedUpload):
@@ -259,3 +270,23 @@
     # With those that are being closed.
     assert context.all * (1 + CLOSING_SHARE) <= most * (1 + CLOSING_SHARE)
     assert context.all <= most, context.all
+
+
+@when("a client sends all it can to a listener that keeps {size:d}")
+def send_unread(context, size):
+    listener = listen("127.0.0.1", 0, receive_buffer_bytes=size)
+    with listener, socket.create_connection(listener.getsockname()) as client:
+        accepted, _ = listener.accept()
+        client.setblocking(False)
+        with accepted:
+            for _ in range(SENDS):
+                with contextlib.suppress(BlockingIOError):
+                    client.send(bytes(MEGABYTE))
+                time.sleep(SEND_EVERY_S)
+            waiting = fcntl.ioctl(accepted.fileno(), termios.FIONREAD, bytes(4))
+    context.unread = struct.unpack("i", waiting)[0]
+
+
+@then("no more than {most:d} bytes wait to be read")
+def check_unread(context, most):
+    assert 0 < context.unread <= most, context.unread
--- a/features/transport/unfinished_requests.feature
+++ b/features/transport/unfinished_requests.feature
@@ -70,3 +70,14 @@
       | 200    | 4100 | 1040  | 2496 |
       | 300    | 4100 | 1560  | 2496 |
       | 100    | 600  | 160   | 256  |
+
+  Scenario Outline: what the kernel receives for a listener that keeps <bytes>
+    # Guards against receive buffers that grow to megabytes for each connection
+    # that is not read: the platform counts them.
+    When a client sends all it can to a listener that keeps <bytes>
+    Then no more than <bytes> bytes wait to be read
+
+    Examples:
+      | bytes |
+      | 32768 |
+      | 8192  |
