--- a/features/platform/forwarding.feature
+++ b/features/platform/forwarding.feature
@@ -93,6 +93,18 @@
       | headers that are too large | 431    |
       | a head that never ends     | 408    |
 
+  Scenario Outline: a caller whose body does not come, with <what>
+    # Guards against reading bodies of requests that are refused whatever their
+    # bodies are, and against waiting for longer than the caller does.
+    When a caller sends <what> and no body
+    Then it gets <status> with one line, and nobody else's request suffers
+
+    Examples:
+      | what                       | status |
+      | an unknown key             | 401    |
+      | an unknown path            | 404    |
+      | 300 ms until its deadline  | 408    |
+
   Scenario: a caller that is still sending can read its refusal
     # Guards against a reset that overtakes the refusal.
     When a caller reads only after it has sent a body that is too large
--- a/features/steps/platform_forwarding_steps.py
+++ b/features/steps/platform_forwarding_steps.py
@@ -338,6 +338,31 @@
 }
 
 
+WITHOUT_BODY = {
+    "an unknown key": ("/look/a", "x", 60_000),
+    "an unknown path": ("/none", KEY, 60_000),
+    "300 ms until its deadline": ("/look/a", KEY, 300),
+}
+
+
+@when("a caller sends {what} and no body")
+def missing_body(context, what):
+    path, key, deadline_ms = WITHOUT_BODY[what]
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: r\r\n"
+        f"Authorization: Bearer {key}\r\nX-Deadline-Ms: {deadline_ms}\r\n"
+        "Content-Length: 1000\r\n\r\n"
+    )
+
+    async def story(world):
+        await plain_world(world)
+        context.got = await world.raw(head.encode())
+        context.after = await world.request("/look/a")
+        context.runs = runs(world)
+
+    play(story)
+
+
 @when("a caller sends {what}")
 def bad_input(context, what):
     async def story(world):
