--- a/features/serving/front.feature
+++ b/features/serving/front.feature
@@ -47,3 +47,10 @@
     Given a front server whose answers are immediate
     When a caller connects to a server that is stopping and sends nothing
     Then its connection ends within a second
+
+  Scenario: memory runs out while a request waits behind another one
+    # Guards against a body without the bytes that were dropped, and against a
+    # caller that waits for an answer to what was dropped.
+    Given a front server whose answers take 300 ms
+    When memory runs out as 20 kB of a request came behind one being answered
+    Then the first one is answered, and the connection ends
--- a/features/steps/front_steps.py
+++ b/features/steps/front_steps.py
@@ -283,3 +283,36 @@
 def check_head(context):
     assert context.received.startswith(b"HTTP/1.1 413 "), context.received
     assert context.received.endswith(b"\r\n\r\n"), context.received
+
+
+@when("memory runs out as 20 kB of a request came behind one being answered")
+def evicted_behind(context):
+    context.handler.paths = []
+    answer = context.handler.handle
+
+    async def handle(request, reply):
+        context.handler.paths.append((request.target, len(request.body)))
+        await answer(request, reply)
+
+    context.handler.handle = handle
+    behind = b"POST /b HTTP/1.1\r\nContent-Length: 20000\r\n" + HEAD
+
+    async def scenario(front, address):
+        with connect(address, b"GET /a HTTP/1.1\r\n" + HEAD) as caller:
+            await anyio.sleep(0.05)
+            caller.sendall(behind + b"x" * 15_000)
+            await anyio.sleep(0.05)
+            front._budget.uploads.evict(while_needed=lambda: True)
+            caller.sendall(b"x" * 5_000)
+            context.received, _ = await anyio.to_thread.run_sync(
+                read_all, caller
+            )
+
+    run_scenario(context, scenario)
+
+
+@then("the first one is answered, and the connection ends")
+def check_evicted_behind(context):
+    assert context.handler.paths == [("/a", 0)], context.handler.paths
+    assert context.received.count(b"HTTP/1.1 ") == 1, context.received
+    assert context.received.endswith(b"0\r\n\r\n"), context.received
