End the own interface's daemon when it has stopped

Since a daemon of the own interface that was asked to stop served to its end and then waited for ever: the task that looks at the process's memory is in the same task group as the listener. The group is cancelled once the listener has stopped.

--- a/cactusdyke/daemon.py
+++ b/cactusdyke/daemon.py
@@ -105,6 +105,7 @@
                 await app.drain()
                 server.stop()
                 await server.wait_stopped()
+                tasks.cancel_scope.cancel()
         events.log(events.Event.DAEMON_STOPPED, daemon=settings.name)
 
 
