Measure what chunks of a byte cost, and say that

Measured alone on this machine, 54,000 chunks of one byte in reads of 16 KB: h11 3.6 us each, httptools 0.12. A check of the listeners' shares that repeated the next line under a factor is gone; the next line is the same check.

--- a/cactusdyke/transport/chunked_body.py
+++ b/cactusdyke/transport/chunked_body.py
@@ -1,7 +1,7 @@
 """Parses a request's chunked body with httptools.
 
-h11 takes fifty times as long for a chunk of one byte: a few megabytes of them
-would hold up all other connections for half a minute.
+h11 takes thirty times as long for a chunk of one byte: a few megabytes of them
+would hold up all other connections for many seconds.
 """
 
 from __future__ import annotations
--- a/features/steps/unfinished_requests_steps.py
+++ b/features/steps/unfinished_requests_steps.py
@@ -16,7 +16,6 @@
 
 from cactusdyke.clock import EventLoopClock
 from cactusdyke.transport.connection_limit import (
-    CLOSING_SHARE,
     ConnectionLimit,
     LimitedConnection,
 )
@@ -267,8 +266,6 @@
 
 @then("all its listeners together have at most {most:d}")
 def check_all_shares(context, most):
-    # With those that are being closed.
-    assert context.all * (1 + CLOSING_SHARE) <= most * (1 + CLOSING_SHARE)
     assert context.all <= most, context.all
 
 
