Report of each kind of request where its worth went

A kind has several routes, so the tables by route hid that one was starved. Log lines of requests name the priority and the services of the pipeline; the report counts by them and by span who was on time, late after a return, late, paused, refused, failed, left or cut, the longest part of those that were not on time, and the results made for nothing. Lines of stage calls (CD4314) state how many queued pieces a call left out for want of memory, which tells a stage that waits for memory from one that waits for calls.

--- a/cactusdyke/cmd/report.py
+++ b/cactusdyke/cmd/report.py
@@ -7,6 +7,7 @@
 
 from cactusdyke.cmd import output
 from cactusdyke.cmd.action import Action
+from cactusdyke.report import kinds as kinds_of_requests
 from cactusdyke.report import plot as plotting
 from cactusdyke.report import reading
 from cactusdyke.report.customers import OUTCOMES, count_customers
@@ -25,7 +26,7 @@
 def report(
     *files: str, seconds: float = 2.0, plot: str = "", json: bool = False
 ) -> Action:
-    """Adds up daemons' logs by time, reason, stage, customer and retries.
+    """Adds up daemons' logs by time, reason, stage, kind, customer and retries.
 
     Args:
         *files: Log files of daemons; `-` for standard input.
@@ -49,6 +50,7 @@
         tables = {
             **_summary_tables(summary),
             **_loss_tables(find_losses(lines, span_ms=span_ms)),
+            "kinds": _kind_rows(lines, span_ms),
             "customers": _customer_rows(lines),
             "retries": _retry_rows(lines, span_ms),
         }
@@ -135,6 +137,29 @@
     }
 
 
+def _kind_rows(
+    lines: list[reading.LogLine], span_ms: int
+) -> list[dict[str, Any]]:
+    found = kinds_of_requests.count_kinds(lines, span_ms=span_ms)
+    return [
+        {
+            "from s": span.begins_ms / MS_PER_SECOND,
+            "priority": span.priority,
+            "pipeline": ", ".join(span.pipeline),
+            **{
+                outcome: totals.outcomes[outcome]
+                for outcome in kinds_of_requests.OUTCOMES
+            },
+            "results wasted": totals.wasted_results,
+            "not on time, longest in": "  ".join(
+                f"{part} {count}"
+                for part, count in totals.longest_parts.most_common()
+            ),
+        }
+        for span, totals in sorted(found.items())
+    ]
+
+
 def _customer_rows(lines: list[reading.LogLine]) -> list[dict[str, Any]]:
     return [
         {
--- a/cactusdyke/report/customers.py
+++ b/cactusdyke/report/customers.py
@@ -52,7 +52,7 @@
     """
     totals: dict[str, CustomerTotals] = {}
     for line in lines:
-        outcome = _outcome(line)
+        outcome = outcome_of(line)
         customer = line.fields.get("customer")
         if outcome is None or not isinstance(customer, str):
             continue
@@ -63,7 +63,7 @@
     return totals
 
 
-def _outcome(line: LogLine) -> str | None:
+def outcome_of(line: LogLine) -> str | None:
     """Returns how a request ended, None if the line is not about that."""
     if line.code == Event.REQUEST_ANSWERED.code:
         return "late" if line.fields.get("outcome") == "late" else "served"
--- a/cactusdyke/serving/batcher.py
+++ b/cactusdyke/serving/batcher.py
@@ -321,6 +321,7 @@
                 took_ms=round(took_ms),
                 expected_ms=round(batch.expected_ms),
                 waiting=self._queue.queued_count,
+                without_memory=batch.without_memory,
                 held_bytes=round(self._queue.held_bytes(batch.replica_name)),
                 crossed_bytes=round(
                     self._input_locations.transferred_bytes(batch)
--- a/cactusdyke/serving/request_log.py
+++ b/cactusdyke/serving/request_log.py
@@ -51,6 +51,7 @@
             route=context.route.name,
             service=context.service,
             customer=context.customer_name,
+            **_kind_fields(context),
             version=self._deployment.version,
             outcome=outcome,
             attempts=context.attempts,
@@ -83,6 +84,7 @@
                 "route": context.route.name,
                 "service": context.service,
                 "customer": context.customer_name,
+                **_kind_fields(context),
                 "attempts": context.attempts,
                 "replicas": context.sent_to,
                 "waiting_for": context.waiting_for,
@@ -143,6 +145,7 @@
             route=context.route.name,
             service=context.service,
             customer=context.customer_name,
+            **_kind_fields(context),
             events=state.event_count,
             attempts=context.attempts,
             waiting_for=context.waiting_for,
@@ -154,6 +157,15 @@
         )
 
 
+def _kind_fields(context: ServingContext) -> dict[str, object]:
+    """Returns what tells kinds of requests apart that have several routes."""
+    stages = [stage.service for stage in context.route.stages]
+    return {
+        "priority": context.priority,
+        "pipeline": [*stages, context.service],
+    }
+
+
 def _said_fields(context: ServingContext) -> dict[str, object]:
     """Returns what replicas said of themselves, nothing if none did."""
     said = context.replicas_said
--- a/cactusdyke/serving/stage_pieces.py
+++ b/cactusdyke/serving/stage_pieces.py
@@ -125,6 +125,8 @@
         expected_ms: Expected duration of the call.
         started_at: Instant at which the batch was composed.
         free_bytes: Estimated free memory of the replica at that instant.
+        without_memory: Number of queued pieces that it left out, as the replica
+            had no memory for their results.
         reported_slowdown: Slowdown that the replica had reported by then.
         ended: Whether the call has ended, with success or not.
     """
@@ -134,5 +136,6 @@
     expected_ms: float
     started_at: Instant
     free_bytes: float
+    without_memory: int = 0
     reported_slowdown: float = 1.0
     ended: bool = False
--- a/cactusdyke/serving/stage_queue.py
+++ b/cactusdyke/serving/stage_queue.py
@@ -65,6 +65,7 @@
         self.spec = spec
         self._queued: list[PieceTask] = []
         self._usable_names: frozenset[str] = frozenset()
+        self._without_memory = 0
         self._throughput = StageThroughput(clock=clock)
         self._replicas: dict[str, StageReplica] = {}
         self._admission = ShareAdmission(clock=clock, capacity=self._capacity)
@@ -322,6 +323,7 @@
         )
         elsewhere = {self._replica(n).data_centre for n in free if n != name}
         tasks: list[PieceTask] = []
+        self._without_memory = 0
         for task in sorted(self._queued, key=order):
             if len(tasks) >= self.spec.batch:
                 break
@@ -331,6 +333,7 @@
             ):
                 continue
             if task.group.result_bytes > free_bytes:
+                self._without_memory += 1
                 continue
             free_bytes -= task.group.result_bytes
             tasks.append(task)
@@ -365,6 +368,7 @@
             expected_ms=expected_ms,
             started_at=now,
             free_bytes=free_bytes,
+            without_memory=self._without_memory,
             reported_slowdown=reported_slowdown,
         )
 
--- a/features/report/report.feature
+++ b/features/report/report.feature
@@ -24,6 +24,13 @@
     When a report is made of them
     Then it counts for each customer how its requests ended
 
+  Scenario: a report says of each kind of request where its worth went
+    # Guards against a kind that is starved unseen, as its requests have several
+    # routes, and against returns after a refusal that look punctual.
+    Given logs of two kinds of requests, on time and not
+    When a report is made of them
+    Then it counts for each kind how its requests ended and where they were long
+
   Scenario: a report adds up retries over daemons and their restarts
     # Guards against a sum that no daemon can give: its own is gone with it.
     Given logs of retries by two processes of one daemon and by another daemon
--- a/features/steps/report_steps.py
+++ b/features/steps/report_steps.py
@@ -192,6 +192,42 @@
     }, counts
 
 
+@given("logs of two kinds of requests, on time and not")
+def kinds(context):
+    context.folder = tempfile.TemporaryDirectory()
+    path = pathlib.Path(context.folder.name) / "one.log"
+    long = {**USUAL, "0 roster": 900}
+    drafts = {"priority": 1, "pipeline": ["roster", "pool"]}
+    refused = {**drafts, "status": 503, "results_made": {"roster": 2}}
+    path.write_text(
+        _answer(10_000, "d1", USUAL, **drafts)
+        + _answer(10_100, "d2", USUAL, **drafts, route="other")
+        + _answer(10_200, "d1", USUAL, **drafts, waited_ms=400)
+        + _answer(10_300, "d1", long, **drafts, outcome="late", first_ms=1_300)
+        + _answer(10_400, "d1", USUAL, **drafts, outcome="late")
+        + line(10_500, "d1", "CD4302:request_failed", parts_ms=long, **refused)
+        + line(12_100, "d1", "CD4303:request_left", **drafts)
+        + _answer(12_200, "d1", USUAL, priority=0, pipeline=["pool"])
+        + _answer(12_300, "d1", USUAL)
+    )
+    context.files = [str(path)]
+
+
+@then("it counts for each kind how its requests ended and where they were long")
+def check_kinds(context):
+    assert context.done.returncode == 0, context.done.stderr
+    first, urgent, left = json.loads(context.done.stdout)["kinds"]
+    assert (first["priority"], first["pipeline"]) == (1, "roster, pool")
+    assert first["on_time"] == 2, first
+    for outcome in ("late_after_return", "late", "paused", "refused"):
+        assert first[outcome] == 1, (outcome, first)
+    assert first["results wasted"] == 2
+    parts = first["not on time, longest in"].split("  ")
+    assert sorted(parts) == ["0 roster 2", "pool 2"], first
+    assert (urgent["from s"], urgent["priority"]) == (2.0, 0)
+    assert (urgent["on_time"], left["left"]) == (1, 1)
+
+
 def _retry(at, daemon, event, *, share=5.8, daemons=9, age_ms=9_000):
     return line(
         at,
