Start a short branch with large results after stages that have a backlog

Meanwhile the first stage's calls carried 2 pieces of 4, as its memory was full of such results, and up to 44 pieces waited.

Cause: the short branch begins when the long one is expected to end soon by the usual times of its stages, without the queue before them. Now it waits for every stage but the last that has a backlog of more than 150 ms.

--- a/cactusdyke/serving/stages.py
+++ b/cactusdyke/serving/stages.py
@@ -50,6 +50,8 @@
 BRANCH_MARGIN = 1.6
 """A shorter branch starts early enough to take this many times its usual time
 and still end with the longest one; the surplus covers time in a queue."""
+UNCERTAIN_BACKLOG_MS = 150.0
+"""Queueing delay from which the end of a stage cannot be foretold."""
 PREFILL_MS_PER_TOKEN = 0.02
 """Estimated prefill time of a prompt token that is in no engine's cache."""
 WAIT_FACTOR = 1.5
@@ -515,7 +517,9 @@
 
         The results of a short branch would occupy scarce memory of replicas
         until the longest branch ends. The short branch therefore starts late,
-        but early enough to end before the longest one by `BRANCH_MARGIN`.
+        but early enough to end before the longest one by `BRANCH_MARGIN`. It
+        waits for stages that have a backlog, as the longest branch may be
+        refused there, or end much later than it usually does.
         """
         last = results.final_stages()
         if number not in last or len(last) == 1 or results.input_stages(number):
@@ -526,10 +530,17 @@
             if other == number:
                 continue
             remaining_ms = self._ms_after(context, results, other)
-            if remaining_ms - ANSWER_MARGIN_MS > own_ms:
+            in_time = remaining_ms - ANSWER_MARGIN_MS <= own_ms
+            if not in_time or (
+                other not in last and self._has_backlog(context, other)
+            ):
                 waits.append(other)
         return waits
 
+    def _has_backlog(self, context: ServingContext, number: int) -> bool:
+        service = context.route.stages[number].service
+        return self._dispatch.backlog(service).total_ms > UNCERTAIN_BACKLOG_MS
+
     async def _engine_data_centre(
         self, context: ServingContext, results: StageResults
     ) -> str:
