Test streams as a version leaves and all daemons are killed

The users' report: take-ups joined from two versions after all daemons were killed at once while two versions were in service, or the old one's servers had just left. It does not happen here: daemons that were all killed remember nothing of a stream, and a take-up whose origin is unknown is refused.

--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -37,6 +37,10 @@
     ),
     "daemons lose power": _faults("daemons_lose_power", share=0.5, for_s=0.5),
     "all daemons are killed": _faults("daemons_killed", times=(8.0,)),
+    "all daemons are killed as a version leaves": (
+        attrs.evolve(RELEASE, share=1.0, at_s=5.0),
+        *_faults("daemons_killed", times=(8.0, 13.0), for_s=1.0),
+    ),
     "daemons are cut off from the others": (
         *_faults("daemons_cut_off", times=(5.0, 12.0), share=0.34, for_s=4.0),
         *_faults("daemons_killed", times=(7.0, 14.0), share=0.34, for_s=0.5),
@@ -78,7 +82,11 @@
         *_faults("daemons_killed", share=0.34, for_s=0.5),
     ),
 }
-FEW_RESUMED = {"their answers break off", "all daemons are killed"}
+FEW_RESUMED = {
+    "their answers break off",
+    "all daemons are killed",
+    "all daemons are killed as a version leaves",
+}
 """Disturbances in which few callers take streams up at undisturbed daemons."""
 LEAST_RESUMED = 12
 
--- a/features/stream_versions/streams.feature
+++ b/features/stream_versions/streams.feature
@@ -10,16 +10,17 @@
     And what cannot go on is told at once
 
     Examples: disturbances
-      | what                                    |
-      | their answers break off                 |
-      | daemons are killed                      |
-      | daemons restart in turn                 |
-      | daemons lose power                      |
-      | all daemons are killed                  |
-      | daemons are cut off from the others     |
-      | daemons reach them through others       |
-      | the decider is killed again and again   |
-      | a release is rolled back                |
-      | all replicas of a version are replaced  |
-      | entries come late                       |
-      | replicas return with other software     |
+      | what                                       |
+      | their answers break off                    |
+      | daemons are killed                         |
+      | daemons restart in turn                    |
+      | daemons lose power                         |
+      | all daemons are killed                     |
+      | all daemons are killed as a version leaves |
+      | daemons are cut off from the others        |
+      | daemons reach them through others          |
+      | the decider is killed again and again      |
+      | a release is rolled back                   |
+      | all replicas of a version are replaced     |
+      | entries come late                          |
+      | replicas return with other software        |
