Test endless answers of a stage's replica at a whole daemon

The users' report: bytes without end, kept until the machine ran out of memory. Forwarded answers, other daemons, the store and the own interface had tests; calls of stages and the reports of their replicas had none. Zeros, headers without end and a body without a length from the only replica of a stage: ten requests at once are each answered, and less than 64 MB are read in all.

--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -28,7 +28,11 @@
 from cactusdyke.transport.messages import Request
 from cactusdyke.transport.network import CallOptions, ProgressLimit
 from cactusdyke.util.delimited import DelimitedReader
-from features.steps.platform_forwarding_steps import plain_world
+from features.steps.platform_forwarding_steps import (
+    plain_world,
+    stage_world,
+    staged,
+)
 from features.steps.serving_steps import replica, route
 from features.support.platform_rig import PlatformWorld
 from features.support.serving_values import serving_context
@@ -40,6 +44,7 @@
 """The longest answer that may be checked, and what two sockets buffer."""
 MOST_TIME_S = 2.0
 TIMEOUT_S = 60.0
+STAGED_REQUESTS = 10
 
 OK = (
     b"HTTP/1.1 200 OK\r\nX-Attempt-Id: request\r\nX-Response-Stamp: s\r\n"
@@ -224,6 +229,35 @@
     assert context.server.sent_bytes > 0, "the replica was never asked"
 
 
+@when("requests with a stage are made to a daemon with this replica for it")
+def ask_staged(context):
+    async def work():
+        async with PlatformWorld() as world:
+            await stage_world(world)
+            for name in [n for n in world.replicas if n.startswith("s")]:
+                world.list_replica(
+                    name, "stage", address=context.server.address
+                )
+            async with anyio.create_task_group() as tasks:
+                for number in range(STAGED_REQUESTS):
+                    tasks.start_soon(ask, world, f"r-{number}")
+
+    async def ask(world, request_id):
+        status, _, _ = await staged(world, request_id)
+        context.answers.append(status)
+
+    context.answers = []
+    _run(context.server, work)
+
+
+@then("each is answered, and little was read")
+def check_staged(context):
+    assert context.answers == [503] * STAGED_REQUESTS, context.answers
+    assert 0 < context.server.sent_bytes < MOST_SENT_BYTES, (
+        context.server.sent_bytes
+    )
+
+
 @when("it is called as another daemon")
 def call_daemon(context):
     async def work():
--- a/features/transport/endless_answers.feature
+++ b/features/transport/endless_answers.feature
@@ -38,6 +38,18 @@
       | a body without a length |
       | trailers                |
 
+  Scenario Outline: a stage's replica that sends <what> until its caller closes
+    # Guards against calls of stages and reports that are kept without a bound.
+    Given an endless answer of <what>
+    When requests with a stage are made to a daemon with this replica for it
+    Then each is answered, and little was read
+
+    Examples: answers
+      | what                    |
+      | zeros                   |
+      | headers                 |
+      | a body without a length |
+
   Scenario: another daemon or the store that answers without end
     # Guards against a call of a daemon that is read until memory runs out.
     Given an endless answer of a body without a length
