Let restarted daemons catch up as fast as before where there is no news

With 300 bytes a message for what a receiver may have missed, a restarted daemon would learn the announcements of others in twice as many messages. Changes still have 1,200 bytes of their own, and the catch-up what they leave of 600, 300 at least.

--- a/cactusdyke/membership/attachments.py
+++ b/cactusdyke/membership/attachments.py
@@ -21,8 +21,10 @@
 MAX_VALUE_BYTES = 256
 MAX_NEWS_BYTES = 1_200
 """Dictionaries that have changed, in one message."""
-MAX_CATCH_UP_BYTES = 300
-"""Dictionaries that the receiver may have missed, in one message."""
+MAX_CATCH_UP_BYTES = 600
+"""Dictionaries that the receiver may have missed, in a message without news."""
+MIN_CATCH_UP_BYTES = 300
+"""The same in any message."""
 SENDS_PER_VERSION = 12
 
 Provider: TypeAlias = Callable[[], Mapping[str, Any]]
@@ -149,7 +151,9 @@
         unsent = self._unsent_to(receiver)
         news = self._fitting(self._due(receiver), MAX_NEWS_BYTES)
         missed = [name for name in unsent if name not in news]
-        chosen = [*news, *self._fitting(missed, MAX_CATCH_UP_BYTES)]
+        left = MAX_CATCH_UP_BYTES - sum(map(self._size, news))
+        catch_up = self._fitting(missed, max(MIN_CATCH_UP_BYTES, left))
+        chosen = [*news, *catch_up]
         unsent[:] = [name for name in unsent if name not in chosen]
         entries: list[Any] = []
         for name in chosen:
@@ -173,12 +177,15 @@
         fitting: list[str] = []
         size = 0
         for name in names:
-            size += len(orjson.dumps(self._values[name].value)) + len(name)
+            size += self._size(name)
             if size > max_bytes:
                 break
             fitting.append(name)
         return fitting
 
+    def _size(self, name: str) -> int:
+        return len(orjson.dumps(self._values[name].value)) + len(name)
+
     def _unsent_to(self, receiver: Member | None) -> list[str]:
         """Returns names whose dictionary the receiver was not sent since start.
 
