--- a/review/rig_2/replica.py
+++ b/review/rig_2/replica.py
@@ -16,6 +16,8 @@
 
 SERVERS = "servers"
 HEARTBEAT_S = 1.2
+COLD_S = 3.0
+"""How long a replica is cold, on the sheet of dvc-signals-now-grown."""
 
 
 @dataclasses.dataclass
@@ -51,6 +53,8 @@
         events: How many events a stream of it has; 0 for a plain replica.
         event_ms: Time between two events.
         framed: Whether its answers have a length or chunks.
+        cold_until: Until when it is cold.
+        crash_per_s: Requests within a second that crash it while it is cold.
         parts: In how many parts it writes an answer without a length.
         part_ms: Time between two of them.
     """
@@ -80,6 +84,8 @@
         self.events = 0
         self.event_ms = 40.0
         self.framed = True
+        self.cold_until = 0.0
+        self.crash_per_s = 0
         self.parts = 1
         self.part_ms = 50.0
 
@@ -88,6 +94,11 @@
         """Where it listens."""
         return self._server.address
 
+    @property
+    def _cold_left_ms(self) -> int:
+        """For how long it stays cold."""
+        return max(0, round(1000 * (self.cold_until - time.monotonic())))
+
     async def start(self) -> None:
         """Begins to serve, as a new process, and registers itself."""
         await self._server.start()
@@ -108,7 +119,7 @@
             "version": self._version,
             "capacity": self._slots,
             "state": state,
-            "cold_left_ms": 0,
+            "cold_left_ms": self._cold_left_ms,
             "seq": 1,
             "born": self._born,
         }
@@ -150,6 +161,8 @@
             writer.write(encode_answer(421, b"", told))
         elif request.path in {"/healthz", "/-/report"}:
             told = {"X-Replica-Id": self.name}
+            if self._cold_left_ms:
+                told["X-Cold-Ms"] = str(self._cold_left_ms)
             body = b'{"queued":0,"active":0,"free_mb":40,"born":%d}'
             writer.write(encode_answer(200, body % self._born, told))
         else:
@@ -168,6 +181,8 @@
             at=time.monotonic(), request_id=request_id, replica=self.name
         )
         self.arrivals.append(arrival)
+        if self.crash_per_s and self._is_overrun():
+            self.crash()
         if self._running >= self._slots:
             told = {"X-Not-Executed": "1", "X-Attempt-Id": request_id}
             writer.write(encode_answer(503, b"", told))
@@ -194,6 +209,13 @@
         # Its reader has waited for the channel's end, so it isn't kept.
         return False
 
+    def _is_overrun(self) -> bool:
+        """Returns whether it is cold and got too much in the last second."""
+        now = time.monotonic()
+        oldest = max(now - 1, self.cold_until - COLD_S)
+        recent = [a for a in self.arrivals if a.at >= oldest]
+        return now < self.cold_until and len(recent) > self.crash_per_s
+
     async def _write_parts(
         self,
         writer: asyncio.StreamWriter,
--- a/review/rig_2/rig.py
+++ b/review/rig_2/rig.py
@@ -149,6 +149,7 @@
         self._ids = itertools.count(1)
         self._run_id = secrets.token_hex(3)
         self.store = Store()
+        self.bounds = dict(BOUNDS)
         self.replicas: list[Replica] = []
         zones = ("new-norfolk", "glenorchy", "bridgewater")
         self.daemons = [
@@ -283,7 +284,7 @@
             "heartbeat_ms": 1200,
             "contracts": CONTRACTS.split(),
             "tolerate": {"machines": 1, "zones": 0, "regions": 0},
-            "bounds": BOUNDS,
+            "bounds": self.bounds,
             "platform": {
                 "address": self.store.address,
                 "form": "objects",
