Review case 5: one request with many pieces ends a daemon

Tried: review/5/run.sh, one request with X-Pieces: for each of three daemons under 24 callers on kept channels, in a platform that kills a process over 300 MB.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 # can be read.
 set -eu
 cd "$(dirname "$0")"
-exec python3 -m compileall -q rig_2 4 6 7 8
+exec python3 -m compileall -q rig_2 4 5 6 8
--- a/review/rig_2/rig.py
+++ b/review/rig_2/rig.py
@@ -55,6 +55,18 @@
 CONTRACTS = (
     "base drain config cost retry recover engine stream tenants platform stages"
 )
+TIMEOUT_MS = 4000
+PIECES = {
+    "capacity": 1,
+    "queue": 2,
+    "batch": 5,
+    "call_ms": 150.0,
+    "item_ms": 25.6,
+    "headroom_mb": 28.75,
+    "handle_s": 4.0,
+    "link_mbps": 10000,
+}
+"""Of `depot-roster` on the same sheet."""
 KEPT_VARIABLES = ("PATH", "HOME", "LANG")
 
 
@@ -362,7 +374,7 @@
     service: str,
     kind: str,
     *,
-    timeout_ms: int = 4000,
+    timeout_ms: int = TIMEOUT_MS,
     target_ms: int = 400,
     **more: Any,
 ) -> dict[str, Any]:
