Read each entry of the store by itself, and record a revision after its changes

Cause: an answer of the store with many writers' entries was parsed as a whole, so that RecursionError for one made the list and each watch unreadable. And _apply_changes recorded the revision before the changes were applied, so that an error in one lost those behind it. A third fault shown by generated entries: with 250 to 1,024 levels a daemon took the entry and could not pass its state on ("Recursion limit reached" in encode).

Change: an answer that can't be parsed is cut into entries by brackets and strings, without recursion, and each is parsed by itself; one that can't be read names no replica. Each change is applied by itself and the revision recorded last.

--- a/cactusdyke/background.py
+++ b/cactusdyke/background.py
@@ -18,7 +18,7 @@
 from cactusdyke.clock import EventLoopClock
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Awaitable, Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 
     from anyio.abc import TaskGroup
 
@@ -47,7 +47,7 @@
     try:
         await function(*arguments)
     except Exception as error:
-        _record_failure(function, error, restart_ms=None)
+        _record_failure(_name(function), error, restart_ms=None)
 
 
 async def keep_running(
@@ -67,13 +67,26 @@
         except Exception as error:
             if clock.now() - started_at >= STABLE_MS:
                 pause_ms = MIN_PAUSE_MS
-            _record_failure(function, error, restart_ms=pause_ms)
+            _record_failure(_name(function), error, restart_ms=pause_ms)
         else:
             return
         await clock.sleep(pause_ms)
         pause_ms = min(2 * pause_ms, MAX_PAUSE_MS)
 
 
+@contextlib.contextmanager
+def contain_errors(task: str) -> Iterator[None]:
+    """Logs and counts an error in the block, and goes on behind it.
+
+    Args:
+        task: What the block does, for the log and the count.
+    """
+    try:
+        yield
+    except Exception as error:
+        _record_failure(task, error, restart_ms=None)
+
+
 def failure_count() -> int:
     """Returns how many background tasks have failed in this process."""
     samples = (s for metric in FAILURES.collect() for s in metric.samples)
@@ -110,13 +123,13 @@
         yield BackgroundTasks(tasks)
 
 
+def _name(function: Callable[..., Awaitable[object]]) -> str:
+    return getattr(function, "__qualname__", repr(function))
+
+
 def _record_failure(
-    function: Callable[..., Awaitable[object]],
-    error: Exception,
-    *,
-    restart_ms: float | None,
+    task: str, error: Exception, *, restart_ms: float | None
 ) -> None:
-    task = getattr(function, "__qualname__", repr(function))
     FAILURES.labels(task).inc()
     trace = "".join(traceback.format_exception(error))
     events.log(
--- a/cactusdyke/errors.py
+++ b/cactusdyke/errors.py
@@ -20,10 +20,12 @@
     ArithmeticError,
     AttributeError,
     LookupError,
+    RecursionError,
     TypeError,
     ValueError,
 )
-"""Raised by code that takes parsed JSON apart where it has another form."""
+"""Raised by code that takes parsed JSON apart where it has another form. A
+value that is nested deeply can't be formatted for an error's text."""
 
 REFUSAL_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses of requests that are counted as refused, others as failed."""
--- a/cactusdyke/platform/follow.py
+++ b/cactusdyke/platform/follow.py
@@ -4,9 +4,10 @@
 
 from typing import TYPE_CHECKING, ClassVar
 
-from result import Err
+from result import Err, Ok
 
 from cactusdyke import events
+from cactusdyke.background import contain_errors
 from cactusdyke.platform import decode
 from cactusdyke.serving.followed_state import FollowedState
 
@@ -21,6 +22,7 @@
         WatchedStore,
     )
     from cactusdyke.serving.deployment import Deployment
+    from cactusdyke.serving.model import Replica
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
@@ -113,14 +115,10 @@
             for name, revision in self._rejected.items()
             if name in self._objects
         }
-        replicas = []
-        for entry in self._objects.values():
-            decoded = decode.replica(entry)
-            if isinstance(decoded, Err):
-                self._reject(entry, decoded.err_value)
-            else:
-                replicas.append(decoded.ok_value)
-        self._deployment.replace_replicas(replicas)
+        decoded = map(self._decode, self._objects.values())
+        self._deployment.replace_replicas(
+            replica for replica in decoded if replica is not None
+        )
 
     def _apply_change(self, change: Change, source: str) -> None:
         del source
@@ -129,9 +127,17 @@
             self._rejected.pop(entry.name, None)
             self._deployment.remove_replica(entry.name)
             return
-        decoded = decode.replica(entry)
-        if isinstance(decoded, Err):
-            self._reject(entry, decoded.err_value)
+        replica = self._decode(entry)
+        if replica is None:
             self._deployment.remove_replica(entry.name)
-            return
-        self._deployment.put_replica(decoded.ok_value)
+        else:
+            self._deployment.put_replica(replica)
+
+    def _decode(self, entry: StoreObject) -> Replica | None:
+        """Returns the replica of an entry, None if it can't be read."""
+        with contain_errors("read the entry of a replica"):
+            decoded = decode.replica(entry)
+            if isinstance(decoded, Ok):
+                return decoded.ok_value
+            self._reject(entry, decoded.err_value)
+        return None
--- a/cactusdyke/platform/store.py
+++ b/cactusdyke/platform/store.py
@@ -19,6 +19,7 @@
 from cactusdyke.transport.messages import JSON_TYPE, Request
 from cactusdyke.transport.network import CallOptions
 from cactusdyke.util import lenient_json
+from cactusdyke.util.json_nesting import MAX_ENTRY_NESTING, is_nested_deeper
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -53,14 +54,16 @@
             if isinstance(answer, Err):
                 return answer
             body = answer.ok_value
-            page = [_object(item) for item in _list(body, "items")]
-            objects.extend(item for item in page if item is not None)
+            items = map(_object, _list(body, "items"))
+            page = [item for item in items if item is not None]
+            objects.extend(page)
             # Objects may change while the pages are read. A watch that starts
             # at the first page's revision reports these changes.
             if revision is None:
                 revision = _revision(body)
-            if not body.get("has_more") or not page or page[-1] is None:
+            if not body.get("has_more") or not page:
                 break
+            # The next page begins behind the last object that has a name.
             after = page[-1].name
         return Ok(Listing(objects=tuple(objects), revision=revision or 0))
 
@@ -155,7 +158,7 @@
             return Err(_failure(kind_of, f"status {response.status}"))
         if method == "GET" or response.body:
             # Without a length a body that was cut at once looks empty.
-            return lenient_json.parse_object(response.body)
+            return lenient_json.parse_object(response.body, content_key="spec")
         return Ok({})
 
 
@@ -188,10 +191,12 @@
     revision = metadata.get("revision")
     if not isinstance(name, str) or not name:
         return None
+    spec = value.get("spec")
     return StoreObject(
         name=name,
         revision=revision if isinstance(revision, int) else 0,
-        spec=value.get("spec"),
+        # Followers of this daemon couldn't be told of it.
+        spec=None if is_nested_deeper(spec, MAX_ENTRY_NESTING) else spec,
     )
 
 
--- a/cactusdyke/serving/followed_state.py
+++ b/cactusdyke/serving/followed_state.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from cactusdyke import events
+from cactusdyke.background import contain_errors
 from cactusdyke.infrastructure.watched_store import Change, StoreObject
 
 if TYPE_CHECKING:
@@ -220,28 +221,32 @@
         self, objects: Sequence[StoreObject], revision: int, source: str
     ) -> None:
         self._objects = {entry.name: entry for entry in objects}
+        self._apply_objects(source)
         self._revision = self._oldest_revision = revision
         self._batches.clear()
         self._listed = True
-        self._apply_objects(source)
         self._change_hook()
 
     def _apply_changes(
         self, changes: Sequence[Change], revision: int, source: str
     ) -> None:
-        self._revision = revision
         if not changes:
+            self._revision = revision
             return
-        if len(self._batches) >= MAX_BATCHES:
-            self._oldest_revision = self._batches.popleft().revision
-        self._batches.append(_Batch(revision=revision, changes=tuple(changes)))
         with self._batch():
             for change in changes:
                 if change.deleted:
                     self._objects.pop(change.object.name, None)
                 else:
                     self._objects[change.object.name] = change.object
-                self._apply_change(change, source)
+                # The changes behind it don't depend on this one.
+                with contain_errors(f"apply a change of {self._kind}"):
+                    self._apply_change(change, source)
+        if len(self._batches) >= MAX_BATCHES:
+            self._oldest_revision = self._batches.popleft().revision
+        self._batches.append(_Batch(revision=revision, changes=tuple(changes)))
+        # Changes up to a revision are not read again once it is recorded.
+        self._revision = revision
         self._change_hook()
 
     def _batch(self) -> contextlib.AbstractContextManager[None]:
--- a/cactusdyke/transport/messages.py
+++ b/cactusdyke/transport/messages.py
@@ -10,6 +10,11 @@
 from result import Err, Ok, Result
 
 from cactusdyke.errors import Failure, FailureKind
+from cactusdyke.util.json_nesting import (
+    MAX_MESSAGE_NESTING,
+    is_nested_deeper,
+    may_be_nested_deeper,
+)
 
 JSON_TYPE = "application/json"
 EVENT_STREAM_TYPE = "text/event-stream"
@@ -53,7 +58,7 @@
 
 
 def parse_object(body: bytes) -> Result[dict[str, Any], Failure]:
-    """Parses a body that must be a JSON object."""
+    """Parses a body that must be a JSON object, and not nested too deeply."""
     try:
         value = orjson.loads(body)
     except orjson.JSONDecodeError as error:
@@ -70,6 +75,15 @@
                 detail="The body is not a JSON object",
             )
         )
+    if may_be_nested_deeper(body, MAX_MESSAGE_NESTING) and is_nested_deeper(
+        value, MAX_MESSAGE_NESTING
+    ):
+        return Err(
+            Failure(
+                kind=FailureKind.BAD_REQUEST,
+                detail=f"The body is nested over {MAX_MESSAGE_NESTING} levels",
+            )
+        )
     return Ok(value)
 
 
--- a/features/malformed/malformed.feature
+++ b/features/malformed/malformed.feature
@@ -8,6 +8,19 @@
     Then no request is lost or refused, and no daemon has ended
     And each daemon logs each of the entries once, and counts them
 
+  Scenario: a deeply nested entry hides no drain and keeps no daemon from starting
+    # Guards against one writer's entry that makes the list of all replicas
+    # unreadable.
+    When a replica drains behind an entry that is nested 2,000 deep
+    Then it gets nothing later than drain_ms after its report
+    And a daemon that starts then serves requests
+
+  @background_failures
+  Scenario: an error while one change is applied loses no other change
+    # Guards against a revision that is recorded before its changes are applied.
+    When the second of three changes in a batch can't be applied
+    Then the changes before and behind it are in force, and it is logged
+
   @background_failures
   Scenario Outline: a daemon without <guard> bears such an entry
     # Guards against a daemon that only one guard keeps from ending.
@@ -31,6 +44,7 @@
       | configurations                    |
       | entries of daemons                |
       | answers of the store              |
+      | odd entries among sound ones      |
       | messages between daemons          |
       | states from other daemons         |
       | answers of replicas               |
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -7,12 +7,15 @@
 from unittest import mock
 
 import anyio
+import orjson
 from behave import given, then, when
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import given as for_all
 
 from cactusdyke import background
+from cactusdyke.clock import SystemClock
 from cactusdyke.kernel import Kernel, Service
+from cactusdyke.serving.followed_state import FollowedState
 from cactusdyke.transport.exchange import ExchangeError
 from cactusdyke.transport.network_address import NetworkAddress
 from features.steps.platform_forwarding_steps import play
@@ -27,6 +30,8 @@
 CALLERS = 6
 WORK_MS = 50.0
 """So that callers are spread over all replicas."""
+DRAIN_S = 2.0
+START_S = 8.0
 FAILURE = "CD1012"
 EXAMPLES = 150
 
@@ -158,6 +163,91 @@
     assert context.after == [200] * 5, context.after
 
 
+@when("a replica drains behind an entry that is nested 2,000 deep")
+def deeply_nested(context):
+    nested = orjson.Fragment(b"[" * 2_000 + b"]" * 2_000)
+
+    async def story(world):
+        for name in ("p1", "p2"):
+            (await world.add_replica(name)).work_ms = WORK_MS
+        world.configure([route("look", "plain")])
+        process = await world.start_process("d1")
+        world.store.put(
+            "servers", "i-1", replica_entry("127.0.0.1:9", service=nested)
+        )
+        await anyio.sleep(0.5)
+        world.list_replica("p1", state="draining")
+        await anyio.sleep(DRAIN_S)
+        before = len(world.replicas["p1"].runs)
+        context.answers = []
+        with anyio.move_on_after(1):
+            async with anyio.create_task_group() as tasks:
+                for _ in range(CALLERS):
+                    tasks.start_soon(_keep_asking, world, "d1", context.answers)
+        context.late = len(world.replicas["p1"].runs) - before
+        await process.stop()
+        context.status = None
+        with anyio.move_on_after(START_S):
+            process = await world.start_process("d2")
+            context.status = (await world.request("/look/a", daemon="d2"))[0]
+            await process.stop()
+
+    play(story)
+
+
+@then("it gets nothing later than drain_ms after its report")
+def check_drained(context):
+    assert context.answers.count(200) > CALLERS, context.answers[:5]
+    assert not context.late, context.late
+
+
+@then("a daemon that starts then serves requests")
+def check_started(context):
+    assert context.status == 200, context.status
+
+
+class _Names(FollowedState):
+    """Collects the names of changed objects; fails at one of them."""
+
+    def __init__(self, **dependencies):
+        super().__init__(kind="names", **dependencies)
+        self.applied = []
+
+    def _apply_objects(self, source):
+        del source
+
+    def _apply_change(self, change, source):
+        del source
+        if change.object.name == "bad":
+            raise RuntimeError("cannot be applied")
+        self.applied.append(change.object.name)
+
+
+@when("the second of three changes in a batch can't be applied")
+def failing_change(context):
+    context.state = _Names(store=None, clock=SystemClock())
+    names = ("first", "bad", "last")
+    with captured_events() as context.events:
+        context.state.merge(
+            {
+                "revision": 5,
+                "age_ms": 0,
+                "changes": [[name, 5, {}, False] for name in names],
+            },
+            source="d2",
+        )
+
+
+@then("the changes before and behind it are in force, and it is logged")
+def check_failing_change(context):
+    assert context.state.applied == ["first", "last"], context.state.applied
+    assert context.state.revision == 5
+    logged = [
+        e for e in context.events if e["message_type"].startswith(FAILURE)
+    ]
+    assert ["cannot be applied" in line["error"] for line in logged] == [True]
+
+
 @when("generated {data} is read, and used by all that reads it")
 def generated(context, data):
     source = malformed.SOURCES[data]
--- a/features/support/malformed.py
+++ b/features/support/malformed.py
@@ -8,6 +8,7 @@
 import os
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import anyio
@@ -42,9 +43,15 @@
 from cactusdyke.serving.state_timings import StateTimings
 from cactusdyke.settings import Settings
 from cactusdyke.transport.answer_parser import AnswerHead, encode_request
-from cactusdyke.transport.messages import Request, Response
+from cactusdyke.transport.messages import (
+    Request,
+    Response,
+    json_response,
+    parse_object,
+)
 from cactusdyke.transport.network import Network
 from cactusdyke.transport.network_address import NetworkAddress
+from cactusdyke.util.json_nesting import MAX_ENTRY_NESTING, is_nested_deeper
 from features.support.platform_rig import (
     KEY,
     configuration,
@@ -458,6 +465,139 @@
     assert deployment.configuration is not None
 
 
+def _nested(levels: int) -> bytes:
+    return b"[" * levels + b"]" * levels
+
+
+ODD_VALUES = (
+    *(_nested(levels) for levels in (60, 130, 300, 1_000, 2_000, 100_000)),
+    b'{"a":' * 500 + b"1" + b"}" * 500,
+    b'"a\x01b"',
+    b'"\xff\xfe"',
+    b'"\\ud800"',
+    b"1e999",
+    b"9" * 400,
+    b"9" * 5_000,
+    b"NaN",
+    b'"10.0.0.1:65536"',
+    b'"10.0.0.1:-1"',
+    b'"10.0.0.1:%b"' % (b"9" * 400),
+)
+"""Values that no reader, or only some readers, can parse or pass on."""
+SOUND_NAMES = ("i-1", "i-2", "i-3")
+
+
+@attrs.frozen(kw_only=True)
+class OddEntry:
+    """An entry of another writer, and where it stands among sound ones."""
+
+    field: str
+    value: bytes
+    place: int
+
+    def encode(self) -> bytes:
+        """Returns the bytes that the store keeps."""
+        fields = {k: orjson.dumps(v) for k, v in REPLICA.items()}
+        fields[self.field] = self.value
+        parts = (b'"%b":%b' % (k.encode(), v) for k, v in fields.items())
+        return b"{" + b",".join(parts) + b"}"
+
+
+def _store_object(name: str, revision: int, spec: bytes) -> bytes:
+    return b'{"metadata":{"name":"%b","revision":%d},"spec":%b}' % (
+        name.encode(),
+        revision,
+        spec,
+    )
+
+
+def _among_sound(odd: OddEntry, state: str, revision: int) -> list[bytes]:
+    """Returns sound objects in a state, with the odd one in its place."""
+    objects = [
+        _store_object(
+            name,
+            revision,
+            orjson.dumps(
+                {
+                    **REPLICA,
+                    "address": f"10.0.1.{number}:80",
+                    "state": "ready" if number else state,
+                }
+            ),
+        )
+        for number, name in enumerate(SOUND_NAMES)
+    ]
+    objects.insert(odd.place, _store_object("i-0", revision, odd.encode()))
+    return objects
+
+
+class _ListedAndWatched(Network):
+    """Answers as the store does, first with a list and then with changes."""
+
+    def __init__(self, odd: OddEntry) -> None:
+        self._list = b'{"items":[%b],"has_more":false,"current_rev":5}' % (
+            b",".join(_among_sound(odd, "ready", 5))
+        )
+        self._changes = b'{"events":[%b],"current_rev":9}' % b",".join(
+            b'{"object":%b,"deleted":false}' % each
+            for each in _among_sound(odd, "draining", 9)
+        )
+
+    @contextlib.asynccontextmanager
+    async def open(self, address: str, request: Any, options: Any) -> Any:
+        raise NotImplementedError
+        yield
+
+    async def fetch(self, address: str, request: Any, options: Any) -> Any:
+        body = self._changes if "watch" in request.query else self._list
+        return Ok(Response(status=200, headers={}, body=body))
+
+
+def _check_odd_entry(odd: OddEntry) -> None:
+    store = StoreClient(
+        address="10.0.0.2:1",
+        network=_ListedAndWatched(odd),
+        clock=EventLoopClock(),
+    )
+    states = {}
+    for name in ("reader", "follower"):
+        deployment = Deployment(clock=SystemClock())
+        state = ReplicaState(
+            store=store, clock=SystemClock(), deployment=deployment
+        )
+        states[name] = (state, deployment)
+    reader, _ = states["reader"]
+    follower, _ = states["follower"]
+    for expected in (set(SOUND_NAMES), set(SOUND_NAMES[1:])):
+        known = follower.revision
+        assert anyio.run(partial(reader.read, wait_ms=0)).is_ok()
+        told = json_response(reader.encode_since(known)).body
+        assert isinstance(told, bytes)
+        follower.merge(parse_object(told).unwrap(), source="d2")
+        for _, deployment in states.values():
+            replicas = deployment.usable_replicas("plain")
+            assert {r.name for r in replicas} - {"i-0"} == expected
+            assert _may_be_used(odd) or len(replicas) == len(expected)
+
+
+def _may_be_used(odd: OddEntry) -> bool:
+    """Returns whether only a field is odd that says little of a replica."""
+    try:
+        spec = orjson.loads(odd.encode())
+    except orjson.JSONDecodeError:
+        return False
+    return odd.field in {"zone", "version", "seq", "further"} and (
+        not is_nested_deeper(spec, MAX_ENTRY_NESTING)
+    )
+
+
+ODD_ENTRIES = st.builds(
+    OddEntry,
+    field=st.sampled_from([*REPLICA, "further"]),
+    value=st.sampled_from(ODD_VALUES),
+    place=st.integers(0, len(SOUND_NAMES)),
+)
+
 REPORT = {"free_mb": 10.5, "born": 5, "items": [{"handle": "10.0.0.1:80/ab"}]}
 HEADERS = (
     "x-attempt-id",
@@ -520,6 +660,15 @@
     ),
     "entries of daemons": Source(values=mutated(DAEMON), check=_check_daemon),
     "answers of the store": Source(values=_answers(), check=_check_answer),
+    "odd entries among sound ones": Source(
+        values=ODD_ENTRIES,
+        check=_check_odd_entry,
+        examples=tuple(
+            OddEntry(field="service", value=value, place=place)
+            for value in ODD_VALUES
+            for place in (0, len(SOUND_NAMES))
+        ),
+    ),
     "messages between daemons": Source(
         values=mutated(GOSSIP),
         check=_check_gossip,
