Refuse more pieces than a stage can compute, and make the others in parts

Cause: _run_stage made an object of each piece that the header names, in one turn of the event loop, before anything looked at the number, and the decider a second.

Change: what a stage's replicas can compute until the deadline and hold in memory is bounded from numbers alone, with a tolerance of two; more is refused with 503 before anything is made of a piece. Pieces are made 1,000 at a time, with 20,000 inputs at most. Numbers of over 18 digits in a request's headers are refused.

--- a/cactusdyke/errors.py
+++ b/cactusdyke/errors.py
@@ -54,6 +54,10 @@
         "Send fewer requests, or ask the operator for a higher limit",
     )
     OVERLOADED = (503, "Send the request again after retry_after_ms")
+    TOO_MUCH_WORK = (
+        503,
+        "Ask for less in one request, or allow a longer deadline",
+    )
     NO_BACKEND_SERVER = (
         503,
         "Send the request again after retry_after_ms; the pool is failing",
--- a/cactusdyke/platform/wire.py
+++ b/cactusdyke/platform/wire.py
@@ -461,11 +461,11 @@
     for entry in values.text(b"x-prompt-prefix").split(","):
         name, _, tokens = entry.strip().partition(":")
         if name and tokens:
-            parts.append(PromptPart(name=name, tokens=int(tokens)))
+            parts.append(PromptPart(name=name, tokens=_whole_number(tokens)))
     return Generation(
         model=values.text(b"x-model"),
-        prompt_tokens=int(prompt),
-        output_tokens=int(output or 0),
+        prompt_tokens=_whole_number(prompt),
+        output_tokens=_whole_number(output or "0"),
         parts=tuple(parts),
     )
 
@@ -473,14 +473,20 @@
 def _counts(text: str) -> tuple[int, ...]:
     if not text:
         return ()
-    counts = tuple(int(part) for part in text.split(","))
-    if any(count < 0 for count in counts):
-        raise ValueError("a negative number of pieces")
-    return counts
+    return tuple(_whole_number(part) for part in text.split(","))
+
+
+def _whole_number(text: str) -> int:
+    digits = text.strip()
+    if not digits.isascii() or not digits.isdigit():
+        raise ValueError(f"no whole number: {text!r:.40}")
+    if len(digits) > MAX_NUMBER_DIGITS:
+        raise ValueError(f"a number of over {MAX_NUMBER_DIGITS} digits")
+    return int(digits)
 
 
 def _resume(text: str) -> int | None:
-    return int(text) if text.isdigit() else None
+    return _whole_number(text) if text.isdigit() else None
 
 
 def _positive(text: str) -> float:
--- a/cactusdyke/serving/deployment.py
+++ b/cactusdyke/serving/deployment.py
@@ -308,6 +308,12 @@
         """
         return self._usable_by_service.get(service, [])
 
+    def replica_count(self, service: str) -> int:
+        """Returns how many replicas of a service are known, usable or not."""
+        return len(self.usable_replicas(service)) + len(
+            self.unusable_names(service)
+        )
+
     def unusable_names(self, service: str) -> set[str]:
         """Returns the names of a service's replicas that must get no work."""
         return self._unusable_by_service.get(service, set())
--- a/cactusdyke/serving/stages.py
+++ b/cactusdyke/serving/stages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from typing import TYPE_CHECKING
 
@@ -17,6 +18,7 @@
     StageWork,
 )
 from cactusdyke.serving.return_questions import ReturnQuestion
+from cactusdyke.serving.stage_capacity import most_pieces, pieces_at_once
 from cactusdyke.serving.stage_locality import LARGE_TRANSFER_BYTES
 
 if TYPE_CHECKING:
@@ -26,7 +28,7 @@
     from cactusdyke.clock import Clock
     from cactusdyke.serving.deployment import Deployment
     from cactusdyke.serving.dispatch import Dispatch
-    from cactusdyke.serving.model import StageSpec
+    from cactusdyke.serving.model import BatchSpec, StageSpec
     from cactusdyke.serving.request import ServingContext
     from cactusdyke.serving.return_questions import (
         ReturnAnswer,
@@ -141,6 +143,9 @@
         Returns:
             The handles of the results that the request itself needs.
         """
+        refusal = self._impossible_refusal(context, results)
+        if refusal is not None:
+            return Err(refusal)
         refusal = self._early_refusal(context, results)
         if refusal is not None:
             refusal = await self._with_return_time(context, results, refusal)
@@ -170,6 +175,35 @@
             ]
         )
 
+    def _impossible_refusal(
+        self, context: ServingContext, results: StageResults
+    ) -> Failure | None:
+        """Returns a refusal if no queue is short enough to serve the request.
+
+        It is decided from numbers alone, before anything is made of a piece.
+        """
+        if results.handles_by_stage:
+            return None
+        left_ms = context.start_deadline_at - self._clock.now()
+        for number in results.active_stages():
+            stage = context.route.stages[number]
+            batching = self._batching(stage.service)
+            if batching is None:
+                continue
+            most = most_pieces(
+                stage,
+                batching,
+                replica_count=self._deployment.replica_count(stage.service),
+                within_ms=left_ms,
+            )
+            if results.piece_count(number) > most:
+                return Failure(
+                    kind=FailureKind.TOO_MUCH_WORK,
+                    detail=f"{stage.service} computes {most:.0f} pieces at most"
+                    f" in the {left_ms:.0f} ms that are left",
+                )
+        return None
+
     def _early_refusal(
         self, context: ServingContext, results: StageResults
     ) -> Failure | None:
@@ -424,36 +458,125 @@
         number: int,
         last_used: Sequence[int],
     ) -> Result[StageOutcome, Failure]:
-        request = context.request
-        stage = context.route.stages[number]
-        predecessors = results.input_stages(number)
+        """Computes the missing pieces of a stage, some of them at a time."""
+        began_at = self._clock.now()
+        context.pending_stages.add(number)
+        handles: list[str] = []
+        try:
+            answer = await self._compute_missing(
+                context, results, number, last_used, handles
+            )
+        except BaseException:
+            self._free_computed(context, number, handles)
+            raise
+        context.record_stage(
+            number,
+            self._clock.now() - began_at,
+            sum(1 for handle in handles if handle),
+        )
+        if isinstance(answer, Err):
+            self._free_computed(context, number, handles)
+            return answer
+        return Ok(
+            StageOutcome(handles=tuple(handles), inputs_freed=answer.ok_value)
+        )
+
+    async def _compute_missing(
+        self,
+        context: ServingContext,
+        results: StageResults,
+        number: int,
+        last_used: Sequence[int],
+        handles: list[str],
+    ) -> Result[bool, Failure]:
+        """Adds the handles of a stage's missing pieces to a list, in order.
+
+        Returns:
+            Whether the inputs were freed.
+        """
         inputs = tuple(
-            h for n in predecessors for h in results.handles_by_stage[n]
+            h
+            for n in results.input_stages(number)
+            for h in results.handles_by_stage[n]
+        )
+        partial = results.partial_handles.get(number, {})
+        missing = (
+            n for n in range(results.piece_count(number)) if n not in partial
         )
-        pieces = tuple(
-            Piece(
-                request_id=request.request_id,
-                stage=number,
-                number=piece,
-                key="" if predecessors else request.piece_key,
-                inputs=inputs,
+        missing_count = results.piece_count(number) - len(partial)
+        inputs_freed = False
+        while len(handles) < missing_count:
+            pieces = tuple(
+                self._piece(context, number, piece, inputs)
+                for piece in itertools.islice(
+                    missing, pieces_at_once(len(inputs))
+                )
             )
-            for piece in range(results.piece_count(number))
-            if piece not in results.partial_handles.get(number, {})
+            is_last = len(handles) + len(pieces) == missing_count
+            answer = await self._compute_pieces(
+                context,
+                results,
+                number,
+                pieces,
+                may_refuse=not results.handles_by_stage and not handles,
+                last_used=last_used if is_last else (),
+            )
+            if isinstance(answer, Err):
+                return answer
+            handles.extend(answer.ok_value.handles)
+            inputs_freed = answer.ok_value.inputs_freed
+            if not answer.ok_value.complete:
+                handles.extend([""] * (missing_count - len(handles)))
+        return Ok(inputs_freed)
+
+    def _free_computed(
+        self, context: ServingContext, number: int, handles: Sequence[str]
+    ) -> None:
+        service = context.route.stages[number].service
+        self._dispatch.free(service, [handle for handle in handles if handle])
+
+    def _piece(
+        self,
+        context: ServingContext,
+        stage: int,
+        number: int,
+        inputs: tuple[str, ...],
+    ) -> Piece:
+        request = context.request
+        return Piece(
+            request_id=request.request_id,
+            stage=stage,
+            number=number,
+            key="" if inputs else request.piece_key,
+            inputs=inputs,
         )
+
+    async def _compute_pieces(
+        self,
+        context: ServingContext,
+        results: StageResults,
+        number: int,
+        pieces: tuple[Piece, ...],
+        *,
+        may_refuse: bool,
+        last_used: Sequence[int],
+    ) -> Result[StageOutcome, Failure]:
+        request = context.request
+        stage = context.route.stages[number]
+        predecessors = results.input_stages(number)
         now = self._clock.now()
         ms_after = self._ms_after(context, results, number)
-        context.pending_stages.add(number)
-        answer = await self._dispatch.compute_stage(
+        return await self._dispatch.compute_stage(
             StageWork(
                 service=stage.service,
-                name=f"{request.request_id}/{number}/{now:.0f}",
+                name=f"{request.request_id}/{number}/{now:.0f}"
+                f"/{pieces[0].number}",
                 pieces=pieces,
                 objective_in_ms=context.objective_at - ms_after - now,
                 deadline_in_ms=context.start_deadline_at - ms_after - now,
                 priority=context.priority,
                 result_bytes=stage.result_bytes,
-                may_refuse=not results.handles_by_stage,
+                may_refuse=may_refuse,
                 transfer_bytes=self._transfer_bytes(context, results, number),
                 data_centre="" if predecessors else results.data_centre,
                 repeated=bool(results.partial_handles),
@@ -469,10 +592,6 @@
                 ),
             )
         )
-        handles = answer.ok_value.handles if isinstance(answer, Ok) else ()
-        computed = sum(1 for handle in handles if handle)
-        context.record_stage(number, self._clock.now() - now, computed)
-        return answer
 
     def _merge_outcome(
         self, results: StageResults, number: int, outcome: StageOutcome
@@ -594,13 +713,15 @@
     def _stage_ms(
         self, context: ServingContext, results: StageResults, number: int
     ) -> float:
-        configuration = self._deployment.configuration
-        service = context.route.stages[number].service
-        spec = configuration.services.get(service) if configuration else None
-        if spec is None or spec.batching is None:
+        batching = self._batching(context.route.stages[number].service)
+        if batching is None:
             return 0.0
-        pieces = min(results.piece_count(number), spec.batching.batch)
-        return WAIT_FACTOR * spec.batching.expected_call_ms(pieces)
+        pieces = min(results.piece_count(number), batching.batch)
+        return WAIT_FACTOR * batching.expected_call_ms(pieces)
+
+    def _batching(self, service: str) -> BatchSpec | None:
+        spec = self._deployment.service(service)
+        return spec.batching if spec else None
 
 
 def _prefill_ms(context: ServingContext) -> float:
--- a/features/misbehaving_clients/crowds.feature
+++ b/features/misbehaving_clients/crowds.feature
@@ -66,6 +66,28 @@
       | 250   | a header line without end                 |
       | 500   | nothing                                   |
 
+  Scenario Outline: a request names <numbers> in <header>
+    # Guards against memory and time that grow with a number in a header.
+    Given a daemon of a host with 100 MB and 600 descriptors
+    When a client names <numbers> in <header>, and others ask beside it
+    Then the process lives, within its memory and its descriptors
+    And it is answered before its deadline, and the others are answered in time
+
+    Examples:
+      | header          | numbers                |
+      | X-Pieces        | 20000000               |
+      | X-Pieces        | 300000                 |
+      | X-Pieces        | 0,20000000             |
+      | X-Pieces        | 999999999999999999     |
+      | X-Pieces        | of 3,000 digits        |
+      | X-Pieces        | two thousand of one    |
+      | X-Token-Counts  | of 3,000 digits        |
+      | X-Token-Counts  | 999999999999999999,1   |
+      | X-Prompt-Prefix | ab:999999999999999999  |
+      | X-Prompt-Prefix | of 3,000 digits        |
+      | X-Deadline-Ms   | 1e308                  |
+      | Last-Event-Id   | of 3,000 digits        |
+
   Scenario Outline: one body of the largest size <how>
     # Guards against limits that refuse what is within those of callers.
     Given a daemon of a host with 100 MB and 600 descriptors
--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -122,6 +122,28 @@
     Then the first is refused as not run with a retry time, and starts no stage
     And the second one's results are computed
 
+  Scenario Outline: a request that names <count> pieces of a stage
+    # Guards against memory and time that grow with a number in a header.
+    Given two stages of 40 replicas, which compute 20,000 pieces in 2 seconds
+    When a request names <count> pieces of the first and 50 of the second
+    Then <outcome>
+    And never more than 1,000 pieces, or 20,000 inputs of pieces, are made at once
+
+    Examples:
+      | count              | outcome                          |
+      | 1                  | all of its pieces are computed   |
+      | 1000               | all of its pieces are computed   |
+      | 1001               | all of its pieces are computed   |
+      | 20000              | all of its pieces are computed   |
+      | 20000000           | none of its pieces is made       |
+      | 999999999999999999 | none of its pieces is made       |
+
+  Scenario: a later part of a stage that fails frees the earlier ones
+    # Guards against results that fill replicas' memory after their request.
+    Given two stages of 40 replicas, which compute 20,000 pieces in 2 seconds
+    When the second part of a stage of 2,500 pieces fails
+    Then the results of the first part are freed
+
   Scenario: an omitted stage passes its inputs on to the stages after it
     # A request may omit a stage. The stages after it then take its inputs;
     # without any inputs they would compute a wrong result.
--- a/features/steps/misbehaving_clients_steps.py
+++ b/features/steps/misbehaving_clients_steps.py
@@ -31,6 +31,7 @@
 FILES = 200
 """Of the descriptors; sockets share the others."""
 MAX_BODY_BYTES = 1_000_000
+MAX_HEADER_BYTES = 16_384
 CROWD_S = 4.0
 TRIES = 5
 TRY_S = 10.0
@@ -210,6 +211,90 @@
     assert context.answer[0] == 200, context.answer
 
 
+NUMBERS = {
+    "of 3,000 digits": "9" * 3_000,
+    "two thousand of one": ",".join(["1"] * 2_000),
+}
+NAMED_DEADLINE_S = 1.0
+ORDINARY_S = 0.5
+ORDINARY_REQUESTS = 40
+
+
+@when("a client names {numbers} in {header}, and others ask beside it")
+def named_numbers(context, numbers, header):
+    async def ask(world, number):
+        began = anyio.current_time()
+        status, _, _ = await world.request("/look/a", request_id=f"o-{number}")
+        context.ordinary.append((status, anyio.current_time() - began))
+
+    async def story(world):
+        process, addresses, _ = await small_host(world)
+        del addresses
+        await world.add_replica("e1", service="engine")
+        await world.add_replica("s1", service="stage")
+        stages = [
+            {"service": "stage", "bytes": 100},
+            {"service": "stage", "after": [0], "bytes": 100},
+        ]
+        world.configure(
+            [
+                route("look", "plain"),
+                route("draft", "engine", kind="streaming", stages=stages),
+            ],
+            version=9,
+            limits={
+                **configuration([])["limits"],
+                "max_header_bytes": MAX_HEADER_BYTES,
+            },
+        )
+        await anyio.sleep(1)
+        context.watch = ProcessWatch(pid=process.pid, ports=[])
+        context.ordinary = []
+        headers = {
+            "X-Model": "m",
+            "X-Token-Counts": "20,10",
+            "X-Prompt-Prefix": "ab:10,cd:10",
+            "X-Piece-Key": "5c",
+            "X-Pieces": "1,1",
+            "X-Deadline-Ms": f"{1_000 * NAMED_DEADLINE_S:.0f}",
+            header: NUMBERS.get(numbers, numbers),
+        }
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(context.watch.run)
+            async with anyio.create_task_group() as requests:
+
+                async def ask_named():
+                    with anyio.move_on_after(TRY_S):
+                        began = anyio.current_time()
+                        context.named = (
+                            (await world.request("/draft/a", headers=headers))[
+                                0
+                            ],
+                            anyio.current_time() - began,
+                        )
+
+                requests.start_soon(ask_named)
+                for number in range(ORDINARY_REQUESTS):
+                    requests.start_soon(ask, world, number)
+                    await anyio.sleep(NAMED_DEADLINE_S / ORDINARY_REQUESTS)
+            tasks.cancel_scope.cancel()
+        context.lives = context.watch.sample()
+        context.crowd = context.named
+
+    context.named = None
+    play(story)
+
+
+@then("it is answered before its deadline, and the others are answered in time")
+def check_named_numbers(context):
+    assert context.named is not None, "no answer"
+    status, took_s = context.named
+    assert took_s <= NAMED_DEADLINE_S, context.named
+    assert status in {200, 400, 503}, status
+    late = [a for a in context.ordinary if a[0] != 200 or a[1] > ORDINARY_S]
+    assert not late, late
+
+
 BODIES = {
     "with a length": (
         f"Content-Length: {MAX_BODY_BYTES}",
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -8,10 +8,10 @@
 import anyio
 import attrs
 from behave import given, then, when
-from result import Ok
+from result import Err, Ok
 
 from cactusdyke.clock import Clock
-from cactusdyke.errors import FailureKind, Ran
+from cactusdyke.errors import Failure, FailureKind, Ran
 from cactusdyke.platform.wire import PlatformDialect
 from cactusdyke.serving import balance
 from cactusdyke.serving.batcher import StageBatcher
@@ -655,6 +655,120 @@
     assert context.served.unwrap() == ["narrow/0", "narrow/1"]
 
 
+class CountingDispatch(FakeDispatch):
+    """Counts the pieces and inputs of each part; may fail at a part."""
+
+    def __init__(self, *, fails_at=None):
+        super().__init__()
+        self._fails_at = fails_at
+        self.parts = []
+
+    async def compute_stage(self, work):
+        inputs = sum(len(piece.inputs) for piece in work.pieces)
+        self.parts.append((len(work.pieces), inputs))
+        if len(self.parts) == self._fails_at:
+            return Err(Failure(kind=FailureKind.OVERLOADED, detail="full"))
+        return await super().compute_stage(work)
+
+
+@given("two stages of 40 replicas, which compute 20,000 pieces in 2 seconds")
+def wide_stages(context):
+    clock = ManualClock()
+    deployment = Deployment(clock=clock)
+    batching = BatchSpec(
+        concurrent_calls=1,
+        queued_calls=1,
+        batch=50,
+        call_ms=100.0,
+        piece_ms=2.0,
+        result_capacity_bytes=1e9,
+        result_lifetime_ms=4_000.0,
+    )
+    names = ("wide", "narrow")
+    deployment.apply(
+        ServingConfiguration(
+            version=1,
+            routes=(),
+            services={
+                name: ServiceSpec(
+                    name=name, max_connections=64, batching=batching
+                )
+                for name in names
+            },
+            customers=(),
+            limits=CallerLimits(),
+        ),
+        source="test",
+    )
+    deployment.replace_replicas(
+        replica(f"{name}-{number}", name, address=f"10.0.{place}.{number}:80")
+        for place, name in enumerate(names)
+        for number in range(40)
+    )
+    context.clock, context.deployment = clock, deployment
+
+
+def _run_wide(context, pieces, **dispatch):
+    context.dispatch = CountingDispatch(**dispatch)
+    runner = StageRunner(
+        clock=context.clock,
+        rng=random.Random(1),
+        dispatch=context.dispatch,
+        deployment=context.deployment,
+        returns=values.NoReturnTimes(),
+    )
+    stages = (
+        StageSpec(service="wide", result_bytes=1_000.0),
+        StageSpec(service="narrow", after=(0,)),
+    )
+    request = values.serving_context(route(stages=stages), pieces=pieces)
+    context.answer = run_virtual(runner.run, request, StageResults(request))
+
+
+@when("a request names {count:d} pieces of the first and 50 of the second")
+def many_pieces(context, count):
+    context.count = count
+    _run_wide(context, (count, 50))
+
+
+@then("all of its pieces are computed")
+def check_many_served(context):
+    computed = [f"narrow/{number}" for number in range(50)]
+    assert context.answer.unwrap() == computed
+    first = context.dispatch.made.count("wide")
+    pieces = sum(size for size, _ in context.dispatch.parts[:first])
+    assert pieces == context.count, pieces
+
+
+@then("none of its pieces is made")
+def check_many_refused(context):
+    failure = context.answer.unwrap_err()
+    assert failure.kind is FailureKind.TOO_MUCH_WORK
+    assert failure.ran is Ran.NOT_RUN
+    assert context.dispatch.parts == []
+
+
+@then(
+    "never more than 1,000 pieces, or 20,000 inputs of pieces, are made at once"
+)
+def check_parts(context):
+    for pieces, inputs in context.dispatch.parts:
+        # One piece has all of its inputs.
+        assert pieces <= 1_000 and (inputs <= 20_000 or pieces == 1)
+
+
+@when("the second part of a stage of 2,500 pieces fails")
+def failing_part(context):
+    _run_wide(context, (2_500, 1), fails_at=2)
+
+
+@then("the results of the first part are freed")
+def check_part_freed(context):
+    assert context.answer.is_err()
+    freed = [f"wide/{number}" for number in range(1_000)]
+    assert context.dispatch.freed == freed, context.dispatch.freed[:5]
+
+
 @when("a graph of four stages runs with its second stage left out")
 def graph(context):
     stages = (
