Take an answer whose status is none for no answer

Callers: an answer with the status 600 or 999 was passed on, and the body of a 000 was put in front of the next answer's ("soundsound" with 200).

Cause: the parser took each status below 200 for an interim one and had no upper bound; the library reads a body for those below 100, and it counted as the final answer's.

Change: a status that isn't from 100 to 599 fails the exchange, and a body counts only behind a final head.

Evidence: of the 17 rows of "an upload that is answered with", directly, through another daemon and before a whole daemon, three failed on (600, 999, 000 before an answer) and all pass now. Heads that stop anywhere passed before too.

--- a/cactusdyke/transport/answer_parser.py
+++ b/cactusdyke/transport/answer_parser.py
@@ -9,7 +9,9 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+FIRST_STATUS = 100
 FIRST_FINAL_STATUS = 200
+LAST_STATUS = 599
 SPACES_IN_REQUEST_LINE = 2
 _FRAMING = frozenset({b"content-length", b"transfer-encoding"})
 
@@ -161,14 +163,19 @@
     def on_headers_complete(self) -> None:
         """Takes the end of a head; called by the parser."""
         status = self._parser.get_status_code()
-        if status < FIRST_FINAL_STATUS or self._done:
+        if self._done or self._error:
+            return
+        if not FIRST_STATUS <= status <= LAST_STATUS:
+            self._error = f"no HTTP answer: its status is {status}"
+            return
+        if status < FIRST_FINAL_STATUS:
             return
         self._head = AnswerHead(status=status, headers=self._headers)
         self._done = not self._has_body
 
     def on_body(self, data: bytes) -> None:
         """Takes a part of a body; called by the parser."""
-        if not self._done:
+        if self._head is not None and not self._done:
             self._chunks.append(data)
             self._body_bytes += len(data)
 
--- a/features/serving/answer_ends.feature
+++ b/features/serving/answer_ends.feature
@@ -35,3 +35,33 @@
     # Guards against a cut answer that empties the list of replicas.
     When the store's answer has no length and ends behind its head
     Then the list counts as no answer
+
+  Scenario Outline: an upload that is answered with <what>
+    # Guards against a part of an answer, or what is none, that is passed on as one.
+    Given a server that answers uploads with <what>
+    When 1 MB is uploaded to it directly
+    Then there is no answer
+    When 1 MB is uploaded to it through another daemon
+    Then there is no answer
+    When 1 MB is uploaded to a daemon before it
+    Then the caller gets a failure, and nothing of the answer
+
+    Examples: answers
+      | what                                       |
+      | a part of its answer at once and resets    |
+      | a part of its answer at once and closes    |
+      | the status 000                             |
+      | the status 099                             |
+      | the status 600                             |
+      | the status 999                             |
+      | the status 000 before a sound answer       |
+      | the status 20                              |
+      | the status 2000                            |
+      | half of its status line                    |
+      | its status line alone                      |
+      | half of a header                           |
+      | its head without the empty line            |
+      | its head but for the last byte             |
+      | the same, a byte at a time                 |
+      | half of its head and resets                |
+      | two heads, the second cut                  |
