--- a/emulator/daemons.py
+++ b/emulator/daemons.py
@@ -128,6 +128,7 @@
         self._open: set[anyio.Event] = set()
         self.core: ServingCore | None = None
         self.powerless = False
+        self.follows_list = True
         self.disturbed_until = 0.0
 
     @property
@@ -326,6 +327,8 @@
         known = deployments.replicas(self._links)
         while True:
             await self._world.clock.sleep(200.0)
+            if not self.follows_list:
+                continue
             now = deployments.replicas(self._links)
             if now != known:
                 known = now
--- a/emulator/play.py
+++ b/emulator/play.py
@@ -203,6 +203,12 @@
                 await world.clock.sleep(for_ms)
         case "daemons_cut_off":
             await _cut_off(world, struck, daemons, for_ms)
+        case "daemons_out_of_step":
+            for daemon in struck:
+                daemon.follows_list = False
+            await _cut_off(world, struck, daemons, for_ms)
+            for daemon in struck:
+                daemon.follows_list = True
         case "daemons_cut_from_replicas":
             struck = _choose_cut(world, fault, daemons)
             for daemon in struck:
--- a/emulator/scenario.py
+++ b/emulator/scenario.py
@@ -208,6 +208,8 @@
         what: `daemons_killed`, `daemons_lose_power`, `daemons_restarted` (in
             turn, without an end in good order), `daemons_cut_off` (from all
             other daemons, not from replicas and callers),
+            `daemons_out_of_step` (cut off as these, and without the platform's
+            list of replicas),
             `daemons_cut_from_replicas` (from all replicas, not from callers
             and other daemons), `replica_gone`,
             `replica_slow`, `replicas_share_machines` (a share of a service's
--- a/features/steps/stream_process_steps.py
+++ b/features/steps/stream_process_steps.py
@@ -197,3 +197,41 @@
         assert context.why.encode() in body, body
         assert took_s < AT_ONCE_S, took_s
     assert not any(context.runs), context.runs
+
+
+@when("one stands still as v2 joins, wakes up, and takes up streams at once")
+def stood_still(context):
+    async def story(rig):
+        of_v2 = [name for name, version in VERSIONS.items() if version == "v2"]
+        for name in of_v2:
+            rig.world.store.remove("servers", name)
+        await anyio.sleep(LIST_LAG_S)
+        sleeper = rig.processes["d3"]
+        sleeper.signal(signal.SIGSTOP)
+        for name in of_v2:
+            rig.world.list_replica(name, "engine", version="v2")
+        await anyio.sleep(LIST_LAG_S)
+        await _begin_and_kill(rig)
+        sleeper.signal(signal.SIGCONT)
+
+        async def take_up(name):
+            context.answers[name] = await rig.take_up(name, 1)
+
+        async with anyio.create_task_group() as tasks:
+            for name in rig.last_events:
+                tasks.start_soon(take_up, name)
+        context.versions = {
+            name: (rig.version_of(name), rig.version_of(f"{name}-again"))
+            for name in rig.last_events
+        }
+
+    _play(context, story)
+
+
+@then("each of them goes on at the version that began it, or did not run")
+def kept_version(context):
+    assert {"v2"} in [began for began, _ in context.versions.values()]
+    for name, ((status, _, _), _) in context.answers.items():
+        began, resumed = context.versions[name]
+        assert status in {200, 503}, (name, status)
+        assert resumed == (began if status == 200 else set()), context.versions
--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -70,6 +70,11 @@
         attrs.evolve(RELEASE, version="v1.2", at_s=5.0, listed_late_s=2.0),
         *_faults("daemons_killed", share=0.34, for_s=0.5),
     ),
+    "a daemon is cut off as a version joins": (
+        attrs.evolve(RELEASE, version="v1.2", at_s=5.0),
+        *_faults("daemons_out_of_step", times=(4.8,), share=0.17, for_s=6.0),
+        *_faults("daemons_killed", times=(7.0, 9.0), share=0.34, for_s=0.5),
+    ),
     "replicas return with other software": (
         *_faults(
             "replica_reinstalled",
--- a/features/stream_versions/processes.feature
+++ b/features/stream_versions/processes.feature
@@ -18,3 +18,10 @@
     Given three daemons, two engines of v1 and three of v2 as processes
     When callers take up streams that no daemon began
     Then they are told at once that these did not run, and why
+
+  Scenario: a daemon stands still as replicas of a new version join
+    # Guards against streams that go on at another version, as the daemon that
+    # takes them up has slept through the release.
+    Given three daemons, two engines of v1 and three of v2 as processes
+    When one stands still as v2 joins, wakes up, and takes up streams at once
+    Then each of them goes on at the version that began it, or did not run
--- a/features/stream_versions/streams.feature
+++ b/features/stream_versions/streams.feature
@@ -24,3 +24,4 @@
       | all replicas of a version are replaced     |
       | entries come late                          |
       | replicas return with other software        |
+      | a daemon is cut off as a version joins     |
