Read the origins of streams beside an object of another form

Found on the way: an object with a "begun" that is no list, among those that say how streams began, raised TypeError for all readers, and callers who took a stream up got an internal error.

Evidence: "what the store holds of streams" failed with "'int' object is not iterable" once such objects were beside the sound ones, and passes now.

--- a/cactusdyke/platform/stream_store.py
+++ b/cactusdyke/platform/stream_store.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from result import Err, Ok, Result
 
@@ -37,13 +37,17 @@
             [
                 origin
                 for entry in answer.ok_value.objects
-                if isinstance(entry.spec, dict)
-                for origin in entry.spec.get("begun", ())
+                for origin in _begun(entry.spec)
                 if _is_origin(origin)
             ]
         )
 
 
+def _begun(spec: Any) -> list[Any]:
+    begun = spec.get("begun") if isinstance(spec, dict) else None
+    return begun if isinstance(begun, list) else []
+
+
 def _is_origin(value: object) -> bool:
     return (
         isinstance(value, list)
--- a/features/malformed/malformed.feature
+++ b/features/malformed/malformed.feature
@@ -15,6 +15,14 @@
     Then it gets nothing later than drain_ms after its report
     And a daemon that starts then serves requests
 
+  Scenario: odd entries of many kinds end no daemon and hide no change
+    # Guards against entries that end the processes that read them, or that they
+    # stop following.
+    Given 3 daemons as processes under callers
+    When entries with values of many odd kinds come, and a replica leaves
+    Then no request is lost or refused, and no daemon has ended
+    And the replica that left gets nothing any more
+
   @background_failures
   Scenario: an error while one change is applied loses no other change
     # Guards against a revision that is recorded before its changes are applied.
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -85,6 +85,48 @@
     play(story)
 
 
+@when("entries with values of many odd kinds come, and a replica leaves")
+def many_odd_entries(context):
+    async def story(world):
+        for name in ("p1", "p2"):
+            (await world.add_replica(name)).work_ms = WORK_MS
+        world.configure([route("look", "plain")])
+        running = await world.start_group(*context.names)
+        context.answers = []
+        with anyio.move_on_after(REQUESTS_S):
+            async with anyio.create_task_group() as tasks:
+                for name in CALLERS * context.names:
+                    tasks.start_soon(_keep_asking, world, name, context.answers)
+                await anyio.sleep(REQUESTS_S / 8)
+                for number, value in enumerate(malformed.ODD_VALUES):
+                    for field in ("address", "capacity", "state"):
+                        entry = malformed.OddEntry(
+                            field=field, value=value, place=0
+                        )
+                        world.store.put(
+                            "servers",
+                            f"i-{field}-{number}",
+                            orjson.Fragment(entry.encode()),
+                        )
+                    await anyio.sleep(0.02)
+                world.list_replica("p1", state="draining")
+                await anyio.sleep(DRAIN_S)
+                left = world.replicas["p1"]
+                before = len(left.runs)
+                await anyio.sleep(REQUESTS_S / 8)
+                context.late = len(left.runs) - before
+        for process in running:
+            await process.stop()
+        context.running = running
+
+    play(story)
+
+
+@then("the replica that left gets nothing any more")
+def check_left_replica(context):
+    assert not context.late, context.late
+
+
 @then("no request is lost or refused, and no daemon has ended")
 def check_processes(context):
     assert [p.code for p in context.running] == [0] * len(context.names)
--- a/features/steps/stream_fleet_steps.py
+++ b/features/steps/stream_fleet_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import anyio
+import orjson
 from behave import given, then, when
 
 from cactusdyke.clock import EventLoopClock
@@ -18,6 +19,7 @@
 from standins.hub import Hub
 from standins.platform_store import PlatformStore
 
+NESTED = orjson.Fragment(b"[" * 2_000 + b"]" * 2_000)
 STREAMS_PER_S = 200.0
 FEW_STREAMS_PER_S = 4.0
 BEGIN_S = 2.0
@@ -141,6 +143,8 @@
                 (await origins(f"d{number}").save_origins([origin])).unwrap()
             store.put(stream_store.KIND, "d8", {"begun": [["s3", 5], "s4"]})
             store.put(stream_store.KIND, "d9", ["other"])
+            for number, begun in enumerate((5, None, {"s5": 1}, "s6", NESTED)):
+                store.put(stream_store.KIND, f"c{number}", {"begun": begun})
             context.read = (await origins("d3").read_origins()).unwrap()
 
     virtual.run_virtual(run)
