Reject an entry of a replica that lacks a field

Cause: decode.replica asked for three fields and took defaults for the others.

The scenario "an entry without optional fields is a replica" said the opposite and is replaced by a row for each field; five of the nine fail without the change (zone, version, capacity, cold_left_ms, seq). Another test listed a partial entry and lists a whole one now.

--- a/cactusdyke/platform/decode.py
+++ b/cactusdyke/platform/decode.py
@@ -64,23 +64,25 @@
 
 
 def replica(entry: StoreObject) -> Result[Replica, Failure]:
-    """Decodes one entry of the list of replicas."""
+    """Decodes one entry of the list of replicas.
+
+    A replica states all fields but `born`, which not every platform has. An
+    entry that lacks others is of another writer.
+    """
     try:
         spec = entry.spec
-        cold_left_ms = spec.get("cold_left_ms")
+        whole_number(spec["seq"])
         return Ok(
             Replica(
                 name=header_value(entry.name),
                 service=text(spec["service"]),
                 address=str(NetworkAddress.parse(spec["address"])),
-                data_centre=text(spec.get("zone") or ""),
+                data_centre=text(spec["zone"]),
                 state=ReplicaState(spec["state"]),
-                slots=whole_number(spec.get("capacity") or 1, least=1),
-                version=text(spec.get("version", "")),
+                slots=whole_number(spec["capacity"], least=1),
+                version=text(spec["version"]),
                 born=whole_number(spec.get("born", 0)),
-                cold_left_ms=(
-                    None if cold_left_ms is None else number(cold_left_ms)
-                ),
+                cold_left_ms=number(spec["cold_left_ms"]),
             )
         )
     except DECODING_ERRORS as error:
--- a/features/platform/state.feature
+++ b/features/platform/state.feature
@@ -105,9 +105,23 @@
     When configurations of other shapes are decoded
     Then what is whole is taken and what is not is refused with a reason
 
-  Scenario: an entry without optional fields is a replica
-    When an entry of a replica without optional fields is decoded
-    Then it is a replica with one slot that drains
+  Scenario Outline: an entry of a replica without <field>
+    # Guards against an entry of another writer that brings back a replica which
+    # has left.
+    When a whole entry of a replica is decoded, and one without <field>
+    Then the whole one is a replica, and the other one <outcome>
+
+    Examples:
+      | field        | outcome  |
+      | service      | is none  |
+      | address      | is none  |
+      | zone         | is none  |
+      | version      | is none  |
+      | capacity     | is none  |
+      | state        | is none  |
+      | cold_left_ms | is none  |
+      | seq          | is none  |
+      | born         | is one   |
 
   Scenario: metrics are told on the port of the deploy file
     # The platform draws all other ports each day. Named after one of them, the
--- a/features/steps/platform_forwarding_steps.py
+++ b/features/steps/platform_forwarding_steps.py
@@ -9,7 +9,14 @@
 from behave import then, when
 
 from cactusdyke.transport.exchange import ExchangeError
-from features.support.platform_rig import HOST, KEY, PlatformWorld, route, until
+from features.support.platform_rig import (
+    HOST,
+    KEY,
+    PlatformWorld,
+    replica_entry,
+    route,
+    until,
+)
 from standins.replica import SIGNATURE
 
 LARGE_BYTES = 6 << 20
@@ -165,17 +172,7 @@
     async def story(world):
         await plain_world(world, replicas=("p1",))
         other = world.replicas["p1"]
-        world.store.put(
-            "servers",
-            "old",
-            {
-                "service": "plain",
-                "address": other.address,
-                "zone": "here",
-                "capacity": 6,
-                "state": "ready",
-            },
-        )
+        world.store.put("servers", "old", replica_entry(other.address))
         await until(
             lambda: (
                 len(world.daemons["d1"]._deployment.usable_replicas("plain"))
--- a/features/steps/platform_state_steps.py
+++ b/features/steps/platform_state_steps.py
@@ -26,6 +26,7 @@
 from features.support.platform_rig import (
     DaemonProcess,
     configuration,
+    replica_entry,
     route,
     until,
 )
@@ -562,18 +563,22 @@
     assert "kind" in rest[0].unwrap_err().detail
 
 
-@when("an entry of a replica without optional fields is decoded")
-def sparse_entry(context):
-    spec = {"service": "s", "address": "1.2.3.4:80", "state": "draining"}
-    context.replica = decode.replica(
-        StoreObject(name="r", revision=1, spec=spec)
-    ).unwrap()
+@when("a whole entry of a replica is decoded, and one without {field}")
+def sparse_entry(context, field):
+    whole = replica_entry("1.2.3.4:80", state="draining", born=5)
+    partial = {name: value for name, value in whole.items() if name != field}
+    context.whole, context.partial = (
+        decode.replica(StoreObject(name="r", revision=1, spec=spec))
+        for spec in (whole, partial)
+    )
 
 
-@then("it is a replica with one slot that drains")
-def check_sparse(context):
-    assert context.replica.slots == 1
-    assert context.replica.state.value == "draining"
+@then("the whole one is a replica, and the other one is {outcome}")
+def check_sparse(context, outcome):
+    replica = context.whole.unwrap()
+    assert (replica.slots, replica.born) == (6, 5), replica
+    assert replica.state.value == "draining"
+    assert context.partial.is_ok() == (outcome == "one"), context.partial
 
 
 @when("two daemons on one address are given the same port for metrics")
