Test the guards that were taken out unnoticed

Unnoticed was the limit on the nesting of messages. Scenarios for it and for guards that nothing tested: inputs that are freed with the last part of a stage, results that replicas have no memory for, the number of changes that are kept, the parts of a call's time, the size of a packed state, and followers that leave a source as its answer is long.

--- a/features/configuration_reach/ages.feature
+++ b/features/configuration_reach/ages.feature
@@ -56,3 +56,30 @@
     And one that knows all of them gets none
     And one that knows nothing gets all objects
     And 3 changes are kept
+
+  Scenario: a daemon that is behind more changes than are kept gets all objects
+    # Guards against memory that grows with each name that was ever used.
+    Given a state that keeps the last change of 3 objects, and 5 have changed
+    Then a daemon that knows the first of them gets all objects
+    And one that knows all but the last gets that one
+
+  Scenario Outline: an answer that <comes>
+    # Guards against a call that never ends, and one that ends while its answer
+    # still comes.
+    Given an answer that <comes>
+    When it is fetched within 100 ms to its head, 200 between parts, 1000 in all
+    Then the call <ends> after <ms> ms
+
+    Examples: answers
+      | comes                            | ends  | ms   |
+      | comes at once                    | is ok | 0    |
+      | has no head                      | fails | 100  |
+      | stops behind its head            | fails | 250  |
+      | stops behind a part              | fails | 350  |
+      | comes in parts for 800 ms        | is ok | 850  |
+      | comes in parts and does not end  | fails | 1050 |
+
+  Scenario: a packed state that is too large is rejected
+    # Guards against a small message that takes all memory.
+    When a state is unpacked that has ten times the bytes of a message
+    Then it is rejected before all of it is unpacked
--- a/features/configuration_reach/reach.feature
+++ b/features/configuration_reach/reach.feature
@@ -71,3 +71,4 @@
     And daemons that send all values as they are
     When an object of 790 kB changes twice, and a small one behind it
     Then every daemon has each change in time, and the small one in half of it
+    And the same daemons read the store all the while
--- a/features/malformed/malformed.feature
+++ b/features/malformed/malformed.feature
@@ -41,6 +41,18 @@
       | the check of decoded addresses      |
       | tasks that contain their errors     |
 
+  Scenario Outline: a message that is nested in <levels> levels is <outcome>
+    # Guards against values that one daemon accepts and another can't be told.
+    When a message is read that is nested in <levels> levels
+    Then the message is <outcome>
+
+    Examples: levels
+      | levels | outcome  |
+      | 128    | read     |
+      | 129    | rejected |
+      | 500    | rejected |
+      | 5000   | rejected |
+
   Scenario Outline: generated <data> is read or left out
     # Guards against values that a later user of decoded data can't bear.
     When generated <data> is read, and used by all that reads it
--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -138,6 +138,23 @@
       | 20000000           | none of its pieces is made       |
       | 999999999999999999 | none of its pieces is made       |
 
+  Scenario Outline: a request that names <count> pieces of 100 MB
+    # Guards against results that the replicas of a stage have no memory for.
+    Given two stages of 40 replicas, which compute 20,000 pieces in 2 seconds
+    When a request names <count> pieces of 100 MB of the first
+    Then <outcome>
+
+    Examples:
+      | count | outcome                        |
+      | 800   | all of its pieces are computed |
+      | 801   | none of its pieces is made     |
+
+  Scenario: the inputs of a stage are freed with its last part
+    # Guards against inputs that are gone as the later parts of a stage need them.
+    Given two stages of 40 replicas, which compute 20,000 pieces in 2 seconds
+    When a request names 1001 pieces of the first and 50 of the second
+    Then only the last part of the second stage frees its inputs
+
   Scenario: a later part of a stage that fails frees the earlier ones
     # Guards against results that fill replicas' memory after their request.
     Given two stages of 40 replicas, which compute 20,000 pieces in 2 seconds
--- a/features/steps/configuration_reach_steps.py
+++ b/features/steps/configuration_reach_steps.py
@@ -183,6 +183,7 @@
         context.took_ms = []
         async with _fleet_of(context) as fleet:
             before = _received(fleet)
+            context.readers = [set(fleet.readers)]
             for version in (1, 2):
                 fleet.store.put(KIND, "large", _large(version))
                 await _until_version(context, fleet, version)
@@ -214,6 +215,7 @@
         if min(known) >= version:
             context.took_ms.append(took_s * 1_000)
             return
+        context.readers.append(set(fleet.readers))
         assert took_s < MOST_S, (version, known.count(version), len(known))
         await anyio.sleep(0.01)
 
@@ -229,10 +231,16 @@
     assert max(context.received) <= most * 1_000, max(context.received)
 
 
+@then("the same daemons read the store all the while")
+def check_same_readers(context):
+    others = [r for r in context.readers if r != context.readers[0]]
+    assert not others, (context.readers[0], others[0], len(others))
+
+
 @when("all of them are killed and start again behind an object of 790 kB")
 def start_behind_large(context):
     async def story():
-        context.took_ms = []
+        context.took_ms, context.readers = [], []
         async with _fleet_of(context) as fleet:
             for name in list(fleet.states):
                 fleet.stop(name)
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -17,6 +17,7 @@
 from cactusdyke.kernel import Kernel, Service
 from cactusdyke.serving.followed_state import FollowedState
 from cactusdyke.transport.exchange import ExchangeError
+from cactusdyke.transport.messages import parse_object
 from cactusdyke.transport.network_address import NetworkAddress
 from features.steps.platform_forwarding_steps import play
 from features.steps.platform_state_steps import captured_events
@@ -296,6 +297,17 @@
     assert ["cannot be applied" in line["error"] for line in logged] == [True]
 
 
+@when("a message is read that is nested in {levels:d} levels")
+def nested_message(context, levels):
+    inner = b"[" * (levels - 1) + b"]" * (levels - 1)
+    context.message = parse_object(b'{"a":' + inner + b"}")
+
+
+@then("the message is {outcome}")
+def check_nested_message(context, outcome):
+    assert context.message.is_ok() == (outcome == "read"), context.message
+
+
 @when("generated {data} is read, and used by all that reads it")
 def generated(context, data):
     source = malformed.SOURCES[data]
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -662,10 +662,12 @@
         super().__init__()
         self._fails_at = fails_at
         self.parts = []
+        self.freeing = []
 
     async def compute_stage(self, work):
         inputs = sum(len(piece.inputs) for piece in work.pieces)
         self.parts.append((len(work.pieces), inputs))
+        self.freeing.append(bool(work.last_use_of))
         if len(self.parts) == self._fails_at:
             return Err(Failure(kind=FailureKind.OVERLOADED, detail="full"))
         return await super().compute_stage(work)
@@ -708,7 +710,7 @@
     context.clock, context.deployment = clock, deployment
 
 
-def _run_wide(context, pieces, **dispatch):
+def _run_wide(context, pieces, result_bytes=1_000.0, **dispatch):
     context.dispatch = CountingDispatch(**dispatch)
     runner = StageRunner(
         clock=context.clock,
@@ -718,7 +720,7 @@
         returns=values.NoReturnTimes(),
     )
     stages = (
-        StageSpec(service="wide", result_bytes=1_000.0),
+        StageSpec(service="wide", result_bytes=result_bytes),
         StageSpec(service="narrow", after=(0,)),
     )
     request = values.serving_context(route(stages=stages), pieces=pieces)
@@ -731,6 +733,19 @@
     _run_wide(context, (count, 50))
 
 
+@when("a request names {count:d} pieces of 100 MB of the first")
+def large_pieces(context, count):
+    context.count = count
+    _run_wide(context, (count, 50), result_bytes=1e8)
+
+
+@then("only the last part of the second stage frees its inputs")
+def check_freeing(context):
+    second = context.dispatch.freeing[context.dispatch.made.count("wide") :]
+    assert len(second) > 1, second
+    assert second == [False] * (len(second) - 1) + [True], second
+
+
 @then("all of its pieces are computed")
 def check_many_served(context):
     computed = [f"narrow/{number}" for number in range(50)]
--- a/features/steps/state_age_steps.py
+++ b/features/steps/state_age_steps.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+import base64
+import contextlib
 import pathlib
 import tempfile
+import tracemalloc
+import zlib
+from typing import ClassVar
+from unittest import mock
 
 import anyio
 import attrs
@@ -20,9 +26,17 @@
     WatchedStore,
 )
 from cactusdyke.platform import settings as platform_settings
+from cactusdyke.serving import followed_state, state_encoding
 from cactusdyke.serving.state_exchange import STATE_PATH
 from cactusdyke.serving.state_readers import RankedReaders, rank_readers
-from cactusdyke.transport.messages import json_response
+from cactusdyke.transport import timed_fetch
+from cactusdyke.transport.messages import Request, json_response
+from cactusdyke.transport.network import (
+    MAX_BODY_BYTES,
+    CallOptions,
+    Incoming,
+    Network,
+)
 from features.support.platform_rig import PlatformWorld
 from features.support.state_fleet import FixedDaemons, StateFleet, Things, peer
 from standins import virtual
@@ -258,3 +272,128 @@
 @then("{count:d} changes are kept")
 def check_kept_changes(context, count):
     assert len(context.state._last_changes) == count
+
+
+@given("a state that keeps the last change of 3 objects, and 5 have changed")
+def few_kept(context):
+    async def run():
+        context.state = Things(store=None, clock=EventLoopClock())
+        context.state.merge(
+            {"revision": 1, "age_ms": 0, "objects": []}, source="d1"
+        )
+        for revision in range(2, 7):
+            changes = [[f"n{revision}", revision, {}, False]]
+            context.state.merge(
+                {"revision": revision, "age_ms": 0, "changes": changes},
+                source="d1",
+            )
+
+    with mock.patch.object(followed_state, "MAX_CHANGES", 3):
+        virtual.run_virtual(run, seed=1)
+
+
+@then("a daemon that knows the first of them gets all objects")
+def check_gets_all(context):
+    told = context.state.lacking_since(2)
+    assert len(told["objects"]) == 5, told
+
+
+@then("one that knows all but the last gets that one")
+def check_gets_last(context):
+    told = context.state.lacking_since(5)
+    assert [name for name, *_ in told["changes"]] == ["n6"], told
+
+
+class _Paced(Network):
+    """Answers after 50 ms, and then in parts."""
+
+    def __init__(self, comes):
+        self._comes = comes
+
+    @contextlib.asynccontextmanager
+    async def open(self, address, request, options):
+        if self._comes == "has no head":
+            await anyio.sleep_forever()
+        if self._comes != "comes at once":
+            await anyio.sleep(0.05)
+        yield Ok(_PacedAnswer(self._comes))
+
+
+class _PacedAnswer(Incoming):
+    status = 200
+    headers: ClassVar = {}
+
+    def __init__(self, comes):
+        self._comes = comes
+
+    async def chunks(self):
+        if self._comes == "stops behind its head":
+            await anyio.sleep_forever()
+        if self._comes == "stops behind a part":
+            await anyio.sleep(0.1)
+            yield b"part"
+            await anyio.sleep_forever()
+        count = {
+            "comes in parts for 800 ms": 8,
+            "comes in parts and does not end": 10_000,
+        }
+        for _ in range(count.get(self._comes, 0)):
+            await anyio.sleep(0.1)
+            yield b"part"
+
+
+@given("an answer that {comes}")
+def paced_answer(context, comes):
+    context.network = _Paced(comes)
+
+
+@when(
+    "it is fetched within {head:d} ms to its head, {progress:d} between parts,"
+    " {body:d} in all"
+)
+def fetched(context, head, progress, body):
+    async def run():
+        clock = EventLoopClock()
+        began = clock.now()
+        context.fetched = await timed_fetch.fetch(
+            context.network,
+            "h:1",
+            Request(method="GET", path="/"),
+            CallOptions(),
+            limits=timed_fetch.FetchLimits(
+                head_ms=head, progress_ms=progress, body_ms=body
+            ),
+            clock=clock,
+        )
+        context.took_ms = clock.now() - began
+
+    virtual.run_virtual(run, seed=1)
+
+
+@then("the call {ends} after {ms:d} ms")
+def check_fetched(context, ends, ms):
+    assert context.fetched.is_ok() == (ends == "is ok"), context.fetched
+    assert abs(context.took_ms - ms) < 1, context.took_ms
+
+
+@when("a state is unpacked that has ten times the bytes of a message")
+def unpack_large(context):
+    stream = zlib.compressobj()
+    parts = [stream.compress(b'{"changes":[]')]
+    parts += [stream.compress(b" " * MAX_BODY_BYTES) for _ in range(10)]
+    parts += [stream.compress(b"}"), stream.flush()]
+    packed = base64.b64encode(b"".join(parts)).decode()
+    tracemalloc.start()
+    try:
+        state_encoding.unpack({"packed": packed})
+        context.rejected = False
+    except ValueError:
+        context.rejected = True
+    _, context.peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+
+
+@then("it is rejected before all of it is unpacked")
+def check_unpacked(context):
+    assert context.rejected
+    assert context.peak_bytes < 3 * MAX_BODY_BYTES, context.peak_bytes
