Test that an object which changes again is told again

The guard that moves an object to the end of the kept changes was taken out unnoticed: with it gone, a daemon that knew of another object's later change was not told of the first one's.

--- a/features/configuration_reach/ages.feature
+++ b/features/configuration_reach/ages.feature
@@ -57,6 +57,11 @@
     And one that knows nothing gets all objects
     And 3 changes are kept
 
+  Scenario: an object that changes again behind another one
+    # Guards against a change that is left out as its object changed before.
+    Given a state in which a first object changes, a second, and the first again
+    Then a daemon that knows of the second gets the first
+
   Scenario: a daemon that is behind more changes than are kept gets all objects
     # Guards against memory that grows with each name that was ever used.
     Given a state that keeps the last change of 3 objects, and 5 have changed
--- a/features/steps/state_age_steps.py
+++ b/features/steps/state_age_steps.py
@@ -274,22 +274,38 @@
     assert len(context.state._last_changes) == count
 
 
-@given("a state that keeps the last change of 3 objects, and 5 have changed")
-def few_kept(context):
+def _state_of_changes(names):
+    """Returns a state in which objects change in order, from revision 2 on."""
+
     async def run():
-        context.state = Things(store=None, clock=EventLoopClock())
-        context.state.merge(
-            {"revision": 1, "age_ms": 0, "objects": []}, source="d1"
-        )
-        for revision in range(2, 7):
-            changes = [[f"n{revision}", revision, {}, False]]
-            context.state.merge(
+        state = Things(store=None, clock=EventLoopClock())
+        state.merge({"revision": 1, "age_ms": 0, "objects": []}, source="d1")
+        for revision, name in enumerate(names, start=2):
+            changes = [[name, revision, {}, False]]
+            state.merge(
                 {"revision": revision, "age_ms": 0, "changes": changes},
                 source="d1",
             )
+        return state
 
+    return virtual.run_virtual(run, seed=1)
+
+
+@given("a state in which a first object changes, a second, and the first again")
+def changed_again(context):
+    context.state = _state_of_changes(("first", "second", "first"))
+
+
+@then("a daemon that knows of the second gets the first")
+def check_changed_again(context):
+    told = context.state.lacking_since(3)
+    assert [name for name, *_ in told["changes"]] == ["first"], told
+
+
+@given("a state that keeps the last change of 3 objects, and 5 have changed")
+def few_kept(context):
     with mock.patch.object(followed_state, "MAX_CHANGES", 3):
-        virtual.run_virtual(run, seed=1)
+        context.state = _state_of_changes(f"n{n}" for n in range(2, 7))
 
 
 @then("a daemon that knows the first of them gets all objects")
