Use whole entries of replicas where a test means another fault of theirs

Three entries of "entries that can't be read hide no others" lacked fields too, and would have been rejected for that alone; each has one fault now.

--- a/features/steps/idle_daemon_steps.py
+++ b/features/steps/idle_daemon_steps.py
@@ -20,6 +20,7 @@
 from cactusdyke.transport.watchdog import Watchdog, Watched
 from features.steps.daemon_steps import deployment_with_stage
 from features.steps.serving_steps import ManualClock, replica
+from features.support.platform_rig import replica_entry
 from features.support.serving_values import NoConnections, request_limits
 from standins.virtual import run_virtual
 
@@ -229,14 +230,7 @@
 
 
 def _entry(number):
-    return {
-        "service": "plain",
-        "address": f"10.0.{number // 250}.{number % 250}:1",
-        "zone": "here",
-        "version": "v1",
-        "capacity": 6,
-        "state": "ready",
-    }
+    return replica_entry(f"10.0.{number // 250}.{number % 250}:1")
 
 
 @when("3000 replicas arrive as one batch of changes")
--- a/features/steps/platform_state_steps.py
+++ b/features/steps/platform_state_steps.py
@@ -99,9 +99,9 @@
                 None,
                 "text",
                 {"service": "plain"},
-                {"service": 5, "address": "a:1", "state": "ready"},
-                {"service": "plain", "address": "nowhere", "state": "ready"},
-                {"service": "plain", "address": "h:1", "state": "odd"},
+                replica_entry("a:1", service=5),
+                replica_entry("nowhere"),
+                replica_entry("h:1", state="odd"),
                 [1, 2],
             )
         ):
