Log why an attempt ended, and what the caller of a broken stream had

A record of the users was cut within the line of CD4001, before its detail: it does not tell a replica's silence, a broken connection, an answer's end in doubt and a spoiled event apart, nor whether events had gone out.

CD4001 now begins with `end`, one word for each of them, and for streams with the events that the caller has and how long nothing had come; CD4302 says `broken_off` and the events before fields that only describe the request. No decision changes. The new scenario reads the first 260 characters of the lines of a stream that breaks off.

--- a/cactusdyke/serving/attempt.py
+++ b/cactusdyke/serving/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import enum
 import math
 from typing import TYPE_CHECKING
 
@@ -47,6 +48,31 @@
 first byte is forwarded."""
 
 
+class AttemptEnd(enum.StrEnum):
+    """Why an attempt ended, for log events."""
+
+    ANSWERED = "answered"
+    """The replica answered, with a failure or a refusal included."""
+    SILENT = "silent"
+    """Nothing came for as long as the attempt was allowed to wait."""
+    CONNECTION = "connection"
+    """No connection could be made, or it broke."""
+    END_IN_DOUBT = "end_in_doubt"
+    """The answer ended with its connection, perhaps by a crash."""
+    SPOILED = "spoiled"
+    """An event could not be read, or was not the one that had to follow."""
+    WITHHELD = "withheld"
+    """Nothing was sent, as the replica accepts nothing now."""
+
+
+class EndInDoubtError(ExchangeError):
+    """An answer ended with its connection, perhaps by a crash."""
+
+
+class SpoiledStreamError(ExchangeError):
+    """An event could not be read, or was not the one that had to follow."""
+
+
 @attrs.frozen(kw_only=True)
 class AttemptResult:
     """The result of one attempt.
@@ -54,6 +80,7 @@
     Attributes:
         ran: Whether the replica ran the request.
         detail: What happened, for logs and error texts.
+        end: Why the attempt ended.
         verdict: The classified head of the answer, if one arrived.
         body: The complete body of the answer, if it was read.
         delivered: Whether the caller has received the complete answer.
@@ -66,6 +93,7 @@
 
     ran: Ran
     detail: str
+    end: AttemptEnd = AttemptEnd.ANSWERED
     verdict: AnswerVerdict | None = None
     body: bytes | None = None
     delivered: bool = False
@@ -348,7 +376,8 @@
         whole only if the same process still listens afterwards.
 
         Raises:
-            ExchangeError: The replica is down, or nothing shows that it is not.
+            EndInDoubtError: The replica is down, or nothing shows that it is
+                not.
         """
         if not exchange.ends_with_connection:
             return
@@ -366,7 +395,7 @@
         if self._is_replaced(replica):
             detail = "another process has its address"
         if detail:
-            raise ExchangeError(
+            raise EndInDoubtError(
                 f"{replica.address}: the replica may have ended with its"
                 f" answer: {detail}",
                 sent=exchange.sent,
@@ -399,7 +428,7 @@
                 try:
                     arrived = reader.feed(chunk)
                 except EventStreamError as error:
-                    raise ExchangeError(
+                    raise SpoiledStreamError(
                         f"{replica.address}: {error}", sent=exchange.sent
                     ) from error
                 # What came in front of a spoiled event is sound: callers wait
@@ -415,7 +444,7 @@
                     )
                     timeout_scope.deadline = _deadline_after(gap_timeout_ms)
                 if fault:
-                    raise ExchangeError(
+                    raise SpoiledStreamError(
                         f"{replica.address}: {fault}", sent=exchange.sent
                     )
         if reader.remainder.strip():
@@ -486,6 +515,7 @@
 _WITHHELD = AttemptResult(
     ran=Ran.NOT_RUN,
     detail="the replica leaves, or has asked for rest",
+    end=AttemptEnd.WITHHELD,
     sent=False,
     withheld=True,
 )
@@ -493,14 +523,24 @@
 
 def _timed_out(timeout_ms: float) -> AttemptResult:
     return AttemptResult(
-        ran=Ran.UNKNOWN, detail=f"no answer in {timeout_ms:.0f} ms"
+        ran=Ran.UNKNOWN,
+        detail=f"no answer in {timeout_ms:.0f} ms",
+        end=AttemptEnd.SILENT,
     )
 
 
 def _from_exchange_error(error: ExchangeError) -> AttemptResult:
+    match error:
+        case EndInDoubtError():
+            end = AttemptEnd.END_IN_DOUBT
+        case SpoiledStreamError():
+            end = AttemptEnd.SPOILED
+        case _:
+            end = AttemptEnd.CONNECTION
     return AttemptResult(
         ran=Ran.UNKNOWN if error.sent else Ran.NOT_RUN,
         detail=str(error),
+        end=end,
         sent=error.sent,
         connection_broken=error.sent,
     )
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -431,7 +431,7 @@
                 span.set_attribute("detail", result.detail)
             succeeded = result.verdict is not None and result.verdict.succeeded
             self._record_attempt(
-                context, replica, result, self._clock.now() - began
+                context, replica, result, state, self._clock.now() - began
             )
             if result.delivered:
                 return None, result
@@ -533,6 +533,7 @@
         context: ServingContext,
         replica: Replica,
         result: AttemptResult,
+        state: StreamState,
         took_ms: float,
     ) -> None:
         """Updates health, quarantine and metrics after an attempt."""
@@ -567,14 +568,17 @@
         if to_blame and not (result.refused or result.inputs_gone):
             self._health.record_failure(replica.name)
         self._metrics.attempt_failed(context.service)
+        # Lines may be cut short: what tells causes apart comes first.
         events.log(
             events.Event.ATTEMPT_FAILED,
             request_id=context.request.request_id,
             attempt=context.attempts,
-            backend_server=replica.name,
-            address=replica.address,
+            end=str(result.end),
             ran=str(result.ran),
             took_ms=round(took_ms),
+            **_silence_fields(context, state, self._clock.now()),
+            backend_server=replica.name,
+            address=replica.address,
             detail=result.detail,
             **said,
             **(
@@ -618,6 +622,16 @@
     return request.arrived_at + min(patience_ms, route.timeout_ms)
 
 
+def _silence_fields(
+    context: ServingContext, state: StreamState, now: Instant
+) -> dict[str, int]:
+    """Returns what a stream's caller has, and since when nothing came."""
+    if not context.route.streaming:
+        return {}
+    heard_at = max(context.attempt_started_at, state.last_event_at)
+    return {"events": state.event_count, "silent_ms": round(now - heard_at)}
+
+
 def _stated_slowdown(verdict: AnswerVerdict) -> float:
     """Returns how slow a replica said that it was, 1 if it did not.
 
--- a/cactusdyke/serving/request_log.py
+++ b/cactusdyke/serving/request_log.py
@@ -109,9 +109,10 @@
             status=failure.kind.status,
             kind=failure.kind.code,
             ran=str(failure.ran),
+            took_ms=round(took_ms),
+            **_progress_fields(state),
             retry_after_ms=failure.retry_after_ms,
             version=self._deployment.version,
-            took_ms=round(took_ms),
             detail=failure.detail,
             **fields,
         )
@@ -166,6 +167,13 @@
     }
 
 
+def _progress_fields(state: StreamState | None) -> dict[str, object]:
+    """Returns how far an answer had come, nothing if none had begun."""
+    if state is None or not state.head_sent:
+        return {}
+    return {"broken_off": True, "events": state.event_count}
+
+
 def _said_fields(context: ServingContext) -> dict[str, object]:
     """Returns what replicas said of themselves, nothing if none did."""
     said = context.replicas_said
--- a/features/steps/stream_log_steps.py
+++ b/features/steps/stream_log_steps.py
@@ -60,3 +60,40 @@
     assert ends["first"]["resumes"] == "", ends
     assert ends["second"]["stream_versions"] == ["v1"], ends
     assert ends["second"]["resumes"] == "first", ends
+
+
+CUT_LINE_CHARACTERS = 260
+"""Records of others keep this much of a line."""
+
+
+@when("the only attempt of a stream breaks off in its third event")
+def broken_off(context):
+    async def go():
+        async with context.world as world:
+            replica = await world.add_replica("e1", "engine")
+            replica.faults = {"break"}
+            world.configure(
+                [route("talk", "engine", kind="streaming", max_attempts=1)]
+            )
+            process = await world.start_process("d1")
+            await world.request(
+                "/talk/stream", request_id="first", headers=HEADERS
+            )
+            await process.stop()
+            context.process = process
+
+    anyio.run(go)
+
+
+@then("its first fields name a broken connection and two events")
+def first_fields(context):
+    lines = [
+        line[:CUT_LINE_CHARACTERS]
+        for line in context.process.log.splitlines()
+        if '"request_id":"first"' in line
+    ]
+    (attempt,) = [line for line in lines if "CD4001" in line]
+    (ended,) = [line for line in lines if "CD4302" in line]
+    assert '"end":"connection"' in attempt, attempt
+    assert '"events":2,"silent_ms":' in attempt, attempt
+    assert '"broken_off":true,"events":2' in ended, ended
