Show streams and answers that are given up while nothing can follow

Over sockets: a daemon that has no share of retries yet breaks off a stream whose replica pauses for 2 s, and answers 502 after half of the time to a stream that has not begun and to a lookup. A stream is broken off for a retry whose stage is then refused. A stream that breaks off after the time to begin it is given no time to go on.

The emulator counts answers that a daemon which lives breaks off: callers resume these streams, so they counted as whole until now.

--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -207,8 +207,12 @@
             traffic = self._world.traffic[arrival.kind.service]
             traffic.requests.append(sent_at)
             count = self._stream_counter(arrival, daemon, stream)
-            with self._clock.timeout(left_ms):
+            process = daemon.core
+            with self._clock.timeout(left_ms) as scope:
                 await daemon.answer(request, got)
+            broken_off = got.first_at is not None and not got.complete
+            by_daemon = daemon.core is process and not scope.cancelled_caught
+            self._world.counts["answers broken off"] += broken_off and by_daemon
             if arrival.kind.resumable and got.status in {0, 200}:
                 count(stream.extend(_request_id(request), got) or got.complete)
             elif arrival.kind.resumable:
--- a/features/silent_connections/silent_connections.feature
+++ b/features/silent_connections/silent_connections.feature
@@ -38,6 +38,13 @@
       | roster  |
       | desk    |
 
+  Scenario: engines pause for two seconds while daemons have no share of retries
+    # Guards against streams that are broken off by daemons, as they leave
+    # engines that only pause and may not send a retry.
+    Given daemons that have just started, and engines that pause for 2 s
+    When they are played with four seeds
+    Then no daemon breaks off an answer that it has begun
+
   Scenario Outline: a host that is silent for 1.5 s <when>
     # Guards against TCP_USER_TIMEOUT, which also decides when keep-alive probes
     # give up: with a value near the idle time one lost probe ended a connection.
--- a/features/steps/silent_hosts_steps.py
+++ b/features/steps/silent_hosts_steps.py
@@ -11,8 +11,12 @@
 from cactusdyke.transport import sockets
 from emulator.scenario import Fault, load_scenario
 from features.steps.cut_daemons_steps import SCENARIO
+from features.support.emulated_plays import play_seeds
 
 SILENCE_S = 1.2
+PAUSE_S = 2.0
+PAUSES_AT_S = (0.6, 0.8, 1.0, 1.3, 1.5, 1.8)
+PAUSE_SEEDS = (1, 2, 3, 4)
 SILENT_MS = 1_500
 STEP_MS = 50
 MOST_MS = 4_000
@@ -35,6 +39,27 @@
     context.emulated = attrs.evolve(scenario, seconds=8, faults=faults)
 
 
+@given("daemons that have just started, and engines that pause for 2 s")
+def pausing_engines(context):
+    scenario = load_scenario(SCENARIO).unwrap()
+    faults = tuple(
+        Fault(what="replica_silent", service="models", at_s=at, for_s=PAUSE_S)
+        for at in PAUSES_AT_S
+    )
+    context.emulated = attrs.evolve(scenario, seconds=6, faults=faults)
+
+
+@when("they are played with four seeds")
+def play_four(context):
+    context.plays = play_seeds(context.emulated, PAUSE_SEEDS)
+
+
+@then("no daemon breaks off an answer that it has begun")
+def none_broken_off(context):
+    broken_off = [play.counts["answers broken off"] for play in context.plays]
+    assert not any(broken_off), broken_off
+
+
 @then("no request fails or is refused, and none runs twice")
 def all_served(context):
     for play in context.plays:
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -36,6 +36,9 @@
         event_ms: Time between events.
         break_at: Number of the event within which the fault "break" strikes,
             or with which the fault "spoil" begins.
+        pause_at: Number of the event before which a stream pauses; None for no
+            pause.
+        pause_ms: How long it pauses.
         work_ms: Time to answer.
         padding: What whole answers carry beyond the request's id.
         stage_calls: How many pieces each stage call held.
@@ -69,6 +72,8 @@
         self.events = 5
         self.event_ms = 5.0
         self.break_at = 2
+        self.pause_at: int | None = None
+        self.pause_ms = 0.0
         self.work_ms = 5.0
         self.padding = b""
         self.stage_calls: list[int] = []
@@ -326,6 +331,8 @@
         )
         for number in range(first, self.events):
             await anyio.sleep(self.event_ms / 1000.0)
+            if number == self.pause_at:
+                await anyio.sleep(self.pause_ms / 1000.0)
             if "skip" in self.faults and number == 2:
                 continue
             data = EVENT.format(number=number).encode()
