Leave a silent replica only once a retry may be sent

Callers of a daemon that had just started lost streams of sound replicas: after 1.5 s without an event the attempt was cancelled, its retry was refused, and the answer was reset. Lookups and streams that had not begun ended as 502 after half of their time.

Cause: the bound on silence asked whether another replica exists, and not whether a retry may be charged. A daemon under ten seconds old has no share of retries, and any daemon may have used its own. So an answer was given up on a guess before anything else could be done.

A watch beside the attempt now asks for the retry first.

Replicas that hang are still left where a retry may be sent.

--- a/cactusdyke/serving/attempt.py
+++ b/cactusdyke/serving/attempt.py
@@ -4,14 +4,12 @@
 
 import contextlib
 import enum
-import math
 from typing import TYPE_CHECKING
 
 import anyio
 import attrs
 
 from cactusdyke import events
-from cactusdyke.clock import MS_PER_SECOND, Instant
 from cactusdyke.errors import Ran
 from cactusdyke.serving.dialect import (
     AnswerKind,
@@ -26,12 +24,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from cactusdyke.clock import Clock
+    from cactusdyke.clock import Clock, Instant
     from cactusdyke.serving.dialect import Dialect, StreamEvent
     from cactusdyke.serving.model import Replica
     from cactusdyke.serving.replica_load import ReplicaLoads
     from cactusdyke.serving.replica_statements import ReplicaStatements
     from cactusdyke.serving.request import ServingContext
+    from cactusdyke.serving.silence_watch import SilenceWatch
     from cactusdyke.serving.stated_limits import StatedLimits
     from cactusdyke.serving.stream_state import StreamState
     from cactusdyke.transport.answer_parser import AnswerHead
@@ -172,12 +171,19 @@
         replica: Replica,
         *,
         handles: Sequence[str],
-        timeout_ms: float,
+        watch: SilenceWatch,
     ) -> AttemptResult:
-        """Makes an attempt and reads the complete answer."""
-        result = _timed_out(timeout_ms)
+        """Makes an attempt and reads the complete answer.
+
+        Args:
+            context: The request.
+            replica: The replica to send it to.
+            handles: The stage results that the request needs.
+            watch: Gives the attempt up.
+        """
+        result: AttemptResult | None = None
         exchange: Exchange | None = None
-        with self._clock.timeout(timeout_ms):
+        with watch.attempt_scope:
             try:
                 async with self._connections.connect(
                     replica.address
@@ -194,9 +200,8 @@
                     )
             except ExchangeError as error:
                 return _from_exchange_error(error)
-        if exchange is None or not exchange.sent:
-            return attrs.evolve(result, sent=False, ran=Ran.NOT_RUN)
-        return result
+        sent = exchange is not None and exchange.sent
+        return result or _given_up(watch, sent=sent)
 
     async def stream(
         self,
@@ -206,8 +211,8 @@
         state: StreamState,
         *,
         handles: Sequence[str],
-        first_event_timeout_ms: float,
-        gap_timeout_ms: float,
+        watch: SilenceWatch,
+        gap_limit_ms: float,
         on_first_event: Callable[[], None],
     ) -> AttemptResult:
         """Makes an attempt and forwards its events as they arrive.
@@ -218,15 +223,15 @@
             reply: Receives the events.
             state: What the caller has received so far; updated in place.
             handles: The stage results that the request needs.
-            first_event_timeout_ms: Longest wait for the first event, in
-                milliseconds.
-            gap_timeout_ms: Longest wait between two events, in milliseconds.
+            watch: Gives the attempt up.
+            gap_limit_ms: How long the replica may be silent between two
+                events, in milliseconds.
             on_first_event: Called with the first event of this attempt.
         """
-        result = _timed_out(first_event_timeout_ms)
+        result: AttemptResult | None = None
         sent = False
         try:
-            with self._clock.timeout(first_event_timeout_ms) as timeout_scope:
+            with watch.attempt_scope:
                 async with self._connections.connect(
                     replica.address
                 ) as exchange:
@@ -253,8 +258,8 @@
                         verdict,
                         reply,
                         state,
-                        timeout_scope=timeout_scope,
-                        gap_timeout_ms=gap_timeout_ms,
+                        watch=watch,
+                        gap_limit_ms=gap_limit_ms,
                         on_first_event=on_first_event,
                     )
                     result = AttemptResult(
@@ -266,9 +271,7 @@
                     )
         except ExchangeError as error:
             return _from_exchange_error(error)
-        if not sent:
-            return attrs.evolve(result, sent=False, ran=Ran.NOT_RUN)
-        return result
+        return result or _given_up(watch, sent=sent)
 
     async def _send(
         self,
@@ -417,8 +420,8 @@
         reply: Reply,
         state: StreamState,
         *,
-        timeout_scope: anyio.CancelScope,
-        gap_timeout_ms: float,
+        watch: SilenceWatch,
+        gap_limit_ms: float,
         on_first_event: Callable[[], None],
     ) -> None:
         reader = self._dialect.event_reader()
@@ -438,11 +441,11 @@
                     if is_first:
                         is_first = False
                         on_first_event()
-                    timeout_scope.deadline = _deadline_after(gap_timeout_ms)
+                    watch.restart(gap_limit_ms)
                     await self._pass_on(
-                        sound, replica, verdict, reply, state, timeout_scope
+                        sound, replica, verdict, reply, state, watch
                     )
-                    timeout_scope.deadline = _deadline_after(gap_timeout_ms)
+                    watch.restart(gap_limit_ms)
                 if fault:
                     raise SpoiledStreamError(
                         f"{replica.address}: {fault}", sent=exchange.sent
@@ -480,7 +483,7 @@
         verdict: AnswerVerdict,
         reply: Reply,
         state: StreamState,
-        timeout_scope: anyio.CancelScope,
+        watch: SilenceWatch,
     ) -> None:
         """Writes events to the caller, and then records them.
 
@@ -496,7 +499,7 @@
                 await reply.begin(verdict.status, verdict.headers)
             if reply.full:
                 # The replica is not read meanwhile, and not to blame.
-                timeout_scope.deadline = math.inf
+                watch.suspend()
             await reply.part(b"".join(event.data for event in events))
             confirmed = state.record_events(
                 events,
@@ -507,11 +510,6 @@
                 self._first_numbers.confirm(replica.service, confirmed)
 
 
-def _deadline_after(duration_ms: float) -> float:
-    """Returns the deadline of a cancel scope."""
-    return anyio.current_time() + duration_ms / MS_PER_SECOND
-
-
 _WITHHELD = AttemptResult(
     ran=Ran.NOT_RUN,
     detail="the replica leaves, or has asked for rest",
@@ -521,11 +519,12 @@
 )
 
 
-def _timed_out(timeout_ms: float) -> AttemptResult:
+def _given_up(watch: SilenceWatch, *, sent: bool) -> AttemptResult:
     return AttemptResult(
-        ran=Ran.UNKNOWN,
-        detail=f"no answer in {timeout_ms:.0f} ms",
+        ran=Ran.UNKNOWN if sent else Ran.NOT_RUN,
+        detail=f"no answer in {watch.silent_ms:.0f} ms",
         end=AttemptEnd.SILENT,
+        sent=sent,
     )
 
 
--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -17,9 +17,11 @@
 from cactusdyke.serving.durations import RequestDuration, RouteDurations
 from cactusdyke.serving.in_flight import InFlightRequests
 from cactusdyke.serving.model import RepeatPolicy
+from cactusdyke.serving.next_attempt import NextAttempt
 from cactusdyke.serving.replica_load import bounded
 from cactusdyke.serving.request import ServingContext
 from cactusdyke.serving.request_log import RequestLog
+from cactusdyke.serving.silence_watch import SilenceWatch
 from cactusdyke.serving.stages import StageResults
 from cactusdyke.serving.stream_state import StreamState
 from cactusdyke.transport.front_interface import (
@@ -60,17 +62,16 @@
 REFUSAL_BACKOFF_MS = 40.0
 ATTEMPT_TIME_SHARE = 0.5
 """Share of the remaining time that a replica may use to begin its answer if
-another replica can still be tried after it."""
+another replica can be tried after it."""
 INPUT_FETCH_OVERHEAD_MS = 60.0
 """Time to connect, and for the engine to finish its current step, after which
 it starts queued requests."""
 INPUT_FETCH_BYTES_PER_MS = 250_000.0
 """A fifth of the bandwidth of a replica's link: stage replicas serve several
 fetches at once."""
-GAP_TIMEOUT_MS = 1_500.0
-"""Callers abandon a stream after 2 s without an event; another replica must
-have taken over by then."""
-NO_TIMEOUT_MS = 3_600_000.0
+GAP_LIMIT_MS = 1_500.0
+"""Callers wait 2 s or longer for an event; another replica must have taken over
+by then."""
 
 
 class Forwarder(Service, FrontHandler):
@@ -487,46 +488,37 @@
         reply: Reply,
         state: StreamState,
         handles: list[str],
-        on_first_event: object,
+        on_first_event: Callable[[], None],
     ) -> AttemptResult:
         remaining_ms = context.start_deadline_at - self._clock.now()
-        fail_over_possible = self._retry_policy.can_fail_over(context, replica)
-        if not context.route.streaming:
-            may_repeat = (
-                context.route.repeat_policy is RepeatPolicy.IDEMPOTENT
-                and fail_over_possible
-            )
-            return await self._attempts.fetch(
+        next_attempt = NextAttempt(
+            context=context,
+            replica=replica,
+            state=state,
+            retry_policy=self._retry_policy,
+        )
+        watch = SilenceWatch(
+            clock=self._clock,
+            limit_ms=remaining_ms * ATTEMPT_TIME_SHARE,
+            prepare_next=next_attempt.prepare,
+        )
+        async with contextlib.AsyncExitStack() as stack:
+            if context.may_be_repeated and context.route.max_attempts > 1:
+                await stack.enter_async_context(watch.running())
+            if not context.route.streaming:
+                return await self._attempts.fetch(
+                    context, replica, handles=handles, watch=watch
+                )
+            return await self._attempts.stream(
                 context,
                 replica,
+                reply,
+                state,
                 handles=handles,
-                timeout_ms=remaining_ms * ATTEMPT_TIME_SHARE
-                if may_repeat
-                else remaining_ms,
+                watch=watch,
+                gap_limit_ms=GAP_LIMIT_MS,
+                on_first_event=on_first_event,
             )
-        may_repeat = (
-            context.route.repeat_policy is RepeatPolicy.RESUMABLE
-            and fail_over_possible
-        )
-        return await self._attempts.stream(
-            context,
-            replica,
-            reply,
-            state,
-            handles=handles,
-            first_event_timeout_ms=(
-                remaining_ms * ATTEMPT_TIME_SHARE
-                if may_repeat
-                else NO_TIMEOUT_MS
-            ),
-            gap_timeout_ms=(
-                GAP_TIMEOUT_MS
-                if may_repeat
-                and self._retry_policy.can_resume_elsewhere(context, replica)
-                else NO_TIMEOUT_MS
-            ),
-            on_first_event=on_first_event,  # type: ignore[arg-type]
-        )
 
     def _record_attempt(
         self,
--- a/cactusdyke/serving/request.py
+++ b/cactusdyke/serving/request.py
@@ -9,7 +9,7 @@
 
 from cactusdyke.clock import Clock, Instant
 from cactusdyke.errors import Ran
-from cactusdyke.serving.model import Customer, Route
+from cactusdyke.serving.model import Customer, RepeatPolicy, Route
 from cactusdyke.serving.retry_budget import RetryPermit
 from cactusdyke.serving.stream_origins import StreamOrigin
 from cactusdyke.transport.memory_budget import Held
@@ -116,6 +116,8 @@
         attempts: Number of attempts started.
         sends: Number of attempts that were written to a replica.
         retry: The retry that was last charged to the budget.
+        refused_retry_of: The last attempt whose retry the budget refused, 0
+            if it refused none.
         possible_runs: Number of attempts that ran or may have run.
         stages_ms: How long its stages took, over all attempts.
         stage_ms: How long each stage took, by its number; times of a stage
@@ -150,6 +152,7 @@
     attempts: int = 0
     sends: int = 0
     retry: RetryPermit | None = None
+    refused_retry_of: int = 0
     possible_runs: int = 0
     stages_ms: float = 0.0
     stage_ms: dict[int, float] = attrs.field(factory=dict)
@@ -196,6 +199,11 @@
         generation = self.request.generation
         return [p.name for p in generation.parts[:-1]] if generation else []
 
+    @property
+    def may_be_repeated(self) -> bool:
+        """Whether it may be sent again though it may have run."""
+        return self.route.repeat_policy is not RepeatPolicy.AT_MOST_ONCE
+
     @property
     def may_have_run(self) -> bool:
         """Whether any attempt ran or may have run, or may still run."""
--- a/cactusdyke/serving/retry_policy.py
+++ b/cactusdyke/serving/retry_policy.py
@@ -9,7 +9,6 @@
 from cactusdyke import events
 from cactusdyke.errors import Ran
 from cactusdyke.serving import balance
-from cactusdyke.serving.model import RepeatPolicy
 
 if TYPE_CHECKING:
     import random
@@ -57,12 +56,10 @@
         """Returns whether to retry, and charges a retry to the budget.
 
         An attempt that sent nothing is retried without a charge; a retry
-        that was charged for it is still to be sent.
+        that was charged for it is still to be sent. So is one that was reserved
+        while the attempt was silent.
         """
-        repeatable = (
-            result.ran is Ran.NOT_RUN
-            or context.route.repeat_policy is not RepeatPolicy.AT_MOST_ONCE
-        )
+        repeatable = result.ran is Ran.NOT_RUN or context.may_be_repeated
         if not repeatable or context.attempts >= MAX_ATTEMPTS:
             return False
         if result.ran is not Ran.NOT_RUN:
@@ -73,18 +70,50 @@
             return False
         return not result.sent or self._charge(context)
 
+    def reserve_retry(self, context: ServingContext, replica: Replica) -> bool:
+        """Charges the retry that would follow the current attempt.
+
+        Returns:
+            Whether the request may go on elsewhere if the attempt is given up.
+        """
+        return self.can_replace(context, replica) and self._charge(context)
+
+    def release_retry(self, context: ServingContext) -> None:
+        """Returns a retry that was reserved to the budget."""
+        if context.retry is not None:
+            context.retry.release()
+
+    def can_replace(self, context: ServingContext, replica: Replica) -> bool:
+        """Returns whether the current attempt may be given up for another."""
+        if not context.may_be_repeated or context.attempts >= MAX_ATTEMPTS:
+            return False
+        if context.possible_runs + 1 >= context.route.max_attempts:
+            return False
+        can_follow = (
+            self.can_fail_over
+            if context.answer_began_at is None
+            else self.can_resume_elsewhere
+        )
+        return can_follow(context, replica) and bool(self.candidates(context))
+
     def _charge(self, context: ServingContext) -> bool:
         """Charges a retry to the budget; returns False if it is spent."""
+        if context.retry is not None and context.retry.pending:
+            return True
         context.retry = self._budget.charge(context.service)
-        events.log(
-            events.Event.RETRY_CHARGED
-            if context.retry is not None
-            else events.Event.RETRY_REFUSED,
-            request_id=context.request.request_id,
-            service=context.service,
-            **attrs.asdict(self._budget.account(context.service)),
-        )
-        return context.retry is not None
+        refused = context.retry is None
+        if not refused or context.refused_retry_of != context.attempts:
+            events.log(
+                events.Event.RETRY_REFUSED
+                if refused
+                else events.Event.RETRY_CHARGED,
+                request_id=context.request.request_id,
+                service=context.service,
+                **attrs.asdict(self._budget.account(context.service)),
+            )
+        if refused:
+            context.refused_retry_of = context.attempts
+        return not refused
 
     def can_fail_over(self, context: ServingContext, replica: Replica) -> bool:
         """Returns whether another replica could be tried after this one."""
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -36,6 +36,7 @@
 from features.steps.serving_steps import replica, route
 from features.support.platform_rig import PlatformWorld
 from features.support.serving_values import serving_context
+from features.support.watched_attempts import watched
 
 PIECE_BYTES = 16_384
 MOST_SENT_BYTES = 64 * 1024 * 1024
@@ -152,16 +153,18 @@
             loads=ReplicaLoads(clock=clock),
         )
         place = replica("r1", address=server.address)
-        result = await attempts.stream(
-            request,
-            place,
-            IgnoredReply(),
-            StreamState(),
-            handles=(),
-            first_event_timeout_ms=TIMEOUT_S * 1_000.0,
-            gap_timeout_ms=TIMEOUT_S * 1_000.0,
-            on_first_event=lambda: None,
-        )
+        limit_ms = TIMEOUT_S * 1_000.0
+        async with watched(clock, limit_ms) as watch:
+            result = await attempts.stream(
+                request,
+                place,
+                IgnoredReply(),
+                StreamState(),
+                handles=(),
+                watch=watch,
+                gap_limit_ms=limit_ms,
+                on_first_event=lambda: None,
+            )
         return result, attempts.is_replica_to_blame(place, result)
 
     return _run(server, work)
--- a/features/steps/statement_send_steps.py
+++ b/features/steps/statement_send_steps.py
@@ -31,12 +31,14 @@
 from features.steps.serving_steps import ManualClock, replica, route
 from features.steps.stage_queue_steps import batch_spec, group
 from features.support.serving_values import request_limits, serving_context
+from features.support.watched_attempts import watched
 from standins.virtual import run_virtual
 
 REST_MS = 1_000.0
 SOON_MS = 150.0
 CALL_MS = 100.0
 STORY_S = 4.0
+LIMIT_MS = 500.0
 STARTED = 7
 STATEMENTS = {
     "asks for rest": ReplicaStatement(rest_ms=REST_MS),
@@ -223,21 +225,22 @@
             loads=ReplicaLoads(clock=rig.clock),
         )
         request = serving_context(route(streaming=kind == "stream"))
-        if kind == "call":
-            context.result = await attempts.fetch(
-                request, rig.replica, handles=(), timeout_ms=500.0
-            )
-        else:
-            context.result = await attempts.stream(
-                request,
-                rig.replica,
-                None,
-                StreamState(),
-                handles=(),
-                first_event_timeout_ms=500.0,
-                gap_timeout_ms=500.0,
-                on_first_event=lambda: None,
-            )
+        async with watched(rig.clock, LIMIT_MS) as watch:
+            if kind == "call":
+                context.result = await attempts.fetch(
+                    request, rig.replica, handles=(), watch=watch
+                )
+            else:
+                context.result = await attempts.stream(
+                    request,
+                    rig.replica,
+                    None,
+                    StreamState(),
+                    handles=(),
+                    watch=watch,
+                    gap_limit_ms=LIMIT_MS,
+                    on_first_event=lambda: None,
+                )
         context.to_blame = attempts.is_replica_to_blame(
             rig.replica, context.result
         )
--- a/features/steps/stream_order_steps.py
+++ b/features/steps/stream_order_steps.py
@@ -27,6 +27,7 @@
 from features.steps.serving_steps import replica
 from features.support.platform_rig import configuration, route
 from features.support.serving_values import serving_context
+from features.support.watched_attempts import watched
 from standins.virtual import run_virtual
 
 EXAMPLES = 400
@@ -184,16 +185,17 @@
         attempts._first_numbers.confirm("plain", 1)
     reply, state = _Reply(), StreamState()
     for _ in exchanges:
-        result = await attempts.stream(
-            serving_context(ROUTE),
-            REPLICA,
-            reply,
-            state,
-            handles=(),
-            first_event_timeout_ms=TIMEOUT_MS,
-            gap_timeout_ms=TIMEOUT_MS,
-            on_first_event=lambda: None,
-        )
+        async with watched(clock, TIMEOUT_MS) as watch:
+            result = await attempts.stream(
+                serving_context(ROUTE),
+                REPLICA,
+                reply,
+                state,
+                handles=(),
+                watch=watch,
+                gap_limit_ms=TIMEOUT_MS,
+                on_first_event=lambda: None,
+            )
         if result.delivered or not state.may_resume:
             break
     return reply
--- /dev/null
+++ b/features/support/watched_attempts.py
@@ -0,0 +1,21 @@
+"""Attempts that are given up when they are silent, whatever follows."""
+
+from __future__ import annotations
+
+import contextlib
+
+from cactusdyke.serving.silence_watch import SilenceWatch
+
+
+@contextlib.asynccontextmanager
+async def watched(clock, limit_ms):
+    """Yields the watch of an attempt that may be silent for so long."""
+
+    async def prepare_next():
+        return True
+
+    watch = SilenceWatch(
+        clock=clock, limit_ms=limit_ms, prepare_next=prepare_next
+    )
+    async with watch.running():
+        yield watch
