Compute the inputs of a retry before its silent replica is left

Callers lost streams of sound replicas although the retry was charged: the stages that the next attempt needed were refused once the attempt had been cancelled, and the answer was reset.

Results of stages are freed with the first event, so a stream that goes on elsewhere needs them anew, and a busy stage refuses work of a request that is late, as a begun stream is.

The next attempt is now prepared beside the silent one: the retry, the stages on results of their own, and a look whether a replica is left. Only then is the attempt cancelled. If the stages refuse, or the replica goes on, the results are freed and the retry is returned.

--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -427,7 +427,13 @@
             ) as span:
                 async with self._freeing_inputs(context, results):
                     result = await self._send(
-                        context, replica, reply, state, handles, on_first_event
+                        context,
+                        replica,
+                        reply,
+                        state,
+                        results,
+                        handles,
+                        on_first_event,
                     )
                 span.set_attribute("detail", result.detail)
             succeeded = result.verdict is not None and result.verdict.succeeded
@@ -487,6 +493,7 @@
         replica: Replica,
         reply: Reply,
         state: StreamState,
+        results: StageResults,
         handles: list[str],
         on_first_event: Callable[[], None],
     ) -> AttemptResult:
@@ -495,7 +502,10 @@
             context=context,
             replica=replica,
             state=state,
+            results=results,
             retry_policy=self._retry_policy,
+            stages=self._stages,
+            run_stages=self._run_stages,
         )
         watch = SilenceWatch(
             clock=self._clock,
--- a/cactusdyke/serving/stages.py
+++ b/cactusdyke/serving/stages.py
@@ -81,6 +81,19 @@
         """Handles of the results, by stage."""
         return self._handles
 
+    @property
+    def complete(self) -> bool:
+        """Whether all results that the request itself needs are there."""
+        held = self._handles.keys() - self.freed_stages
+        return held >= set(self.final_stages())
+
+    def take(self, other: StageResults) -> None:
+        """Takes over the results of another object, which has none then."""
+        self._handles, other._handles = other._handles, {}
+        self.data_centre = other.data_centre
+        self.freed_stages, other.freed_stages = other.freed_stages, set()
+        self.partial_handles, other.partial_handles = other.partial_handles, {}
+
     def input_stages(self, number: int) -> list[int]:
         """Returns the stages whose results are a stage's inputs.
 
