Measure a stream that has begun by its deadline, not by the time to begin

Callers lost streams whose replica broke off after the time within which a stream has to begin (0.95 of four times the objective), with seconds left until their deadline.

Cause: `start_deadline_at` stayed as it was once the stream had begun. Its next attempt was refused by its own stages ("stages are busy for 0 ms, longer than the request can wait", seen in the log of the new scenario on the code before), and without stages it had no time for its next event.

The bound becomes the deadline with the head of the answer.

Evidence: 'a stream that began early goes on after the time to begin it has passed'. As committed before it could not pass at all, as its second replica ended after the caller's deadline; it now breaks off after 4.3 s of 6 s, and was seen to fail on the code before at that, as quoted.

--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -267,6 +267,7 @@
                 def extend_timeout() -> None:
                     extra_ms = context.deadline_at - context.start_deadline_at
                     scope.deadline += extra_ms / MS_PER_SECOND
+                    context.start_deadline_at = context.deadline_at
 
                 state.on_head = extend_timeout
                 with self._in_flight.track(context, state, scope) as request:
--- a/cactusdyke/serving/request.py
+++ b/cactusdyke/serving/request.py
@@ -101,7 +101,7 @@
         deadline_at: Instant at which the request times out, also in the middle
             of a stream.
         start_deadline_at: Instant by which a stream must have begun; its caller
-            abandons it then.
+            abandons it then. The same as `deadline_at` once it has.
         caller_waits_until: Instant until which the caller waits.
         objective_at: Instant by which an answer has its full value; in the
             past for a caller that has retried for longer than that.
--- a/features/steps/silent_replicas_steps.py
+++ b/features/steps/silent_replicas_steps.py
@@ -152,7 +152,7 @@
 def breaks_late(context):
     async def story(world):
         def prepare(replica):
-            replica.event_ms = LATE_MS / (EVENTS - 1)
+            replica.event_ms = LATE_MS / EVENTS
             replica.break_at = EVENTS - 1
             replica.faults.add("break")
 
