Count a silent attempt as a failure of its replica while it goes on

Since silent attempts are kept until a retry may be sent, a replica that hangs ended none of them for seconds. This daemon and the decider of its service went on sending it requests, whose callers would wait as well.

The watch reports the silence once, when the bound has passed: the daemon's health of the replica and the decider count a failure then, as they did when the attempt was cancelled at that moment. It is not counted again when the attempt is given up later.

--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -13,6 +13,7 @@
 from cactusdyke.errors import Failure, FailureKind
 from cactusdyke.kernel import Service
 from cactusdyke.serving import request_failures, routes
+from cactusdyke.serving.attempt import AttemptEnd
 from cactusdyke.serving.caller_patience import CallerPatience
 from cactusdyke.serving.durations import RequestDuration, RouteDurations
 from cactusdyke.serving.in_flight import InFlightRequests
@@ -46,7 +47,7 @@
     from cactusdyke.serving.model import Customer, Replica, Route
     from cactusdyke.serving.planned_stop import StopTimes
     from cactusdyke.serving.quarantine import Quarantine
-    from cactusdyke.serving.replica_choice import ReplicaChoice
+    from cactusdyke.serving.replica_choice import Choice, ReplicaChoice
     from cactusdyke.serving.request import ClientRequest
     from cactusdyke.serving.retry_budget import RetryBudget
     from cactusdyke.serving.retry_policy import RetryPolicy
@@ -429,7 +430,7 @@
                 async with self._freeing_inputs(context, results):
                     result = await self._send(
                         context,
-                        replica,
+                        choice,
                         reply,
                         state,
                         results,
@@ -491,13 +492,14 @@
     async def _send(
         self,
         context: ServingContext,
-        replica: Replica,
+        choice: Choice,
         reply: Reply,
         state: StreamState,
         results: StageResults,
         handles: list[str],
         on_first_event: Callable[[], None],
     ) -> AttemptResult:
+        replica = choice.replica
         remaining_ms = context.start_deadline_at - self._clock.now()
         next_attempt = NextAttempt(
             context=context,
@@ -511,6 +513,7 @@
         watch = SilenceWatch(
             clock=self._clock,
             limit_ms=remaining_ms * ATTEMPT_TIME_SHARE,
+            on_silent=lambda: self._record_silence(choice),
             prepare_next=next_attempt.prepare,
         )
         async with contextlib.AsyncExitStack() as stack:
@@ -531,6 +534,15 @@
                 on_first_event=on_first_event,
             )
 
+    def _record_silence(self, choice: Choice) -> None:
+        """Counts an attempt as failed, although its replica may yet go on.
+
+        Other requests are sent elsewhere meanwhile.
+        """
+        if self._attempts.is_replica_to_blame(choice.replica, None):
+            self._health.record_failure(choice.replica.name)
+            self._choice.end(choice, failed=True)
+
     def _record_attempt(
         self,
         context: ServingContext,
@@ -567,8 +579,9 @@
                 )
             return
         context.failed_replicas.append(replica.name)
+        counted = result.end is AttemptEnd.SILENT
         to_blame = self._attempts.is_replica_to_blame(replica, result)
-        if to_blame and not (result.refused or result.inputs_gone):
+        if to_blame and not (counted or result.refused or result.inputs_gone):
             self._health.record_failure(replica.name)
         self._metrics.attempt_failed(context.service)
         # Lines may be cut short: what tells causes apart comes first.
--- a/cactusdyke/serving/silence_watch.py
+++ b/cactusdyke/serving/silence_watch.py
@@ -34,6 +34,7 @@
         *,
         clock: Clock,
         limit_ms: float,
+        on_silent: Callable[[], None],
         prepare_next: Callable[[], Awaitable[bool]],
     ) -> None:
         """Begins to measure the silence.
@@ -41,11 +42,13 @@
         Args:
             clock: The clock.
             limit_ms: How long the replica may be silent.
+            on_silent: Called once the replica has been silent for longer.
             prepare_next: Makes sure that another attempt can follow; returns
                 whether it can.
         """
         self._clock = clock
         self._limit_ms = limit_ms
+        self._on_silent = on_silent
         self._prepare_next = prepare_next
         self._heard_at = clock.now()
         self._suspended = False
@@ -83,6 +86,8 @@
             tasks.cancel_scope.cancel()
 
     async def _run(self) -> None:
+        await self._until_silent()
+        self._on_silent()
         while True:
             await self._until_silent()
             with anyio.CancelScope() as self._preparation:
--- a/features/platform/silent_replicas.feature
+++ b/features/platform/silent_replicas.feature
@@ -40,3 +40,10 @@
     And a stage service
     When a stream breaks off after the time within which it had to begin
     Then its caller gets it whole, in part from the other replica
+
+  Scenario: silence counts against a replica although its attempts go on
+    # Guards against requests that go on to a replica which answers nothing, as
+    # none of its attempts has ended yet.
+    Given a daemon that has just started
+    When its only replica hangs with two requests for half of their time
+    Then the daemon has counted two failures of it, and the requests go on
--- a/features/steps/silent_replicas_steps.py
+++ b/features/steps/silent_replicas_steps.py
@@ -18,6 +18,8 @@
 """Callers wait four times as long for an event."""
 LATE_MS = 4_300
 """From the begin of a stream until it breaks off."""
+SILENT_S = 3.2
+"""More than half of the time that callers wait."""
 HEADERS = {
     "X-Model": "m",
     "X-Token-Counts": "100,50",
@@ -30,6 +32,7 @@
 LOOKUP = "the answer to a lookup"
 
 
+@given("a daemon that has just started")
 @given("a daemon that has just started, and two replicas")
 def without_share(context):
     context.bounds = {"budget_window_s": 30}
@@ -162,6 +165,34 @@
     play(story)
 
 
+@when("its only replica hangs with two requests for half of their time")
+def hangs_with_two(context):
+    async def story(world):
+        world.further_bounds = context.bounds
+        replica = await world.add_replica("r1")
+        replica.faults.add("hang")
+        world.configure([_route(context, "plain")])
+        daemon = await world.start_daemon("d1")
+
+        async def ask():
+            await world.request("/ask/a", headers=HEADERS)
+
+        for _ in range(2):
+            world.tasks.start_soon(ask)
+        await anyio.sleep(SILENT_S)
+        health = daemon._core.forwarder._health
+        context.failures = health._stats["r1"].failures
+        context.in_flight = health.in_flight("r1")
+
+    play(story)
+
+
+@then("the daemon has counted two failures of it, and the requests go on")
+def check_counted(context):
+    assert context.in_flight == 2, context.in_flight
+    assert 1.5 < context.failures <= 2.0, context.failures
+
+
 def _check_whole(context):
     status, _, body = context.answer
     assert status == 200, context.answer
--- a/features/support/watched_attempts.py
+++ b/features/support/watched_attempts.py
@@ -15,7 +15,10 @@
         return True
 
     watch = SilenceWatch(
-        clock=clock, limit_ms=limit_ms, prepare_next=prepare_next
+        clock=clock,
+        limit_ms=limit_ms,
+        on_silent=lambda: None,
+        prepare_next=prepare_next,
     )
     async with watch.running():
         yield watch
