Wait for connections that are made for others during a planned stop

Callers of other daemons lost streams that went through a daemon which was stopped: the connection to the replica was reset three seconds after SIGTERM, with most of the grace left.

Cause: a stopping daemon goes on making connections for others for three seconds, as they may not have heard of the stop. Its drain looked once, at the signal, and was over if no connection was open then. A connection made after that was held by nothing: as soon as the daemon had no request of its own it ended.

The drain now lasts until no connection is admitted any more and none is open. None is admitted once requests are refused, so that a short grace is not used up by waiting.

Evidence: 'a stream relayed for a daemon that has not heard of the stop', with the daemon as a process, a grace of 8 s and a stream of 5 s sent 1 s after the signal, failed before ("the connection was reset") and passes. A stream that is under way at the signal was waited for before too; its scenario passed before.

--- a/cactusdyke/serving/relay.py
+++ b/cactusdyke/serving/relay.py
@@ -50,6 +50,12 @@
         """Number of tunnels that are open."""
         return self._open_count
 
+    @property
+    def _admits(self) -> bool:
+        times = self._stop_times()
+        last_at = min(times.accept_streams_until, times.answer_deadline_at)
+        return self._clock.now() < last_at
+
     async def reaches_others(self, address: str) -> bool:
         """Returns whether this daemon reaches replicas other than the one."""
         return await self._check.reaches_others(address)
@@ -79,8 +85,12 @@
         self._paths.record_connected(address)
 
     async def drain(self) -> None:
-        """Waits until no other daemon has a request under way here."""
-        while self._open_count:
+        """Waits until no other daemon has a request under way here.
+
+        Until no connection is admitted any more, one may be opened for a
+        daemon that has not heard of the stop.
+        """
+        while self._open_count or self._admits:
             await self._clock.sleep(DRAIN_CHECK_INTERVAL_MS)
 
     def _refusal(self, address: str) -> str:
@@ -90,6 +100,6 @@
             return f"{address} is not reached from here either"
         if self._open_count >= MAX_TUNNELS:
             return f"there are {MAX_TUNNELS} tunnels already"
-        if self._clock.now() >= self._stop_times().accept_streams_until:
+        if not self._admits:
             return "this daemon is about to end"
         return ""
