Give relayed streams the same time of a planned stop as own ones

Callers of other daemons lost streams that went through a stopping daemon half a second before its own callers would have lost theirs.

Cause: the wait for the services' drain ended with the time at which requests are refused. Behind it only requests of the daemon's own callers were waited for, and with none of them the daemon ended at once.

The drain is waited for beside them until the daemon has to exit.

Evidence: 'a stream relayed by a daemon that stops half a second before its last moment' (a grace of 8 s, a stream that ends 7.4 s after the signal, the daemon as a process) failed before and passes.

--- a/cactusdyke/serving/planned_stop.py
+++ b/cactusdyke/serving/planned_stop.py
@@ -112,6 +112,7 @@
             # another would overlap, and all of them would refuse callers.
             with self._clock.timeout(times.exit_at - self._clock.now()):
                 await front.finish(refuse_at=times.answer_deadline_at)
+                await drained.wait()
             aborted = front.in_flight
             await front.abort()
             tasks.cancel_scope.cancel()
--- a/features/platform/relayed_stops.feature
+++ b/features/platform/relayed_stops.feature
@@ -8,8 +8,9 @@
     Then the caller has every event of one attempt, and the end
 
     Examples: times of the stop
-      | when                      |
-      | in the middle of a stream |
+      | when                                 |
+      | in the middle of a stream            |
+      | half a second before its last moment |
 
   Scenario: a stream relayed for a daemon that has not heard of the stop
     # Guards against connections that are still made for others after SIGTERM,
