Learn the first number of streams only from an event that has it

Callers of a daemon that had just started could lose sound streams: their first event was taken for a spoiled one and the attempt given up. A stream whose first event was spoiled could go on elsewhere behind that number, with a hole.

Cause: whether a first event had the known number was checked before it was written to the caller, and taken for granted after. While it was written, another stream of the service could show the number for the first time. The event that had been accepted while nothing was known then counted as checked, and its number, whatever it was, became the one that streams begin with.

The number is compared when it is recorded.

The attempt that the steps of this file make is a function of its own now; their checks are the same.

--- a/cactusdyke/serving/stream_state.py
+++ b/cactusdyke/serving/stream_state.py
@@ -143,8 +143,9 @@
             return None
         confirmed = None
         if self.last_event_number is None:
-            self.may_resume = first_number is not None
-            if len(numbers) > 1 or first_number is not None:
+            # Another stream may have shown the number while this was written.
+            self.may_resume = numbers[0] == first_number
+            if len(numbers) > 1 or self.may_resume:
                 confirmed = numbers[0]
         elif not self.may_resume:
             confirmed = self.last_event_number
--- a/features/serving/stream_order.feature
+++ b/features/serving/stream_order.feature
@@ -30,3 +30,10 @@
     # Guards against callers that wait for events which have come already.
     When the third of three events that come together is spoiled
     Then the caller has the two before it, and the next attempt resumes there
+
+  Scenario: sound streams beside others whose first event is spoiled
+    # Guards against a daemon that has just started, learns a spoiled number as
+    # the first one of a service, and gives up the streams of sound replicas.
+    When sound streams come together with some whose first event is spoiled
+    Then no sound stream is taken for a spoiled one
+    And none goes on behind a spoiled first event
--- a/features/steps/stream_order_steps.py
+++ b/features/steps/stream_order_steps.py
@@ -57,7 +57,16 @@
         (b"content-type", b"text/event-stream"),
     ],
 )
+GENERATED = settings(
+    max_examples=EXAMPLES,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    phases=[Phase.generate],
+    suppress_health_check=list(HealthCheck),
+)
 TIMEOUT_MS = 1_000.0
+MAX_DELAY_MS = 5
 
 
 @attrs.frozen(kw_only=True)
@@ -169,10 +178,8 @@
         raise NotImplementedError
 
 
-async def _play(exchanges, start_known):
-    """Makes attempts until the stream is whole; returns what the caller has."""
-    clock = EventLoopClock()
-    attempts = AttemptRunner(
+def _attempt_runner(clock, exchanges):
+    return AttemptRunner(
         clock=clock,
         dialect=PlatformDialect(),
         connections=_Connections(exchanges),
@@ -181,21 +188,31 @@
         is_replaced=lambda _: False,
         loads=ReplicaLoads(clock=clock),
     )
+
+
+async def _attempt(clock, attempts, reply, state):
+    async with watched(clock, TIMEOUT_MS) as watch:
+        return await attempts.stream(
+            serving_context(ROUTE),
+            REPLICA,
+            reply,
+            state,
+            handles=(),
+            watch=watch,
+            gap_limit_ms=TIMEOUT_MS,
+            on_first_event=lambda: None,
+        )
+
+
+async def _play(exchanges, start_known):
+    """Makes attempts until the stream is whole; returns what the caller has."""
+    clock = EventLoopClock()
+    attempts = _attempt_runner(clock, exchanges)
     if start_known:
         attempts._first_numbers.confirm("plain", 1)
     reply, state = _Reply(), StreamState()
     for _ in exchanges:
-        async with watched(clock, TIMEOUT_MS) as watch:
-            result = await attempts.stream(
-                serving_context(ROUTE),
-                REPLICA,
-                reply,
-                state,
-                handles=(),
-                watch=watch,
-                gap_limit_ms=TIMEOUT_MS,
-                on_first_event=lambda: None,
-            )
+        result = await _attempt(clock, attempts, reply, state)
         if result.delivered or not state.may_resume:
             break
     return reply
@@ -225,14 +242,7 @@
     context.got = []
     context.start_known = known == "known"
 
-    @settings(
-        max_examples=EXAMPLES,
-        deadline=None,
-        derandomize=True,
-        database=None,
-        phases=[Phase.generate],
-        suppress_health_check=list(HealthCheck),
-    )
+    @GENERATED
     @given(_attempts(3 if may == "may" else 1))
     def play(drawn):
         count, exchanges = drawn
@@ -259,6 +269,91 @@
     assert any(not reply.ended for _, reply in context.got)
 
 
+class _SlowReply(_Reply):
+    """A caller that takes its time with every part."""
+
+    def __init__(self, write_ms):
+        super().__init__()
+        self._write_ms = write_ms
+
+    async def part(self, data):
+        await anyio.sleep(self._write_ms / 1_000)
+        self.data += data
+
+
+@attrs.frozen(kw_only=True)
+class _Stream:
+    """One of several streams: when it begins, and what it meets."""
+
+    begins_ms: int
+    write_ms: int
+    exchange: _Exchange
+
+
+async def _play_together(streams):
+    """Plays streams through one daemon; returns how each one ended."""
+    clock = EventLoopClock()
+    ordered = sorted(streams, key=lambda stream: stream.begins_ms)
+    attempts = _attempt_runner(clock, [s.exchange for s in ordered])
+    ends = []
+
+    async def play(stream):
+        await anyio.sleep(stream.begins_ms / 1_000)
+        reply = _SlowReply(stream.write_ms)
+        state = StreamState()
+        result = await _attempt(clock, attempts, reply, state)
+        ends.append((result, state))
+
+    async with anyio.create_task_group() as tasks:
+        for stream in ordered:
+            tasks.start_soon(play, stream)
+    return ends
+
+
+@st.composite
+def _streams(draw):
+    delay = st.integers(0, MAX_DELAY_MS)
+    spoiled = Spoiled(event=1, form="gap")
+    return [
+        _Stream(
+            begins_ms=draw(delay),
+            write_ms=draw(delay),
+            exchange=_Exchange(
+                count=draw(st.integers(1, 4)),
+                spoiled=draw(st.sampled_from((None, None, spoiled))),
+                sizes=draw(st.lists(st.integers(1, 60), max_size=4)),
+            ),
+        )
+        for _ in range(draw(st.integers(2, 6)))
+    ]
+
+
+@when("sound streams come together with some whose first event is spoiled")
+def generated_together(context):
+    context.ends = []
+
+    @GENERATED
+    @given(_streams())
+    def play(streams):
+        context.ends.append(run_virtual(_play_together, streams))
+
+    play()
+
+
+@then("no sound stream is taken for a spoiled one")
+def check_sound(context):
+    ends = [end for ends in context.ends for end in ends]
+    taken = [r.detail for r, _ in ends if "event 1 came" in r.detail]
+    assert not taken, (len(taken), taken[:3])
+
+
+@then("none goes on behind a spoiled first event")
+def check_no_hole(context):
+    states = [state for ends in context.ends for _, state in ends]
+    wrong = [s for s in states if s.last_event_number == 99 and s.may_resume]
+    assert not wrong, (len(wrong), wrong[:1])
+
+
 @when("the third of three events that come together is spoiled")
 def together(context):
     context.exchanges = [
