Keep an attempt whose replica speaks as its next one becomes ready

A stream of a replica that had just gone on could be left: an event cancels the preparation of the next attempt, but a preparation that ends at the same moment doesn't notice, and the watch then cancelled the attempt whose event was being passed on. Its retry was charged and its stages were run in vain.

The watch now looks whether the preparation was cancelled.

--- a/cactusdyke/serving/silence_watch.py
+++ b/cactusdyke/serving/silence_watch.py
@@ -91,7 +91,9 @@
         while True:
             await self._until_silent()
             with anyio.CancelScope() as self._preparation:
-                if await self._prepare_next():
+                ready = await self._prepare_next()
+                # Something may have come just as the preparation ended.
+                if ready and not self._preparation.cancel_called:
                     self._attempt.cancel()
                     return
             await self._clock.sleep(PREPARE_AGAIN_MS)
--- a/features/serving/silence_watch.feature
+++ b/features/serving/silence_watch.feature
@@ -24,6 +24,14 @@
     When something comes after 1800 ms and after 3000 ms
     Then its preparation was cancelled, and the attempt goes on
 
+  Scenario: a next attempt that is ready as something comes is not needed
+    # Guards against a sound replica that is left as its event is just read,
+    # with a preparation that ends before it notices that it is cancelled.
+    Given an attempt whose replica may be silent for 1500 ms
+    And a next attempt that takes 500 ms to prepare, whatever is cancelled
+    When something comes after 1800 ms and after 3000 ms
+    Then the attempt goes on
+
   Scenario: a caller that reads slowly is no silence of the replica
     # Guards against a replica that is left as nothing is read from it.
     Given an attempt whose replica may be silent for 1500 ms
