Don't count the silent replica among those that a request may go on at

A stream whose replica paused was given up although the only other replica had no connection left for this daemon: the silent replica itself was the candidate that the check found. The stream was then sent there again, which cost a retry, the stages and the last attempt.

The check now asks for a candidate other than the silent replica. Without one the attempt goes on, and the question is asked again.

Evidence: 'a stream is not given up for the replica at which it is silent' failed before and passes.

--- a/cactusdyke/serving/retry_policy.py
+++ b/cactusdyke/serving/retry_policy.py
@@ -94,7 +94,9 @@
             if context.answer_began_at is None
             else self.can_resume_elsewhere
         )
-        return can_follow(context, replica) and bool(self.candidates(context))
+        return can_follow(context, replica) and any(
+            other.name != replica.name for other in self.candidates(context)
+        )
 
     def _charge(self, context: ServingContext) -> bool:
         """Charges a retry to the budget; returns False if it is spent."""
--- a/features/serving/silence_watch.feature
+++ b/features/serving/silence_watch.feature
@@ -73,6 +73,14 @@
     When a next attempt is prepared
     Then it can't follow, and its retry and its inputs are returned
 
+  Scenario: a stream is not given up for the replica at which it is silent
+    # Guards against a stream that is given up although the other replica has no
+    # connection left, and that is then sent to the silent replica once more.
+    Given a stream at one of two replicas, whose inputs are freed
+    And the other replica has no connection left
+    When a next attempt is prepared
+    Then it can't follow, and its retry and its inputs are returned
+
   Scenario: a request whose possible runs are used up waits
     # Guards against an attempt that is given up although no other may follow.
     Given a stream whose retry was sent, and three replicas
