Reserve the next retry beside the one that is still to be sent

A retry could reach a replica without being counted, and an attempt could be given up for a retry that was refused then. Both need a retry that still waits for its connection when the watch looks for the attempt after it, so a route with three attempts and little time left.

Cause: the request held one permit. The watch took the one that the current attempt was still to send for a reserved one. If the stages of the next attempt were refused, it was returned to the budget and sent all the same; if the current attempt sent it meanwhile, nothing was left for the next.

The reserved retry is now held apart, and becomes the request's retry once the current attempt has ended. The request returns what is left of both.

Evidence: 'a retry that is still to be sent is not returned for the next one' and 'a retry that is sent while the next attempt is prepared' failed before and pass.

--- a/cactusdyke/serving/forwarder.py
+++ b/cactusdyke/serving/forwarder.py
@@ -286,6 +286,7 @@
                 context.held_answer.release()
             if context.retry is not None:
                 context.retry.release()
+            self._retry_policy.release_retry(context)
             if not finished:
                 self._log_unfinished(context, state)
         if failure is None:
--- a/cactusdyke/serving/request.py
+++ b/cactusdyke/serving/request.py
@@ -115,7 +115,8 @@
         failed_replicas: Names of those where it did not succeed.
         attempts: Number of attempts started.
         sends: Number of attempts that were written to a replica.
-        retry: The retry that was last charged to the budget.
+        retry: The retry that was last charged to the budget to be sent.
+        next_retry: The retry that is reserved for the next attempt.
         refused_retry_of: The last attempt whose retry the budget refused, 0
             if it refused none.
         possible_runs: Number of attempts that ran or may have run.
@@ -152,6 +153,7 @@
     attempts: int = 0
     sends: int = 0
     retry: RetryPermit | None = None
+    next_retry: RetryPermit | None = None
     refused_retry_of: int = 0
     possible_runs: int = 0
     stages_ms: float = 0.0
--- a/cactusdyke/serving/retry_budget.py
+++ b/cactusdyke/serving/retry_budget.py
@@ -151,11 +151,6 @@
         """When the retry was charged."""
         return self._charged_at
 
-    @property
-    def pending(self) -> bool:
-        """Whether it was neither sent nor returned."""
-        return self._charges is not None
-
     def mark_sent(self) -> None:
         """Records that the retry is being sent."""
         if self._charges is not None:
--- a/cactusdyke/serving/retry_policy.py
+++ b/cactusdyke/serving/retry_policy.py
@@ -76,12 +76,13 @@
         Returns:
             Whether the request may go on elsewhere if the attempt is given up.
         """
-        return self.can_replace(context, replica) and self._charge(context)
+        return self.can_replace(context, replica) and self._reserve(context)
 
     def release_retry(self, context: ServingContext) -> None:
         """Returns a retry that was reserved to the budget."""
-        if context.retry is not None:
-            context.retry.release()
+        if context.next_retry is not None:
+            context.next_retry.release()
+            context.next_retry = None
 
     def can_replace(self, context: ServingContext, replica: Replica) -> bool:
         """Returns whether the current attempt may be given up for another."""
@@ -99,11 +100,18 @@
         )
 
     def _charge(self, context: ServingContext) -> bool:
-        """Charges a retry to the budget; returns False if it is spent."""
-        if context.retry is not None and context.retry.pending:
+        """Charges the next retry, unless it is reserved; False if refused."""
+        if not self._reserve(context):
+            return False
+        context.retry, context.next_retry = context.next_retry, None
+        return True
+
+    def _reserve(self, context: ServingContext) -> bool:
+        """Charges the retry after the current one; False if refused."""
+        if context.next_retry is not None:
             return True
-        context.retry = self._budget.charge(context.service)
-        refused = context.retry is None
+        context.next_retry = self._budget.charge(context.service)
+        refused = context.next_retry is None
         if not refused or context.refused_retry_of != context.attempts:
             events.log(
                 events.Event.RETRY_REFUSED
--- a/features/serving/silence_watch.feature
+++ b/features/serving/silence_watch.feature
@@ -81,6 +81,20 @@
     When a next attempt is prepared
     Then it can't follow, and its retry and its inputs are returned
 
+  Scenario: a retry that is still to be sent is not returned for the next one
+    # Guards against retries beyond the budget: one that is returned before it
+    # is sent is not counted.
+    Given a stream whose retry waits for a connection, and three replicas
+    When a next attempt is prepared, and its stages are refused
+    Then the retry that is still to be sent stays charged
+
+  Scenario: a retry that is sent while the next attempt is prepared
+    # Guards against an attempt that is given up for a retry which was its own.
+    Given a stream whose retry waits for a connection, and three replicas
+    And a budget of one retry
+    When a next attempt is prepared, and the retry is sent meanwhile
+    Then it can't follow
+
   Scenario: a request whose possible runs are used up waits
     # Guards against an attempt that is given up although no other may follow.
     Given a stream whose retry was sent, and three replicas
