Give up a silent attempt of a pipeline only once its retry is charged

Callers of the own interface lost streams of engines that only paused: after a gap of 250 ms to 2 s the attempt was ended, its retry was refused by the budget, and the stream ended with `backend_failed`. Streams that had not begun, and stages that are not streamed, were refused with half of their time left.

The time-out of an attempt left time for a retry, and nothing asked whether there would be one: the budget may be spent, the attempt may be the last one, or no backend server be left.

A limit on progress now asks whether the wait may be given up. The retry policy charges the retry with its answer; if it can't, the wait goes on, to the deadline at the latest, and asks again every 250 ms. A charge that is not used, as the other attempt of a race won, is returned.

Engines that freeze or are killed are still left.

--- a/cactusdyke/pipeline/attempts.py
+++ b/cactusdyke/pipeline/attempts.py
@@ -28,6 +28,7 @@
     from cactusdyke.routing.backend_client import BackendClient
     from cactusdyke.routing.messages import LoadReport, StageAnswer
     from cactusdyke.routing.router import Router
+    from cactusdyke.transport.network import ProgressLimit
 
 
 @attrs.define(kw_only=True)
@@ -101,17 +102,20 @@
         server: BackendServer,
         call: StageCall,
         *,
-        timeout_ms: float,
+        limit: ProgressLimit,
         fresh: bool,
     ) -> Result[StageAnswer, Failure]:
         """Makes one attempt at an answer that is not streamed."""
+        now = self._clock.now()
         answer: Result[StageAnswer, Failure] = Err(timeout_failure(server))
         with self.track(work, server, call) as record:
-            with self._clock.timeout(timeout_ms):
+            with self._clock.timeout(limit.latest - now):
                 answer = await self._client.call(
                     server,
                     call,
-                    progress_timeout_ms=timeout_ms,
+                    progress_timeout_ms=limit.latest - now,
+                    limit=limit,
+                    connect_timeout_ms=limit.until - now,
                     fresh=fresh,
                     traceparent=record.traceparent,
                 )
--- a/cactusdyke/pipeline/budgets.py
+++ b/cactusdyke/pipeline/budgets.py
@@ -30,6 +30,10 @@
         """Adds what one success earns, up to the maximum balance."""
         self.balance = min(self.balance + self.share, MAX_BALANCE)
 
+    def give_back(self) -> None:
+        """Adds an extra attempt that was deducted and not made."""
+        self.balance = min(self.balance + 1, MAX_BALANCE)
+
     def spend(self) -> bool:
         """Returns whether an extra attempt may be made, and deducts it."""
         if self.balance < 1:
--- a/cactusdyke/pipeline/retries.py
+++ b/cactusdyke/pipeline/retries.py
@@ -77,6 +77,31 @@
                 return Ok(server)
         return Err(_no_server(work))
 
+    def reserve(self, work: StageWork) -> bool:
+        """Returns whether a silent attempt may be given up for another one.
+
+        The retry is charged before: what is given up first may turn out to be
+        all that the caller could have had.
+        """
+        if work.retry_reserved:
+            return True
+        if not work.pool.calls_repeatable or work.attempts >= MAX_ATTEMPTS:
+            return False
+        remaining = work.context.remaining_ms(self._clock)
+        if _longest_backoff_ms(work.attempts) >= remaining:
+            return False
+        if not any(map(self._router.may_use, work.pool.backend_servers)):
+            return False
+        budget = self._budgets.retries(work.pool.name)
+        work.retry_reserved = budget.spend()
+        return work.retry_reserved
+
+    def release(self, work: StageWork) -> None:
+        """Returns a retry that was reserved and not made."""
+        if work.retry_reserved:
+            work.retry_reserved = False
+            self._budgets.retries(work.pool.name).give_back()
+
     async def wait_for_retry(self, work: StageWork, failure: Failure) -> bool:
         """Waits for the backoff; returns False if no retry may be made."""
         repeatable = work.pool.calls_repeatable or failure.ran is Ran.NOT_RUN
@@ -86,7 +111,9 @@
         # A leaving backend server did no work, so a retry adds no load and does
         # not use the budget.
         free = failure.kind is FailureKind.BACKEND_LEAVING
-        if not free and not self._budgets.retries(pool).spend():
+        reserved, work.retry_reserved = work.retry_reserved, False
+        paid = free or reserved or self._budgets.retries(pool).spend()
+        if not paid:
             self._metrics.retries.labels(pool, "refused").inc()
             events.log(
                 events.Event.RETRY_REFUSED,
@@ -155,8 +182,11 @@
         return server
 
     def _backoff_ms(self, attempts: int) -> float:
-        longest = min(INITIAL_BACKOFF_MS * 2 ** (attempts - 1), MAX_BACKOFF_MS)
-        return self._rng.uniform(0, longest)
+        return self._rng.uniform(0, _longest_backoff_ms(attempts))
+
+
+def _longest_backoff_ms(attempts: int) -> float:
+    return min(INITIAL_BACKOFF_MS * 2.0 ** (attempts - 1), MAX_BACKOFF_MS)
 
 
 def final_failure(work: StageWork, failure: Failure) -> Failure:
--- a/cactusdyke/pipeline/streamed_stage.py
+++ b/cactusdyke/pipeline/streamed_stage.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
 
-    from cactusdyke.clock import Clock
+    from cactusdyke.clock import Clock, Instant
     from cactusdyke.configuration.model import BackendServer
     from cactusdyke.observe.metrics import Metrics
     from cactusdyke.pipeline.attempts import Attempts
@@ -66,38 +66,43 @@
         Raises:
             CactusdykeError: The stage failed and may not be retried.
         """
-        position = 0
-        last: Failure | None = None
-        while True:
-            opened = await self._open(work, position, last)
-            if isinstance(opened, Err):
-                last = opened.err_value
-            else:
-                attempt = opened.ok_value
-                usual = self._usual_gap_ms(work)
-                try:
-                    while True:
-                        began = self._clock.now()
-                        part = await attempt.next_part(
-                            self._gap_timeout_ms(work, usual)
-                        )
-                        if isinstance(part, Err):
-                            last = part.err_value
-                            break
-                        usual = max(usual, self._clock.now() - began)
-                        yield part.ok_value
-                        if isinstance(part.ok_value, StreamEnd):
-                            return
-                        position += len(part.ok_value.tokens)
-                finally:
-                    await attempt.close()
-            if work.context.remaining_ms(self._clock) <= 0:
-                last = _deadline_failure(work)
-                raise CactusdykeError(final_failure(work, last))
-            if not await self._retries.wait_for_retry(work, last):
-                raise CactusdykeError(final_failure(work, last))
-            if position:
-                self._log_resumed(work, position, last)
+        try:
+            position = 0
+            last: Failure | None = None
+            while True:
+                opened = await self._open(work, position, last)
+                if isinstance(opened, Err):
+                    last = opened.err_value
+                else:
+                    attempt = opened.ok_value
+                    usual = self._usual_gap_ms(work)
+                    try:
+                        while True:
+                            began = self._clock.now()
+                            gap_ms = self._gap_timeout_ms(work, usual)
+                            remaining = work.context.remaining_ms(self._clock)
+                            part = await attempt.next_part(
+                                until=began + gap_ms, latest=began + remaining
+                            )
+                            if isinstance(part, Err):
+                                last = part.err_value
+                                break
+                            usual = max(usual, self._clock.now() - began)
+                            yield part.ok_value
+                            if isinstance(part.ok_value, StreamEnd):
+                                return
+                            position += len(part.ok_value.tokens)
+                    finally:
+                        await attempt.close()
+                if work.context.remaining_ms(self._clock) <= 0:
+                    last = _deadline_failure(work)
+                    raise CactusdykeError(final_failure(work, last))
+                if not await self._retries.wait_for_retry(work, last):
+                    raise CactusdykeError(final_failure(work, last))
+                if position:
+                    self._log_resumed(work, position, last)
+        finally:
+            self._retries.release(work)
 
     async def _open(
         self, work: StageWork, position: int, last: Failure | None
@@ -110,18 +115,19 @@
         if isinstance(server, Err):
             raise CactusdykeError(final_failure(work, last or server.err_value))
         timeout_ms = self._shares.attempt_timeout_ms(work, share.ok_value)
-        primary = self._runner(work, server.ok_value, position, timeout_ms)
+        began = self._clock.now()
+        until, latest = began + timeout_ms, began + share.ok_value
+        primary = self._runner(work, server.ok_value, position, until, latest)
         delay_ms = self._retries.hedge_delay_ms(work, first_token_timing(work))
         if delay_ms is None or delay_ms >= timeout_ms:
             return await primary()
-        began = self._clock.now()
 
         def backup() -> Runner[StreamAttempt] | None:
             waited = self._clock.now() - began
             other = self._retries.hedge(work, server.ok_value, waited)
             if other is None:
                 return None
-            return self._runner(work, other, position, timeout_ms - waited)
+            return self._runner(work, other, position, until, latest)
 
         return await Race(
             clock=self._clock,
@@ -135,7 +141,8 @@
         work: StageWork,
         server: BackendServer,
         position: int,
-        timeout_ms: float,
+        until: Instant,
+        latest: Instant,
     ) -> Runner[StreamAttempt]:
         fresh = bool(work.attempts) or not work.pool.calls_repeatable
         call = work.next_call(
@@ -153,8 +160,9 @@
                 server=server,
                 call=call,
                 fresh=fresh,
+                may_give_up=lambda: self._retries.reserve(work),
             )
-            return await attempt.open(timeout_ms)
+            return await attempt.open(until=until, latest=latest)
 
         return run
 
--- a/cactusdyke/pipeline/whole_stage.py
+++ b/cactusdyke/pipeline/whole_stage.py
@@ -8,6 +8,7 @@
 
 from cactusdyke.pipeline.race import Race
 from cactusdyke.pipeline.retries import final_failure
+from cactusdyke.transport.network import ProgressLimit
 
 if TYPE_CHECKING:
     from cactusdyke.clock import Clock
@@ -42,6 +43,12 @@
 
     async def run(self, work: StageWork) -> Result[StageAnswer, Failure]:
         """Returns the stage's answer, or the failure for the caller."""
+        try:
+            return await self._run(work)
+        finally:
+            self._retries.release(work)
+
+    async def _run(self, work: StageWork) -> Result[StageAnswer, Failure]:
         last: Err[Failure] | None = None
         while True:
             share = self._shares.check(work)
@@ -61,18 +68,26 @@
         self, work: StageWork, server: BackendServer, share_ms: float
     ) -> Result[StageAnswer, Failure]:
         timeout_ms = self._shares.attempt_timeout_ms(work, share_ms)
-        primary = self._runner(work, server, timeout_ms)
+        began = self._clock.now()
+
+        def limit() -> ProgressLimit:
+            return ProgressLimit(
+                until=began + timeout_ms,
+                may_give_up=lambda: self._retries.reserve(work),
+                latest=began + share_ms,
+            )
+
+        primary = self._runner(work, server, limit())
         delay_ms = self._retries.hedge_delay_ms(work, work.timing_key)
         if delay_ms is None or delay_ms >= timeout_ms:
             return await primary()
-        began = self._clock.now()
 
         def backup() -> Runner[StageAnswer] | None:
             waited = self._clock.now() - began
             other = self._retries.hedge(work, server, waited)
             if other is None:
                 return None
-            return self._runner(work, other, timeout_ms - waited)
+            return self._runner(work, other, limit())
 
         return await Race(
             clock=self._clock,
@@ -82,7 +97,7 @@
         ).run(delay_ms)
 
     def _runner(
-        self, work: StageWork, server: BackendServer, timeout_ms: float
+        self, work: StageWork, server: BackendServer, limit: ProgressLimit
     ) -> Runner[StageAnswer]:
         # A retry opens a new connection: the cause that broke one connection,
         # such as a middlebox that dropped its state, has often broken others
@@ -92,7 +107,7 @@
 
         async def run() -> Result[StageAnswer, Failure]:
             return await self._attempts.run_whole(
-                work, server, call, timeout_ms=timeout_ms, fresh=fresh
+                work, server, call, limit=limit, fresh=fresh
             )
 
         return run
--- a/cactusdyke/pipeline/work.py
+++ b/cactusdyke/pipeline/work.py
@@ -60,6 +60,8 @@
         span: The stage's span.
         attempts: Number of attempts started.
         tried: Names of the backend servers called, in order.
+        retry_reserved: Whether the next retry was charged to the budget while
+            an attempt was silent.
     """
 
     context: RequestContext
@@ -73,6 +75,7 @@
     span: Span
     attempts: int = 0
     tried: list[str] = attrs.field(factory=list)
+    retry_reserved: bool = False
 
     @property
     def timing_key(self) -> tuple[str, str]:
--- a/cactusdyke/routing/backend_client.py
+++ b/cactusdyke/routing/backend_client.py
@@ -49,14 +49,17 @@
         call: StageCall,
         *,
         progress_timeout_ms: float,
+        limit: ProgressLimit | None = None,
+        connect_timeout_ms: float = CONNECT_TIMEOUT_MS,
         fresh: bool = False,
         traceparent: str = "",
     ) -> Result[StageAnswer, Failure]:
         """Makes one attempt and returns its complete answer."""
         options = CallOptions(
-            connect_timeout_ms=CONNECT_TIMEOUT_MS,
+            connect_timeout_ms=min(connect_timeout_ms, CONNECT_TIMEOUT_MS),
             progress_timeout_ms=progress_timeout_ms,
             fresh=fresh,
+            limit=limit,
         )
         answer = await self._network.fetch(
             server.address, _run_request(call, traceparent), options
@@ -78,6 +81,7 @@
         call: StageCall,
         *,
         limit: ProgressLimit,
+        connect_timeout_ms: float = CONNECT_TIMEOUT_MS,
         fresh: bool = False,
         traceparent: str = "",
     ) -> AsyncGenerator[TokenBatch | StreamEnd, None]:
@@ -88,7 +92,7 @@
                 it belongs to another request.
         """
         options = CallOptions(
-            connect_timeout_ms=CONNECT_TIMEOUT_MS,
+            connect_timeout_ms=min(connect_timeout_ms, CONNECT_TIMEOUT_MS),
             progress_timeout_ms=call.remaining_ms,
             fresh=fresh,
             limit=limit,
--- a/cactusdyke/transport/bounded_stream.py
+++ b/cactusdyke/transport/bounded_stream.py
@@ -37,6 +37,7 @@
         self._watchdog = watchdog
         self._clock = clock
         self._began: Instant = 0.0
+        self._waits = False
         self._given_up = False
 
     @property
@@ -69,7 +70,13 @@
         self._options = options
 
     async def give_up(self) -> None:
-        """Closes the connection, which ends the wait."""
+        """Closes the connection, which ends the wait, unless it may go on."""
+        if not self._waits:
+            return
+        limit = self._options.limit
+        if limit is not None and not limit.is_over(self._clock.now()):
+            self._watchdog.begin(self)
+            return
         self._given_up = True
         await anyio.aclose_forcefully(self._stream)
 
@@ -87,7 +94,7 @@
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             raise self._broken() from error
         finally:
-            self._watchdog.end(self)
+            self._end()
 
     async def send(self, item: bytes) -> None:
         """Returns once the socket has taken all bytes.
@@ -102,7 +109,7 @@
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             raise self._broken() from error
         finally:
-            self._watchdog.end(self)
+            self._end()
 
     async def send_eof(self) -> None:
         """Ends this side of the connection."""
@@ -114,8 +121,13 @@
 
     def _begin(self) -> None:
         self._began = self._clock.now()
+        self._waits = True
         self._watchdog.begin(self)
 
+    def _end(self) -> None:
+        self._waits = False
+        self._watchdog.end(self)
+
     def _broken(self) -> anyio.BrokenResourceError:
         if self._given_up:
             return NoProgressError("no progress")
--- a/cactusdyke/transport/network.py
+++ b/cactusdyke/transport/network.py
@@ -4,6 +4,7 @@
 
 import abc
 import contextlib
+import math
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -21,6 +22,8 @@
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
 """Several times what a daemon knows of 1,800 replicas."""
+ASK_AGAIN_MS = 250.0
+"""How long after a wait could not be given up it is asked for again."""
 
 
 class Incoming(abc.ABC):
@@ -71,10 +74,24 @@
     """How long an answer may take to go on; moved while it arrives.
 
     Attributes:
-        until: Instant by which more of the answer must have come.
+        until: Instant by which more of the answer should have come.
+        may_give_up: Asked once that has passed; if it says no the wait goes on,
+            and it is asked again.
+        latest: Instant at which the wait ends in any case.
     """
 
     until: Instant
+    may_give_up: Callable[[], bool] = lambda: True
+    latest: Instant = math.inf
+
+    def is_over(self, now: Instant) -> bool:
+        """Returns whether to give up the wait; prolongs it if not."""
+        if now < self.until:
+            return False
+        if now >= self.latest or self.may_give_up():
+            return True
+        self.until = min(now + ASK_AGAIN_MS, self.latest)
+        return False
 
 
 @attrs.frozen(kw_only=True)
--- a/features/requests/streams.feature
+++ b/features/requests/streams.feature
@@ -32,3 +32,38 @@
     And 60 streams arrive one every 40 ms
     Then all of them got complete answers
     And every first token arrived within 100 ms
+
+  Scenario: a stream stays at a paused engine while no retry may be made
+    # Guards against a stream of a sound engine that is given up at a pause,
+    # and then ended as its retry is refused.
+    Given a pool of 3 engines
+    And the budget of retries is spent
+    When a request streams and its engine pauses for 1200 ms after 5 tokens
+    Then the stream is complete, in order and for its own request
+    And the engine was called once
+
+  Scenario: a stream that has not begun stays while no retry may be made
+    # Guards against the same before the first token, with half of the time
+    # left.
+    Given a pool of 3 engines
+    And the budget of retries is spent
+    When a request streams and its engine pauses for 2000 ms after 0 tokens
+    Then the stream is complete, in order and for its own request
+    And the engine was called once
+
+  Scenario: a stage that is not streamed waits while no retry may be made
+    # Guards against a request that is refused with half of its time left.
+    Given a pool of 3 engines
+    And the budget of retries is spent
+    When a request is sent and its engine pauses for 2000 ms
+    Then all of them got complete answers
+    And the engine was called once
+
+  Scenario: several streams that pause together share what the budget has
+    # Guards against retries that are counted on when a pause begins, and are
+    # spent by others when it is too long.
+    Given a pool of 1 engines
+    And the budget has 2 retries
+    When 6 requests stream and their engine pauses for 1200 ms
+    Then all of them got complete answers
+    And extra calls were made for 2 streams
--- a/features/steps/requests_stories_steps.py
+++ b/features/steps/requests_stories_steps.py
@@ -6,7 +6,8 @@
 from behave import given, then, when
 
 from cactusdyke.errors import FailureKind, Ran
-from features.support.request_rig import TOKENS, RequestRig
+from cactusdyke.pipeline.runner import PipelineRunner
+from features.support.request_rig import DAEMON, TOKENS, RequestRig
 from standins.virtual import run_virtual
 
 WARM_UP = 60
@@ -37,6 +38,28 @@
     context.actions.append(warm)
 
 
+@given("the budget of retries is spent")
+def given_no_retries(context):
+    _set_retries(context, 0)
+
+
+@given("the budget has {count:d} retries")
+def given_retries(context, count):
+    _set_retries(context, count)
+
+
+def _set_retries(context, count):
+    async def spend(rig, seen):
+        runner = rig.deployment.daemons[DAEMON].service(
+            "pipeline", PipelineRunner
+        )
+        budgets = runner._streamed_stage._retries._budgets
+        budgets.retries("engine").balance = count
+        budgets.hedges("engine").balance = 0
+
+    context.actions.append(spend)
+
+
 @when("{name} becomes {factor:d} times slower")
 def when_slower(context, name, factor):
     async def slow(rig, seen):
@@ -143,6 +166,61 @@
     context.actions.append(send)
 
 
+@when(
+    "a request streams and its engine pauses for {pause_ms:d} ms"
+    " after {count:d} tokens"
+)
+def when_stream_pauses(context, pause_ms, count):
+    _pause(context, "stream", 1, pause_ms, count)
+
+
+@when("a request is sent and its engine pauses for {pause_ms:d} ms")
+def when_request_pauses(context, pause_ms):
+    _pause(context, "whole", 1, pause_ms, 0)
+
+
+@when("{count:d} requests stream and their engine pauses for {pause_ms:d} ms")
+def when_streams_pause(context, count, pause_ms):
+    _pause(context, "stream", count, pause_ms, 5)
+
+
+def _pause(context, kind, count, pause_ms, tokens):
+    """Sends requests whose engine is silent for a time, and then goes on."""
+
+    async def send(rig, seen):
+        seen["first"] = len(rig.outcomes)
+        outcomes = [rig.start(kind) for _ in range(count)]
+        hub = rig.deployment.hub
+        while any(len(o.tokens) < tokens for o in outcomes) or not (
+            rig.calls("engine")
+        ):
+            await rig.sleep(1)
+        (name,) = [
+            name
+            for name, server in rig.deployment.servers.items()
+            if server.counts["calls"]
+        ]
+        hub.freeze(name)
+        await rig.sleep(pause_ms)
+        hub.wake(name)
+        await rig.finish()
+        seen["calls"] = rig.calls("engine")
+
+    context.actions.append(send)
+
+
+@then("the engine was called once")
+def then_engine_called_once(context):
+    _run(context)
+    assert context.seen["calls"] == 1, context.seen["calls"]
+
+
+@then("extra calls were made for {count:d} streams")
+def then_extra_calls(context, count):
+    outcomes = _run(context)
+    assert context.seen["calls"] - len(outcomes) == count, context.seen["calls"]
+
+
 @when("a request streams at {token_ms:d} ms a token")
 def when_trickle(context, token_ms):
     async def send(rig, seen):
--- a/standins/hub.py
+++ b/standins/hub.py
@@ -369,9 +369,15 @@
             self._sender.send_nowait(None)
 
     async def _next(self) -> Response | bytes | None:
-        with self._hub.clock.timeout(self._options.wait_ms(self._hub.clock)):
-            return await self._receiver.receive()
-        return None
+        clock, limit = self._hub.clock, self._options.limit
+        while True:
+            wait_ms = self._options.wait_ms(clock)
+            with clock.timeout(wait_ms):
+                return await self._receiver.receive()
+            if limit is None or wait_ms >= self._options.progress_timeout_ms:
+                return None
+            if limit.is_over(max(clock.now(), limit.until)):
+                return None
 
     def _failure(self, detail: str) -> Failure:
         return Failure(
