Learn the first number of a version's streams beside other versions

If a new version of a service numbered its streams from another number than the old one, its sound streams would be given up at their first event for as long as both versions serve. Nothing in the platform's protocol says with which number streams begin, nor that all versions agree.

Cause: three streams in a row with the same other number replace the known one, and were counted for the service. Each stream of the old version began the count anew.

They are counted for each version. A version is still held to the number of the others until then, so that a spoiled first event is found as before.

No replica was seen to do so: this came from the question whether sound events can be refused.

--- a/cactusdyke/serving/attempt.py
+++ b/cactusdyke/serving/attempt.py
@@ -468,12 +468,14 @@
         replica: Replica,
     ) -> tuple[Sequence[StreamEvent], str]:
         """Separates the events that continue a stream from what follows."""
-        known = self._first_numbers.known(replica.service)
+        known = self._first_numbers.known(replica.service, replica.version)
         sound, fault = state.split(events, known)
         if fault and not sound and state.last_event_number is None:
             number = events[0].number
             if known is not None and number is not None:
-                self._first_numbers.contradict(replica.service, number)
+                self._first_numbers.contradict(
+                    replica.service, number, replica.version
+                )
         return sound, fault
 
     async def _pass_on(
@@ -501,13 +503,27 @@
                 # The replica is not read meanwhile, and not to blame.
                 watch.suspend()
             await reply.part(b"".join(event.data for event in events))
-            confirmed = state.record_events(
-                events,
-                arrived_at,
-                first_number=self._first_numbers.known(replica.service),
+            self._record(events, state, replica, arrived_at)
+
+    def _record(
+        self,
+        events: Sequence[StreamEvent],
+        state: StreamState,
+        replica: Replica,
+        arrived_at: Instant,
+    ) -> None:
+        """Records events that the caller has, and what they show."""
+        confirmed = state.record_events(
+            events,
+            arrived_at,
+            first_number=self._first_numbers.known(
+                replica.service, replica.version
+            ),
+        )
+        if confirmed is not None:
+            self._first_numbers.confirm(
+                replica.service, confirmed, replica.version
             )
-            if confirmed is not None:
-                self._first_numbers.confirm(replica.service, confirmed)
 
 
 _WITHHELD = AttemptResult(
--- a/cactusdyke/serving/stream_state.py
+++ b/cactusdyke/serving/stream_state.py
@@ -21,31 +21,36 @@
 class FirstEventNumbers:
     """With which number the streams of each service begin.
 
-    Nothing else shows that the number of a stream's first event is spoiled.
+    Nothing else shows that the number of a stream's first event is spoiled. A
+    version is taken to begin with the same number as others until several of
+    its streams in a row show another one.
     """
 
     def __init__(self) -> None:
         self._known: dict[str, int] = {}
-        self._contradicted: dict[str, list[int]] = {}
+        self._by_version: dict[tuple[str, str], int | None] = {}
+        self._contradicted: dict[tuple[str, str], list[int]] = {}
 
-    def known(self, service: str) -> int | None:
+    def known(self, service: str, version: str = "") -> int | None:
         """Returns the number, None before two events of a stream came."""
-        return self._known.get(service)
+        known = self._known.get(service)
+        return self._by_version.get((service, version), known)
 
-    def confirm(self, service: str, number: int) -> None:
+    def confirm(self, service: str, number: int, version: str = "") -> None:
         """Records a first number that the second event follows."""
-        self._known[service] = number
-        self._contradicted.pop(service, None)
+        self._known[service] = self._by_version[service, version] = number
+        self._contradicted.pop((service, version), None)
 
-    def contradict(self, service: str, number: int) -> None:
+    def contradict(self, service: str, number: int, version: str = "") -> None:
         """Records another first number; several alike replace the known one."""
-        others = self._contradicted.setdefault(service, [])
+        key = (service, version)
+        others = self._contradicted.setdefault(key, [])
         others.append(number)
         if len(others) < CONTRADICTIONS:
             return
-        del self._contradicted[service]
+        del self._contradicted[key]
         if set(others) == {number}:
-            del self._known[service]
+            self._by_version[key] = None
 
 
 @attrs.define(kw_only=True)
--- a/features/serving/stream_order.feature
+++ b/features/serving/stream_order.feature
@@ -26,6 +26,14 @@
     When a stream of it begins with 0 three times, with sound ones between
     Then its streams begin with 1 as before
 
+  Scenario: a new version whose streams begin with another number
+    # Guards against sound streams of a new version that are given up for as
+    # long as the old version serves beside it.
+    Given a service whose streams began with 1
+    When streams of its new version begin with 0, beside those of the old one
+    Then those of the new version are whole from the fourth on
+    And those of the old one are all whole
+
   Scenario: sound events that come with a spoiled one
     # Guards against callers that wait for events which have come already.
     When the third of three events that come together is spoiled
--- a/features/steps/stream_order_steps.py
+++ b/features/steps/stream_order_steps.py
@@ -390,6 +390,39 @@
             context.numbers.confirm("plain", 0)
 
 
+@when("streams of its new version begin with 0, beside those of the old one")
+def new_version_begins_with_zero(context):
+    clock = EventLoopClock()
+    attempts = _attempt_runner(clock, [])
+    attempts._first_numbers = context.numbers
+    old = attrs.evolve(REPLICA, version="v1")
+    new = attrs.evolve(REPLICA, version="v2")
+    ends = {"v1": [], "v2": []}
+
+    def play(a_replica, first):
+        state = StreamState()
+        events = [StreamEvent(number=first + n, data=b"") for n in range(3)]
+        sound, fault = attempts._split(events, state, a_replica)
+        ends[a_replica.version].append(not fault)
+        if sound:
+            attempts._record(sound, state, a_replica, 0.0)
+
+    for _ in range(5):
+        play(old, 1)
+        play(new, 0)
+    context.whole, context.old_whole = ends["v2"], ends["v1"]
+
+
+@then("those of the new version are whole from the fourth on")
+def check_new_version(context):
+    check_another_start(context)
+
+
+@then("those of the old one are all whole")
+def check_old_version(context):
+    assert all(context.old_whole), context.old_whole
+
+
 @when("a stream of it begins with 0 three times, with sound ones between")
 def begins_with_zero_between(context):
     for _ in range(3):
