Let a stream go on whose caller names no attempt

Callers who took up streams that had been broken off were refused as not run (503, stream_lost: "no daemon that answers knows which software began the stream"), although one version served alone and the daemon that had begun them was alive.

Cause: nobody was asked. `resume` took a request that names no attempt for a stream that nobody knows.

Change: origins are told under a hash of what the caller asks for too, and a request that names no attempt is found by it. That name is weaker, so all asked daemons are waited for, two incarnations under one name make the version unknown, all known replicas of the service have to be of the origin's version, and a prompt without a part identifies nothing. The refusal says if the missing name is why.

Evidence: 'callers do not name the streams that they take up' and 'callers do not name their streams, and two versions serve' failed before; the first one got no stream through, the second one the wrong reason.

--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -300,7 +300,8 @@
     STREAM_NOT_CONTINUED = (
         4326,
         "A stream that a caller took up could not go on.",
-        "Keep two replicas of a software version until its streams have ended.",
+        "Keep two replicas of a software version until its streams have ended;"
+        " let callers name the attempt that began it.",
     )
     ORIGINS_UNAVAILABLE = (
         4327,
--- a/cactusdyke/serving/deployment.py
+++ b/cactusdyke/serving/deployment.py
@@ -308,6 +308,17 @@
         """
         return self._usable_by_service.get(service, [])
 
+    def software_versions(self, service: str) -> set[str]:
+        """Returns the versions of a service's known replicas, usable or not.
+
+        The version of a replica that states none is empty.
+        """
+        return {
+            replica.version
+            for replica in self._replicas.values()
+            if replica.service == service
+        }
+
     def replica_count(self, service: str) -> int:
         """Returns how many replicas of a service are known, usable or not."""
         return len(self.usable_replicas(service)) + len(
--- a/cactusdyke/serving/request.py
+++ b/cactusdyke/serving/request.py
@@ -14,6 +14,9 @@
 from cactusdyke.serving.stream_origins import StreamOrigin
 from cactusdyke.transport.memory_budget import Held
 
+CONTENT_PREFIX = "content:"
+"""Tells what callers ask for from their ids of attempts."""
+
 
 @attrs.frozen(kw_only=True)
 class PromptPart:
@@ -176,11 +179,33 @@
     def stream_id(self) -> str:
         """The caller's id of the attempt that brought the first event.
 
-        Empty if the request resumes a stream without naming it.
+        What the caller asks for if the request resumes a stream without naming
+        it; empty if that does not identify the stream either.
         """
         if self.request.resume_after is None:
             return self.request.request_id
-        return self.request.resumes
+        return self.request.resumes or self.content_id
+
+    @functools.cached_property
+    def content_id(self) -> str:
+        """Identifies what the caller asks for, over all its attempts.
+
+        Empty if its prompt has no part: only the last part tells a request
+        from an equal one of another caller.
+        """
+        generation = self.request.generation
+        if generation is None or not generation.parts:
+            return ""
+        content = (self.digest, generation, self.request.piece_key)
+        return CONTENT_PREFIX + xxhash.xxh3_128_hexdigest(
+            repr(content).encode()
+        )
+
+    @property
+    def stream_names(self) -> list[str]:
+        """What its stream is known by; the first one is `stream_id`."""
+        names = (self.stream_id, self.content_id)
+        return [name for name in dict.fromkeys(names) if name]
 
     @functools.cached_property
     def digest(self) -> str:
--- a/cactusdyke/serving/stream_continuation.py
+++ b/cactusdyke/serving/stream_continuation.py
@@ -10,6 +10,8 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
+
 from cactusdyke import events
 from cactusdyke.errors import Failure, FailureKind
 from cactusdyke.serving.stream_origins import StreamOrigin
@@ -30,6 +32,7 @@
 UNKNOWN_RETRY_AFTER_MS = 100
 """Another daemon may know the stream."""
 GONE_RETRY_AFTER_MS = 500
+_UNNAMED = "the request does not name the attempt that began its stream"
 
 
 class StreamContinuation:
@@ -61,15 +64,10 @@
         """
         if context.request.resume_after is None or not context.route.streaming:
             return None
-        stream_id = context.stream_id
-        origin = self._origins.find(stream_id)
-        if origin is None and stream_id:
-            origin = await self._exchange.find(stream_id)
+        origin = await self._find(context)
         if origin is None or not origin.version:
             return self._refusal(
-                context,
-                "no daemon that answers knows which software began the stream",
-                UNKNOWN_RETRY_AFTER_MS,
+                context, _why_unknown(context), UNKNOWN_RETRY_AFTER_MS
             )
         targets = {target.service for target in context.route.targets}
         if origin.service not in targets:
@@ -81,6 +79,13 @@
             )
         context.service = origin.service
         context.origin = origin
+        if not context.request.resumes and not self._is_only_version(origin):
+            return self._refusal(
+                context,
+                f"{_UNNAMED}, and {origin.service} has replicas of other"
+                f" software versions than {origin.version}",
+                GONE_RETRY_AFTER_MS,
+            )
         usable = self._deployment.usable_replicas(origin.service)
         if any(self.allows(context, replica) for replica in usable):
             return None
@@ -105,7 +110,7 @@
             return
         # A resumed stream is told again: daemons that knew it may have ended.
         context.origin = self._origins.put(context.stream_id, context.origin)
-        self._exchange.tell(context.stream_id, context.origin)
+        self._tell(context, context.origin)
 
     def allows(self, context: ServingContext, replica: Replica) -> bool:
         """Returns whether a request may go to a replica."""
@@ -159,7 +164,7 @@
             return
         if replica.born != origin.born:
             if replica.version != origin.version:
-                self._forget_version(context.stream_id, origin)
+                self._forget_version(context, origin)
             return
         born = await self._query_born(replica)
         if born is None:
@@ -167,14 +172,40 @@
         if born == origin.born:
             origin.is_confirmed = True
             return
-        self._forget_version(context.stream_id, origin)
+        self._forget_version(context, origin)
         self._deployment.mark_leaving(
             replica, reason="another process has its id now"
         )
 
-    def _forget_version(self, stream_id: str, origin: StreamOrigin) -> None:
+    async def _find(self, context: ServingContext) -> StreamOrigin | None:
+        stream_id = context.stream_id
+        if not stream_id:
+            return None
+        if not context.request.resumes:
+            return await self._exchange.find_agreed(stream_id)
+        origin = self._origins.find(stream_id)
+        return origin or await self._exchange.find(stream_id)
+
+    def _is_only_version(self, origin: StreamOrigin) -> bool:
+        """Returns whether all replicas of a service have a stream's version.
+
+        A caller that names no attempt may have had its events from one whose
+        origin nobody could be told. It goes on only if that changes nothing.
+        """
+        versions = self._deployment.software_versions(origin.service)
+        return versions == {origin.version}
+
+    def _forget_version(
+        self, context: ServingContext, origin: StreamOrigin
+    ) -> None:
         origin.version = ""
-        self._exchange.tell(stream_id, origin)
+        self._tell(context, origin)
+
+    def _tell(self, context: ServingContext, origin: StreamOrigin) -> None:
+        for name in context.stream_names:
+            # Under each name another attempt may make the origin unknown.
+            known = self._origins.put(name, attrs.evolve(origin))
+            self._exchange.tell(name, known)
 
     async def _query_born(self, replica: Replica) -> int | None:
         """Returns the start that a replica reports, None if it does not."""
@@ -208,7 +239,7 @@
         events.log(
             events.Event.STREAM_NOT_CONTINUED,
             request_id=context.request.request_id,
-            resumes=context.stream_id,
+            resumes=context.request.resumes,
             service=context.service,
             version=context.origin.version if context.origin else "",
             detail=detail,
@@ -230,4 +261,13 @@
             if replica is None or replica.version == origin.version:
                 continue
             if origin.version:
-                self._forget_version(stream_id, origin)
+                origin.version = ""
+                self._exchange.tell(stream_id, origin)
+
+
+def _why_unknown(context: ServingContext) -> str:
+    if context.request.resumes:
+        return "no daemon that answers knows which software began the stream"
+    if not context.content_id:
+        return f"{_UNNAMED}, and its prompt has no part that identifies it"
+    return f"{_UNNAMED}, and what it asks for does not tell how that began"
--- a/cactusdyke/serving/stream_exchange.py
+++ b/cactusdyke/serving/stream_exchange.py
@@ -102,22 +102,28 @@
         self._added.set()
 
     async def find(self, stream_id: str) -> StreamOrigin | None:
-        """Asks other daemons how a stream began; None if none knows."""
-        found: list[StreamOrigin] = []
-
-        async def ask(daemon: PeerDaemon) -> None:
-            origin = await self._ask(daemon, stream_id)
-            if origin is not None:
-                found.append(origin)
-                tasks.cancel_scope.cancel()
+        """Asks other daemons how a stream began; None if none knows.
 
-        with self._clock.timeout(ASK_TIMEOUT_MS):
-            async with anyio.create_task_group() as tasks:
-                for daemon in self._ranked(stream_id)[:ASKED_DAEMONS]:
-                    tasks.start_soon(ask, daemon)
+        The first answer counts.
+        """
+        found = await self._ask_others(stream_id, enough=1)
         origin = found[0] if found else await self._untold.find(stream_id)
         return self._origins.put(stream_id, origin) if origin else None
 
+    async def find_agreed(self, stream_id: str) -> StreamOrigin | None:
+        """Asks other daemons, and waits for all, even if this one knows.
+
+        For names that several streams may share: the origin is unknown if
+        daemons know it differently.
+        """
+        for origin in await self._ask_others(stream_id, enough=ASKED_DAEMONS):
+            self._origins.put(stream_id, origin)
+        known = self._origins.find(stream_id)
+        if known is not None:
+            return known
+        saved = await self._untold.find(stream_id)
+        return self._origins.put(stream_id, saved) if saved else None
+
     async def handle(self, request: Request) -> Response:
         """Remembers the origins that another daemon tells, or answers it."""
         value = request.json()
@@ -189,6 +195,25 @@
         for stream_id, origin in self._origins.begun_here():
             self.tell(stream_id, origin)
 
+    async def _ask_others(
+        self, stream_id: str, *, enough: int
+    ) -> list[StreamOrigin]:
+        found: list[StreamOrigin] = []
+
+        async def ask(daemon: PeerDaemon) -> None:
+            origin = await self._ask(daemon, stream_id)
+            if origin is None:
+                return
+            found.append(origin)
+            if len(found) >= enough:
+                tasks.cancel_scope.cancel()
+
+        with self._clock.timeout(ASK_TIMEOUT_MS):
+            async with anyio.create_task_group() as tasks:
+                for daemon in self._ranked(stream_id)[:ASKED_DAEMONS]:
+                    tasks.start_soon(ask, daemon)
+        return found
+
     async def _ask(
         self, daemon: PeerDaemon, stream_id: str
     ) -> StreamOrigin | None:
--- a/cactusdyke/serving/stream_origins.py
+++ b/cactusdyke/serving/stream_origins.py
@@ -38,11 +38,16 @@
     is_confirmed: bool = False
     is_local: bool = False
 
+    def is_same_incarnation(self, other: StreamOrigin) -> bool:
+        """Returns whether two origins name the same replica and start."""
+        return (self.replica, self.born) == (other.replica, other.born)
+
 
 class StreamOrigins:
-    """The origins of recent streams, by the caller's id of the stream.
+    """The origins of recent streams, by the names of the stream.
 
-    The id is that of the caller's attempt that brought the first event.
+    A name is the caller's id of the attempt that brought the first event, or
+    says what the caller asked for, see `ServingContext.content_id`.
     """
 
     def __init__(self, *, clock: Clock) -> None:
@@ -59,12 +64,16 @@
     def put(self, stream_id: str, origin: StreamOrigin) -> StreamOrigin:
         """Remembers an origin; one that became unknown stays unknown.
 
+        It becomes unknown if what is known of it differs.
+
         Returns:
             The origin that is remembered.
         """
         known, _ = self._origins.pop(stream_id, (origin, 0.0))
         if not known.replica:
             known.replica, known.born = origin.replica, origin.born
+        if origin.replica and not known.is_same_incarnation(origin):
+            known.version = ""
         known.is_local = known.is_local or origin.is_local
         if (known.service, known.version) != (origin.service, origin.version):
             known.version = ""
--- a/features/steps/stream_choices_steps.py
+++ b/features/steps/stream_choices_steps.py
@@ -8,7 +8,11 @@
 
 from cactusdyke.errors import FailureKind, Ran
 from cactusdyke.serving.deployment import Deployment
-from cactusdyke.serving.model import RepeatPolicy, WeightedService
+from cactusdyke.serving.model import (
+    RepeatPolicy,
+    ReplicaState,
+    WeightedService,
+)
 from cactusdyke.serving.request import Generation, PromptPart
 from cactusdyke.serving.retry_policy import RetryPolicy
 from cactusdyke.serving.stream_continuation import StreamContinuation
@@ -93,8 +97,15 @@
 class _ToldOrigins:
     """Records what other daemons are told."""
 
-    def __init__(self):
+    def __init__(self, origins):
         self.told = []
+        self.known = {}
+        self._origins = origins
+
+    async def find_agreed(self, stream_id):
+        for origin in self.known.get(stream_id, ()):
+            self._origins.put(stream_id, origin)
+        return self._origins.find(stream_id)
 
     def tell(self, stream_id, origin):
         self.told.append((stream_id, origin.version))
@@ -108,8 +119,8 @@
     ]
     context.deployment = Deployment(clock=clock)
     context.deployment.replace_replicas(context.engines)
-    context.others = _ToldOrigins()
     context.origins = StreamOrigins(clock=clock)
+    context.others = _ToldOrigins(context.origins)
     context.continuation = StreamContinuation(
         clock=clock,
         deployment=context.deployment,
@@ -331,3 +342,85 @@
         numbers = [int(a.partition(":")[0][1:]) for a in addresses]
         places = {peer(number).data_centre for number in numbers}
         assert places == set(DATA_CENTRES), addresses
+
+
+@given("a stream of a prompt of its own that began at an engine of v1")
+def began_with_prompt(context):
+    _start(context, "v1")
+    context.first = serving_values.serving_context(
+        _talk(SERVICE), generation=_generation(1)
+    )
+    context.continuation.begin(context.first, context.engines[0])
+    context.generation = _generation(1)
+
+
+@when("its caller takes it up, does not name it, and {what}")
+def unnamed(context, what):
+    first, second = context.engines
+    newer = attrs.evolve(second, name="newer", version="v2", born=3)
+    began = context.first
+    (_, content) = began.stream_names
+    match what:
+        case "nothing else has happened":
+            pass
+        case "only another daemon knows it":
+            context.others.known[content] = [
+                attrs.evolve(context.origins.find(content), is_local=False)
+            ]
+            context.origins._origins.clear()
+        case "an engine of v2 serves as well":
+            context.deployment.put_replica(newer)
+        case "an engine of v2 is about to leave":
+            context.deployment.put_replica(
+                attrs.evolve(newer, state=ReplicaState.DRAINING)
+            )
+        case "it began at another engine too":
+            again = serving_values.serving_context(
+                _talk(SERVICE), generation=_generation(1), request_id="again"
+            )
+            context.continuation.begin(again, second)
+        case "others know that it began elsewhere":
+            context.others.known[content] = [
+                StreamOrigin(
+                    service=SERVICE,
+                    version="v1",
+                    replica=second.name,
+                    born=second.born,
+                )
+            ]
+        case "its engine has come back as v2":
+            back = attrs.evolve(first, version="v2", born=2)
+            context.deployment.put_replica(back)
+            context.deployment.put_replica(attrs.evolve(back, version="v1"))
+        case "another prompt is asked for":
+            context.generation = _generation(2)
+        case "no part of the prompt is its own":
+            context.generation = attrs.evolve(_generation(1), parts=())
+            equal = serving_values.serving_context(
+                _talk(SERVICE), generation=context.generation
+            )
+            context.continuation.begin(equal, first)
+        case "nobody knows it":
+            context.origins._origins.clear()
+    context.request = serving_values.serving_context(
+        _talk(SERVICE),
+        generation=context.generation,
+        request_id="third",
+        resume_after=3,
+    )
+    context.refusal = anyio.run(context.continuation.resume, context.request)
+
+
+@then("the unnamed stream goes on")
+def unnamed_goes_on(context):
+    assert context.refusal is None, context.refusal
+    assert context.continuation.allows(context.request, context.engines[1])
+    newer = attrs.evolve(context.engines[1], version="v2")
+    assert not context.continuation.allows(context.request, newer)
+
+
+@then("the unnamed stream is refused")
+def unnamed_refused(context):
+    assert context.refusal is not None
+    refused(context)
+    assert "does not name" in context.refusal.detail
--- a/features/steps/stream_fleet_steps.py
+++ b/features/steps/stream_fleet_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import anyio
+import attrs
 import orjson
 from behave import given, then, when
 
@@ -11,6 +12,7 @@
 from cactusdyke.platform.store import StoreClient
 from cactusdyke.platform.stream_store import PlatformOriginStore
 from cactusdyke.serving import stream_origins
+from cactusdyke.serving.stream_exchange import ASKED_DAEMONS
 from cactusdyke.serving.stream_origins import StreamOrigin, StreamOrigins
 from cactusdyke.serving.untold_origins import OriginStore, UntoldOrigins
 from features.steps.serving_steps import ManualClock
@@ -24,6 +26,7 @@
 FEW_STREAMS_PER_S = 4.0
 BEGIN_S = 2.0
 SETTLED_S = 0.1
+FAR_MS = 50.0
 MOST = 0.9
 RESTARTED = 20
 RESTART_PAUSE_S = 0.2
@@ -236,3 +239,33 @@
     for origin in (*context.known, *context.told):
         assert (origin.replica, origin.born) == ("r1", 5), origin
         assert not origin.is_local
+
+
+@when("a near daemon knows one engine for a name, and a far one another")
+def known_twice(context):
+    def origin(replica):
+        return StreamOrigin(
+            service="models", version="v1", replica=replica, born=1
+        )
+
+    async def run():
+        async with StreamFleet(count=context.count) as fleet:
+            asker = fleet._exchanges[0]
+            asker._origins.put("shared", origin("e1"))
+            asked = asker._ranked("shared")[:ASKED_DAEMONS]
+            for daemon, replica in ((asked[0], "e1"), (asked[-1], "e2")):
+                other = fleet._exchanges[int(daemon.name[1:])]
+                other._origins.put("shared", origin(replica))
+            fleet.hub.link(asked[-1].name, "d0").delay_ms = FAR_MS
+            fleet.hub.link("d0", asked[-1].name).delay_ms = FAR_MS
+            context.agreed = attrs.evolve(await asker.find_agreed("shared"))
+            asker._origins.put("shared", origin("e1"))
+            context.after = asker._origins.find("shared")
+
+    virtual.run_virtual(run, seed=1)
+
+
+@then("the daemon that asks both knows of no version, even if told of one")
+def unknown_of_two(context):
+    assert context.agreed.version == "", context.agreed
+    assert context.after.version == "", context.after
--- a/features/steps/stream_process_steps.py
+++ b/features/steps/stream_process_steps.py
@@ -34,6 +34,7 @@
         self.world = world
         self.processes = {}
         self.last_events = {}
+        self.callers_name_streams = True
 
     async def start(self):
         for name, version in VERSIONS.items():
@@ -65,7 +66,7 @@
             "X-Deadline-Ms": "8000",
             "Authorization": f"Bearer {KEY}",
             "Content-Length": "0",
-            **HEADERS,
+            **self._prompt(name),
         }
         address = self.world.settings["d1"].front.address
         async with connect(address, clock=SystemClock()) as exchange:
@@ -83,19 +84,25 @@
     async def take_up(self, name, number):
         """Takes a stream up at another daemon."""
         began = time.monotonic()
+        named = {"Resumes": name} if self.callers_name_streams else {}
         answer = await self.world.request(
             "/talk/stream",
             daemon=DAEMONS[1 + number % 2],
             request_id=f"{name}-again",
             headers={
-                **HEADERS,
+                **self._prompt(name),
+                **named,
                 "X-Deadline-Ms": "8000",
-                "Resumes": name,
                 "Last-Event-Id": str(self.last_events.get(name, 3)),
             },
         )
         return answer, time.monotonic() - began
 
+    def _prompt(self, name):
+        if self.callers_name_streams:
+            return HEADERS
+        return {**HEADERS, "X-Prompt-Prefix": f"a1:80,{name.encode().hex()}:20"}
+
     def version_of(self, request_id):
         """Returns the versions of the engines that ran a request."""
         return {
@@ -235,3 +242,45 @@
         began, resumed = context.versions[name]
         assert status in {200, 503}, (name, status)
         assert resumed == (began if status == 200 else set()), context.versions
+
+
+async def _begin_unnamed(rig):
+    rig.callers_name_streams = False
+    for name, version in VERSIONS.items():
+        if version == "v2":
+            rig.world.store.remove("servers", name)
+    await anyio.sleep(LIST_LAG_S)
+    await _begin_and_kill(rig)
+
+
+async def _take_up_all(context, rig):
+    for number, name in enumerate(rig.last_events):
+        context.answers[name] = await rig.take_up(name, number)
+    context.versions = {
+        name: (rig.version_of(name), rig.version_of(f"{name}-again"))
+        for name in rig.last_events
+    }
+
+
+@when("callers take streams of v1, the only version, up and do not name them")
+def unnamed(context):
+    async def story(rig):
+        await _begin_unnamed(rig)
+        await _take_up_all(context, rig)
+
+    _play(context, story)
+
+
+@when("v2 joins, and callers take streams of v1 up and do not name them")
+def unnamed_of_two(context):
+    async def story(rig):
+        await _begin_unnamed(rig)
+        for name, version in VERSIONS.items():
+            if version == "v2":
+                rig.world.list_replica(name, "engine", version=version)
+        await anyio.sleep(LIST_LAG_S)
+        await _take_up_all(context, rig)
+        context.runs = [resumed for _, resumed in context.versions.values()]
+        context.why = "does not name the attempt that began its stream"
+
+    _play(context, story)
--- a/features/stream_versions/choices.feature
+++ b/features/stream_versions/choices.feature
@@ -74,3 +74,24 @@
     Given 64 daemons that begin streams
     When one of them tells how a stream began
     Then daemons of each data centre are told
+
+  Scenario Outline: a caller does not name its stream, and <what>
+    # Guards against streams that are refused although one version alone can have
+    # written them, and against streams of two versions, as what the caller asks
+    # for does not tell one attempt from another.
+    Given a stream of a prompt of its own that began at an engine of v1
+    When its caller takes it up, does not name it, and <what>
+    Then the unnamed stream <goes on>
+
+    Examples: callers
+      | what                                  | goes on    |
+      | nothing else has happened             | goes on    |
+      | only another daemon knows it          | goes on    |
+      | an engine of v2 serves as well        | is refused |
+      | an engine of v2 is about to leave     | is refused |
+      | it began at another engine too        | is refused |
+      | others know that it began elsewhere   | is refused |
+      | its engine has come back as v2        | is refused |
+      | another prompt is asked for           | is refused |
+      | no part of the prompt is its own      | is refused |
+      | nobody knows it                       | is refused |
--- a/features/stream_versions/fleets.feature
+++ b/features/stream_versions/fleets.feature
@@ -55,3 +55,10 @@
     Given what a daemon remembers of a stream of version v1
     When it remembers many more, and a minute passes
     Then it remembers none of them
+
+  Scenario: daemons that are asked for an unnamed stream know it differently
+    # Guards against the answer that comes first, where several streams have one
+    # name and only a daemon that answers late knows the other one.
+    Given 64 daemons that begin streams
+    When a near daemon knows one engine for a name, and a far one another
+    Then the daemon that asks both knows of no version, even if told of one
--- a/features/stream_versions/processes.feature
+++ b/features/stream_versions/processes.feature
@@ -25,3 +25,16 @@
     Given three daemons, two engines of v1 and three of v2 as processes
     When one stands still as v2 joins, wakes up, and takes up streams at once
     Then each of them goes on at the version that began it, or did not run
+
+  Scenario: callers do not name the streams that they take up
+    # Guards against streams that are refused while one version serves alone, as
+    # their callers name no attempt.
+    Given three daemons, two engines of v1 and three of v2 as processes
+    When callers take streams of v1, the only version, up and do not name them
+    Then nearly all go on, each at the software version that began it
+
+  Scenario: callers do not name their streams, and two versions serve
+    # Guards against a version that is guessed for a stream without a name.
+    Given three daemons, two engines of v1 and three of v2 as processes
+    When v2 joins, and callers take streams of v1 up and do not name them
+    Then they are told at once that these did not run, and why
