--- a/features/platform/silent_replicas.feature
+++ b/features/platform/silent_replicas.feature
@@ -47,3 +47,10 @@
     Given a daemon that has just started
     When its only replica hangs with two requests for half of their time
     Then the daemon has counted two failures of it, and the requests go on
+
+  Scenario: a daemon without a share of retries avoids a replica that hangs
+    # Guards against callers that are sent to a replica that hangs again and
+    # again, as nothing is learnt from a silence for which no retry may be sent.
+    Given a daemon that has just started, and two replicas
+    When the replica that has served hangs, and four callers ask 8 times each
+    Then at most one request of each caller is sent to it
--- a/features/steps/silent_replicas_steps.py
+++ b/features/steps/silent_replicas_steps.py
@@ -20,6 +20,9 @@
 """From the begin of a stream until it breaks off."""
 SILENT_S = 3.2
 """More than half of the time that callers wait."""
+SHORT_TIMEOUT_MS = 1_500
+WARM_REQUESTS = 12
+CALLERS = 4
 HEADERS = {
     "X-Model": "m",
     "X-Token-Counts": "100,50",
@@ -193,6 +196,36 @@
     assert 1.5 < context.failures <= 2.0, context.failures
 
 
+@when("the replica that has served hangs, and four callers ask 8 times each")
+def served_then_hangs(context):
+    async def story(world):
+        world.further_bounds = context.bounds
+        replicas = [await world.add_replica(name) for name in ("r1", "r2")]
+        world.configure([route("ask", "plain", timeout_ms=SHORT_TIMEOUT_MS)])
+        await world.start_daemon("d1")
+        for _ in range(WARM_REQUESTS):
+            await world.request("/ask/a")
+        hanging = max(replicas, key=lambda replica: len(replica.heads))
+        hanging.faults.add("hang")
+        before = len(hanging.heads)
+
+        async def ask():
+            for _ in range(8):
+                await world.request("/ask/a")
+
+        async with anyio.create_task_group() as callers:
+            for _ in range(CALLERS):
+                callers.start_soon(ask)
+        context.sent_to_hanging = len(hanging.heads) - before
+
+    play(story)
+
+
+@then("at most one request of each caller is sent to it")
+def avoided(context):
+    assert context.sent_to_hanging <= CALLERS, context.sent_to_hanging
+
+
 def _check_whole(context):
     status, _, body = context.answer
     assert status == 200, context.answer
