Ask a replica who it is before its answer without a length counts as whole

Cause: the end of a connection is the end of an answer without a length, and the look after it only asked whether somebody accepts a connection 20 ms later. The kernel does, for a socket that outlives its process.

The replica is asked for its report, which tells its start and needs no slot, and where that tells nothing for its health, which tells its name. Cold replicas and those that asked for rest get no health check, as it is a request. What is not known within a second is cut. This works as only the process that answered can tell its name and start; a later one tells its own.

Tests: fakes of connections answer the two questions. The row of a frozen daemon freezes the daemon itself, as a time-out ends what merely takes long. The replica stand-in has a health path, a listener that outlives its process, and a start that grows.

--- a/cactusdyke/platform/wire.py
+++ b/cactusdyke/platform/wire.py
@@ -19,6 +19,7 @@
     EncodedCall,
     EventReader,
     EventStreamError,
+    Identity,
     MemoryReport,
     Piece,
     PieceFailure,
@@ -33,7 +34,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from cactusdyke.serving.model import Replica
+    from cactusdyke.serving.model import Replica, ServiceSpec
     from cactusdyke.serving.request import ServingContext
     from cactusdyke.transport.answer_parser import AnswerHead, Headers
     from cactusdyke.transport.front_interface import ReadRequest
@@ -296,12 +297,7 @@
 
     def encode_memory_query(self, replica: Replica) -> EncodedCall:
         """Encodes a query of a replica's free memory and start."""
-        return EncodedCall(
-            method="GET",
-            target="/-/report",
-            headers=[(b"Host", replica.address.encode("latin-1"))],
-            body=b"",
-        )
+        return _query(replica, "/-/report")
 
     def decode_memory_report(
         self, head: AnswerHead, body: bytes
@@ -332,6 +328,30 @@
             return None
         return born if isinstance(born, int) else None
 
+    def encode_health_check(
+        self, replica: Replica, service: ServiceSpec
+    ) -> EncodedCall | None:
+        """Encodes a health check, None if the service has no path for it."""
+        if not service.health_path:
+            return None
+        return _query(replica, service.health_path)
+
+    def decode_identity(
+        self, replica: Replica, head: AnswerHead, body: bytes
+    ) -> Identity:
+        """Returns who answered a memory query or health check.
+
+        Health checks tell the name and reports the start, which differs if a
+        replica was started again under its name.
+        """
+        name = head.get(b"x-replica-id")
+        if name is not None and name != replica.name.encode("latin-1"):
+            return Identity.OTHER
+        born = self.decode_born(head, body)
+        if born is not None and replica.born:
+            return Identity.SAME if born == replica.born else Identity.OTHER
+        return Identity.UNTOLD if name is None else Identity.SAME
+
     def replica_address_of(self, handle: str) -> str:
         """Returns the address of the replica that holds a result."""
         return handle.partition("/")[0]
@@ -410,6 +430,15 @@
     ]
 
 
+def _query(replica: Replica, path: str) -> EncodedCall:
+    return EncodedCall(
+        method="GET",
+        target=path,
+        headers=[(b"Host", replica.address.encode("latin-1"))],
+        body=b"",
+    )
+
+
 def _json_call(
     address: str, path: str, body: object, replica: Replica | None = None
 ) -> EncodedCall:
--- a/cactusdyke/serving/attempt.py
+++ b/cactusdyke/serving/attempt.py
@@ -26,6 +26,7 @@
 
     from cactusdyke.clock import Clock, Instant
     from cactusdyke.serving.dialect import Dialect, StreamEvent
+    from cactusdyke.serving.end_check import EndCheck
     from cactusdyke.serving.model import Replica
     from cactusdyke.serving.replica_load import ReplicaLoads
     from cactusdyke.serving.replica_statements import ReplicaStatements
@@ -38,10 +39,6 @@
     from cactusdyke.transport.front_interface import Reply
     from cactusdyke.transport.memory_budget import MemoryBudget
 
-END_CHECK_DELAY_MS = 20.0
-"""A process that ends closes its connections and listeners within this time."""
-END_CHECK_LIMIT_MS = 1_000.0
-"""A process that has ended is not started again within this time."""
 MAX_BODY_BYTES = 8 * 1024 * 1024
 """An answer that is not streamed is buffered and checked in full before its
 first byte is forwarded."""
@@ -139,7 +136,7 @@
         statements: ReplicaStatements,
         memory: MemoryBudget | None = None,
         loads: ReplicaLoads,
-        is_replaced: Callable[[Replica], bool],
+        end_check: EndCheck,
     ) -> None:
         self._clock = clock
         self._connections = connections
@@ -148,7 +145,7 @@
         self._statements = statements
         self._memory = memory
         self._loads = loads
-        self._is_replaced = is_replaced
+        self._end_check = end_check
         self._first_numbers = FirstEventNumbers()
 
     def is_replica_to_blame(
@@ -374,43 +371,19 @@
     async def _confirm_end(self, exchange: Exchange, replica: Replica) -> None:
         """Checks that an answer was not ended by a crash of its replica.
 
-        The end of a connection is the end of an answer without a length or
-        chunks, and looks the same if the replica's process ends. The answer is
-        whole only if the same process still listens afterwards.
-
         Raises:
-            EndInDoubtError: The replica is down, or nothing shows that it is
-                not.
+            EndInDoubtError: The replica's process is gone, or nothing shows
+                that it is not.
         """
         if not exchange.ends_with_connection:
             return
-        ended_at = self._clock.now()
-        await self._clock.sleep(END_CHECK_DELAY_MS)
-        doubt = await self._find_doubt(replica)
-        while doubt is not None and not doubt.refused:
-            if self._clock.now() - ended_at > END_CHECK_LIMIT_MS:
-                break
-            await self._clock.sleep(END_CHECK_DELAY_MS)
-            doubt = await self._find_doubt(replica)
-        detail = "" if doubt is None else str(doubt)
-        if self._clock.now() - ended_at > END_CHECK_LIMIT_MS:
-            detail = detail or "by now it may have been started again"
-        if self._is_replaced(replica):
-            detail = "another process has its address"
-        if detail:
+        doubt = await self._end_check.find_doubt(replica)
+        if doubt:
             raise EndInDoubtError(
                 f"{replica.address}: the replica may have ended with its"
-                f" answer: {detail}",
+                f" answer: {doubt}",
                 sent=exchange.sent,
-            ) from doubt
-
-    async def _find_doubt(self, replica: Replica) -> ExchangeError | None:
-        """Returns why a replica can't be reached, None if it can."""
-        try:
-            async with self._connections.connect(replica.address):
-                return None
-        except ExchangeError as error:
-            return error
+            )
 
     async def _forward_events(
         self,
--- a/cactusdyke/serving/core.py
+++ b/cactusdyke/serving/core.py
@@ -19,6 +19,7 @@
     STAGE_PATH,
     Dispatch,
 )
+from cactusdyke.serving.end_check import EndCheck
 from cactusdyke.serving.forwarder import Forwarder
 from cactusdyke.serving.health import ReplicaHealth
 from cactusdyke.serving.limit_exchange import LIMITS_PATH, LimitExchange
@@ -295,7 +296,12 @@
                 statements=deployment.statements,
                 memory=memory,
                 loads=deployment.loads,
-                is_replaced=deployment.is_replaced,
+                end_check=EndCheck(
+                    clock=clock,
+                    dialect=dialect,
+                    connections=replica_connections,
+                    deployment=deployment,
+                ),
             ),
             retry_policy=retry_policy,
             health=health,
--- a/cactusdyke/serving/dialect.py
+++ b/cactusdyke/serving/dialect.py
@@ -16,7 +16,7 @@
     from result import Result
 
     from cactusdyke.errors import Failure
-    from cactusdyke.serving.model import Replica
+    from cactusdyke.serving.model import Replica, ServiceSpec
     from cactusdyke.serving.request import ClientRequest, ServingContext
     from cactusdyke.transport.answer_parser import AnswerHead
     from cactusdyke.transport.front_interface import ReadRequest
@@ -89,6 +89,17 @@
         return fields
 
 
+class Identity(enum.Enum):
+    """Who answered at a replica's address, as far as the answer tells."""
+
+    SAME = "same"
+    """The replica, and not started anew since, if it tells its start."""
+    OTHER = "other"
+    """Another process."""
+    UNTOLD = "untold"
+    """The answer does not tell."""
+
+
 @attrs.frozen(kw_only=True)
 class AnswerVerdict:
     """The decoded head of an answer.
@@ -352,6 +363,24 @@
             Unix milliseconds as in its entry; None if it is not reported.
         """
 
+    @abc.abstractmethod
+    def encode_health_check(
+        self, replica: Replica, service: ServiceSpec
+    ) -> EncodedCall | None:
+        """Returns a health check of a replica, None if it has none."""
+
+    @abc.abstractmethod
+    def decode_identity(
+        self, replica: Replica, head: AnswerHead, body: bytes
+    ) -> Identity:
+        """Returns who answered a memory query or health check.
+
+        Args:
+            replica: The replica that was asked.
+            head: The head of the answer.
+            body: The body of the answer.
+        """
+
     @abc.abstractmethod
     def replica_address_of(self, handle: str) -> str:
         """Returns the address of the replica that holds a result."""
--- a/emulator/dialect.py
+++ b/emulator/dialect.py
@@ -13,6 +13,7 @@
     Dialect,
     EncodedCall,
     EventReader,
+    Identity,
     MemoryReport,
     PieceFailure,
     PieceResult,
@@ -28,7 +29,7 @@
 
     from cactusdyke.errors import Failure
     from cactusdyke.serving.dialect import Piece
-    from cactusdyke.serving.model import Replica
+    from cactusdyke.serving.model import Replica, ServiceSpec
     from cactusdyke.serving.request import ServingContext
     from cactusdyke.transport.answer_parser import AnswerHead, Headers
     from cactusdyke.transport.front_interface import ReadRequest
@@ -221,6 +222,21 @@
         """Returns the start of a replica."""
         return int(orjson.loads(body)["born"])
 
+    def encode_health_check(
+        self, replica: Replica, service: ServiceSpec
+    ) -> EncodedCall | None:
+        """Returns None: who answers without a length tells its start."""
+        del replica, service
+
+    def decode_identity(
+        self, replica: Replica, head: AnswerHead, body: bytes
+    ) -> Identity:
+        """Returns who answered a memory query."""
+        if head.status != 200:
+            return Identity.UNTOLD
+        same = self.decode_born(head, body) == replica.born
+        return Identity.SAME if same else Identity.OTHER
+
     def replica_address_of(self, handle: str) -> str:
         """Returns the address of the replica that holds a result."""
         return handle.partition("/")[0]
--- a/features/serving/answer_ends.feature
+++ b/features/serving/answer_ends.feature
@@ -18,6 +18,69 @@
       | listens, as a frozen daemon finds late         | broken  |
       | has its address taken by another replica       | broken  |
       | is listed with a later start                   | broken  |
+      | resets connections for 300 ms, as it is full   | whole   |
+      | is followed by a process with another start    | broken  |
+      | is followed by a process with another name     | broken  |
+      | is followed by a process that is silent        | broken  |
+      | reports nothing, and is healthy                | whole   |
+      | reports nothing, and says that it leaves       | whole   |
+      | reports nothing, and another one is healthy    | broken  |
+      | reports nothing, and has no name               | broken  |
+
+  Scenario Outline: an answer without a length of a replica that <state>
+    # Guards against a health check, a request like any other, to a replica that
+    # is to get few requests or none.
+    Given a replica that ends its answer with its connection, and then reports nothing, and <state>
+    When the daemon has read the answer
+    Then the answer counts as broken
+    And it was asked for its report alone
+
+    Examples: states
+      | state               |
+      | is cold             |
+      | has asked for rest  |
+      | has no health check |
+
+  Scenario Outline: an answer without a length, then a process that <what>
+    # Guards against a caller that waits although its answer is known to be cut.
+    Given a replica that ends its answer with its connection, and then <what>
+    When the daemon has read the answer
+    Then the answer counts as broken
+    And this is known at once
+
+    Examples: processes
+      | what                                        |
+      | refuses connections                         |
+      | is followed by a process with another start |
+      | is followed by a process with another name  |
+
+  Scenario Outline: a replica that is asked who it is, and <what>
+    # Guards against a replica's word that is lost as it is asked who it is, and
+    # against another one's that is taken for its.
+    Given a replica that ends its answer with its connection, and then <what>
+    When the daemon has read the answer
+    Then the replica <is> known to leave
+
+    Examples: words
+      | what                                    | is     |
+      | says that it leaves                     | is     |
+      | another one, there now, says it leaves  | is not |
+
+  Scenario Outline: a <kind> whose replica crashes, and is started again <how>
+    # Guards against a cut answer that looks whole as a supervisor keeps the
+    # listening socket of a replica that crashed.
+    Given a replica whose listening socket is kept by a supervisor
+    When it crashes within a <kind> without a length and starts again <how>
+    Then the caller is not told that this is all
+    And an answer that its new process ends is whole
+
+    Examples: restarts
+      | kind    | how                                  |
+      | booking | under another id                     |
+      | booking | under another id, with another start |
+      | booking | under its id, with another start     |
+      | stream  | under another id                     |
+      | stream  | under its id, with another start     |
 
   Scenario Outline: a stream to an HTTP/1.0 caller, and a daemon that <what>
     # Guards against a stream without chunks that looks whole as its daemon's
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import time
@@ -34,11 +35,13 @@
 from cactusdyke.serving.stage_pieces import PieceGroup, PieceTask
 from cactusdyke.serving.stated_limits import StatedLimits
 from cactusdyke.serving.stream_state import StreamState
+from cactusdyke.transport.answer_parser import AnswerHead
 from cactusdyke.transport.front_interface import Reply
 from cactusdyke.transport.messages import json_response
 from features.steps.serving_steps import ManualClock
 from features.support.quarantine_fleet import Replicas, replica
 from features.support.serving_values import NoConnections, request_limits
+from features.support.watched_attempts import end_check
 from standins.virtual import run_virtual
 
 
@@ -352,6 +355,26 @@
         raise NotImplementedError
 
 
+class HealthyReplicas(Replicas):
+    """Connections to a replica that says that it is still there."""
+
+    @contextlib.asynccontextmanager
+    async def connect(self, address):
+        await anyio.lowlevel.checkpoint()
+        yield self
+
+    async def send(self, method, target, headers, body):
+        del method, target, headers, body
+
+    async def head(self):
+        named = (b"x-replica-id", replica(1).name.encode())
+        return AnswerHead(status=200, headers=[named])
+
+    async def whole_body(self, *, most):
+        del most
+        return b"{}"
+
+
 @given("a stream that has ended at its time-out")
 def end_at_timeout(context):
     event_at_timeout(context)
@@ -381,7 +404,7 @@
             connections=Replicas(),
             stated_limits=StatedLimits(clock=clock),
             statements=ReplicaStatements(clock=clock),
-            is_replaced=lambda _: False,
+            end_check=end_check(clock, HealthyReplicas()),
             loads=ReplicaLoads(clock=clock),
         )
         verdict = AnswerVerdict(
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -36,7 +36,7 @@
 from features.steps.serving_steps import replica, route
 from features.support.platform_rig import PlatformWorld
 from features.support.serving_values import serving_context
-from features.support.watched_attempts import watched
+from features.support.watched_attempts import end_check, watched
 
 PIECE_BYTES = 16_384
 MOST_SENT_BYTES = 64 * 1024 * 1024
@@ -149,7 +149,7 @@
             connections=SocketConnections(clock=clock),
             stated_limits=StatedLimits(clock=clock),
             statements=ReplicaStatements(clock=clock),
-            is_replaced=lambda _: False,
+            end_check=end_check(clock, SocketConnections(clock=clock)),
             loads=ReplicaLoads(clock=clock),
         )
         place = replica("r1", address=server.address)
--- a/features/steps/load_exchange_steps.py
+++ b/features/steps/load_exchange_steps.py
@@ -48,6 +48,7 @@
     serving_context,
 )
 from features.support.slow_replicas import SLOW, HandClock
+from features.support.watched_attempts import end_check
 from standins.virtual import run_virtual
 
 SERVICE = "engine"
@@ -331,7 +332,7 @@
         connections=None,
         stated_limits=StatedLimits(clock=clock),
         statements=ReplicaStatements(clock=clock),
-        is_replaced=lambda _: False,
+        end_check=end_check(clock, None),
         loads=context.loads,
     )
     attempts._decode_head(
--- a/features/steps/stated_limits_steps.py
+++ b/features/steps/stated_limits_steps.py
@@ -25,6 +25,7 @@
 from features.support import cold_machine
 from features.support.decider_machine import SERVICE, HandClock
 from features.support.serving_values import client_request, request_limits
+from features.support.watched_attempts import end_check
 from standins.virtual import run_virtual
 
 REPLICA = Replica(
@@ -57,7 +58,7 @@
             connections=None,
             stated_limits=self.limits,
             statements=ReplicaStatements(clock=self.clock),
-            is_replaced=lambda _: False,
+            end_check=end_check(self.clock, None),
             loads=ReplicaLoads(clock=self.clock),
         )
 
--- a/features/steps/statement_send_steps.py
+++ b/features/steps/statement_send_steps.py
@@ -31,7 +31,7 @@
 from features.steps.serving_steps import ManualClock, replica, route
 from features.steps.stage_queue_steps import batch_spec, group
 from features.support.serving_values import request_limits, serving_context
-from features.support.watched_attempts import watched
+from features.support.watched_attempts import end_check, watched
 from standins.virtual import run_virtual
 
 REST_MS = 1_000.0
@@ -221,7 +221,7 @@
             connections=rig.replicas,
             stated_limits=StatedLimits(clock=rig.clock),
             statements=rig.statements,
-            is_replaced=lambda _: False,
+            end_check=end_check(rig.clock, rig.replicas),
             loads=ReplicaLoads(clock=rig.clock),
         )
         request = serving_context(route(streaming=kind == "stream"))
--- a/features/steps/stream_order_steps.py
+++ b/features/steps/stream_order_steps.py
@@ -27,7 +27,7 @@
 from features.steps.serving_steps import replica
 from features.support.platform_rig import configuration, route
 from features.support.serving_values import serving_context
-from features.support.watched_attempts import watched
+from features.support.watched_attempts import end_check, watched
 from standins.virtual import run_virtual
 
 EXAMPLES = 400
@@ -185,7 +185,7 @@
         connections=_Connections(exchanges),
         stated_limits=StatedLimits(clock=clock),
         statements=ReplicaStatements(clock=clock),
-        is_replaced=lambda _: False,
+        end_check=end_check(clock, _Connections(exchanges)),
         loads=ReplicaLoads(clock=clock),
     )
 
--- a/features/support/platform_rig.py
+++ b/features/support/platform_rig.py
@@ -28,7 +28,7 @@
 from cactusdyke.transport.server import HttpServer
 from standins.fleet import free_port
 from standins.platform_store import PlatformStore
-from standins.replica import PlatformReplica
+from standins.replica import HEALTH_PATH, PlatformReplica
 
 KEY = "key-of-council"
 HOST = "signals.example"
@@ -70,16 +70,16 @@
 
 def configuration(routes, version=1, **changes):
     services = [
-        {"name": "plain", "health_path": "/h", "max_conns": 64},
+        {"name": "plain", "health_path": HEALTH_PATH, "max_conns": 64},
         {
             "name": "engine",
-            "health_path": "/h",
+            "health_path": HEALTH_PATH,
             "max_conns": 64,
             "engine": {"capacity": 8, "kv_capacity_tokens": 100_000},
         },
         {
             "name": "stage",
-            "health_path": "/h",
+            "health_path": HEALTH_PATH,
             "max_conns": 64,
             "pieces": {
                 "capacity": 1,
--- a/features/support/watched_attempts.py
+++ b/features/support/watched_attempts.py
@@ -4,6 +4,9 @@
 
 import contextlib
 
+from cactusdyke.platform.wire import PlatformDialect
+from cactusdyke.serving.deployment import Deployment
+from cactusdyke.serving.end_check import EndCheck
 from cactusdyke.serving.silence_watch import SilenceWatch
 
 
@@ -22,3 +25,13 @@
     )
     async with watch.running():
         yield watch
+
+
+def end_check(clock, connections):
+    """Returns the check of answers that end with their connection."""
+    return EndCheck(
+        clock=clock,
+        dialect=PlatformDialect(),
+        connections=connections,
+        deployment=Deployment(clock=clock),
+    )
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -8,11 +8,13 @@
 
 import contextlib
 import itertools
+import socket
 from typing import TYPE_CHECKING, Any, Self
 
 import anyio
 import h11
 import orjson
+from anyio.abc import SocketAttribute, SocketListener
 
 from standins.fleet import free_port
 
@@ -20,7 +22,9 @@
     from collections.abc import Callable
     from types import TracebackType
 
+CUT_BYTES = 4
 SIGNATURE = b"signed-by-the-replica"
+HEALTH_PATH = "/h"
 EVENT = "id: {number}\ndata: token-{number}\n\n"
 
 
@@ -45,12 +49,15 @@
         freed: Handles that were freed.
         free_mb: What it says of its memory for results.
         reports: How often it was asked for it.
-        born: Start that it tells then, None to tell none.
+        born: Start that it tells then, None to tell none; grows with each.
         crashes_on: A request with these bytes in its path, body or prompt ends
             the process soon after it begins to run; None for no such request.
         crash_after_ms: How long after.
         closes_ms: How long it still listens once its connections have broken.
         down_ms: How long the process is down; it comes back under a new id.
+        keeps_listener: Whether its listener outlives its process, as that of a
+            supervisor does.
+        keeps_name: Whether it comes back under its id.
         crashing_arrivals: When it was sent such a request.
         crashes: When it crashed, and with which requests under way.
         on_start: Called after it has come back, with the id that it had.
@@ -85,6 +92,8 @@
         self.crash_after_ms = 30.0
         self.closes_ms = 0.0
         self.down_ms = 300.0
+        self.keeps_listener = False
+        self.keeps_name = False
         self.crashing_arrivals: list[float] = []
         self.crashes: list[tuple[float, list[str]]] = []
         self.on_start: Callable[[str], None] = lambda before: None
@@ -122,17 +131,26 @@
     async def _live(self, listener: Any, port: int) -> None:
         """Serves; starts again under a new id after each crash."""
         for start in itertools.count(1):
+            kept: socket.socket | None = None
             async with listener:
                 with anyio.CancelScope() as self._process:
                     await listener.serve(self._connection)
                 if self.closes_ms:
                     await anyio.sleep(self.closes_ms / 1000.0)
+                if self.keeps_listener:
+                    kept = listener.extra(SocketAttribute.raw_socket).dup()
             await anyio.sleep(self.down_ms / 1000.0)
-            listener = await anyio.create_tcp_listener(
-                local_host="127.0.0.1", local_port=port
-            )
+            if kept is None:
+                listener = await anyio.create_tcp_listener(
+                    local_host="127.0.0.1", local_port=port
+                )
+            else:
+                listener = await SocketListener.from_socket(kept)
             before = self.name
-            self.name = f"{before.partition('~')[0]}~{start}"
+            if self.born is not None:
+                self.born += 1
+            if not self.keeps_name:
+                self.name = f"{before.partition('~')[0]}~{start}"
             self.on_start(before)
 
     def _is_crashing(
@@ -153,6 +171,13 @@
         self.crashes.append((anyio.current_time(), list(self._under_way)))
         self._process.cancel()
 
+    async def _crash_now(self) -> None:
+        """Ends the process; does not return."""
+        # What was sent is read before the end of the connection.
+        await anyio.sleep(self.crash_after_ms / 1000.0)
+        self.crash()
+        await anyio.sleep_forever()
+
     async def _crash_soon(self) -> None:
         await anyio.sleep(self.crash_after_ms / 1000.0)
         self.crash()
@@ -219,6 +244,8 @@
             if self.born is not None:
                 told["born"] = self.born
             await stream.send(_plain(200, orjson.dumps(told)))
+        elif path == HEALTH_PATH:
+            await stream.send(_plain(200, b"", {"X-Replica-Id": self.name}))
         elif path == "/-/stage-free":
             self.freed += orjson.loads(body)["handles"]
             await stream.send(_plain(200, b""))
@@ -281,6 +308,10 @@
             return
         if path.endswith("/stream"):
             await self._stream(stream, headers, request_id)
+        elif "crash_within" in self.faults:
+            self.faults.discard("crash_within")
+            await stream.send(self._whole(request_id)[:-CUT_BYTES])
+            await self._crash_now()
         else:
             await stream.send(self._whole(request_id))
 
@@ -300,7 +331,7 @@
         }
         answer = _plain(status, body, headers)
         if "cut" in self.faults:
-            return answer[:-4]
+            return answer[:-CUT_BYTES]
         if "unsigned" in self.faults:
             return answer.replace(b"X-Response-Stamp", b"X-Other")
         if "not_http" in self.faults:
@@ -335,6 +366,9 @@
                 await anyio.sleep(self.pause_ms / 1000.0)
             if "skip" in self.faults and number == 2:
                 continue
+            if "crash_within" in self.faults and number == self.break_at:
+                self.faults.discard("crash_within")
+                await self._crash_now()
             data = EVENT.format(number=number).encode()
             if not framed:
                 await stream.send(data)
