--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -41,7 +41,7 @@
 from features.steps.serving_steps import ManualClock
 from features.support.quarantine_fleet import Replicas, replica
 from features.support.serving_values import NoConnections, request_limits
-from features.support.watched_attempts import end_check
+from features.support.watched_attempts import end_check, watched
 from standins.virtual import run_virtual
 
 
@@ -168,6 +168,7 @@
         )
 
 
+TIMEOUT_MS = 1_000.0
 PEER = PeerDaemon(
     name="d2",
     address="d2:1",
@@ -414,17 +415,18 @@
             is_event_stream=True,
             load=None,
         )
-        with anyio.CancelScope() as timeout_scope:
-            await attempts._forward_events(
-                context.body(timeout_scope),
-                replica(1),
-                verdict,
-                context.reply,
-                context.state,
-                timeout_scope=timeout_scope,
-                gap_timeout_ms=1_000.0,
-                on_first_event=lambda: None,
-            )
+        async with watched(clock, TIMEOUT_MS) as watch:
+            with watch.attempt_scope as timeout_scope:
+                await attempts._forward_events(
+                    context.body(timeout_scope),
+                    replica(1),
+                    verdict,
+                    context.reply,
+                    context.state,
+                    watch=watch,
+                    gap_limit_ms=TIMEOUT_MS,
+                    on_first_event=lambda: None,
+                )
 
     run_virtual(run)
 
