Let a planned restart keep its daemon's share of retries

What callers saw: in the first ten seconds of a process no retry is allowed but what its requests earn.

Cause: nobody can tell a new process what its predecessor has used. A planned stop can: it knows, and sends nothing more once its requests have ended.

Change: the stop closes the budget as its last step and leaves in the store what was used and saved. The next process takes it by replacing the object with the revision it read, and goes on from there, if it runs on the same machine and boot and half a window has not gone by on the machine's clock. A crash leaves nothing, as before.

--- a/cactusdyke/events.py
+++ b/cactusdyke/events.py
@@ -121,6 +121,25 @@
         " since it was charged.",
         "",
     )
+    RETRY_SHARE_LEFT = (
+        4017,
+        "A process that stopped as planned has left its share of retries to its"
+        " successor, in the store.",
+        "",
+    )
+    RETRY_SHARE_INHERITED = (
+        4018,
+        "A process that started has taken over the share of retries that its"
+        " predecessor left.",
+        "",
+    )
+    RETRY_SHARE_EXPIRED = (
+        4019,
+        "A process that started could not use the share of retries that its"
+        " predecessor left: half a window has gone by, or it ran on another"
+        " machine.",
+        "",
+    )
     LIMIT_OWNED = (
         4201,
         "This daemon begins to lend out a customer's limit.",
--- a/cactusdyke/platform/program.py
+++ b/cactusdyke/platform/program.py
@@ -128,7 +128,7 @@
             clock=clock,
             traffic=state_traffic,
         )
-        registry = DaemonRegistry(
+        registry = self._daemon_registry = DaemonRegistry(
             settings=self._settings, store=store, clock=clock
         )
         traffic = ControlTraffic(self._registry)
@@ -207,6 +207,7 @@
             memory=memory,
         )
         registry.keep(self._core.quarantine)
+        registry.pass_on(self._core.retry_budget)
         self._core.quarantine.on_loaded(self._announce_when_ready)
         self._members.attach("crash-evidence", self._core.quarantine.attachment)
         self._members.attach("limits", self._core.limits_attachment)
@@ -392,11 +393,13 @@
 
     async def stop(self) -> int:
         """Stops gracefully; returns how many requests were cut."""
-        return await self._stopping.run(
+        aborted = await self._stopping.run(
             self._front,
             drain=self._kernel.drain,
             end_requests=self._core.forwarder.end_before_stop,
         )
+        await self._daemon_registry.leave_share(self._core.retry_budget.close())
+        return aborted
 
     async def _look_at_settings(self) -> None:
         """Reloads settings that changed without a signal, or at the start."""
--- a/cactusdyke/platform/registry.py
+++ b/cactusdyke/platform/registry.py
@@ -8,7 +8,8 @@
 from result import Err, Ok, Result
 
 from cactusdyke import events
-from cactusdyke.errors import DECODING_ERRORS
+from cactusdyke.clock import MachineTime
+from cactusdyke.errors import DECODING_ERRORS, FailureKind
 from cactusdyke.infrastructure.host_list import (
     HostList,
     HostState,
@@ -17,6 +18,7 @@
 from cactusdyke.kernel import Service
 from cactusdyke.platform.values import text
 from cactusdyke.serving.quarantine import QuarantineStore
+from cactusdyke.serving.retry_handover import decode_handover
 from cactusdyke.transport.network_address import NetworkAddress
 
 if TYPE_CHECKING:
@@ -26,10 +28,17 @@
     from cactusdyke.platform.settings import PlatformSettings
     from cactusdyke.platform.store import StoreClient
     from cactusdyke.serving.quarantine import Quarantine
+    from cactusdyke.serving.retry_budget import RetryBudget
+    from cactusdyke.serving.retry_handover import RetryHandover
 
 KIND = "cactusdyke-daemons"
 RETRY_MS = 1_000.0
 STOP_TIMEOUT_MS = 1_000.0
+HANDOVER_TIMEOUT_MS = 150.0
+"""Within the time that a planned stop keeps for its last call to the store."""
+HANDOVER_FIELD = "retry_handover"
+TAKEN_FIELD = "retry_share_taken_at"
+_CHANGED = frozenset({FailureKind.CONFLICT, FailureKind.NOT_FOUND})
 
 
 class DaemonRegistry(Service, HostList, QuarantineStore):
@@ -40,6 +49,11 @@
 
     The object also holds the evidence against requests that crash replicas, so
     that a daemon that starts reads both with one call.
+
+    The last thing that a planned stop does is to create an object in its place
+    that holds what is left of the daemon's share of retries. It names no host.
+    The daemon's next process takes the share as it replaces that object, which
+    only one process can.
     """
 
     def __init__(
@@ -49,10 +63,14 @@
         self._store = store
         self._clock = clock
         self._quarantine: Quarantine | None = None
+        self._retry_budget: RetryBudget | None = None
+        self._left_by_predecessor: StoreObject | None = None
+        self._taken_at: MachineTime | None = None
         self._registered = 0
         self._tried = anyio.Event()
         self._listed_at: Instant | None = None
         self._stopping = False
+        self._is_removed = False
 
     @property
     def registered_count(self) -> int:
@@ -68,6 +86,10 @@
         """Saves the evidence of a quarantine with this daemon's object."""
         self._quarantine = quarantine
 
+    def pass_on(self, budget: RetryBudget) -> None:
+        """Passes a retry budget's share on to the daemon's next process."""
+        self._retry_budget = budget
+
     async def read(self) -> Result[tuple[ListedHost, ...], Failure]:
         """Returns the registered daemons, of which some may no longer run."""
         answer = await self._store.list(KIND)
@@ -77,11 +99,19 @@
             return answer
         if self._listed_at is None:
             self._listed_at = self._clock.now()
-        self._registered = len(answer.ok_value.objects)
+        entries = []
         for entry in answer.ok_value.objects:
+            if not _is_handover(entry):
+                entries.append(entry)
+            elif entry.name == self._settings.node:
+                self._left_by_predecessor = entry
+        self._registered = len(entries)
+        for entry in entries:
             self._load_evidence(entry)
+            if entry.name == self._settings.node:
+                self._withhold_taken(entry)
         self._inform()
-        hosts = map(_decode_host, answer.ok_value.objects)
+        hosts = map(_decode_host, entries)
         return Ok(tuple(host for host in hosts if host is not None))
 
     async def run(self) -> None:
@@ -94,17 +124,70 @@
         while True:
             if self._listed_at is None:
                 await self.read()
-            if (
-                self._listed_at is not None
-                and (await self.save_quarantine()).is_ok()
+            if self._stopping or (
+                self._listed_at is not None and (await self._register()).is_ok()
             ):
                 return
             await self._clock.sleep(RETRY_MS)
 
+    async def _register(self) -> Result[None, Failure]:
+        """Writes this daemon's object; takes what its predecessor has left."""
+        left, budget = self._left_by_predecessor, self._retry_budget
+        if left is None or budget is None:
+            return await self.save_quarantine()
+        taken_at = self._clock.machine_time()
+        taken = await self._store.replace(
+            KIND,
+            self._settings.node,
+            self._spec(taken_at=taken_at),
+            revision=left.revision,
+        )
+        if isinstance(taken, Ok):
+            self._left_by_predecessor = None
+            self._taken_at = taken_at
+            self._inherit(left, budget)
+            return taken
+        # Another process of this name may have been faster.
+        budget.withhold(None)
+        if taken.err_value.kind not in _CHANGED:
+            return taken
+        self._left_by_predecessor = None
+        return await self.save_quarantine()
+
+    def _inherit(self, left: StoreObject, budget: RetryBudget) -> None:
+        try:
+            handover = decode_handover(left.spec[HANDOVER_FIELD])
+        except DECODING_ERRORS as error:
+            _log_rejected(left, error)
+            return
+        events.log(
+            events.Event.RETRY_SHARE_INHERITED
+            if budget.inherit(handover)
+            else events.Event.RETRY_SHARE_EXPIRED,
+            daemons=handover.daemons,
+            services=len(handover.services),
+        )
+
+    def _withhold_taken(self, entry: StoreObject) -> None:
+        """Heeds that another process of this name may still use a share."""
+        has_taken = isinstance(entry.spec, dict) and TAKEN_FIELD in entry.spec
+        if not has_taken or self._retry_budget is None:
+            return
+        try:
+            taken_at = MachineTime.decode(entry.spec[TAKEN_FIELD])
+        except DECODING_ERRORS as error:
+            _log_rejected(entry, error)
+            taken_at = None
+        self._retry_budget.withhold(taken_at)
+
     async def save_quarantine(self) -> Result[None, Failure]:
         """Writes this daemon's object with all evidence that it has."""
         if self._stopping:
             return Ok(None)
+        spec = self._spec(taken_at=self._taken_at)
+        return await self._store.put(KIND, self._settings.node, spec)
+
+    def _spec(self, *, taken_at: MachineTime | None) -> dict[str, Any]:
         spec: dict[str, Any] = {
             "address": self._settings.peer.address,
             "data_centre": self._settings.zone,
@@ -115,7 +198,9 @@
                 "at": self._clock.wall(),
                 "evidence": evidence,
             }
-        return await self._store.put(KIND, self._settings.node, spec)
+        if taken_at is not None:
+            spec[TAKEN_FIELD] = taken_at.encode()
+        return spec
 
     def _inform(self) -> None:
         if self._quarantine is not None:
@@ -138,7 +223,30 @@
         """Removes this daemon's object."""
         self._stopping = True
         with self._clock.timeout(STOP_TIMEOUT_MS):
-            await self._store.delete(KIND, self._settings.node)
+            removed = await self._store.delete(KIND, self._settings.node)
+            self._is_removed = removed.is_ok()
+
+    async def leave_share(self, handover: RetryHandover | None) -> None:
+        """Leaves this daemon's share of retries to its next process.
+
+        A store that did not answer at the begin of the stop is not waited for.
+        If the next process has registered already, it gets nothing.
+        """
+        if handover is None or not self._is_removed:
+            return
+        spec = {HANDOVER_FIELD: handover.encode()}
+        with self._clock.timeout(HANDOVER_TIMEOUT_MS):
+            left = await self._store.create(KIND, self._settings.node, spec)
+            if left.is_ok():
+                events.log(
+                    events.Event.RETRY_SHARE_LEFT,
+                    daemons=handover.daemons,
+                    services=len(handover.services),
+                )
+
+
+def _is_handover(entry: StoreObject) -> bool:
+    return isinstance(entry.spec, dict) and HANDOVER_FIELD in entry.spec
 
 
 def _decode_host(entry: StoreObject) -> ListedHost | None:
--- a/cactusdyke/platform/store.py
+++ b/cactusdyke/platform/store.py
@@ -119,14 +119,37 @@
         Both may be done and their answers lost; doing them again is harmless,
         as only this daemon writes the object.
         """
-        body = {"metadata": {"name": name}, "spec": spec}
-        created = await self._call("POST", kind, body=body)
+        created = await self.create(kind, name, spec)
         if isinstance(created, Ok):
-            return Ok(None)
+            return created
         if created.err_value.kind is not FailureKind.CONFLICT:
             return created
-        replaced = await self._call("PUT", kind, name=name, body=body)
-        return replaced if isinstance(replaced, Err) else Ok(None)
+        return await self._replace(kind, {"name": name}, spec)
+
+    async def create(
+        self, kind: str, name: str, spec: Any
+    ) -> Result[None, Failure]:
+        """Creates an object, unless there is one of that name."""
+        body = {"metadata": {"name": name}, "spec": spec}
+        answer = await self._call("POST", kind, body=body)
+        return answer if isinstance(answer, Err) else Ok(None)
+
+    async def replace(
+        self, kind: str, name: str, spec: Any, *, revision: int
+    ) -> Result[None, Failure]:
+        """Replaces an object's content if nobody has changed it since.
+
+        Of several callers with the same revision one succeeds at most.
+        """
+        metadata = {"name": name, "revision": revision}
+        return await self._replace(kind, metadata, spec)
+
+    async def _replace(
+        self, kind: str, metadata: dict[str, Any], spec: Any
+    ) -> Result[None, Failure]:
+        body = {"metadata": metadata, "spec": spec}
+        answer = await self._call("PUT", kind, name=metadata["name"], body=body)
+        return answer if isinstance(answer, Err) else Ok(None)
 
     async def delete(self, kind: str, name: str) -> Result[None, Failure]:
         """Removes an object."""
--- a/cactusdyke/serving/core.py
+++ b/cactusdyke/serving/core.py
@@ -323,6 +323,11 @@
         """The quarantine of requests that crash replicas."""
         return self._quarantine
 
+    @property
+    def retry_budget(self) -> RetryBudget:
+        """This process's part of the retry allowance of each service."""
+        return self._retry_budget
+
     @property
     def pending_retries(self) -> int:
         """Retries that are charged to the retry budget and not sent yet."""
--- a/cactusdyke/serving/retry_budget.py
+++ b/cactusdyke/serving/retry_budget.py
@@ -9,7 +9,8 @@
   its requests earn in the window, and than the rest of its share allows. What
   it may save counts against its share.
 - A process that starts has saved nothing, and has no part of the slack for a
-  window: its predecessor may have used it up.
+  window: its predecessor may have used it up. If the predecessor was stopped
+  and has told what it left, the process goes on from there.
 - A retry that was charged and not sent yet counts as used until it is sent, and
   for a window from then on.
 """
@@ -23,11 +24,12 @@
 import attrs
 
 from cactusdyke.clock import Instant
+from cactusdyke.serving.retry_handover import RetryHandover, ServiceHandover
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from cactusdyke.clock import Clock
+    from cactusdyke.clock import Clock, MachineTime
     from cactusdyke.serving.daemon_count import DaemonCount
 
 
@@ -53,6 +55,10 @@
 """Share of a daemon's part of the slack that it may have saved from earlier
 requests. The rest may be used at any time."""
 WHOLE_RETRY = 1.0
+HANDOVER_SHARE = 0.5
+"""Part of the window in which a predecessor's share may be taken over. For a
+window after its end the other daemons divide the slack as if it were there;
+before that they have to learn of its successor."""
 
 
 @attrs.frozen(kw_only=True)
@@ -103,6 +109,10 @@
         """Returns a pending retry that will not be sent."""
         self._pending -= 1
 
+    def inherit_sent(self, count: int, now: Instant) -> None:
+        """Counts retries of a predecessor as if they were sent now."""
+        self._sent.extend([now] * count)
+
     def used_since(self, oldest: Instant) -> int:
         """Returns how many retries are pending or were sent since then."""
         _drop_before(self._sent, oldest)
@@ -193,6 +203,19 @@
     updated_at: Instant
 
 
+@attrs.frozen(kw_only=True)
+class _Inherited:
+    """That this process goes on with the share of its predecessor.
+
+    Attributes:
+        daemons: The daemon count that the share was divided by.
+        at: Since when it goes on with it.
+    """
+
+    daemons: int
+    at: Instant
+
+
 class RetryBudget:
     """This process's part of the retry allowance of each service."""
 
@@ -207,6 +230,9 @@
         self._allowance = allowance
         self._daemon_count = daemon_count
         self._services: dict[str, _ServiceBudget] = {}
+        self._inherited: _Inherited | None = None
+        self._withheld_until: Instant = -math.inf
+        self._closed = False
 
     @property
     def pending_count(self) -> int:
@@ -223,6 +249,8 @@
 
     def charge(self, service: str) -> RetryPermit | None:
         """Charges a retry, or returns None if it is not within the budget."""
+        if self._closed:
+            return None
         limits = self._update(service)
         budget = self._services[service]
         if budget.earnings.saved >= 1.0 and self._was_earned(budget, limits):
@@ -231,6 +259,71 @@
             return RetryPermit(clock=self._clock, charges=budget.slack)
         return None
 
+    def close(self) -> RetryHandover | None:
+        """Ends the sending of retries by this process.
+
+        Returns:
+            What its successor may go on with; None if the process has no share
+            itself, or a charged retry might still be sent.
+        """
+        self._closed = True
+        closed_at = self._clock.machine_time()
+        if closed_at is None or not self._has_share or self.pending_count:
+            return None
+        services = {}
+        for service, budget in self._services.items():
+            self._update(service)
+            used = budget.slack.used_since(self._oldest)
+            saved = budget.earnings.saved
+            if used or saved:
+                services[service] = ServiceHandover(used=used, saved=saved)
+        return RetryHandover(
+            closed_at=closed_at, daemons=self._divisor, services=services
+        )
+
+    def inherit(self, handover: RetryHandover) -> bool:
+        """Goes on with what the predecessor of this process has left.
+
+        The caller makes sure that no other process does so, too.
+
+        Returns:
+            Whether the process has the share of its predecessor now.
+        """
+        self._withheld_until = -math.inf
+        now = self._clock.machine_time()
+        age_ms = now.since(handover.closed_at) if now is not None else None
+        if (
+            age_ms is None
+            or age_ms > HANDOVER_SHARE * self._allowance().window_ms
+            or self._has_share
+            or not self._daemon_count.is_known
+        ):
+            return False
+        self._inherited = _Inherited(
+            daemons=handover.daemons, at=self._clock.now()
+        )
+        for service, part in handover.services.items():
+            limits = self._update(service)
+            budget = self._services[service]
+            budget.slack.inherit_sent(part.used, self._clock.now())
+            budget.earnings.add(part.saved, most=limits.most_saved)
+        return True
+
+    def withhold(self, taken_at: MachineTime | None) -> None:
+        """Waits for its share until what another process took is used up.
+
+        If that process is of the same name, and ends within a window from its
+        start, this one may get its share no sooner than a window later.
+
+        Args:
+            taken_at: When the other one was about to take the share of their
+                predecessor; None if unknown.
+        """
+        now = self._clock.machine_time()
+        age_ms = now.since(taken_at) if now and taken_at else None
+        left_ms = 2 * self._allowance().window_ms - (age_ms or 0.0)
+        self._withheld_until = self._clock.now() + left_ms
+
     def account(self, service: str) -> RetryAccount:
         """Returns what the next decision for a service is based on."""
         limits = self._update(service)
@@ -242,7 +335,7 @@
             + budget.slack.used_since(oldest),
             saved=round(budget.earnings.saved, 2),
             share=round(limits.share, 2),
-            daemons=self._daemon_count.highest(),
+            daemons=self._divisor,
             daemons_unchanged_ms=round(self._daemon_count.unchanged_ms),
             daemons_known_ms=round(self._daemon_count.known_for_ms),
         )
@@ -251,6 +344,30 @@
     def _oldest(self) -> Instant:
         return self._clock.now() - self._allowance().window_ms
 
+    @property
+    def _has_share(self) -> bool:
+        """Whether this process has a part of the slack.
+
+        The predecessor of a process that starts may have used its part, and a
+        daemon that does not know the others could take any part for its own.
+        """
+        if self._inherited is not None:
+            return True
+        known_for_ms = self._daemon_count.known_for_ms
+        return (
+            known_for_ms >= self._allowance().window_ms
+            and self._clock.now() >= self._withheld_until
+        )
+
+    @property
+    def _divisor(self) -> int:
+        """The daemon count by which the slack is divided."""
+        highest = self._daemon_count.highest()
+        inherited = self._inherited
+        if inherited is None or inherited.at < self._oldest:
+            return highest
+        return max(highest, inherited.daemons)
+
     def _update(self, service: str, *, earned: float = 0.0) -> _Limits:
         """Adds what a service's budget has gained; returns the limits."""
         now = self._clock.now()
@@ -267,11 +384,9 @@
 
     def _limits(self) -> _Limits:
         allowance = self._allowance()
-        # The predecessor of a process that starts may have used its part, and
-        # a daemon that does not know the others could take any part for its.
-        if self._daemon_count.known_for_ms < allowance.window_ms:
+        if not self._has_share:
             return _Limits(share=0.0)
-        share = SAFETY_FACTOR * allowance.slack / self._daemon_count.highest()
+        share = SAFETY_FACTOR * allowance.slack / self._divisor
         if share < WHOLE_RETRY:
             return _Limits(share=share)
         most_saved = max(WHOLE_RETRY, SAVED_SHARE * share)
--- a/features/support/retry_fleet.py
+++ b/features/support/retry_fleet.py
@@ -102,6 +102,11 @@
         while (permit := self.budget.charge(SERVICE)) is not None:
             fleet.charged(self, permit)
 
+    def record_request(self) -> None:
+        """Counts a request that this daemon has got."""
+        if self.budget is not None:
+            self.budget.record_request(SERVICE)
+
     def _start(self) -> None:
         fleet = self._fleet
         self.daemons = KnownDaemons(fleet.count, fleet.clock.ms)
@@ -166,10 +171,9 @@
         def send() -> None:
             if daemon.incarnation == incarnation and not daemon.gone:
                 permit.mark_sent()
-                self.at(self.clock.ms + self.late_ms(), arrive)
-
-        def arrive() -> None:
-            self.traffic.retries.append(self.clock.ms)
+                self.at(
+                    self.clock.ms + self.late_ms(), lambda: self.arrived(daemon)
+                )
 
         wait_ms = self.waits_ms()
         if wait_ms:
@@ -177,6 +181,11 @@
         else:
             send()
 
+    def arrived(self, daemon: FleetDaemon) -> None:
+        """Counts a daemon's retry as it reaches a replica."""
+        del daemon
+        self.traffic.retries.append(self.clock.ms)
+
     def run(self) -> None:
         """Plays the whole time."""
         while self.clock.ms < LENGTH_MS:
@@ -194,9 +203,7 @@
             self._owed -= 1.0
             self.traffic.requests.append(self.clock.ms)
             if receivers:
-                receiver = self.rng.choice(receivers)
-                if receiver.budget is not None:
-                    receiver.budget.record_request(SERVICE)
+                self.rng.choice(receivers).record_request()
 
     def worst_excess(self) -> float:
         """Returns the most retries above the allowance in any window."""
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -123,7 +123,12 @@
         kind, name = request.parameters["kind"], request.parameters["name"]
         if name not in self.objects[kind]:
             return json_response({}, status=404)
-        self.put(kind, name, request.json().unwrap()["spec"])
+        body = request.json().unwrap()
+        current = _object(name, *self.objects[kind][name])
+        expected = body.get("metadata", {}).get("revision")
+        if expected not in {None, current["metadata"]["revision"]}:
+            return json_response(current, status=409)
+        self.put(kind, name, body["spec"])
         return json_response(_object(name, *self.objects[kind][name]))
 
     async def _delete(self, request: Request) -> Response:
