Remove the share of retries of a daemon that does not return

Since a planned stop leaves its daemon's share of retries in the store, the object of a daemon that never came back stayed there for good, one for each host that was taken away or renamed.

A daemon that starts reads the list anyway. It now removes what others left over an hour ago, twenty objects at most, each only if it has the revision that was read: the daemon may just be returning.

Evidence: 'a daemon starts 70 minutes after another one was stopped' failed before. With the revision taken out, 'a daemon returns as what it left is removed' fails. The store's stand-in honours the revision of a removal.

--- a/cactusdyke/platform/registry.py
+++ b/cactusdyke/platform/registry.py
@@ -37,6 +37,12 @@
 HANDOVER_TIMEOUT_MS = 150.0
 """Within the time that a planned stop keeps for its last call to the store."""
 HANDOVER_FIELD = "retry_handover"
+HANDOVER_LIFETIME_MS = 3_600_000.0
+"""What a daemon left that has not returned by then is removed. Far longer than
+it can be used, as it is measured by the time of day."""
+MOST_REMOVED = 20
+"""Calls that a start makes for this at most."""
+LEFT_AT_FIELD = "left_at"
 TAKEN_FIELD = "retry_share_taken_at"
 _CHANGED = frozenset({FailureKind.CONFLICT, FailureKind.NOT_FOUND})
 
@@ -65,6 +71,7 @@
         self._quarantine: Quarantine | None = None
         self._retry_budget: RetryBudget | None = None
         self._left_by_predecessor: StoreObject | None = None
+        self._left_by_others: list[StoreObject] = []
         self._taken_at: MachineTime | None = None
         self._registered = 0
         self._tried = anyio.Event()
@@ -100,11 +107,14 @@
         if self._listed_at is None:
             self._listed_at = self._clock.now()
         entries = []
+        self._left_by_others = []
         for entry in answer.ok_value.objects:
             if not _is_handover(entry):
                 entries.append(entry)
             elif entry.name == self._settings.node:
                 self._left_by_predecessor = entry
+            else:
+                self._left_by_others.append(entry)
         self._registered = len(entries)
         for entry in entries:
             self._load_evidence(entry)
@@ -127,8 +137,18 @@
             if self._stopping or (
                 self._listed_at is not None and (await self._register()).is_ok()
             ):
-                return
+                break
             await self._clock.sleep(RETRY_MS)
+        if not self._stopping:
+            await self._remove_expired()
+
+    async def _remove_expired(self) -> None:
+        """Removes what daemons have left that did not return."""
+        now = self._clock.wall()
+        expired = [e for e in self._left_by_others if _has_expired(e, now)]
+        for entry in expired[:MOST_REMOVED]:
+            # Where this fails, a daemon that starts later tries it again.
+            await self._store.delete(KIND, entry.name, revision=entry.revision)
 
     async def _register(self) -> Result[None, Failure]:
         """Writes this daemon's object; takes what its predecessor has left."""
@@ -234,7 +254,10 @@
         """
         if handover is None or not self._is_removed:
             return
-        spec = {HANDOVER_FIELD: handover.encode()}
+        spec = {
+            HANDOVER_FIELD: handover.encode(),
+            LEFT_AT_FIELD: self._clock.wall(),
+        }
         with self._clock.timeout(HANDOVER_TIMEOUT_MS):
             left = await self._store.create(KIND, self._settings.node, spec)
             if left.is_ok():
@@ -249,6 +272,13 @@
     return isinstance(entry.spec, dict) and HANDOVER_FIELD in entry.spec
 
 
+def _has_expired(entry: StoreObject, now_ms: int) -> bool:
+    left_at = entry.spec.get(LEFT_AT_FIELD)
+    if not isinstance(left_at, int | float):
+        return True
+    return now_ms - left_at > HANDOVER_LIFETIME_MS
+
+
 def _decode_host(entry: StoreObject) -> ListedHost | None:
     """Returns the host of an entry, None if it can't be read."""
     try:
--- a/cactusdyke/platform/store.py
+++ b/cactusdyke/platform/store.py
@@ -151,9 +151,12 @@
         answer = await self._call("PUT", kind, name=metadata["name"], body=body)
         return answer if isinstance(answer, Err) else Ok(None)
 
-    async def delete(self, kind: str, name: str) -> Result[None, Failure]:
-        """Removes an object."""
-        answer = await self._call("DELETE", kind, name=name)
+    async def delete(
+        self, kind: str, name: str, *, revision: int | None = None
+    ) -> Result[None, Failure]:
+        """Removes an object, if it has the revision that is given."""
+        query = None if revision is None else {"revision": str(revision)}
+        answer = await self._call("DELETE", kind, name=name, query=query)
         return answer if isinstance(answer, Err) else Ok(None)
 
     async def _call(
--- a/features/retries/retry_handover.feature
+++ b/features/retries/retry_handover.feature
@@ -109,6 +109,23 @@
     When another daemon reads the list
     Then it lists and counts no daemon of that name
 
+  Scenario Outline: a daemon starts <minutes> minutes after another one was stopped
+    # Guards against shares of daemons that never return, which stay in the store.
+    Given a daemon that has used 2 retries of its share, and stops as planned
+    When another daemon starts <minutes> minutes later
+    Then what the stopped daemon left is <what>
+
+    Examples: times
+      | minutes | what    |
+      | 50      | kept    |
+      | 70      | removed |
+
+  Scenario: a daemon returns as what it left is removed
+    # Guards against the removal of a daemon that runs.
+    Given a daemon that has used 2 retries of its share, and stops as planned
+    When it returns while another daemon is about to remove what it left
+    Then it stays registered
+
   Scenario Outline: a planned stop while the store <trouble>
     # Guards against stops that wait for the store, or fail without it.
     Given a daemon with a share
--- a/features/steps/retry_handover_steps.py
+++ b/features/steps/retry_handover_steps.py
@@ -397,6 +397,42 @@
     assert context.counted == 0, context.counted
 
 
+@when("another daemon starts {minutes:d} minutes later")
+def another_starts(context, minutes):
+    async def story(hub):
+        await context.before(hub)
+        await anyio.sleep(minutes * 60.0)
+        await Process(hub, name="d1").start()
+        context.left = set(context.store.objects[KIND])
+
+    _with_store(context, story)
+
+
+@then("what the stopped daemon left is {what}")
+def check_left(context, what):
+    assert context.left == ({"d0", "d1"} if what == "kept" else {"d1"})
+
+
+@when("it returns while another daemon is about to remove what it left")
+def returns_meanwhile(context):
+    async def story(hub):
+        await context.before(hub)
+        await anyio.sleep(70 * 60.0)
+        other = Process(hub, name="d1")
+        await other.read()
+        await Process(hub, owner="a").start()
+        await other.registry.run()
+        context.left = dict(context.store.objects[KIND])
+
+    _with_store(context, story)
+
+
+@then("it stays registered")
+def check_registered(context):
+    _, spec = context.left["d0"]
+    assert "address" in spec, spec
+
+
 @given("a daemon with a share")
 def with_share(context):
     async def before(hub):
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -133,7 +133,13 @@
 
     async def _delete(self, request: Request) -> Response:
         self.counts["writes"] += 1
-        self.remove(request.parameters["kind"], request.parameters["name"])
+        kind, name = request.parameters["kind"], request.parameters["name"]
+        expected = request.query.get("revision")
+        if expected is not None and name in self.objects[kind]:
+            current = _object(name, *self.objects[kind][name])
+            if int(expected) != current["metadata"]["revision"]:
+                return json_response(current, status=409)
+        self.remove(kind, name)
         return json_response({})
 
 
