Read generated entries of daemons with the settings of the platform

The generator gave the registry settings of the own interface, which have no name of the platform's kind.

--- a/features/support/malformed.py
+++ b/features/support/malformed.py
@@ -11,7 +11,7 @@
 import zlib
 from collections.abc import Callable, Mapping
 from functools import partial
-from types import MappingProxyType
+from types import MappingProxyType, SimpleNamespace
 from typing import Any
 
 import anyio
@@ -321,7 +321,7 @@
 def _check_daemon(spec: Any) -> None:
     body = _listing(("d7", spec), ("d9", {**DAEMON, "address": "10.0.0.9:1"}))
     registry = DaemonRegistry(
-        settings=SETTINGS,
+        settings=SimpleNamespace(node="d1"),
         store=_store(body),
         clock=SystemClock(),
     )
